Add the calls between instances over gRPC

Cause: instances need a typed way to reach each other before anything can run end to end. Conclusion: the daemon can be written against PeerCalls.

--- a/packages/consensus/src/message.ts
+++ b/packages/consensus/src/message.ts
@@ -65,7 +65,9 @@
 		readonly index: LogIndex;
 		readonly round: number;
 	}
-	| {readonly kind: 'snapshotSent'; readonly term: Term; readonly snapshot: Snapshot; readonly round: number};
+	| {readonly kind: 'snapshotSent'; readonly term: Term; readonly snapshot: Snapshot; readonly round: number}
+	/** From a leader that stops: start an election at once. */
+	| {readonly kind: 'electionInvited'; readonly term: Term};
 
 /** A message with the two voters that it passes between. */
 export type ConsensusEnvelope = {
--- /dev/null
+++ b/packages/wire/src/server.ts
@@ -0,0 +1,111 @@
+/**
+ * The server for calls from other instances. Every call carries the deployment's
+ * peer key; one without it is refused before its message is looked at.
+ */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {
+	failure, type Failure, FailureKind, toFailure,
+} from '@dogwooddeck/model/failure';
+import {
+	type Metadata, Server, ServerCredentials, type sendUnaryData, type ServerUnaryCall, type UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import {err, ok, type Result} from 'true-myth/result';
+import {largestMessageBytes} from './client.js';
+import {PeerService} from './generated/peer.js';
+import {
+	methodCodecs, type MethodCodec, type PeerCall, type PeerCalls,
+} from './methods.js';
+import {statusOfFailure} from './status.js';
+
+/** What an instance does with each call. */
+export type PeerHandlers = {
+	readonly [Call in PeerCall]: (request: PeerCalls[Call]['request']) => Promise<Result<PeerCalls[Call]['answer'], Failure>>;
+};
+
+/** A server that runs. */
+export type PeerServer = {
+	/** The address that it listens on, as `IP:port`. */
+	readonly address: string;
+	/** Lets calls in flight end, then closes. */
+	readonly close: () => Promise<void>;
+};
+
+function digest(text: string): Uint8Array {
+	return createHash('sha256').update(text).digest();
+}
+
+function authenticated(metadata: Metadata, expected: Uint8Array): boolean {
+	const [given] = metadata.get('authorization');
+	return typeof given === 'string' && timingSafeEqual(digest(given), expected);
+}
+
+async function answerCall<Call extends PeerCall>(
+	call: Call,
+	wire: unknown,
+	handlers: PeerHandlers,
+): Promise<Result<unknown, Failure>> {
+	const codec = methodCodecs[call] as unknown as MethodCodec<Call, unknown, unknown>;
+	const request = codec.requestFromWire(wire);
+	if (request.isErr) {
+		return err(request.error);
+	}
+
+	const answer = await handlers[call](request.value);
+	return answer.map(value => codec.answerToWire(value));
+}
+
+function implementation(call: PeerCall, handlers: PeerHandlers, expected: Uint8Array) {
+	return async (received: ServerUnaryCall<unknown, unknown>, respond: sendUnaryData<unknown>): Promise<void> => {
+		if (!authenticated(received.metadata, expected)) {
+			respond(statusOfFailure(failure(FailureKind.unauthenticated, 'the peer key is missing or wrong')));
+			return;
+		}
+
+		try {
+			const answer = await answerCall(call, received.request, handlers);
+			if (answer.isOk) {
+				respond(null, answer.value);
+			} else {
+				respond(statusOfFailure(answer.error));
+			}
+		} catch (error) {
+			respond(statusOfFailure(toFailure(error)));
+		}
+	};
+}
+
+/** Starts to listen. Fails with `unreachable` when the address can't be bound. */
+export async function startPeerServer(address: string, key: string, handlers: PeerHandlers): Promise<Result<PeerServer, Failure>> {
+	const server = new Server({'grpc.max_receive_message_length': largestMessageBytes, 'grpc.max_send_message_length': largestMessageBytes});
+	const expected = digest(`Bearer ${key}`);
+	const calls = Object.keys(methodCodecs) as PeerCall[];
+	const table = Object.fromEntries(calls.map(call => [call, implementation(call, handlers, expected)]));
+	server.addService(PeerService, table);
+	return new Promise(resolve => {
+		server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
+			if (error !== null) {
+				resolve(err(failure(FailureKind.unreachable, `can't listen on ${address}: ${error.message}`)));
+				return;
+			}
+
+			resolve(ok({
+				address: address.replace(/:\d+$/v, `:${port}`),
+				close: async () => closeServer(server),
+			}));
+		});
+	});
+}
+
+const longestCloseMilliseconds = 1000;
+
+async function closeServer(server: Server): Promise<void> {
+	return new Promise(resolve => {
+		const force = setTimeout(() => {
+			server.forceShutdown();
+		}, longestCloseMilliseconds);
+		server.tryShutdown(() => {
+			clearTimeout(force);
+			resolve();
+		});
+	});
+}
