Add telemetry, the HTTP front and the replicated control state (in progress)

Cause: the daemon needs its edges and one state machine over configuration, membership and ownership. Change: key=value events on roarr, measures on hdr histograms, Nest controllers behind narrow surfaces, control commands, their application and the leader's proposals. Packages that wait for others don't compile on this commit.

--- /dev/null
+++ b/packages/control/src/apply.ts
@@ -0,0 +1,173 @@
+/**
+ * How commands change the control state. Every instance applies the same
+ * entries in the same order and comes to the same state.
+ */
+import {applyConfiguration} from '@dogwooddeck/configuration/apply';
+import {contractOf, contractsOf, type ConfigurationCommand} from '@dogwooddeck/configuration/tree';
+import {applyMembership, type MembershipCommand, upstreamsOf} from '@dogwooddeck/membership/registry';
+import {AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {type ServiceContract} from '@dogwooddeck/model/contract';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {UpstreamPhase} from '@dogwooddeck/model/registry';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {applyOwnership, assignmentOf, type OwnershipCommand, type OwnershipState} from '@dogwooddeck/ownership/table';
+import {err, ok, type Result} from 'true-myth/result';
+import {type ControlCommand, decodeCommands, type MoveWished, type OperatorAsked} from './command.js';
+import {type ControlAccepted, type ControlState, type KeptAnswer} from './state.js';
+
+/** The next state and the answer to one command. */
+export type CommandApplied = {
+	readonly state: ControlState;
+	readonly answer: Result<ControlAccepted, Failure>;
+};
+
+/** The next state and the answers to an entry's commands, in their order. */
+export type EntryApplied = {
+	readonly state: ControlState;
+	readonly answers: ReadonlyArray<Result<ControlAccepted, Failure>>;
+};
+
+/** How many answers to operators' commands are kept. */
+const keptOperatorAnswers = 1024;
+
+function policyTerms({whenCut, longestDeadlineMilliseconds}: ServiceContract) {
+	return {whenCut, longestDeadlineMilliseconds};
+}
+
+function followContract(ownership: OwnershipState, contract: ServiceContract, index: LogIndex): OwnershipState {
+	const service = contract.name;
+	const policy = policyTerms(contract);
+	const standing = ownership.policies[service];
+	if (standing === undefined) {
+		return applyOwnership(ownership, {
+			kind: 'serviceOpened', service, slots: contract.slots, policy,
+		}, index).unwrapOr(ownership);
+	}
+
+	const same = standing.whenCut === policy.whenCut && standing.longestDeadlineMilliseconds === policy.longestDeadlineMilliseconds;
+	return same ? ownership : applyOwnership(ownership, {kind: 'policyChanged', service, policy}, index).unwrapOr(ownership);
+}
+
+function followContracts(state: ControlState, index: LogIndex): ControlState {
+	const ownership = contractsOf(state.configuration)
+		.reduce((followed, contract) => followContract(followed, contract, index), state.ownership);
+	return ownership === state.ownership ? state : {...state, ownership};
+}
+
+function toConfiguration(command: ConfigurationCommand, state: ControlState, index: LogIndex): CommandApplied {
+	const applied = applyConfiguration(state.configuration, command, index);
+	const next = followContracts({...state, configuration: applied.state}, index);
+	return {state: next, answer: applied.answer.map(configuration => ({index, configuration}))};
+}
+
+function toMembership(command: MembershipCommand, state: ControlState, index: LogIndex): CommandApplied {
+	const membership = applyMembership(state.membership, command, index);
+	return membership.isOk
+		? {state: {...state, membership: membership.value}, answer: ok({index})}
+		: {state, answer: err(membership.error)};
+}
+
+function isOpenWish(state: ControlState, wish: MoveWished): boolean {
+	const assignment = assignmentOf(state.ownership, wish.service, wish.slot);
+	const target = upstreamsOf(state.membership, wish.service).find(({name}) => name === wish.upstream);
+	const met = assignment?.phase === AssignmentPhase.granted && assignment.owner.name === wish.upstream;
+	return assignment !== undefined && !met && target?.phase === UpstreamPhase.serving;
+}
+
+function dropMetWishes(state: ControlState): ControlState {
+	return state.wishes.length === 0 ? state : {...state, wishes: state.wishes.filter(wish => isOpenWish(state, wish))};
+}
+
+function toOwnership(command: OwnershipCommand, state: ControlState, index: LogIndex): CommandApplied {
+	const ownership = applyOwnership(state.ownership, command, index);
+	return ownership.isOk
+		? {state: dropMetWishes({...state, ownership: ownership.value}), answer: ok({index})}
+		: {state, answer: err(ownership.error)};
+}
+
+function takeWish(wish: MoveWished, state: ControlState, index: LogIndex): CommandApplied {
+	if (contractOf(state.configuration, wish.service) === undefined || assignmentOf(state.ownership, wish.service, wish.slot) === undefined) {
+		return {state, answer: err(failure(FailureKind.notFound, `there is no slot ${wish.slot} of ${wish.service}`))};
+	}
+
+	const target = upstreamsOf(state.membership, wish.service).find(({name}) => name === wish.upstream);
+	if (target?.phase !== UpstreamPhase.serving) {
+		return {state, answer: err(failure(FailureKind.notFound, `no upstream ${wish.upstream} of ${wish.service} is serving`))};
+	}
+
+	const others = state.wishes.filter(({service, slot}) => service !== wish.service || slot !== wish.slot);
+	return {state: dropMetWishes({...state, wishes: [...others, wish]}), answer: ok({index})};
+}
+
+function keptAnswer({operation}: OperatorAsked, command: string, answer: CommandApplied['answer']): KeptAnswer {
+	return {operation, command, answer: answer.isOk ? {accepted: answer.value} : {failure: answer.error}};
+}
+
+function answerAgain(kept: KeptAnswer, command: string): CommandApplied['answer'] {
+	if (kept.command !== command) {
+		return err(failure(FailureKind.conflict, `the operation ${kept.operation} stands for another change`));
+	}
+
+	return 'accepted' in kept.answer ? ok(kept.answer.accepted) : err(kept.answer.failure);
+}
+
+function onceOnly(asked: OperatorAsked, state: ControlState, index: LogIndex): CommandApplied {
+	const command = JSON.stringify(asked.command);
+	const kept = state.answers.find(({operation}) => operation === asked.operation);
+	if (kept !== undefined) {
+		return {state, answer: answerAgain(kept, command)};
+	}
+
+	const applied = applyCommand(asked.command, state, index);
+	const answers = [...applied.state.answers, keptAnswer(asked, command, applied.answer)].slice(-keptOperatorAnswers);
+	return {state: {...applied.state, answers}, answer: applied.answer};
+}
+
+const handlers: HandlerTable<ControlCommand, [ControlState, LogIndex], CommandApplied> = {
+	founded: toConfiguration,
+	subtreeApplied: toConfiguration,
+	tokenSet: toConfiguration,
+	upstreamJoined: toMembership,
+	upstreamPhaseChanged: toMembership,
+	upstreamForgotten: toMembership,
+	serviceOpened: toOwnership,
+	serviceClosed: toOwnership,
+	policyChanged: toOwnership,
+	policySettled: toOwnership,
+	assignmentsGranted: toOwnership,
+	assignmentsRevoked: toOwnership,
+	assignmentsReleased: toOwnership,
+	keyPinned: toOwnership,
+	keyUnpinned: toOwnership,
+	instanceSeated: toOwnership,
+	instanceUnseated: toOwnership,
+	zoneReleased: toOwnership,
+	moveWished: takeWish,
+	operatorAsked: onceOnly,
+};
+
+/** Applies one command of the entry at an index. A refused command changes nothing but the kept answers. */
+export function applyCommand(command: ControlCommand, state: ControlState, index: LogIndex): CommandApplied {
+	return Object.hasOwn(handlers, command.kind)
+		? dispatch(handlers, command, state, index)
+		: {state, answer: err(failure(FailureKind.malformed, `there is no command of kind ${JSON.stringify(command.kind)}`))};
+}
+
+/** Applies the entry at an index. A payload that can't be read changes nothing but the index. */
+export function applyEntry(state: ControlState, payload: string, index: LogIndex): EntryApplied {
+	const commands = decodeCommands(payload);
+	if (commands.isErr) {
+		return {state: {...state, applied: index}, answers: [err(commands.error)]};
+	}
+
+	const answers: Array<Result<ControlAccepted, Failure>> = [];
+	let next = state;
+	for (const command of commands.value) {
+		const applied = applyCommand(command, next, index);
+		next = applied.state;
+		answers.push(applied.answer);
+	}
+
+	return {state: {...next, applied: index}, answers};
+}
--- /dev/null
+++ b/packages/control/src/leader.ts
@@ -0,0 +1,141 @@
+/**
+ * What the leader of control decides: it hears the zones' stewards, and at each
+ * tick proposes the commands that the state of the world asks for. Its own
+ * state is volatile: the next leader begins anew.
+ */
+import {contractsOf} from '@dogwooddeck/configuration/tree';
+import {advanceWatch, createWatch, type WatchState} from '@dogwooddeck/membership/watch';
+import {
+	type InstanceName, type LogIndex, type MonotonicTime, type ServiceName, type UpstreamIdentity,
+} from '@dogwooddeck/model/identifiers';
+import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
+import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
+import {createGrantor, type GrantorState, stepGrantor} from '@dogwooddeck/ownership/grantor';
+import {type LeaseTerms} from '@dogwooddeck/ownership/terms';
+import {type SlotHash} from '@dogwooddeck/placement/hash';
+import {createLoad, type LoadState, receiveLoad} from '@dogwooddeck/placement/load';
+import {type PlacementState} from '@dogwooddeck/placement/plan';
+import {type ControlCommand} from './command.js';
+import {proposals} from './proposals.js';
+import {type ControlState} from './state.js';
+
+/** What the leader knows beside the log. */
+export type LeaderState = {
+	readonly hash: SlotHash;
+	readonly watch: WatchState;
+	readonly grantor: GrantorState;
+	readonly loads: Readonly<Record<ServiceName, LoadState>>;
+	readonly placements: Readonly<Record<ServiceName, PlacementState>>;
+	/** The next owner that a slot under revocation is meant for, by `targetKey`. */
+	readonly targets: Readonly<Record<string, UpstreamIdentity>>;
+	/** The instances that ask for a seat. */
+	readonly seats: Readonly<Record<InstanceName, SeatRequest>>;
+	/** Since when a proposal is under way. Absent: none is. */
+	readonly proposedAt?: MonotonicTime;
+};
+
+/** What happens to the leader. `control` is its own state with every committed entry applied. */
+export type LeaderEvent =
+	| {readonly kind: 'ticked'; readonly now: MonotonicTime; readonly control: ControlState}
+	| {
+		readonly kind: 'delegationRequested';
+		readonly now: MonotonicTime;
+		readonly quorumHeardAt: MonotonicTime;
+		readonly control: ControlState;
+		readonly request: DelegationRequest;
+	}
+	| {readonly kind: 'seatRequested'; readonly now: MonotonicTime; readonly control: ControlState; readonly request: SeatRequest}
+	/** The proposal that was under way was applied or refused. */
+	| {readonly kind: 'proposalEnded'; readonly now: MonotonicTime; readonly control: ControlState};
+
+/** What the leader asks the edge to do. */
+export type LeaderEffect =
+	| {readonly kind: 'propose'; readonly commands: readonly ControlCommand[]}
+	| {readonly kind: 'answerDelegation'; readonly answer: DelegationAnswer};
+
+/** A step of the leader. */
+export type LeaderTransition = Transition<LeaderState, LeaderEffect>;
+
+/** The smoothing of reported loads. */
+const loadTimeConstantMilliseconds = 10_000;
+
+/** A leader that was elected now, with a log that ends at `startIndex`. */
+export function createLeader(now: MonotonicTime, startIndex: LogIndex, terms: LeaseTerms, hash: SlotHash): LeaderState {
+	return {
+		hash,
+		watch: createWatch(now),
+		grantor: createGrantor(now, startIndex, terms),
+		loads: {},
+		placements: {},
+		targets: {},
+		seats: {},
+	};
+}
+
+type EventOf<Kind extends LeaderEvent['kind']> = Extract<LeaderEvent, {readonly kind: Kind}>;
+
+function takeLoads(state: LeaderState, {now, control, request}: EventOf<'delegationRequested'>): LeaderState['loads'] {
+	const region = control.ownership.rosters[request.zone]?.region;
+	if (region === undefined) {
+		return state.loads;
+	}
+
+	const report = {now, region, ...request.report};
+	const loads = contractsOf(control.configuration).map(({name}) => {
+		const load = state.loads[name] ?? createLoad(name, loadTimeConstantMilliseconds, now);
+		return [name, receiveLoad(load, report)] as const;
+	});
+	return Object.fromEntries(loads);
+}
+
+function delegationRequested(event: EventOf<'delegationRequested'>, state: LeaderState): LeaderTransition {
+	const {now, quorumHeardAt, control, request} = event;
+	const granted = stepGrantor(state.grantor, {
+		kind: 'delegationRequested', now, quorumHeardAt, table: control.ownership, request,
+	});
+	const watch = advanceWatch(state.watch, {
+		kind: 'reportReceived', now, report: request.report, reporter: {zone: request.zone, instance: request.steward.name},
+	}).state;
+	return {
+		state: {
+			...state, grantor: granted.state, watch, loads: takeLoads(state, event),
+		},
+		effects: granted.effects,
+	};
+}
+
+function seatRequested({now, control, request}: EventOf<'seatRequested'>, state: LeaderState): LeaderTransition {
+	const grantor = stepGrantor(state.grantor, {
+		kind: 'seatRequested', now, table: control.ownership, request,
+	}).state;
+	return {state: {...state, grantor, seats: {...state.seats, [request.instance.name]: request}}, effects: []};
+}
+
+function ticked({now, control}: EventOf<'ticked' | 'proposalEnded'>, state: LeaderState): LeaderTransition {
+	const grantor = stepGrantor(state.grantor, {kind: 'tableChanged', now, table: control.ownership}).state;
+	if (state.proposedAt !== undefined) {
+		return {state: {...state, grantor}, effects: []};
+	}
+
+	const next = proposals({...state, grantor}, control, now);
+	return next.commands.length === 0
+		? {state: next.state, effects: []}
+		: {state: {...next.state, proposedAt: now}, effects: [{kind: 'propose', commands: next.commands}]};
+}
+
+function proposalEnded(event: EventOf<'proposalEnded'>, state: LeaderState): LeaderTransition {
+	const {proposedAt: _proposedAt, ...rest} = state;
+	return ticked(event, rest);
+}
+
+const handlers: HandlerTable<LeaderEvent, [LeaderState], LeaderTransition> = {
+	ticked,
+	delegationRequested,
+	seatRequested,
+	proposalEnded,
+};
+
+/** The next state of the leader, and what to do. */
+export function stepLeader(state: LeaderState, event: LeaderEvent): LeaderTransition {
+	return dispatch(handlers, event, state);
+}
--- /dev/null
+++ b/packages/control/src/service-proposals.ts
@@ -0,0 +1,175 @@
+/**
+ * The commands that a leader proposes for one service: the ends of revocations
+ * whose evidence is complete, grants of vacant slots, moves, and pinned keys.
+ */
+import {contractOf} from '@dogwooddeck/configuration/tree';
+import {upstreamOf, upstreamsOf} from '@dogwooddeck/membership/registry';
+import {flappingCount, joinedAt} from '@dogwooddeck/membership/watch';
+import {type Assignment, AssignmentPhase, type ServiceAssignments} from '@dogwooddeck/model/assignment';
+import {type ServiceContract} from '@dogwooddeck/model/contract';
+import {
+	type MonotonicTime, sameUpstream, type ServiceName, type Slot, type UpstreamIdentity, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
+import {identityOf, UpstreamPhase} from '@dogwooddeck/model/registry';
+import {clear, zoneOf} from '@dogwooddeck/ownership/grantor';
+import {noRates, ratesOf} from '@dogwooddeck/placement/load';
+import {createPlacement, planPlacement, type PlacementInput, type PlacementPlan} from '@dogwooddeck/placement/plan';
+import {type ControlCommand} from './command.js';
+import {type LeaderState} from './leader.js';
+import {type Proposals} from './proposals.js';
+import {type ControlState} from './state.js';
+
+type Revoking = Extract<Assignment, {readonly phase: typeof AssignmentPhase.revoking}>;
+type Target = {readonly slot: Slot; readonly to: UpstreamIdentity};
+
+function targetKey(service: ServiceName, slot: Slot): string {
+	return `${service}\n${slot}`;
+}
+
+function isRevoking(assignment: Assignment): assignment is Revoking {
+	return assignment.phase === AssignmentPhase.revoking;
+}
+
+function unreachableZones(state: LeaderState, control: ControlState, now: MonotonicTime): readonly ZoneName[] {
+	return Object.values(control.ownership.rosters)
+		.filter(({zone, members}) => members.length > 0 && now >= zoneOf(state.grantor, zone).delegatedUntil)
+		.map(({zone}) => zone);
+}
+
+function mayOwn(control: ControlState, target: UpstreamIdentity | undefined): target is UpstreamIdentity {
+	return target !== undefined && upstreamOf(control.membership, target)?.phase === UpstreamPhase.serving;
+}
+
+function ownerZone(control: ControlState, owner: UpstreamIdentity): ZoneName | undefined {
+	return upstreamOf(control.membership, owner)?.zone;
+}
+
+/** Ends the revocations of a service whose evidence is complete: by a grant to the slot's target, or by a release. */
+function endRevocations(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): Proposals {
+	const revoking = (control.ownership.services[service]?.assignments ?? []).filter(assignment => isRevoking(assignment));
+	let {grantor} = state;
+	const cleared: Revoking[] = [];
+	for (const assignment of revoking) {
+		const zone = ownerZone(control, assignment.owner);
+		const result = zone === undefined ? undefined : clear(grantor, control.ownership, {service, slot: assignment.slot, ownerZone: zone}, now);
+		if (result?.cleared === true) {
+			grantor = result.grantor;
+			cleared.push(assignment);
+		}
+	}
+
+	const targetOf = (slot: Slot) => state.targets[targetKey(service, slot)];
+	const granted = cleared.filter(({slot}) => mayOwn(control, targetOf(slot)));
+	const released = cleared.filter(assignment => !granted.includes(assignment));
+	const commands: ControlCommand[] = [
+		...(granted.length === 0 ? [] : [{
+			kind: 'assignmentsGranted' as const, service, grants: granted.map(({slot, revokedAt}) => ({slot, owner: targetOf(slot)!, revokedAt})),
+		}]),
+		...(released.length === 0 ? [] : [{
+			kind: 'assignmentsReleased' as const, service, releases: released.map(({slot, revokedAt}) => ({slot, revokedAt})),
+		}]),
+	];
+	return {state: {...state, grantor}, commands};
+}
+
+function wishedMoves(control: ControlState, assignments: ServiceAssignments): readonly Target[] {
+	return control.wishes.filter(({service}) => service === assignments.service).flatMap(({slot, upstream}) => {
+		const assignment = assignments.assignments[slot];
+		const target = upstreamsOf(control.membership, assignments.service)
+			.find(({name, phase}) => name === upstream && phase === UpstreamPhase.serving);
+		const moves = assignment?.phase === AssignmentPhase.granted && target !== undefined && !sameUpstream(assignment.owner, identityOf(target));
+		return moves ? [{slot, to: identityOf(target)}] : [];
+	});
+}
+
+function placementInput(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): PlacementInput {
+	const service = contract.name;
+	const load = state.loads[service];
+	const loads = load === undefined ? noRates : ratesOf(load, now);
+	return {
+		now,
+		contract,
+		assignments: control.ownership.services[service] ?? {service, assignments: [], pinned: []},
+		upstreams: upstreamsOf(control.membership, service).map(record => {
+			const joined = joinedAt(state.watch, identityOf(record));
+			return joined === undefined ? {record} : {record, joinedAt: joined};
+		}),
+		loads,
+		hotKeys: Object.entries(loads.keys).map(([key, rate]) => ({key, home: state.hash(key, contract.slots), rate})),
+		flapping: flappingCount(state.watch, service, now),
+		unreachableZones: unreachableZones(state, control, now),
+		state: state.placements[service] ?? createPlacement(now),
+	};
+}
+
+function planCommands(service: ServiceName, plan: PlacementPlan, revoked: readonly Slot[]): readonly ControlCommand[] {
+	return [
+		...(plan.grants.length === 0 ? [] : [{kind: 'assignmentsGranted' as const, service, grants: plan.grants}]),
+		...(revoked.length === 0 ? [] : [{kind: 'assignmentsRevoked' as const, service, slots: revoked}]),
+		...plan.pins.map(({key, home}) => ({
+			kind: 'keyPinned' as const, service, key, home,
+		})),
+		...plan.unpins.map(({key}) => ({kind: 'keyUnpinned' as const, service, key})),
+	];
+}
+
+function withTargets(state: LeaderState, service: ServiceName, targets: readonly Target[]): LeaderState {
+	const added = targets.map(({slot, to}) => [targetKey(service, slot), to] as const);
+	return added.length === 0 ? state : {...state, targets: {...state.targets, ...Object.fromEntries(added)}};
+}
+
+function plannedProposals(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Proposals {
+	const service = contract.name;
+	const input = placementInput(state, control, contract, now);
+	const plan = planPlacement(input);
+	const wished = wishedMoves(control, input.assignments);
+	const planned = plan.moves.flatMap(({slot, to}) => to === undefined ? [] : [{slot, to}]);
+	const revoked = [...new Set([...plan.moves.map(({slot}) => slot), ...wished.map(({slot}) => slot)])];
+	const next = {...state, placements: {...state.placements, [service]: plan.state}};
+	return {state: withTargets(next, service, [...planned, ...wished]), commands: planCommands(service, plan, revoked)};
+}
+
+/** Every zone has reported the last change of a service's policy. */
+function settlingProposals(state: LeaderState, control: ControlState, service: ServiceName): Proposals {
+	const policy = control.ownership.policies[service];
+	const zones = Object.values(control.ownership.rosters).filter(({members}) => members.length > 0);
+	const settled = policy?.former !== undefined && zones.every(({zone}) => zoneOf(state.grantor, zone).drained >= policy.changedAt);
+	return {state, commands: settled ? [{kind: 'policySettled', service, changedAt: policy.changedAt}] : []};
+}
+
+/** What to propose for a service that has a contract. */
+export function serviceProposals(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Proposals {
+	const settled = settlingProposals(state, control, contract.name);
+	const ended = endRevocations(settled.state, control, contract.name, now);
+	const planned = plannedProposals(ended.state, control, contract, now);
+	return {state: planned.state, commands: [...settled.commands, ...ended.commands, ...planned.commands]};
+}
+
+function closingOf(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): Proposals {
+	const {assignments} = control.ownership.services[service]!;
+	if (assignments.every(({phase}) => phase === AssignmentPhase.vacant)) {
+		return {state, commands: [{kind: 'serviceClosed', service}]};
+	}
+
+	const slots = assignments.filter(({phase}) => phase === AssignmentPhase.granted).map(({slot}) => slot);
+	const ended = endRevocations({...state, targets: {}}, control, service, now);
+	return {
+		state: {...ended.state, targets: state.targets},
+		commands: [...ended.commands, ...(slots.length === 0 ? [] : [{kind: 'assignmentsRevoked' as const, service, slots}])],
+	};
+}
+
+/** What to propose for services whose contract was removed: their slots become vacant, then they are closed. */
+export function closingProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
+	const commands: ControlCommand[] = [];
+	let next = state;
+	for (const service of Object.keys(control.ownership.services)) {
+		if (contractOf(control.configuration, service) === undefined) {
+			const made = closingOf(next, control, service, now);
+			next = made.state;
+			commands.push(...made.commands);
+		}
+	}
+
+	return {state: next, commands};
+}
--- /dev/null
+++ b/packages/control/src/state.ts
@@ -0,0 +1,65 @@
+/**
+ * The replicated control state: configuration, membership and ownership as one.
+ * It is plain JSON, so that a snapshot is its text.
+ */
+import {type ConfigurationAccepted, type ConfigurationState, initialConfiguration} from '@dogwooddeck/configuration/tree';
+import {emptyMembership, type MembershipState} from '@dogwooddeck/membership/registry';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type LogIndex, type OperationIdentifier} from '@dogwooddeck/model/identifiers';
+import {emptyOwnership, type OwnershipState} from '@dogwooddeck/ownership/table';
+import {err, ok, type Result} from 'true-myth/result';
+import {type MoveWished} from './command.js';
+
+/** What whoever sent a command learns of it. */
+export type ControlAccepted = {
+	/** The index of the entry that the command took effect with. */
+	readonly index: LogIndex;
+	/** With a command to the configuration. */
+	readonly configuration?: ConfigurationAccepted;
+};
+
+/** The answer to an operator's command, kept for when it is sent again. */
+export type KeptAnswer = {
+	readonly operation: OperationIdentifier;
+	/** The command as text. */
+	readonly command: string;
+	readonly answer: {readonly accepted: ControlAccepted} | {readonly failure: Failure};
+};
+
+/** All that the log says. */
+export type ControlState = {
+	/** The newest entry that is applied. */
+	readonly applied: LogIndex;
+	readonly configuration: ConfigurationState;
+	readonly membership: MembershipState;
+	readonly ownership: OwnershipState;
+	/** Operators' wishes that are not yet met. */
+	readonly wishes: readonly MoveWished[];
+	/** Oldest first. */
+	readonly answers: readonly KeptAnswer[];
+};
+
+/** The state before the first entry. */
+export const emptyControl: ControlState = {
+	applied: 0,
+	configuration: initialConfiguration,
+	membership: emptyMembership,
+	ownership: emptyOwnership,
+	wishes: [],
+	answers: [],
+};
+
+/** The text of a snapshot. */
+export function encodeControl(state: ControlState): string {
+	return JSON.stringify(state);
+}
+
+/** The state of a snapshot's text. Fails with `malformed`. */
+export function decodeControl(data: string): Result<ControlState, Failure> {
+	try {
+		const state = JSON.parse(data) as ControlState;
+		return ok({...emptyControl, ...state});
+	} catch {
+		return err(failure(FailureKind.malformed, 'the snapshot holds no control state'));
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/voter-runner.ts
@@ -0,0 +1,236 @@
+/**
+ * Runs a voter of the replicated log: feeds what arrives to its state machine
+ * and carries out the effects, by a lookup table.
+ */
+import {
+	type ConsensusEffect, type ConsensusEvent, type ConsensusOptions, Role, type SavedState,
+} from '@dogwooddeck/consensus/machine';
+import {type ConsensusEnvelope, type LogEntry, type VoterSet} from '@dogwooddeck/consensus/message';
+import {
+	committedIndex, createVoter, leaderOf, quorumHeardAt, roleOf, stepVoter, voterSetOf,
+} from '@dogwooddeck/consensus/voter';
+import {type ControlAccepted} from '@dogwooddeck/control/state';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {
+	type InstanceName, type LogIndex, type Milliseconds, type MonotonicTime,
+} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {type Storage} from '@dogwooddeck/storage/folder';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {err, ok, type Result} from 'true-myth/result';
+import {emptyPayload, type ControlHolder, type EntryAnswers} from './control-holder.js';
+
+/** A command's place in the log and its answer. */
+export type Committed = {readonly index: LogIndex; readonly answers: EntryAnswers};
+
+/** A voter that runs. */
+export type VoterRunner = {
+	readonly receive: (envelope: ConsensusEnvelope) => void;
+	/** Ends when the payload is committed and applied here, or refused. */
+	readonly propose: (payload: string) => Promise<Result<Committed, Failure>>;
+	/** Ends when all that was accepted before the call is applied here. */
+	readonly read: () => Promise<Result<LogIndex, Failure>>;
+	readonly changeVoters: (voterSet: VoterSet) => Promise<Result<LogIndex, Failure>>;
+	/** Passes leadership on. */
+	readonly handOver: () => void;
+	readonly isLeader: () => boolean;
+	readonly leader: () => InstanceName | undefined;
+	/** When a majority was last heard, if this voter leads. */
+	readonly quorumHeardAt: (now: MonotonicTime) => MonotonicTime | undefined;
+	readonly voterSet: () => VoterSet;
+	readonly committed: () => LogIndex;
+	readonly stop: () => Promise<void>;
+};
+
+/** What a voter runs on. */
+export type VoterSurroundings = {
+	readonly options: ConsensusOptions;
+	readonly saved: SavedState;
+	readonly storage: Storage;
+	readonly holder: ControlHolder;
+	readonly log: Log;
+	readonly send: (envelope: ConsensusEnvelope) => void;
+	readonly roleChanged: (role: Role) => void;
+	/** The durable state can't be written: the process has to end. */
+	readonly failed: (failed: Failure) => void;
+};
+
+const tickMilliseconds: Milliseconds = 20;
+
+type Settle = (result: Result<Committed, Failure>) => void;
+type Waiting = {readonly term: number; readonly settle: Settle};
+
+const unknownOutcome = failure(FailureKind.outcomeUnknown, 'another leader took over before the change was known to be accepted');
+
+/** Starts a voter. */
+export function startVoter(surroundings: VoterSurroundings): VoterRunner {
+	const {holder, log, storage} = surroundings;
+	let state = createVoter(surroundings.options, surroundings.saved, monotonicNow());
+	let requests = 0;
+	let writing: Promise<void> = Promise.resolve();
+	let stopped = false;
+	const proposals = new Map<string, Settle>();
+	const placed = new Map<LogIndex, Waiting>();
+	const reads: Array<{readonly index: LogIndex; readonly settle: Settle}> = [];
+
+	function settleReads(): void {
+		const applied = holder.state().applied;
+		const ready = reads.filter(({index}) => index <= applied);
+		for (const read of ready) {
+			reads.splice(reads.indexOf(read), 1);
+			read.settle(ok({index: applied, answers: []}));
+		}
+	}
+
+	function applyOne(entry: LogEntry): void {
+		const payload = entry.body.kind === 'command' ? entry.body.payload : emptyPayload;
+		const answers = holder.apply(entry.index, payload) ?? [];
+		const waiting = placed.get(entry.index);
+		if (waiting !== undefined) {
+			placed.delete(entry.index);
+			waiting.settle(waiting.term === entry.term ? ok({index: entry.index, answers}) : err(unknownOutcome));
+		}
+	}
+
+	function settle(request: string, result: Result<Committed, Failure>): void {
+		proposals.get(request)?.(result);
+		proposals.delete(request);
+	}
+
+	async function write(effect: Extract<ConsensusEffect, {readonly kind: 'persist'}>): Promise<void> {
+		const persisted = await storage.persist(effect);
+		if (persisted.isErr) {
+			surroundings.failed(persisted.error);
+			return;
+		}
+
+		step({kind: 'persisted', now: monotonicNow(), ticket: effect.ticket});
+	}
+
+	const effects: HandlerTable<ConsensusEffect, [], void> = {
+		persist(effect) {
+			writing = Promise.all([writing, write(effect)]).then(() => undefined);
+		},
+		send({envelope}) {
+			surroundings.send(envelope);
+		},
+		apply({entries}) {
+			for (const entry of entries) {
+				applyOne(entry);
+			}
+
+			settleReads();
+		},
+		restore({snapshot}) {
+			const restored = holder.restore(snapshot.index, snapshot.data);
+			log.event(EventName.stateRestored, {index: snapshot.index, taken: restored.isOk && restored.value});
+			settleReads();
+		},
+		placed({request, index, term}) {
+			const settlePlaced = proposals.get(request);
+			if (settlePlaced !== undefined) {
+				placed.set(index, {
+					term,
+					settle(result) {
+						settle(request, result);
+					},
+				});
+			}
+		},
+		refused({request, failure: refusal}) {
+			settle(request, err(refusal));
+		},
+		readReady({request, index}) {
+			reads.push({
+				index,
+				settle(result) {
+					settle(request, result);
+				},
+			});
+			settleReads();
+		},
+		snapshotWanted() {
+			const {applied} = holder.state();
+			if (applied <= committedIndex(state)) {
+				queueMicrotask(() => {
+					step({
+						kind: 'snapshotTaken', now: monotonicNow(), index: applied, data: holder.after(-1).state!.data,
+					});
+				});
+			}
+		},
+		roleChanged({role, term, leader}) {
+			log.event(EventName.roleChanged, {role, term, leader: leader?.name});
+			surroundings.roleChanged(role);
+		},
+	};
+
+	function step(event: ConsensusEvent): void {
+		if (stopped) {
+			return;
+		}
+
+		const next = stepVoter(state, event);
+		state = next.state;
+		for (const effect of next.effects) {
+			dispatch(effects, effect);
+		}
+	}
+
+	async function ask(event: (request: string) => ConsensusEvent): Promise<Result<Committed, Failure>> {
+		requests += 1;
+		const request = `${surroundings.options.self.name}-${requests}`;
+		return new Promise(resolve => {
+			proposals.set(request, resolve);
+			step(event(request));
+		});
+	}
+
+	const ticking = setInterval(() => {
+		step({kind: 'ticked', now: monotonicNow()});
+	}, tickMilliseconds);
+
+	return {
+		receive(envelope) {
+			step({kind: 'received', now: monotonicNow(), envelope});
+		},
+		propose: async payload => ask(request => ({
+			kind: 'proposed', now: monotonicNow(), request, payload,
+		})),
+		async read() {
+			const answer = await ask(request => ({kind: 'readRequested', now: monotonicNow(), request}));
+			return answer.map(({index}) => index);
+		},
+		async changeVoters(voterSet) {
+			const answer = await ask(request => ({
+				kind: 'voterChangeProposed', now: monotonicNow(), request, voterSet,
+			}));
+			return answer.map(({index}) => index);
+		},
+		handOver() {
+			step({kind: 'handOverRequested', now: monotonicNow()});
+		},
+		isLeader: () => roleOf(state) === Role.leader,
+		leader: () => leaderOf(state)?.name,
+		quorumHeardAt: now => quorumHeardAt(state, now),
+		voterSet: () => voterSetOf(state),
+		committed: () => committedIndex(state),
+		async stop() {
+			stopped = true;
+			clearInterval(ticking);
+			for (const pending of proposals.values()) {
+				pending(err(unknownOutcome));
+			}
+
+			await writing;
+			await storage.close();
+		},
+	};
+}
+
+/** The first of an entry's answers. */
+export function firstAnswer({index, answers}: Committed): Result<ControlAccepted, Failure> {
+	return answers[0] ?? ok({index});
+}
--- /dev/null
+++ b/packages/front/src/application.ts
@@ -0,0 +1,54 @@
+/**
+ * Starts Nest on Fastify at an address.
+ */
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type DynamicModule} from '@nestjs/common';
+import {NestFactory} from '@nestjs/core';
+import {FastifyAdapter, type NestFastifyApplication} from '@nestjs/platform-fastify';
+import {err, ok, type Result} from 'true-myth/result';
+import {ProblemFilter} from './problem-filter.js';
+import {type FrontServer} from './surface.js';
+
+/** What an application is made of. */
+export type ApplicationOptions = {
+	/** Where to listen, as `IP:port`. */
+	readonly address: string;
+	readonly module: DynamicModule;
+	readonly largestBodyBytes: number;
+	/** Whether JSON bodies are read before a handler runs. */
+	readonly readsBodies: boolean;
+	/** Adds routes beside Nest's own. */
+	readonly prepare: (adapter: FastifyAdapter) => void;
+};
+
+function splitAddress(address: string): {readonly host: string; readonly port: number} {
+	const colon = address.lastIndexOf(':');
+	return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
+}
+
+function boundAddress(application: NestFastifyApplication, host: string): string {
+	const bound = application.getHttpServer().address();
+	return `${host}:${typeof bound === 'object' && bound !== null ? bound.port : 0}`;
+}
+
+/** Starts to listen. Fails with `unreachable` when the address can't be bound. */
+export async function startApplication(options: ApplicationOptions): Promise<Result<FrontServer, Failure>> {
+	const adapter = new FastifyAdapter({bodyLimit: options.largestBodyBytes, forceCloseConnections: 'idle'});
+	const application = await NestFactory.create<NestFastifyApplication>(options.module, adapter, {
+		logger: false, bodyParser: options.readsBodies, abortOnError: false,
+	});
+	application.useGlobalFilters(new ProblemFilter());
+	options.prepare(adapter);
+	const {host, port} = splitAddress(options.address);
+	try {
+		await application.listen(port, host);
+	} catch (error) {
+		await application.close();
+		return err(failure(FailureKind.unreachable, `can't listen on ${options.address}: ${(error as Error).message}`));
+	}
+
+	return ok({
+		address: boundAddress(application, host),
+		close: async () => application.close(),
+	});
+}
--- /dev/null
+++ b/packages/front/src/operator-controller.ts
@@ -0,0 +1,107 @@
+/**
+ * The operators' and the upstreams' surface: JSON over HTTP, failures as problem bodies.
+ */
+import {authorHeader} from '@dogwooddeck/configuration/messages';
+import {FailureError} from '@dogwooddeck/model/failure';
+import {
+	Body, Controller, Get, Headers, HttpCode, Inject, Post, Query,
+} from '@nestjs/common';
+import {operatorSurfaceToken} from './injection.js';
+import {type OperatorSurface, type SurfaceHandler, type SurfaceRequest} from './surface.js';
+
+type HeaderFields = Readonly<Record<string, string | undefined>>;
+type QueryFields = Readonly<Record<string, unknown>>;
+
+const bearer = /^bearer\s+(\S+)$/iv;
+const okStatus = 200;
+
+function surfaceRequest(headers: HeaderFields, query: QueryFields, body: unknown): SurfaceRequest {
+	const single = Object.entries(query).filter((pair): pair is [string, string] => typeof pair[1] === 'string');
+	return {
+		token: bearer.exec(headers['authorization'] ?? '')?.[1] ?? '',
+		author: headers[authorHeader] ?? '',
+		query: Object.fromEntries(single),
+		body,
+	};
+}
+
+async function answered(handler: SurfaceHandler, request: SurfaceRequest): Promise<unknown> {
+	const answer = await handler(request);
+	if (answer.isErr) {
+		throw new FailureError(answer.error);
+	}
+
+	return answer.value;
+}
+
+/** Answers `/announce` and everything below `/operator`. */
+@Controller()
+export class OperatorController {
+	constructor(@Inject(operatorSurfaceToken) private readonly surface: OperatorSurface) {}
+
+	@Post('announce')
+	@HttpCode(okStatus)
+	async announce(@Headers() headers: HeaderFields, @Body() body: unknown): Promise<unknown> {
+		return answered(this.surface.announce, surfaceRequest(headers, {}, body));
+	}
+
+	@Post('operator/apply')
+	@HttpCode(okStatus)
+	async apply(@Headers() headers: HeaderFields, @Body() body: unknown): Promise<unknown> {
+		return answered(this.surface.apply, surfaceRequest(headers, {}, body));
+	}
+
+	@Post('operator/move')
+	@HttpCode(okStatus)
+	async move(@Headers() headers: HeaderFields, @Body() body: unknown): Promise<unknown> {
+		return answered(this.surface.move, surfaceRequest(headers, {}, body));
+	}
+
+	@Post('operator/drain')
+	@HttpCode(okStatus)
+	async drain(@Headers() headers: HeaderFields, @Body() body: unknown): Promise<unknown> {
+		return answered(this.surface.drain, surfaceRequest(headers, {}, body));
+	}
+
+	@Post('operator/zone-declare-lost')
+	@HttpCode(okStatus)
+	async zoneDeclareLost(@Headers() headers: HeaderFields, @Body() body: unknown): Promise<unknown> {
+		return answered(this.surface.zoneDeclareLost, surfaceRequest(headers, {}, body));
+	}
+
+	@Post('operator/token')
+	@HttpCode(okStatus)
+	async token(@Headers() headers: HeaderFields, @Body() body: unknown): Promise<unknown> {
+		return answered(this.surface.token, surfaceRequest(headers, {}, body));
+	}
+
+	@Get('operator/configuration')
+	async configuration(@Headers() headers: HeaderFields, @Query() query: QueryFields): Promise<unknown> {
+		return answered(this.surface.configuration, surfaceRequest(headers, query, undefined));
+	}
+
+	@Get('operator/history')
+	async history(@Headers() headers: HeaderFields, @Query() query: QueryFields): Promise<unknown> {
+		return answered(this.surface.history, surfaceRequest(headers, query, undefined));
+	}
+
+	@Get('operator/owners')
+	async owners(@Headers() headers: HeaderFields, @Query() query: QueryFields): Promise<unknown> {
+		return answered(this.surface.owners, surfaceRequest(headers, query, undefined));
+	}
+
+	@Get('operator/status')
+	async status(@Headers() headers: HeaderFields, @Query() query: QueryFields): Promise<unknown> {
+		return answered(this.surface.status, surfaceRequest(headers, query, undefined));
+	}
+
+	@Get('operator/members')
+	async members(@Headers() headers: HeaderFields, @Query() query: QueryFields): Promise<unknown> {
+		return answered(this.surface.members, surfaceRequest(headers, query, undefined));
+	}
+
+	@Get('operator/burn')
+	async burn(@Headers() headers: HeaderFields, @Query() query: QueryFields): Promise<unknown> {
+		return answered(this.surface.burn, surfaceRequest(headers, query, undefined));
+	}
+}
--- /dev/null
+++ b/packages/front/src/operator-server.ts
@@ -0,0 +1,40 @@
+/**
+ * The server for operators, upstreams, the balancer's checks and scrapers.
+ */
+import {largestOperatorBody} from '@dogwooddeck/configuration/messages';
+import {type Failure} from '@dogwooddeck/model/failure';
+import {Module} from '@nestjs/common';
+import {type Result} from 'true-myth/result';
+import {startApplication} from './application.js';
+import {HealthController} from './health-controller.js';
+import {healthSurfaceToken, operatorSurfaceToken} from './injection.js';
+import {OperatorController} from './operator-controller.js';
+import {type FrontServer, type HealthSurface, type OperatorSurface} from './surface.js';
+
+/** The Nest module of the operators' server. */
+@Module({})
+class OperatorModule {}
+
+/** Starts the server. Fails with `unreachable` when the address can't be bound. */
+export async function startOperatorServer(
+	address: string,
+	operators: OperatorSurface,
+	health: HealthSurface,
+): Promise<Result<FrontServer, Failure>> {
+	return startApplication({
+		address,
+		module: {
+			module: OperatorModule,
+			controllers: [HealthController, OperatorController],
+			providers: [
+				{provide: operatorSurfaceToken, useValue: operators},
+				{provide: healthSurfaceToken, useValue: health},
+			],
+		},
+		largestBodyBytes: largestOperatorBody,
+		readsBodies: true,
+		prepare() {
+			// The controllers are all that this server has.
+		},
+	});
+}
--- /dev/null
+++ b/packages/telemetry/src/event.ts
@@ -0,0 +1,46 @@
+/**
+ * The names of all events that are logged.
+ */
+export const EventName = {
+	/** The process has read its settings and begins. */
+	instanceStarted: 'instance-started',
+	/** The instance takes requests. */
+	instanceReady: 'instance-ready',
+	/** The instance takes no more requests. */
+	instanceNotReady: 'instance-not-ready',
+	/** A planned stop has begun. */
+	stopRequested: 'stop-requested',
+	/** A planned stop has ended. */
+	instanceStopped: 'instance-stopped',
+	/** The process ends because of a fault. */
+	instanceFailed: 'instance-failed',
+	/** The voter has another role, or sees another leader. */
+	roleChanged: 'role-changed',
+	/** The durable state can't be written; the process ends. */
+	storageFailed: 'storage-failed',
+	/** This instance is its zone's steward. */
+	stewardStarted: 'steward-started',
+	/** This instance is no longer its zone's steward. */
+	stewardEnded: 'steward-ended',
+	/** A routing lease is held again. */
+	leaseGained: 'lease-gained',
+	/** A routing lease has run out. */
+	leaseLost: 'lease-lost',
+	/** A command of the replicated control state was applied. */
+	commandApplied: 'command-applied',
+	/** A command was refused when it was applied. */
+	commandRefused: 'command-refused',
+	/** The whole control state was replaced by a newer one. */
+	stateRestored: 'state-restored',
+	/** An upstream's announcement was refused. */
+	announcementRefused: 'announcement-refused',
+	/** A request ended with a failure. */
+	requestFailed: 'request-failed',
+	/** A message from outside could not be taken. */
+	inputRefused: 'input-refused',
+	/** A voter's data folder is new to the others. */
+	voterJoining: 'voter-joining',
+} as const;
+
+/** One of the names of events. */
+export type EventName = (typeof EventName)[keyof typeof EventName];
