--- /dev/null
+++ b/packages/configuration/test/test-apply.ts
@@ -0,0 +1,105 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {defaultContract, KeyPlace, type ServiceContract} from '@dogwooddeck/model/contract';
+import {FailureKind} from '@dogwooddeck/model/failure';
+import {applyConfiguration} from '../src/apply.js';
+import {
+	contractsOf, initialConfiguration, revisionOf, type ConfigurationCommand, type ConfigurationState,
+} from '../src/tree.js';
+
+function contract(name: string, more: Partial<ServiceContract> = {}): ServiceContract {
+	return {
+		...defaultContract, name, prefix: `/${name.split('/')[1]}`, key: {place: KeyPlace.path, segment: 0}, ...more,
+	};
+}
+
+function applied(operation: string, base: number, services: readonly ServiceContract[], team = 'bermrand'): ConfigurationCommand {
+	return {
+		kind: 'subtreeApplied', team, operation, base, services, author: 'planner', at: 0,
+	};
+}
+
+/** An answer in few words: the revision, or the kind of failure and the revision that stands. */
+type Expected = number | string;
+
+const schedule = contract('bermrand/schedule');
+const booking = contract('bermrand/booking');
+
+const cases: ReadonlyArray<{
+	readonly name: string;
+	readonly commands: readonly ConfigurationCommand[];
+	readonly expected: readonly Expected[];
+	readonly services: readonly string[];
+}> = [
+	{
+		name: 'the first of two changes with equal base wins',
+		commands: [applied('operation-1', 0, [schedule]), applied('operation-2', 0, [booking])],
+		expected: [1, `${FailureKind.conflict} 1`],
+		services: ['bermrand/schedule'],
+	},
+	{
+		name: 'an operation that is sent again gets the first answer',
+		commands: [
+			applied('operation-1', 0, [schedule]), applied('operation-2', 1, [schedule, booking]), applied('operation-1', 0, [schedule]),
+		],
+		expected: [1, 2, 1],
+		services: ['bermrand/booking', 'bermrand/schedule'],
+	},
+	{
+		name: 'a refusal that is sent again is refused again, also when it would pass now',
+		commands: [
+			applied('operation-1', 1, [schedule]), applied('operation-2', 0, [booking]), applied('operation-1', 1, [schedule]),
+		],
+		expected: [`${FailureKind.conflict} 0`, 2, `${FailureKind.conflict} 0`],
+		services: ['bermrand/booking'],
+	},
+	{
+		name: 'an operation with other content is a conflict',
+		commands: [applied('operation-1', 0, [schedule]), applied('operation-1', 1, [booking])],
+		expected: [1, `${FailureKind.conflict} none`],
+		services: ['bermrand/schedule'],
+	},
+	{
+		name: 'a service of another team is forbidden',
+		commands: [applied('operation-1', 0, [contract('valbrembo/orders')])],
+		expected: [`${FailureKind.forbidden} none`],
+		services: [],
+	},
+	{
+		name: 'a prefix of another team is refused',
+		commands: [
+			applied('operation-1', 0, [schedule]),
+			applied('operation-1', 0, [contract('valbrembo/orders', {prefix: '/schedule/orders'})], 'valbrembo'),
+		],
+		expected: [1, `${FailureKind.settingsInvalid} none`],
+		services: ['bermrand/schedule'],
+	},
+	{
+		name: 'the number of slots never changes',
+		commands: [applied('operation-1', 0, [schedule]), applied('operation-2', 1, [{...schedule, slots: 128}])],
+		expected: [1, `${FailureKind.settingsInvalid} none`],
+		services: ['bermrand/schedule'],
+	},
+];
+
+function restarted(state: ConfigurationState): ConfigurationState {
+	const snapshot = JSON.stringify(state);
+	return JSON.parse(snapshot) as ConfigurationState;
+}
+
+for (const {name, commands, expected, services} of cases) {
+	test(`configuration: ${name}`, () => {
+		let state = initialConfiguration;
+		const answers = commands.map((command, position) => {
+			const next = applyConfiguration(restarted(state), command, position + 1);
+			state = next.state;
+			return next.answer.match<Expected>({
+				Ok: accepted => accepted.revision,
+				Err: refusal => `${refusal.kind} ${refusal.winningRevision ?? 'none'}`,
+			});
+		});
+		assert.deepEqual(answers, expected);
+		assert.deepEqual(contractsOf(state).map(service => service.name), services);
+		assert.ok(revisionOf(state, 'bermrand') <= commands.length);
+	});
+}
