--- /dev/null
+++ b/packages/membership/src/evidence.ts
@@ -0,0 +1,115 @@
+/**
+ * An instance's own view of the upstreams it sends requests to: counts that
+ * are cheap to keep for each request, and are read out for each report.
+ */
+import {type UpstreamEvidence} from '@dogwooddeck/model/evidence';
+import {
+	type Milliseconds, sameUpstream, type ServiceName, type UpstreamIdentity, type UpstreamName,
+} from '@dogwooddeck/model/identifiers';
+
+/** How an attempt at an upstream ended, as health evidence. */
+export const AttemptEnd = {
+	/** A whole answer came, errors of the upstream's own application among them. */
+	answered: 'answered',
+	/** The connection was refused or cut, or the answer was cut short. */
+	failed: 'failed',
+	/** The deadline passed. */
+	timedOut: 'timedOut',
+	/** The upstream refused because it had too much to do. */
+	shed: 'shed',
+	/** The caller went away: says nothing about the upstream. */
+	cancelled: 'cancelled',
+} as const;
+
+/** One of the ends of an attempt. */
+export type AttemptEnd = (typeof AttemptEnd)[keyof typeof AttemptEnd];
+
+type Counts = {
+	readonly upstream: UpstreamIdentity;
+	answered: number;
+	failed: number;
+	timedOut: number;
+	shed: number;
+	cancelled: number;
+	inFlight: number;
+	latencySum: Milliseconds;
+};
+
+/** Counts for all upstreams. It belongs to the request path, and is updated in place. */
+export type EvidenceRecorder = {
+	/** An attempt was handed to the upstream. */
+	readonly started: (upstream: UpstreamIdentity) => void;
+	/** An attempt ended after `latency`. Each `started` has one `ended`. */
+	readonly ended: (upstream: UpstreamIdentity, end: AttemptEnd, latency: Milliseconds) => void;
+	/** The attempts that are in flight now. */
+	readonly inFlight: (upstream: UpstreamIdentity) => number;
+	/** What was seen since the last call. Upstreams without any count are left out. */
+	readonly take: () => readonly UpstreamEvidence[];
+};
+
+function newCounts(upstream: UpstreamIdentity): Counts {
+	return {
+		upstream, answered: 0, failed: 0, timedOut: 0, shed: 0, cancelled: 0, inFlight: 0, latencySum: 0,
+	};
+}
+
+function toEvidence(counts: Counts): UpstreamEvidence {
+	const {upstream, answered, failed, timedOut, shed, inFlight, latencySum} = counts;
+	return {
+		upstream, answered, failed, timedOut, shed, inFlight, meanLatencyMilliseconds: answered === 0 ? 0 : latencySum / answered,
+	};
+}
+
+function isSilent(evidence: UpstreamEvidence): boolean {
+	return evidence.answered + evidence.failed + evidence.timedOut + evidence.shed + evidence.inFlight === 0;
+}
+
+/** Makes a recorder without counts. */
+export function createEvidenceRecorder(): EvidenceRecorder {
+	const services = new Map<ServiceName, Map<UpstreamName, Counts[]>>();
+
+	function livesOf(upstream: UpstreamIdentity): Counts[] {
+		const names = services.get(upstream.service) ?? new Map<UpstreamName, Counts[]>();
+		services.set(upstream.service, names);
+		const lives = names.get(upstream.name) ?? [];
+		names.set(upstream.name, lives);
+		return lives;
+	}
+
+	function find(upstream: UpstreamIdentity): Counts | undefined {
+		return services.get(upstream.service)?.get(upstream.name)?.find(counts => sameUpstream(counts.upstream, upstream));
+	}
+
+	function create(upstream: UpstreamIdentity): Counts {
+		const counts = newCounts(upstream);
+		livesOf(upstream).push(counts);
+		return counts;
+	}
+
+	function takeFrom(names: Map<UpstreamName, Counts[]>, name: UpstreamName): UpstreamEvidence[] {
+		const lives = names.get(name) ?? [];
+		const evidence = lives.map(counts => toEvidence(counts)).filter(entry => !isSilent(entry));
+		const kept = lives.filter(counts => counts.inFlight > 0).map(counts => ({...newCounts(counts.upstream), inFlight: counts.inFlight}));
+		if (kept.length === 0) {
+			names.delete(name);
+		} else {
+			names.set(name, kept);
+		}
+
+		return evidence;
+	}
+
+	return {
+		started(upstream) {
+			(find(upstream) ?? create(upstream)).inFlight++;
+		},
+		ended(upstream, end, latency) {
+			const counts = find(upstream) ?? create(upstream);
+			counts.inFlight = Math.max(0, counts.inFlight - 1);
+			counts[end]++;
+			counts.latencySum += end === AttemptEnd.answered ? latency : 0;
+		},
+		inFlight: upstream => find(upstream)?.inFlight ?? 0,
+		take: () => [...services.values()].flatMap(names => [...names.keys()].flatMap(name => takeFrom(names, name))),
+	};
+}
--- /dev/null
+++ b/packages/membership/src/registry.ts
@@ -0,0 +1,186 @@
+/**
+ * The replicated registry of upstreams: who announced itself, in which life,
+ * and what was decided about it. The state is JSON and never changed in place.
+ */
+import {
+	type Failure, FailureKind, failure,
+} from '@dogwooddeck/model/failure';
+import {
+	type Incarnation, type LogIndex, type ServiceName, type UpstreamIdentity, type UpstreamName,
+} from '@dogwooddeck/model/identifiers';
+import {type Announcement, UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {err, ok, type Result} from 'true-myth/result';
+
+/** The incarnations of forgotten upstreams that are kept for each service, so that none of them returns. */
+export const tombstonesPerService = 4096;
+
+/** The last life of an upstream whose record was dropped. */
+export type Tombstone = {
+	readonly incarnation: Incarnation;
+	/** The log entry that dropped the record. */
+	readonly forgottenAt: LogIndex;
+};
+
+/** The upstreams of one service. */
+export type ServiceMembership = {
+	readonly upstreams: Readonly<Record<UpstreamName, UpstreamRecord>>;
+	readonly tombstones: Readonly<Record<UpstreamName, Tombstone>>;
+};
+
+/** The registry of all services. */
+export type MembershipState = {
+	readonly services: Readonly<Record<ServiceName, ServiceMembership>>;
+};
+
+/** A log entry that changes the registry. */
+export type MembershipCommand =
+	/** An upstream announced itself in an incarnation that the registry doesn't hold. */
+	| {readonly kind: 'upstreamJoined'; readonly record: UpstreamRecord}
+	| {readonly kind: 'upstreamPhaseChanged'; readonly upstream: UpstreamIdentity; readonly phase: UpstreamPhase}
+	/** The record of an upstream that no longer serves is dropped. */
+	| {readonly kind: 'upstreamForgotten'; readonly upstream: UpstreamIdentity};
+
+/** The registry before the first entry. */
+export const emptyMembership: MembershipState = {services: {}};
+
+const emptyService: ServiceMembership = {upstreams: {}, tombstones: {}};
+
+/** Within one incarnation, phases only go forward. */
+const phaseOrder: Readonly<Record<UpstreamPhase, number>> = {
+	[UpstreamPhase.serving]: 0,
+	[UpstreamPhase.leaving]: 1,
+	[UpstreamPhase.lost]: 2,
+};
+
+function own<Value>(record: Readonly<Record<string, Value>>, name: string): Value | undefined {
+	return Object.hasOwn(record, name) ? record[name] : undefined;
+}
+
+function without<Value>(record: Readonly<Record<string, Value>>, name: string): Readonly<Record<string, Value>> {
+	return Object.fromEntries(Object.entries(record).filter(([key]) => key !== name));
+}
+
+function serviceOf(state: MembershipState, service: ServiceName): ServiceMembership {
+	return own(state.services, service) ?? emptyService;
+}
+
+function withService(state: MembershipState, service: ServiceName, membership: ServiceMembership): MembershipState {
+	return {services: {...state.services, [service]: membership}};
+}
+
+function withRecord(state: MembershipState, record: UpstreamRecord): MembershipState {
+	const membership = serviceOf(state, record.service);
+	return withService(state, record.service, {
+		upstreams: {...membership.upstreams, [record.name]: record},
+		tombstones: without(membership.tombstones, record.name),
+	});
+}
+
+function superseded(upstream: UpstreamIdentity): Failure {
+	return failure(
+		FailureKind.superseded,
+		`upstream ${upstream.name} of ${upstream.service} must announce itself with an incarnation after ${upstream.incarnation}`,
+	);
+}
+
+/** The records of a service's upstreams in all phases, ordered by name. */
+export function upstreamsOf(state: MembershipState, service: ServiceName): readonly UpstreamRecord[] {
+	const {upstreams} = serviceOf(state, service);
+	return Object.keys(upstreams).sort().map(name => upstreams[name]!);
+}
+
+/** The record of exactly this life of an upstream, if the registry holds it. */
+export function upstreamOf(state: MembershipState, identity: UpstreamIdentity): UpstreamRecord | undefined {
+	const record = own(serviceOf(state, identity.service).upstreams, identity.name);
+	return record?.incarnation === identity.incarnation ? record : undefined;
+}
+
+/** The latest incarnation under which a name was ever admitted, as far as the registry remembers. */
+export function latestIncarnation(state: MembershipState, service: ServiceName, name: UpstreamName): Incarnation | undefined {
+	const membership = serviceOf(state, service);
+	return own(membership.upstreams, name)?.incarnation ?? own(membership.tombstones, name)?.incarnation;
+}
+
+/**
+ * Whether an announcement may be taken up. Fails with `superseded` when the
+ * upstream has a later life, or when this life was judged to be gone: the
+ * upstream must then announce itself with a later incarnation.
+ */
+export function checkAnnouncement(state: MembershipState, announcement: Announcement): Result<Announcement, Failure> {
+	const {service, name, incarnation} = announcement;
+	const latest = latestIncarnation(state, service, name);
+	const record = upstreamOf(state, {service, name, incarnation});
+	const isKnown = record !== undefined && record.phase !== UpstreamPhase.lost;
+	return latest === undefined || incarnation > latest || isKnown ? ok(announcement) : err(superseded({service, name, incarnation: latest}));
+}
+
+function join(state: MembershipState, record: UpstreamRecord): Result<MembershipState, Failure> {
+	if (record.phase === UpstreamPhase.lost) {
+		return err(failure(FailureKind.malformed, `upstream ${record.name} can't join as lost`));
+	}
+
+	const latest = latestIncarnation(state, record.service, record.name);
+	if (latest === undefined || record.incarnation > latest) {
+		return ok(withRecord(state, record));
+	}
+
+	const standing = upstreamOf(state, record);
+	const isSameLife = standing !== undefined && standing.phase !== UpstreamPhase.lost && standing.address === record.address;
+	return isSameLife ? ok(state) : err(superseded({service: record.service, name: record.name, incarnation: latest}));
+}
+
+function findStanding(state: MembershipState, upstream: UpstreamIdentity): Result<UpstreamRecord, Failure> {
+	const record = upstreamOf(state, upstream);
+	if (record !== undefined) {
+		return ok(record);
+	}
+
+	const latest = latestIncarnation(state, upstream.service, upstream.name);
+	return latest !== undefined && latest >= upstream.incarnation
+		? err(superseded({...upstream, incarnation: latest}))
+		: err(failure(FailureKind.notFound, `no upstream ${upstream.name} of ${upstream.service} with incarnation ${upstream.incarnation}`));
+}
+
+function changePhase(state: MembershipState, record: UpstreamRecord, phase: UpstreamPhase): Result<MembershipState, Failure> {
+	if (phaseOrder[phase] < phaseOrder[record.phase]) {
+		return err(superseded(record));
+	}
+
+	return ok(phase === record.phase ? state : withRecord(state, {...record, phase}));
+}
+
+function boundTombstones(tombstones: Readonly<Record<UpstreamName, Tombstone>>): Readonly<Record<UpstreamName, Tombstone>> {
+	const entries = Object.entries(tombstones);
+	return entries.length <= tombstonesPerService
+		? tombstones
+		: Object.fromEntries(entries.sort(([, one], [, other]) => other.forgottenAt - one.forgottenAt).slice(0, tombstonesPerService));
+}
+
+function forget(state: MembershipState, record: UpstreamRecord, index: LogIndex): Result<MembershipState, Failure> {
+	if (record.phase === UpstreamPhase.serving) {
+		return err(failure(FailureKind.conflict, `upstream ${record.name} of ${record.service} is serving`));
+	}
+
+	const membership = serviceOf(state, record.service);
+	const tombstone: Tombstone = {incarnation: record.incarnation, forgottenAt: index};
+	return ok(withService(state, record.service, {
+		upstreams: without(membership.upstreams, record.name),
+		tombstones: boundTombstones({...membership.tombstones, [record.name]: tombstone}),
+	}));
+}
+
+const handlers: HandlerTable<MembershipCommand, [MembershipState, LogIndex], Result<MembershipState, Failure>> = {
+	upstreamJoined: ({record}, state) => join(state, record),
+	upstreamPhaseChanged: ({upstream, phase}, state) => findStanding(state, upstream).andThen(record => changePhase(state, record, phase)),
+	upstreamForgotten: ({upstream}, state, index) => findStanding(state, upstream).andThen(record => forget(state, record, index)),
+};
+
+/**
+ * Applies the log entry at `index`. Commands may come twice: the second
+ * changes nothing. Fails with `superseded` for an older or lost incarnation,
+ * `notFound`, `malformed`, and `conflict` for forgetting one that serves.
+ */
+export function applyMembership(state: MembershipState, command: MembershipCommand, index: LogIndex): Result<MembershipState, Failure> {
+	return dispatch(handlers, command, state, index);
+}
--- /dev/null
+++ b/packages/membership/test/test-registry.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {FailureKind} from '@dogwooddeck/model/failure';
+import {UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
+import {
+	applyMembership, checkAnnouncement, emptyMembership, type MembershipCommand, type MembershipState, upstreamsOf,
+} from '@dogwooddeck/membership/registry';
+
+const service = 'bermrand/booking';
+
+function record(incarnation: number, changes: Partial<UpstreamRecord> = {}): UpstreamRecord {
+	return {
+		service, name: 'booking-1', incarnation, region: 'noord', zone: 'noord-1', address: '127.0.0.1:1', phase: UpstreamPhase.serving, ...changes,
+	};
+}
+
+const joined = (incarnation: number, changes: Partial<UpstreamRecord> = {}): MembershipCommand => ({kind: 'upstreamJoined', record: record(incarnation, changes)});
+const phase = (incarnation: number, next: UpstreamPhase, name = 'booking-1'): MembershipCommand =>
+	({kind: 'upstreamPhaseChanged', upstream: {service, name, incarnation}, phase: next});
+const forgotten = (incarnation: number): MembershipCommand => ({kind: 'upstreamForgotten', upstream: {service, name: 'booking-1', incarnation}});
+
+type RegistryCase = {
+	readonly name: string;
+	readonly commands: readonly MembershipCommand[];
+	/** The failure of the last command. */
+	readonly fails?: FailureKind;
+	readonly expected: ReadonlyArray<readonly [incarnation: number, phase: UpstreamPhase]>;
+};
+
+const cases: readonly RegistryCase[] = [
+	{name: 'a first life joins', commands: [joined(1)], expected: [[1, UpstreamPhase.serving]]},
+	{name: 'a command may come twice', commands: [joined(1), joined(1)], expected: [[1, UpstreamPhase.serving]]},
+	{
+		name: 'the same life from another address', commands: [joined(1), joined(1, {address: '127.0.0.1:2'})], fails: FailureKind.superseded, expected: [[1, UpstreamPhase.serving]],
+	},
+	{name: 'a later life takes the place of an earlier', commands: [joined(1), joined(3)], expected: [[3, UpstreamPhase.serving]]},
+	{
+		name: 'an earlier life is refused', commands: [joined(3), joined(2)], fails: FailureKind.superseded, expected: [[3, UpstreamPhase.serving]],
+	},
+	{
+		name: 'a lost life never joins again', commands: [joined(3), phase(3, UpstreamPhase.lost), joined(3)], fails: FailureKind.superseded, expected: [[3, UpstreamPhase.lost]],
+	},
+	{
+		name: 'a lost life never serves again', commands: [joined(3), phase(3, UpstreamPhase.lost), phase(3, UpstreamPhase.serving)], fails: FailureKind.superseded, expected: [[3, UpstreamPhase.lost]],
+	},
+	{name: 'a lost name returns in a later life', commands: [joined(3), phase(3, UpstreamPhase.lost), joined(4)], expected: [[4, UpstreamPhase.serving]]},
+	{
+		name: 'a leaving life does not serve again', commands: [joined(3), phase(3, UpstreamPhase.leaving), phase(3, UpstreamPhase.serving)], fails: FailureKind.superseded, expected: [[3, UpstreamPhase.leaving]],
+	},
+	{name: 'one can join as leaving', commands: [joined(1, {phase: UpstreamPhase.leaving})], expected: [[1, UpstreamPhase.leaving]]},
+	{
+		name: 'nobody joins as lost', commands: [joined(1, {phase: UpstreamPhase.lost})], fails: FailureKind.malformed, expected: [],
+	},
+	{
+		name: 'the phase of an earlier life', commands: [joined(3), phase(2, UpstreamPhase.lost)], fails: FailureKind.superseded, expected: [[3, UpstreamPhase.serving]],
+	},
+	{
+		name: 'the phase of a name that never joined', commands: [phase(1, UpstreamPhase.lost, 'constructor')], fails: FailureKind.notFound, expected: [],
+	},
+	{
+		name: 'one that serves is not forgotten', commands: [joined(1), forgotten(1)], fails: FailureKind.conflict, expected: [[1, UpstreamPhase.serving]],
+	},
+	{
+		name: 'a forgotten life does not join again', commands: [joined(2), phase(2, UpstreamPhase.lost), forgotten(2), joined(2)], fails: FailureKind.superseded, expected: [],
+	},
+	{
+		name: 'a forgotten name returns in a later life',
+		commands: [joined(2), phase(2, UpstreamPhase.lost), forgotten(2), joined(3)],
+		expected: [[3, UpstreamPhase.serving]],
+	},
+	{
+		name: 'names of the language itself are ordinary names',
+		commands: [joined(1, {name: '__proto__'}), joined(1, {name: 'constructor'})],
+		expected: [[1, UpstreamPhase.serving], [1, UpstreamPhase.serving]],
+	},
+];
+
+function replay(commands: readonly MembershipCommand[]): {readonly state: MembershipState; readonly fails: FailureKind | undefined} {
+	let state = emptyMembership;
+	let fails: FailureKind | undefined;
+	for (const [offset, command] of commands.entries()) {
+		const applied = applyMembership(state, command, offset + 1);
+		fails = applied.isErr ? applied.error.kind : undefined;
+		state = applied.isOk ? structuredClone(applied.value) : state;
+	}
+
+	return {state, fails};
+}
+
+for (const {name, commands, fails, expected} of cases) {
+	test(`applyMembership: ${name}`, () => {
+		const ended = replay(commands);
+		assert.equal(ended.fails, fails);
+		assert.deepEqual(upstreamsOf(ended.state, service).map(upstream => [upstream.incarnation, upstream.phase]), expected);
+		const json = JSON.stringify(ended.state);
+		assert.deepEqual(JSON.parse(json), ended.state);
+	});
+}
+
+const announcements: ReadonlyArray<{readonly name: string; readonly commands: readonly MembershipCommand[]; readonly incarnation: number; readonly isTaken: boolean}> = [
+	{
+		name: 'an unknown one', commands: [], incarnation: 1, isTaken: true,
+	},
+	{
+		name: 'the present life', commands: [joined(2)], incarnation: 2, isTaken: true,
+	},
+	{
+		name: 'a later life', commands: [joined(2)], incarnation: 3, isTaken: true,
+	},
+	{
+		name: 'an earlier life', commands: [joined(2)], incarnation: 1, isTaken: false,
+	},
+	{
+		name: 'a life that was lost', commands: [joined(2), phase(2, UpstreamPhase.lost)], incarnation: 2, isTaken: false,
+	},
+	{
+		name: 'a life that was forgotten', commands: [joined(2), phase(2, UpstreamPhase.lost), forgotten(2)], incarnation: 2, isTaken: false,
+	},
+];
+
+for (const {name, commands, incarnation, isTaken} of announcements) {
+	test(`checkAnnouncement: ${name}`, () => {
+		const {phase: _phase, ...fields} = record(incarnation);
+		const checked = checkAnnouncement(replay(commands).state, {...fields, leaving: false, load: 0});
+		assert.equal(checked.isOk, isTaken);
+		assert.equal(checked.isErr ? checked.error.kind : undefined, isTaken ? undefined : FailureKind.superseded);
+	});
+}
--- /dev/null
+++ b/packages/placement/src/load.ts
@@ -0,0 +1,123 @@
+/**
+ * Smooths what instances report about slots and keys to rates that placement
+ * can decide on: exponentially decaying counts, so that a short burst moves
+ * nothing and a lasting change shows within a few time constants.
+ */
+import {type KeyLoad, type SlotLoad, type UpstreamEvidence} from '@dogwooddeck/model/evidence';
+import {
+	type Milliseconds, type MonotonicTime, type RegionName, type ServiceName, type Slot, type UpstreamIdentity,
+} from '@dogwooddeck/model/identifiers';
+
+/** Rates below this many requests a second are dropped. */
+export const smallestRate = 0.001;
+/** Hot keys that are kept for each service; the coolest are dropped. */
+export const keysKept = 64;
+
+/** Smoothed requests a second of one service. */
+export type LoadState = {
+	readonly service: ServiceName;
+	readonly timeConstantMilliseconds: Milliseconds;
+	readonly startedAt: MonotonicTime;
+	readonly updatedAt: MonotonicTime;
+	/** By slot, pinned keys' slots among them. */
+	readonly slots: Readonly<Record<Slot, number>>;
+	/** By key. */
+	readonly keys: Readonly<Record<string, number>>;
+	/** By the region that requests came in at, then by slot. */
+	readonly origins: Readonly<Record<RegionName, Readonly<Record<Slot, number>>>>;
+	/** Whole answers a second, by `answererKey`. */
+	readonly answered: Readonly<Record<string, number>>;
+};
+
+/** Reports of instances of one region. */
+export type LoadReport = {
+	readonly now: MonotonicTime;
+	readonly region: RegionName;
+	readonly slotLoads: readonly SlotLoad[];
+	readonly keyLoads: readonly KeyLoad[];
+	readonly evidence: readonly UpstreamEvidence[];
+};
+
+/** Smoothed requests a second, as placement takes them. */
+export type LoadRates = {
+	readonly slots: Readonly<Record<Slot, number>>;
+	readonly keys: Readonly<Record<string, number>>;
+	readonly origins: Readonly<Record<RegionName, Readonly<Record<Slot, number>>>>;
+	readonly answered: Readonly<Record<string, number>>;
+};
+
+/** Rates before anything was reported. */
+export const noRates: LoadRates = {
+	slots: {}, keys: {}, origins: {}, answered: {},
+};
+
+/** The key of one life of an upstream among the rates of answers. */
+export function answererKey({name, incarnation}: UpstreamIdentity): string {
+	return `${name}#${incarnation}`;
+}
+
+const millisecondsPerSecond = 1000;
+
+/** The smoothing of one service's reports, from now on. */
+export function createLoad(service: ServiceName, timeConstantMilliseconds: Milliseconds, now: MonotonicTime): LoadState {
+	return {
+		service, timeConstantMilliseconds, startedAt: now, updatedAt: now, ...noRates,
+	};
+}
+
+function decay(rates: Readonly<Record<string, number>>, factor: number): Record<string, number> {
+	const kept = Object.entries(rates).map(([name, rate]) => [name, rate * factor] as const).filter(([, rate]) => rate >= smallestRate);
+	return Object.fromEntries(kept);
+}
+
+function add(rates: Record<string, number>, counts: ReadonlyArray<readonly [string, number]>, perCount: number): Record<string, number> {
+	for (const [name, count] of counts) {
+		rates[name] = (Object.hasOwn(rates, name) ? rates[name]! : 0) + (count * perCount);
+	}
+
+	return rates;
+}
+
+function hottest(rates: Record<string, number>): Record<string, number> {
+	const entries = Object.entries(rates);
+	return entries.length <= keysKept ? rates : Object.fromEntries(entries.sort(([, one], [, other]) => other - one).slice(0, keysKept));
+}
+
+/** Takes in a report. Loads of other services are left out. */
+export function receiveLoad(state: LoadState, report: LoadReport): LoadState {
+	const elapsed = Math.max(0, report.now - state.updatedAt);
+	const factor = Math.exp(-elapsed / state.timeConstantMilliseconds);
+	const perCount = millisecondsPerSecond / state.timeConstantMilliseconds;
+	const slotCounts = report.slotLoads.filter(load => load.service === state.service).map(load => [String(load.slot), load.requests] as const);
+	const keyCounts = report.keyLoads.filter(load => load.service === state.service).map(load => [load.key, load.requests] as const);
+	const answers = report.evidence.filter(({upstream}) => upstream.service === state.service)
+		.map(({upstream, answered}) => [answererKey(upstream), answered] as const);
+	const origins = {...state.origins, [report.region]: state.origins[report.region] ?? {}};
+	return {
+		...state,
+		updatedAt: Math.max(state.updatedAt, report.now),
+		slots: add(decay(state.slots, factor), slotCounts, perCount),
+		keys: hottest(add(decay(state.keys, factor), keyCounts, perCount)),
+		origins: Object.fromEntries(Object.entries(origins).map(([region, rates]) => [
+			region,
+			region === report.region ? add(decay(rates, factor), slotCounts, perCount) : decay(rates, factor),
+		])),
+		answered: add(decay(state.answered, factor), answers, perCount),
+	};
+}
+
+function scale(rates: Readonly<Record<string, number>>, factor: number): Record<string, number> {
+	return Object.fromEntries(Object.entries(rates).map(([name, rate]) => [name, rate * factor]));
+}
+
+/** The rates at `now`, corrected for the short time since the start. */
+export function ratesOf(state: LoadState, now: MonotonicTime): LoadRates {
+	const age = Math.max(1, now - state.startedAt);
+	const factor = Math.exp(-Math.max(0, now - state.updatedAt) / state.timeConstantMilliseconds) / (1 - Math.exp(-age / state.timeConstantMilliseconds));
+	return {
+		slots: scale(state.slots, factor),
+		keys: scale(state.keys, factor),
+		origins: Object.fromEntries(Object.entries(state.origins).map(([region, rates]) => [region, scale(rates, factor)])),
+		answered: scale(state.answered, factor),
+	};
+}
--- /dev/null
+++ b/packages/placement/src/policy.ts
@@ -0,0 +1,73 @@
+/**
+ * The numbers that placement decides by, one set for each of a contract's weights.
+ */
+import {Weigh} from '@dogwooddeck/model/contract';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+
+/** The numbers of one policy. Scores are multiples of an upstream's fair share. */
+export type PlacementPolicy = {
+	/** Optional moves begin when an upstream's score is above this. */
+	readonly balanceTrigger: number;
+	/** Optional moves go on until no score is above this. */
+	readonly balanceTarget: number;
+	/** A move must bring the greater of the two scores down by at least this much. */
+	readonly leastGain: number;
+	/** The part of the score that comes from load; the rest comes from the number of slots. */
+	readonly loadWeight: number;
+	/** What a slot of average load costs in score when all its requests come from another region. */
+	readonly remoteWeight: number;
+	/** Optional moves that a service may make in a minute. */
+	readonly movesPerMinute: number;
+	/** Optional moves that may be under way at one time. */
+	readonly movesAtOnce: number;
+	/** Optional moves stop when more than this share of the upstreams flaps or warms up after a loss. */
+	readonly stormShare: number;
+	/** A key with more than this part of an upstream's fair share of load may be pinned. */
+	readonly pinShare: number;
+	/** A pinned key with less than this part goes back to its slot. */
+	readonly unpinShare: number;
+	/** The number of pinned keys of one service. */
+	readonly mostPinned: number;
+	/** The time over which loads are smoothed. */
+	readonly smoothingMilliseconds: Milliseconds;
+	/** The share that a new upstream may take at once. */
+	readonly coldShare: number;
+	/** A new upstream may take this multiple of the load that it has shown to carry. */
+	readonly coldGrowth: number;
+};
+
+/** The policies by the contract's weight. */
+export const placementPolicies: Readonly<Record<Weigh, PlacementPolicy>> = {
+	[Weigh.availability]: {
+		balanceTrigger: 1.3,
+		balanceTarget: 1.15,
+		leastGain: 0.02,
+		loadWeight: 0.8,
+		remoteWeight: 0.1,
+		movesPerMinute: 12,
+		movesAtOnce: 4,
+		stormShare: 0.25,
+		pinShare: 0.25,
+		unpinShare: 0.05,
+		mostPinned: 16,
+		smoothingMilliseconds: 15_000,
+		coldShare: 0.2,
+		coldGrowth: 2,
+	},
+	[Weigh.churn]: {
+		balanceTrigger: 1.6,
+		balanceTarget: 1.35,
+		leastGain: 0.05,
+		loadWeight: 0.8,
+		remoteWeight: 0.3,
+		movesPerMinute: 4,
+		movesAtOnce: 2,
+		stormShare: 0.15,
+		pinShare: 0.4,
+		unpinShare: 0.05,
+		mostPinned: 8,
+		smoothingMilliseconds: 30_000,
+		coldShare: 0.2,
+		coldGrowth: 2,
+	},
+};
--- /dev/null
+++ b/packages/placement/src/recovery.ts
@@ -0,0 +1,84 @@
+/**
+ * What must be done whatever it costs: slots without an owner get one, and
+ * owners that go away are relieved of theirs.
+ */
+import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {type UpstreamIdentity} from '@dogwooddeck/model/identifiers';
+import {identityOf, UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
+import {
+	type Book, cheapest, liveAssignments, mayOwn, put, rateOf,
+} from './book.js';
+import {type PlacementInput} from './input.js';
+import {MoveReason, type PlannedGrant, type PlannedMove} from './proposal.js';
+
+const reasonByPhase: Readonly<Record<UpstreamPhase, MoveReason>> = {
+	[UpstreamPhase.lost]: MoveReason.lost,
+	[UpstreamPhase.leaving]: MoveReason.leaving,
+	// A serving owner is relieved only when its zone may no longer own keys.
+	[UpstreamPhase.serving]: MoveReason.zone,
+};
+
+function ownerKey(identity: UpstreamIdentity): string {
+	return `${identity.name}\n${identity.incarnation}`;
+}
+
+function byLoad(input: PlacementInput): (one: Assignment, other: Assignment) => number {
+	return (one, other) => (rateOf(input, other.slot) - rateOf(input, one.slot)) || (one.slot - other.slot);
+}
+
+function whyForced(input: PlacementInput, record: UpstreamRecord | undefined): MoveReason | undefined {
+	if (record === undefined) {
+		return MoveReason.lost;
+	}
+
+	return mayOwn(input, record) ? undefined : reasonByPhase[record.phase];
+}
+
+/** Moves of all slots whose owner is lost, leaving, or in a zone that may not own keys. No budget bounds them. */
+export function planForcedMoves(input: PlacementInput, book: Book): readonly PlannedMove[] {
+	const records = new Map(input.upstreams.map(({record}) => [ownerKey(identityOf(record)), record]));
+	const moves: PlannedMove[] = [];
+	for (const assignment of liveAssignments(input).toSorted(byLoad(input))) {
+		if (assignment.phase !== AssignmentPhase.granted) {
+			continue;
+		}
+
+		const reason = whyForced(input, records.get(ownerKey(assignment.owner)));
+		if (reason !== undefined) {
+			const shelf = cheapest(book, assignment.slot);
+			moves.push({
+				slot: assignment.slot, from: assignment.owner, reason, ...(shelf && {to: shelf.identity}),
+			});
+			place(book, assignment);
+		}
+	}
+
+	return moves;
+}
+
+function place(book: Book, assignment: Assignment): UpstreamIdentity | undefined {
+	const shelf = cheapest(book, assignment.slot);
+	if (shelf !== undefined) {
+		put(book, shelf, assignment.slot);
+	}
+
+	book.homeless++;
+	return shelf?.identity;
+}
+
+/**
+ * Grants of all vacant slots. Slots in revocation are placed in the table as
+ * well, so that what follows counts them where they will be.
+ */
+export function grantVacant(input: PlacementInput, book: Book): readonly PlannedGrant[] {
+	const grants: PlannedGrant[] = [];
+	const waiting = liveAssignments(input).filter(({phase}) => phase !== AssignmentPhase.granted);
+	for (const assignment of waiting.toSorted(byLoad(input))) {
+		const owner = place(book, assignment);
+		if (assignment.phase === AssignmentPhase.vacant && owner !== undefined) {
+			grants.push({slot: assignment.slot, owner});
+		}
+	}
+
+	return grants;
+}
--- /dev/null
+++ b/packages/placement/test/test-plan.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {defaultContract, type ServiceContract, Weigh} from '@dogwooddeck/model/contract';
+import {UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
+import {type PlacementInput, type PlacementUpstream} from '@dogwooddeck/placement/input';
+import {noRates} from '@dogwooddeck/placement/load';
+import {createPlacement, planPlacement} from '@dogwooddeck/placement/plan';
+import {MoveReason} from '@dogwooddeck/placement/proposal';
+
+const service = 'bermrand/schedule';
+
+const contract: ServiceContract = {
+	...defaultContract, name: service, prefix: '/schedule', key: {place: 'path', segment: 0}, slots: 8, weigh: Weigh.availability,
+};
+
+function upstream(name: string, changes: Partial<UpstreamRecord> = {}): PlacementUpstream {
+	return {
+		record: {
+			service, name, incarnation: 1, region: 'noord', zone: 'noord-1', address: '127.0.0.1:1', phase: UpstreamPhase.serving, ...changes,
+		},
+	};
+}
+
+function vacant(count: number): readonly Assignment[] {
+	return Array.from({length: count}, (_, slot) => ({phase: AssignmentPhase.vacant, slot}));
+}
+
+function granted(owners: readonly string[], incarnation = 1): readonly Assignment[] {
+	return owners.map((name, slot) => ({
+		phase: AssignmentPhase.granted, slot, owner: {service, name, incarnation}, fence: slot + 1,
+	}));
+}
+
+function input(assignments: readonly Assignment[], upstreams: readonly PlacementUpstream[], changes: Partial<PlacementInput> = {}): PlacementInput {
+	return {
+		now: 60_000,
+		contract,
+		assignments: {service, assignments, pinned: []},
+		upstreams,
+		loads: noRates,
+		hotKeys: [],
+		flapping: 0,
+		unreachableZones: [],
+		state: {...createPlacement(0), tokens: 12},
+		...changes,
+	};
+}
+
+const split = ['a', 'a', 'a', 'a', 'b', 'b', 'b', 'b'];
+const hotOnA = {
+	...noRates, slots: {
+		0: 60, 1: 20, 2: 10, 3: 10, 4: 5, 5: 5, 6: 5, 7: 5,
+	},
+};
+
+type PlanCase = {
+	readonly name: string;
+	readonly given: PlacementInput;
+	readonly grants?: readonly string[];
+	readonly moves?: ReadonlyArray<readonly [slot: number, to: string | undefined, reason: MoveReason]>;
+	readonly pins?: readonly string[];
+	readonly unpins?: readonly string[];
+};
+
+const cases: readonly PlanCase[] = [
+	{name: 'nobody can take vacant slots', given: input(vacant(8), [])},
+	{name: 'vacant slots are spread', given: input(vacant(4), [upstream('a'), upstream('b')]), grants: ['0:a', '1:b', '2:a', '3:b']},
+	{
+		name: 'not to one that is lost or leaving',
+		given: input(vacant(2), [upstream('a', {phase: UpstreamPhase.lost}), upstream('b', {phase: UpstreamPhase.leaving}), upstream('c')]),
+		grants: ['0:c', '1:c'],
+	},
+	{name: 'not to a zone out of reach', given: input(vacant(1), [upstream('a'), upstream('b', {zone: 'noord-2'})], {unreachableZones: ['noord-1']}), grants: ['0:b']},
+	{name: 'a balanced table stays', given: input(granted(split), [upstream('a'), upstream('b')])},
+	{
+		name: 'a lost owner is relieved at once',
+		given: input(granted(['a', 'b']), [upstream('a', {phase: UpstreamPhase.lost}), upstream('b')]),
+		moves: [[0, 'b', MoveReason.lost]],
+	},
+	{
+		name: 'an owner of an older incarnation is gone',
+		given: input(granted(['a', 'b']), [upstream('a', {incarnation: 2}), upstream('b')]),
+		moves: [[0, 'a', MoveReason.lost]],
+	},
+	{
+		name: 'a leaving owner is relieved even when nobody else is there',
+		given: input(granted(['a']), [upstream('a', {phase: UpstreamPhase.leaving})]),
+		moves: [[0, undefined, MoveReason.leaving]],
+	},
+	{
+		name: 'an owner that nobody can reach keeps its slots',
+		given: input(granted(['a', 'b']), [upstream('a'), upstream('b', {zone: 'noord-2'})], {unreachableZones: ['noord-1']}),
+	},
+	{
+		name: 'load is moved off the busiest',
+		given: input(granted(split), [upstream('a'), upstream('b')], {loads: hotOnA}),
+		moves: [[1, 'b', MoveReason.balance], [2, 'b', MoveReason.balance]],
+	},
+	{name: 'nothing optional without budget', given: input(granted(split), [upstream('a'), upstream('b')], {loads: hotOnA, state: createPlacement(60_000)})},
+	{name: 'nothing optional in a storm', given: input(granted(split), [upstream('a'), upstream('b')], {loads: hotOnA, flapping: 1})},
+	{
+		name: 'a hot key is split out of its slot',
+		given: input(granted(split), [upstream('a'), upstream('b')], {loads: hotOnA, hotKeys: [{key: 'verge-1', home: 0, rate: 50}], state: createPlacement(60_000)}),
+		pins: ['verge-1'],
+	},
+	{
+		name: 'a pinned key that cooled down goes back',
+		given: input([], [upstream('a'), upstream('b')], {
+			assignments: {service, assignments: granted([...split, 'a']), pinned: [{key: 'verge-1', home: 0, slot: 8}]},
+			loads: {...noRates, slots: {0: 10, 4: 10}},
+		}),
+		unpins: ['verge-1'],
+	},
+];
+
+for (const {name, given, grants = [], moves = [], pins = [], unpins = []} of cases) {
+	test(`planPlacement: ${name}`, () => {
+		const plan = planPlacement(given);
+		assert.deepEqual(plan.grants.map(({slot, owner}) => `${slot}:${owner.name}`).sort(), grants);
+		assert.deepEqual(plan.moves.map(({slot, to, reason}) => [slot, to?.name, reason]), moves);
+		assert.deepEqual(plan.pins.map(({key}) => key), pins);
+		assert.deepEqual(plan.unpins.map(({key}) => key), unpins);
+	});
+}
