--- /dev/null
+++ b/packages/daemon/src/report-collector.ts
@@ -0,0 +1,150 @@
+/**
+ * Collects what an instance saw, and what others told it, between two reports.
+ */
+import {type KeyLoad, type SlotLoad, type UpstreamEvidence} from '@dogwooddeck/model/evidence';
+import {type InstanceIdentity, type ServiceName, type Slot} from '@dogwooddeck/model/identifiers';
+import {type Report} from '@dogwooddeck/model/lease';
+import {type Announcement} from '@dogwooddeck/model/registry';
+import {type LimitDemand} from '@dogwooddeck/model/share';
+
+/** Gathers reports. It is updated in place: requests are counted in it. */
+export type ReportCollector = {
+	/** Counts a request for a slot. */
+	readonly requested: (service: ServiceName, slot: Slot, key: string) => void;
+	/** Notes an announcement; the latest of an upstream stands. */
+	readonly announced: (announcement: Announcement) => void;
+	/** Takes in a report of another instance. */
+	readonly merge: (report: Report) => void;
+	/** Everything since the last call. */
+	readonly take: () => Report;
+};
+
+/** Keys that are counted between two reports. When there are more, the coolest half is dropped. */
+const countedKeys = 4096;
+/** Keys that are reported of each service. */
+const reportedKeys = 16;
+/** A key is reported if it had at least this share of its service's requests. */
+const reportedShare = 0.005;
+
+type Counts = {slots: Map<Slot, number>; keys: Map<string, number>; total: number};
+
+function increase<Key>(counts: Map<Key, number>, key: Key, amount: number): void {
+	counts.set(key, (counts.get(key) ?? 0) + amount);
+}
+
+function dropCoolest(counts: Map<string, number>): Map<string, number> {
+	const hottest = [...counts].sort(([, one], [, other]) => other - one).slice(0, countedKeys / 2);
+	return new Map(hottest);
+}
+
+function hotKeys(service: ServiceName, {keys, total}: Counts): readonly KeyLoad[] {
+	return [...keys]
+		.filter(([, requests]) => requests >= total * reportedShare)
+		.sort(([, one], [, other]) => other - one)
+		.slice(0, reportedKeys)
+		.map(([key, requests]) => ({service, key, requests}));
+}
+
+function demandKey({service, limit, caller}: LimitDemand): string {
+	return JSON.stringify([service, limit, caller]);
+}
+
+/** Makes an empty collector. `takeEvidence` gives the evidence of this instance's own requests. */
+export function createReportCollector(
+	self: InstanceIdentity,
+	takeEvidence: () => readonly UpstreamEvidence[],
+	takeDemands: () => readonly LimitDemand[],
+): ReportCollector {
+	const services = new Map<ServiceName, Counts>();
+	const announcements = new Map<string, Announcement>();
+	let evidence: Report['evidence'][number][] = [];
+	const demands = new Map<string, LimitDemand>();
+
+	function countsOf(service: ServiceName): Counts {
+		let counts = services.get(service);
+		if (counts === undefined) {
+			counts = {slots: new Map(), keys: new Map(), total: 0};
+			services.set(service, counts);
+		}
+
+		return counts;
+	}
+
+	function countKey(counts: Counts, key: string, requests: number): void {
+		increase(counts.keys, key, requests);
+		if (counts.keys.size > countedKeys) {
+			counts.keys = dropCoolest(counts.keys);
+		}
+	}
+
+	function announced(announcement: Announcement): void {
+		const key = `${announcement.service}\n${announcement.name}`;
+		const known = announcements.get(key);
+		if (known === undefined || known.incarnation <= announcement.incarnation) {
+			announcements.set(key, announcement);
+		}
+	}
+
+	function demanded(demand: LimitDemand): void {
+		const key = demandKey(demand);
+		const wanted = (demands.get(key)?.wanted ?? 0) + demand.wanted;
+		demands.set(key, {...demand, wanted});
+	}
+
+	function mergeLoads(report: Report): void {
+		for (const {service, slot, requests} of report.slotLoads) {
+			const counts = countsOf(service);
+			increase(counts.slots, slot, requests);
+			counts.total += requests;
+		}
+
+		for (const {service, key, requests} of report.keyLoads) {
+			countKey(countsOf(service), key, requests);
+		}
+	}
+
+	function slotLoads(): readonly SlotLoad[] {
+		return [...services].flatMap(([service, {slots}]) => [...slots].map(([slot, requests]) => ({service, slot, requests})));
+	}
+
+	return {
+		requested(service, slot, key) {
+			const counts = countsOf(service);
+			increase(counts.slots, slot, 1);
+			counts.total += 1;
+			countKey(counts, key, 1);
+		},
+		announced,
+		merge(report) {
+			for (const announcement of report.announcements) {
+				announced(announcement);
+			}
+
+			for (const demand of report.demands) {
+				demanded(demand);
+			}
+
+			evidence.push(...report.evidence);
+			mergeLoads(report);
+		},
+		take() {
+			for (const demand of takeDemands()) {
+				demanded(demand);
+			}
+
+			const own = takeEvidence().map(item => ({...item, seenBy: self}));
+			const report: Report = {
+				announcements: [...announcements.values()],
+				evidence: [...evidence, ...own],
+				slotLoads: slotLoads(),
+				keyLoads: [...services].flatMap(([service, counts]) => hotKeys(service, counts)),
+				demands: [...demands.values()],
+			};
+			services.clear();
+			announcements.clear();
+			demands.clear();
+			evidence = [];
+			return report;
+		},
+	};
+}
