Ownership: first working version of the table, leases, stewards and evidence

Cause: the daemon needs the signatures; the decisions come before their proof. The policy (whenCut, longest deadline) stands in the table, so that it changes at one log index for everyone and the stricter of old and new holds until it is settled. Conclusion: usable to build against; not proved.

--- /dev/null
+++ b/packages/ownership/src/assigning.ts
@@ -0,0 +1,89 @@
+/**
+ * Handlers for grants, revocations and releases. A move is two entries with
+ * evidence between them: the revocation, then the grant that names it.
+ */
+import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type LogIndex, type ServiceName, type Slot} from '@dogwooddeck/model/identifiers';
+import {err, ok, type Result} from 'true-myth/result';
+import {
+	type AssignmentsGranted, type AssignmentsReleased, type AssignmentsRevoked, type Grant,
+} from './command.js';
+import {unknownService, withService} from './services.js';
+import {type OwnershipState} from './state.js';
+
+type Change = (assignment: Assignment) => Assignment | undefined;
+
+function conflict(service: ServiceName, slot: Slot, wanted: string): Failure {
+	return failure(FailureKind.conflict, `slot ${slot} of ${service} is not ${wanted}`);
+}
+
+function changeSlots(
+	state: OwnershipState,
+	service: ServiceName,
+	changes: ReadonlyArray<readonly [Slot, Change]>,
+	wanted: string,
+): Result<OwnershipState, Failure> {
+	const before = state.services[service];
+	if (before === undefined) {
+		return err(unknownService(service));
+	}
+
+	const assignments = [...before.assignments];
+	for (const [slot, change] of changes) {
+		const assignment = assignments[slot];
+		const changed = assignment === undefined ? undefined : change(assignment);
+		if (changed === undefined) {
+			return err(conflict(service, slot, wanted));
+		}
+
+		assignments[slot] = changed;
+	}
+
+	return ok(withService(state, {...before, assignments}));
+}
+
+function revokedAtOf(assignment: Assignment): LogIndex | undefined {
+	return assignment.phase === AssignmentPhase.revoking ? assignment.revokedAt : undefined;
+}
+
+function grantChange(grant: Grant, index: LogIndex): Change {
+	return assignment => {
+		const grantable = assignment.phase !== AssignmentPhase.granted && revokedAtOf(assignment) === grant.revokedAt;
+		return grantable
+			? {
+				phase: AssignmentPhase.granted, slot: grant.slot, owner: grant.owner, fence: index,
+			}
+			: undefined;
+	};
+}
+
+/** Grants slots that are vacant, or whose revocation the grant names. */
+export function grantAssignments(command: AssignmentsGranted, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
+	const changes = command.grants.map(grant => [grant.slot, grantChange(grant, index)] as const);
+	return changeSlots(state, command.service, changes, 'free for this grant');
+}
+
+function revokeChange(index: LogIndex): Change {
+	return assignment => assignment.phase === AssignmentPhase.granted
+		? {...assignment, phase: AssignmentPhase.revoking, revokedAt: index}
+		: undefined;
+}
+
+/** Begins to revoke slots that are granted. */
+export function revokeAssignments(command: AssignmentsRevoked, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
+	const changes = command.slots.map(slot => [slot, revokeChange(index)] as const);
+	return changeSlots(state, command.service, changes, 'granted');
+}
+
+function releaseChange(revokedAt: LogIndex): Change {
+	return assignment => revokedAtOf(assignment) === revokedAt
+		? {phase: AssignmentPhase.vacant, slot: assignment.slot}
+		: undefined;
+}
+
+/** Makes slots vacant whose revocation the command names. */
+export function releaseAssignments(command: AssignmentsReleased, state: OwnershipState, _index: LogIndex): Result<OwnershipState, Failure> {
+	const changes = command.releases.map(({slot, revokedAt}) => [slot, releaseChange(revokedAt)] as const);
+	return changeSlots(state, command.service, changes, 'under this revocation');
+}
--- /dev/null
+++ b/packages/ownership/src/grantor.ts
@@ -0,0 +1,220 @@
+/**
+ * The part of the control leader that delegates to zones and gathers the
+ * evidence for moves. Its state is volatile: a new leader begins anew, and
+ * takes it that every zone got a delegation just before.
+ */
+import {
+	type LogIndex, type Milliseconds, type MonotonicTime, type ServiceName, type Slot, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
+import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
+import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
+import {type ServicePolicy, someMayHold, waitedDeadline} from './policy.js';
+import {noteSeatRequest, type SeatSightings} from './sighting.js';
+import {assignmentOf, type OwnershipState, type ZoneRoster} from './state.js';
+import {grantorWait, type LeaseTerms} from './terms.js';
+
+/** What the leader knows of one zone. */
+export type ZoneDelegation = {
+	/** When the delegation is over on every clock. */
+	readonly delegatedUntil: MonotonicTime;
+	/** The largest index that the zone reported to be drained up to. */
+	readonly drained: LogIndex;
+	/** A steward that applied less gets no delegation. */
+	readonly floor: LogIndex;
+};
+
+/** When the leader learned of a zone's release. */
+export type ReleaseSighting = {readonly releasedAt: LogIndex; readonly seenAt: MonotonicTime};
+
+/** What a leader knows. */
+export type GrantorState = {
+	readonly terms: LeaseTerms;
+	readonly startedAt: MonotonicTime;
+	/** The last index of the leader's log when it was elected. */
+	readonly startIndex: LogIndex;
+	readonly zones: Readonly<Record<ZoneName, ZoneDelegation>>;
+	readonly releases: Readonly<Record<ZoneName, ReleaseSighting>>;
+	readonly sightings: SeatSightings;
+};
+
+/** What happens to a grantor. `table` is the leader's own table with every committed entry applied. */
+export type GrantorEvent =
+	| {
+		readonly kind: 'delegationRequested';
+		readonly now: MonotonicTime;
+		/** The last moment at which the leader sent a message that a quorum of voters answered since. */
+		readonly quorumHeardAt: MonotonicTime;
+		readonly table: OwnershipState;
+		readonly request: DelegationRequest;
+	}
+	| {readonly kind: 'seatRequested'; readonly now: MonotonicTime; readonly table: OwnershipState; readonly request: SeatRequest}
+	| {readonly kind: 'tableChanged'; readonly now: MonotonicTime; readonly table: OwnershipState};
+
+/** What a grantor asks the edge to do. */
+export type GrantorEffect = {readonly kind: 'answerDelegation'; readonly answer: DelegationAnswer};
+
+/** A step of a grantor. */
+export type GrantorTransition = Transition<GrantorState, GrantorEffect>;
+
+/** A leader that was elected now, with a log that ends at `startIndex`. */
+export function createGrantor(now: MonotonicTime, startIndex: LogIndex, terms: LeaseTerms): GrantorState {
+	return {
+		terms, startedAt: now, startIndex, zones: {}, releases: {}, sightings: {},
+	};
+}
+
+/** What the leader knows of a zone, also of one that it hasn't heard of. */
+export function zoneOf(grantor: GrantorState, zone: ZoneName): ZoneDelegation {
+	return grantor.zones[zone] ?? {
+		delegatedUntil: grantor.startedAt + grantorWait(grantor.terms.delegationMilliseconds, grantor.terms),
+		drained: 0,
+		floor: grantor.startIndex,
+	};
+}
+
+function withZone(grantor: GrantorState, zone: ZoneName, known: ZoneDelegation): GrantorState {
+	return {...grantor, zones: {...grantor.zones, [zone]: known}};
+}
+
+function termFor(grantor: GrantorState, event: Extract<GrantorEvent, {readonly kind: 'delegationRequested'}>): Milliseconds {
+	const {request, table} = event;
+	const seated = (table.rosters[request.zone]?.members.length ?? 0) > 0;
+	if (!seated || request.applied < zoneOf(grantor, request.zone).floor) {
+		return 0;
+	}
+
+	return Math.max(0, event.quorumHeardAt + grantor.terms.delegationMilliseconds - event.now);
+}
+
+function delegationRequested(event: Extract<GrantorEvent, {readonly kind: 'delegationRequested'}>, grantor: GrantorState): GrantorTransition {
+	const {request, now} = event;
+	const known = zoneOf(grantor, request.zone);
+	const termMilliseconds = termFor(grantor, event);
+	const until = termMilliseconds > 0 ? now + grantorWait(termMilliseconds, grantor.terms) : -Infinity;
+	const next = {
+		delegatedUntil: Math.max(known.delegatedUntil, until),
+		drained: Math.max(known.drained, request.drained),
+		floor: known.floor,
+	};
+	const answer = {termMilliseconds, shares: []};
+	return {state: withZone(grantor, request.zone, next), effects: [{kind: 'answerDelegation', answer}]};
+}
+
+function seatRequested(event: Extract<GrantorEvent, {readonly kind: 'seatRequested'}>, grantor: GrantorState): GrantorTransition {
+	const sightings = noteSeatRequest(grantor.sightings, event.request, event.table, event.now);
+	return {state: {...grantor, sightings}, effects: []};
+}
+
+function tableChanged(event: Extract<GrantorEvent, {readonly kind: 'tableChanged'}>, grantor: GrantorState): GrantorTransition {
+	const fresh = Object.values(event.table.rosters).filter(({zone, releasedAt}) =>
+		releasedAt !== undefined && grantor.releases[zone]?.releasedAt !== releasedAt);
+	if (fresh.length === 0) {
+		return {state: grantor, effects: []};
+	}
+
+	const seen = fresh.map(({zone, releasedAt = 0}) => [zone, {releasedAt, seenAt: event.now}] as const);
+	return {state: {...grantor, releases: {...grantor.releases, ...Object.fromEntries(seen)}}, effects: []};
+}
+
+const handlers: HandlerTable<GrantorEvent, [GrantorState], GrantorTransition> = {
+	delegationRequested,
+	seatRequested,
+	tableChanged,
+};
+
+/** The next state of a grantor, and what to do. */
+export function stepGrantor(grantor: GrantorState, event: GrantorEvent): GrantorTransition {
+	return dispatch(handlers, event, grantor);
+}
+
+/** Whether all that an emptied roster allowed is over: a steward's term and the longest deadline have passed. */
+export function releaseWaited(grantor: GrantorState, roster: ZoneRoster, longestDeadline: Milliseconds, now: MonotonicTime): boolean {
+	const seen = grantor.releases[roster.zone];
+	if (seen === undefined || seen.releasedAt !== roster.releasedAt) {
+		return false;
+	}
+
+	const wait = grantor.terms.stewardTermMilliseconds + longestDeadline;
+	return now >= seen.seenAt + grantorWait(wait, grantor.terms);
+}
+
+/** A slot under revocation, and where its owner is. */
+export type Revocation = {
+	readonly service: ServiceName;
+	readonly slot: Slot;
+	/** The zone of the owner that loses the slot. */
+	readonly ownerZone: ZoneName;
+};
+
+type Case = {
+	readonly policy: ServicePolicy;
+	readonly revokedAt: LogIndex;
+	readonly ownerZone: ZoneName;
+	readonly now: MonotonicTime;
+};
+
+function clearedByRelease(grantor: GrantorState, roster: ZoneRoster, {policy, revokedAt, now}: Case): boolean {
+	const covers = roster.members.length === 0 || revokedAt <= (roster.releasedAt ?? 0);
+	return covers && releaseWaited(grantor, roster, waitedDeadline(policy), now);
+}
+
+function clearedByExpiry(grantor: GrantorState, roster: ZoneRoster, {policy, ownerZone, now}: Case): boolean {
+	const holds = roster.zone === ownerZone && someMayHold(policy);
+	const wait = grantorWait(waitedDeadline(policy), grantor.terms);
+	return !holds && now >= zoneOf(grantor, roster.zone).delegatedUntil + wait;
+}
+
+function revokedAtOf(assignment: Assignment | undefined): LogIndex | undefined {
+	return assignment?.phase === AssignmentPhase.revoking ? assignment.revokedAt : undefined;
+}
+
+/** The zones that stand in the way of a move: some instance there may still send work to the old owner. */
+export function zonesInTheWay(grantor: GrantorState, table: OwnershipState, revocation: Revocation, now: MonotonicTime): readonly ZoneName[] {
+	const policy = table.policies[revocation.service];
+	const revokedAt = revokedAtOf(assignmentOf(table, revocation.service, revocation.slot));
+	const zones = Object.values(table.rosters);
+	if (policy === undefined || revokedAt === undefined) {
+		return zones.map(roster => roster.zone);
+	}
+
+	const wanted = {
+		policy, revokedAt, ownerZone: revocation.ownerZone, now,
+	};
+	return zones
+		.filter(roster => zoneOf(grantor, roster.zone).drained < revokedAt
+			&& !clearedByRelease(grantor, roster, wanted)
+			&& !clearedByExpiry(grantor, roster, wanted))
+		.map(roster => roster.zone);
+}
+
+function raiseFloors(grantor: GrantorState, table: OwnershipState, revokedAt: LogIndex): GrantorState {
+	let next = grantor;
+	for (const {zone} of Object.values(table.rosters)) {
+		const known = zoneOf(next, zone);
+		if (known.drained < revokedAt && known.floor < revokedAt) {
+			next = withZone(next, zone, {...known, floor: revokedAt});
+		}
+	}
+
+	return next;
+}
+
+/**
+ * Whether the evidence for a slot's revocation is complete, so that the next
+ * grant or the release of the slot may be proposed. Keep the state that is
+ * returned: zones without a delegation get one only when they know the revocation.
+ */
+export function clear(
+	grantor: GrantorState,
+	table: OwnershipState,
+	revocation: Revocation,
+	now: MonotonicTime,
+): {readonly grantor: GrantorState; readonly cleared: boolean} {
+	const revokedAt = revokedAtOf(assignmentOf(table, revocation.service, revocation.slot));
+	if (revokedAt === undefined || zonesInTheWay(grantor, table, revocation, now).length > 0) {
+		return {grantor, cleared: false};
+	}
+
+	return {grantor: raiseFloors(grantor, table, revokedAt), cleared: true};
+}
--- /dev/null
+++ b/packages/ownership/src/leasing.ts
@@ -0,0 +1,111 @@
+/**
+ * Handlers for what a steward gives and gets: leases to the zone's instances,
+ * and the zone's delegation from control.
+ */
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {emptyReport, type LeaseAnswer, type LeaseRequest} from '@dogwooddeck/model/lease';
+import {countedHolders, withHolder} from './holders.js';
+import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
+import {instanceKey, withSupport} from './support.js';
+import {
+	isSteward, settled, supportEnd, zoneDrained,
+} from './tenure.js';
+import {holderTerm} from './terms.js';
+
+type EventOf<Kind extends StewardEvent['kind']> = Extract<StewardEvent, {readonly kind: Kind}>;
+
+function remaining(until: MonotonicTime, now: MonotonicTime, most: Milliseconds): Milliseconds {
+	return Math.max(0, Math.min(most, until - now));
+}
+
+/** Whether an instance may have a lease: its table is not older than what the zone answered for. */
+function mayHaveLease(state: StewardState, request: LeaseRequest, now: MonotonicTime): boolean {
+	return isSteward(state, now)
+		&& request.instance.zone === state.self.zone
+		&& request.applied >= Math.max(state.floor, state.askedDrained);
+}
+
+function answerFor(state: StewardState, hold: Milliseconds, control: Milliseconds): LeaseAnswer {
+	const steward = {name: state.self.name, incarnation: state.self.incarnation};
+	return {
+		steward, holdMilliseconds: hold, controlMilliseconds: control, shares: [],
+	};
+}
+
+/** What a supporter says about its table is an acknowledgement as long as it supports this steward. */
+function withAcknowledgement(state: StewardState, request: LeaseRequest, now: MonotonicTime): StewardState {
+	const record = state.records[instanceKey(request.instance)];
+	if (record === undefined || now >= record.until) {
+		return state;
+	}
+
+	const acknowledged = request.applied;
+	return {...state, records: withSupport(state.records, request.instance, {until: record.until, acknowledged})};
+}
+
+/** Gives an instance a lease, or answers that it has none. */
+export function leaseRequested(event: EventOf<'leaseRequested'>, before: StewardState): StewardTransition {
+	const {now, request} = event;
+	const state = withAcknowledgement(settled(before, now), request, now);
+	if (!mayHaveLease(state, request, now)) {
+		return {state, effects: [{kind: 'answerLease', answer: answerFor(state, 0, 0)}]};
+	}
+
+	const hold = remaining(supportEnd(state), now, state.terms.leaseMilliseconds);
+	const control = remaining(state.delegatedUntil, now, hold);
+	const given = {
+		now, instance: request.instance, drained: Math.min(request.drained, request.applied), milliseconds: hold,
+	};
+	const counted = countedHolders(state.holders, now, state.longestDeadlineMilliseconds, state.terms);
+	const holders = withHolder(counted, given, state.terms);
+	return {state: {...state, holders}, effects: [{kind: 'answerLease', answer: answerFor(state, hold, control)}]};
+}
+
+function delegationDue(state: StewardState, now: MonotonicTime, drained: number): boolean {
+	const waited = now - state.delegationAskedAt;
+	const lacking = now >= state.delegatedUntil && state.applied > state.askedApplied;
+	const news = drained > state.askedDrained || lacking;
+	return waited >= state.terms.renewMilliseconds || (news && waited >= state.terms.urgentMilliseconds);
+}
+
+/** Asks control for the delegation, where that is due. */
+export function delegationRequest(state: StewardState, now: MonotonicTime): StewardTransition {
+	if (!isSteward(state, now)) {
+		return {state, effects: []};
+	}
+
+	const drained = Math.max(state.askedDrained, zoneDrained(state, now));
+	if (!delegationDue(state, now, drained)) {
+		return {state, effects: []};
+	}
+
+	const request = {
+		zone: state.self.zone,
+		steward: {name: state.self.name, incarnation: state.self.incarnation},
+		applied: state.applied,
+		drained,
+		report: emptyReport,
+	};
+	const next = {
+		...state, delegationAskedAt: now, askedDrained: drained, askedApplied: state.applied,
+	};
+	return {state: next, effects: [{kind: 'askDelegation', sentAt: now, request}]};
+}
+
+/**
+ * Takes a delegation. If the zone had none until now, control may have given
+ * away slots in the meantime, so instances must first catch up with what the
+ * steward had applied when it asked.
+ */
+export function delegationAnswered(event: EventOf<'delegationAnswered'>, before: StewardState): StewardTransition {
+	const {now, sentAt, answer} = event;
+	const state = settled(before, now);
+	if (state.electedAt === undefined || sentAt < state.electedAt || answer.termMilliseconds <= 0) {
+		return {state, effects: []};
+	}
+
+	const lapsed = now >= state.delegatedUntil;
+	const floor = lapsed ? Math.max(state.floor, event.applied) : state.floor;
+	const until = sentAt + holderTerm(answer.termMilliseconds, state.terms);
+	return {state: {...state, floor, delegatedUntil: Math.max(state.delegatedUntil, until)}, effects: []};
+}
--- /dev/null
+++ b/packages/ownership/src/pinning.ts
@@ -0,0 +1,96 @@
+/**
+ * Handlers that split a key out of its slot and put it back.
+ *
+ * A request for the key that is in flight is counted under the slot it was
+ * started for. Both assignments therefore get a new fence when a key is pinned
+ * or unpinned: what is in flight under the old fence then holds back the
+ * evidence for a later revocation of either. For one key the fence only rises.
+ */
+import {
+	type Assignment, AssignmentPhase, type PinnedKey, type ServiceAssignments,
+} from '@dogwooddeck/model/assignment';
+import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type LogIndex, sameUpstream, type Slot} from '@dogwooddeck/model/identifiers';
+import {err, ok, type Result} from 'true-myth/result';
+import {type KeyPinned, type KeyUnpinned} from './command.js';
+import {unknownService, withService} from './services.js';
+import {type OwnershipState} from './state.js';
+
+function refused(detail: string): Result<OwnershipState, Failure> {
+	return err(failure(FailureKind.conflict, detail));
+}
+
+function renewed(assignment: Assignment, slot: Slot, index: LogIndex): Assignment {
+	return assignment.phase === AssignmentPhase.granted
+		? {...assignment, slot, fence: index}
+		: {phase: AssignmentPhase.vacant, slot};
+}
+
+function freeSlot(service: ServiceAssignments, slots: number): Slot {
+	const used = new Set(service.pinned.map(pinned => pinned.slot));
+	let slot = slots;
+	while (used.has(slot)) {
+		slot += 1;
+	}
+
+	return slot;
+}
+
+function withAssignments(service: ServiceAssignments, changed: readonly Assignment[], pinned: readonly PinnedKey[]): ServiceAssignments {
+	const assignments = [...service.assignments];
+	for (const assignment of changed) {
+		assignments[assignment.slot] = assignment;
+	}
+
+	return {...service, assignments, pinned};
+}
+
+/** Gives a key an assignment of its own, with the owner that its slot has. */
+export function pinKey(command: KeyPinned, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
+	const service = state.services[command.service];
+	const policy = state.policies[command.service];
+	if (service === undefined || policy === undefined) {
+		return err(unknownService(command.service));
+	}
+
+	const home = command.home < policy.slots ? service.assignments[command.home] : undefined;
+	if (home === undefined || home.phase === AssignmentPhase.revoking) {
+		return refused(`slot ${command.home} can't be split now`);
+	}
+
+	if (service.pinned.some(pinned => pinned.key === command.key)) {
+		return refused('the key is pinned already');
+	}
+
+	const slot = freeSlot(service, policy.slots);
+	const pinned = [...service.pinned, {key: command.key, home: command.home, slot}];
+	const changed = [renewed(home, command.home, index), renewed(home, slot, index)];
+	return ok(withService(state, withAssignments(service, changed, pinned)));
+}
+
+function canJoin(one: Assignment, other: Assignment): boolean {
+	if (one.phase === AssignmentPhase.granted && other.phase === AssignmentPhase.granted) {
+		return sameUpstream(one.owner, other.owner);
+	}
+
+	return one.phase === AssignmentPhase.vacant && other.phase === AssignmentPhase.vacant;
+}
+
+/** Puts a key back into its slot, where both have the same owner or none. */
+export function unpinKey(command: KeyUnpinned, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
+	const service = state.services[command.service];
+	const key = service?.pinned.find(pinned => pinned.key === command.key);
+	if (service === undefined || key === undefined) {
+		return err(failure(FailureKind.notFound, 'the key is not pinned'));
+	}
+
+	const home = service.assignments[key.home];
+	const own = service.assignments[key.slot];
+	if (home === undefined || own === undefined || !canJoin(home, own)) {
+		return refused('the key and its slot have different owners');
+	}
+
+	const changed: readonly Assignment[] = [renewed(home, key.home, index), {phase: AssignmentPhase.vacant, slot: key.slot}];
+	const pinned = service.pinned.filter(other => other !== key);
+	return ok(withService(state, withAssignments(service, changed, pinned)));
+}
--- /dev/null
+++ b/packages/ownership/src/roster.ts
@@ -0,0 +1,61 @@
+/**
+ * Handlers for the rosters of zones. One entry changes one member, so that the
+ * majorities before and after it meet; `seat` decides when the next may follow.
+ */
+import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type LogIndex, sameInstance} from '@dogwooddeck/model/identifiers';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {err, ok, type Result} from 'true-myth/result';
+import {type InstanceSeated, type InstanceUnseated, type ZoneReleased} from './command.js';
+import {type OwnershipState, type ZoneRoster} from './state.js';
+
+function withRoster(state: OwnershipState, roster: ZoneRoster): OwnershipState {
+	return {...state, rosters: {...state.rosters, [roster.zone]: roster}};
+}
+
+function firstRoster(record: InstanceRecord): ZoneRoster {
+	return {
+		zone: record.zone, region: record.region, members: [], previousMembers: [], changedAt: 0,
+	};
+}
+
+function changed(roster: ZoneRoster, members: readonly InstanceRecord[], index: LogIndex): ZoneRoster {
+	return {
+		...roster, members, previousMembers: roster.members, changedAt: index,
+	};
+}
+
+/** Adds a member. A name has one seat in the whole deployment. */
+export function seatInstance(command: InstanceSeated, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
+	const {record} = command;
+	const seated = Object.values(state.rosters).some(roster => roster.members.some(member => member.name === record.name));
+	if (seated) {
+		return err(failure(FailureKind.conflict, `instance ${record.name} has a seat already`));
+	}
+
+	const roster = state.rosters[record.zone] ?? firstRoster(record);
+	return ok(withRoster(state, changed(roster, [...roster.members, record], index)));
+}
+
+/** Removes a member. */
+export function unseatInstance(command: InstanceUnseated, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
+	const roster = state.rosters[command.zone];
+	const member = roster?.members.find(other => sameInstance(other, command.instance));
+	if (roster === undefined || member === undefined) {
+		return err(failure(FailureKind.notFound, `instance ${command.instance.name} has no such seat`));
+	}
+
+	return ok(withRoster(state, changed(roster, roster.members.filter(other => other !== member), index)));
+}
+
+/** Empties a roster and notes that the zone holds nothing any more. */
+export function releaseZone(command: ZoneReleased, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
+	const roster = state.rosters[command.zone];
+	if (roster === undefined) {
+		return err(failure(FailureKind.notFound, `zone ${command.zone} is unknown`));
+	}
+
+	return ok(withRoster(state, {
+		...roster, members: [], previousMembers: [], changedAt: index, releasedAt: index, releaseReason: command.reason,
+	}));
+}
--- /dev/null
+++ b/packages/ownership/src/sighting.ts
@@ -0,0 +1,50 @@
+/**
+ * What the leader knows of restarted instances. A process that asks for a seat
+ * as a later incarnation shows that its earlier life is over.
+ */
+import {
+	type Incarnation, type InstanceName, type MonotonicTime,
+} from '@dogwooddeck/model/identifiers';
+import {type SeatRequest} from '@dogwooddeck/model/lease';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {type OwnershipState, type ZoneRoster} from './state.js';
+import {majorityOf} from './terms.js';
+
+/** The first sign of a later life of an instance. */
+export type SeatSighting = {readonly incarnation: Incarnation; readonly heardAt: MonotonicTime};
+
+/** Sightings by the name of the instance. */
+export type SeatSightings = Readonly<Record<InstanceName, SeatSighting>>;
+
+function seatedIncarnation(table: OwnershipState, {name, zone}: InstanceRecord): Incarnation {
+	const roster = table.rosters[zone];
+	const lives = [...roster?.members ?? [], ...roster?.previousMembers ?? []].filter(member => member.name === name);
+	return lives.reduce((latest, member) => Math.max(latest, member.incarnation), -Infinity);
+}
+
+/** Notes a request for a seat. The first sign of a later life stands until that life is seated. */
+export function noteSeatRequest(sightings: SeatSightings, request: SeatRequest, table: OwnershipState, now: MonotonicTime): SeatSightings {
+	const {instance} = request;
+	const known = sightings[instance.name];
+	const stands = known !== undefined && known.incarnation > seatedIncarnation(table, instance);
+	if (stands || (known !== undefined && instance.incarnation <= known.incarnation)) {
+		return sightings;
+	}
+
+	return {...sightings, [instance.name]: {incarnation: instance.incarnation, heardAt: now}};
+}
+
+function meetsEveryMajority(members: readonly InstanceRecord[], sightings: SeatSightings): boolean {
+	const over = members.filter(member => (sightings[member.name]?.incarnation ?? -Infinity) > member.incarnation);
+	return members.length === 0 || over.length > members.length - majorityOf(members.length);
+}
+
+/**
+ * Whether so many members are over that no majority of the roster can support a
+ * steward any more, neither of the roster as it stands nor of the one before it.
+ */
+export function withheldEvidence(roster: ZoneRoster, sightings: SeatSightings): boolean {
+	return roster.members.length > 0
+		&& meetsEveryMajority(roster.members, sightings)
+		&& meetsEveryMajority(roster.previousMembers, sightings);
+}
--- /dev/null
+++ b/packages/ownership/src/standing.ts
@@ -0,0 +1,166 @@
+/**
+ * Handlers for how an instance supports, stands and renews.
+ */
+import {
+	type InstanceIdentity, type Milliseconds, type MonotonicTime, sameInstance,
+} from '@dogwooddeck/model/identifiers';
+import {type SupportAnswer} from '@dogwooddeck/model/lease';
+import {delegationRequest} from './leasing.js';
+import {waitedDeadline} from './policy.js';
+import {type OwnershipState} from './state.js';
+import {
+	type StewardEffect, type StewardEvent, type StewardState, type StewardTransition,
+} from './steward.js';
+import {
+	freeFrom, support, supportedNow, withdrawn, withSupport,
+} from './support.js';
+import {elected, settled} from './tenure.js';
+import {holderTerm} from './terms.js';
+
+type EventOf<Kind extends StewardEvent['kind']> = Extract<StewardEvent, {readonly kind: Kind}>;
+
+/** Members stand one after the other; more than these stand together. */
+const distinctRanks = 16;
+
+function identityOf(state: StewardState): InstanceIdentity {
+	return {name: state.self.name, incarnation: state.self.incarnation};
+}
+
+/** How long the instance leaves the others the first turn. */
+function turn(state: StewardState): Milliseconds {
+	const names = state.members.map(member => member.name).sort();
+	return (names.indexOf(state.self.name) % distinctRanks) * 2 * state.terms.urgentMilliseconds;
+}
+
+function isMember(state: StewardState): boolean {
+	return state.members.some(member => sameInstance(member, state.self));
+}
+
+function withOwnSupport(state: StewardState, now: MonotonicTime): StewardState {
+	const question = {
+		now, candidate: state.self, candidateApplied: state.applied, ownApplied: state.applied,
+	};
+	const {supporter, granted} = support(state.supporter, question, state.terms);
+	if (!granted) {
+		return state;
+	}
+
+	const until = now + holderTerm(state.terms.stewardTermMilliseconds, state.terms);
+	return {...state, supporter, records: withSupport(state.records, state.self, {until, acknowledged: state.applied})};
+}
+
+function askOthers(state: StewardState, now: MonotonicTime): readonly StewardEffect[] {
+	const request = {zone: state.self.zone, candidate: identityOf(state), applied: state.applied};
+	return state.members
+		.filter(member => member.name !== state.self.name)
+		.map(to => ({
+			kind: 'askSupport', to, sentAt: now, request,
+		}));
+}
+
+function asked(state: StewardState, now: MonotonicTime): StewardTransition {
+	const next = elected(withOwnSupport({...state, supportAskedAt: now}, now), now);
+	return {state: next, effects: askOthers(next, now)};
+}
+
+/** Gives up a candidacy that found no majority, and leaves others time to stand. */
+function withdraw(state: StewardState, now: MonotonicTime): StewardState {
+	const {stoodAt: _stoodAt, ...rest} = state;
+	return {
+		...rest,
+		supporter: withdrawn(state.supporter),
+		records: {},
+		withdrawnAt: now,
+		standsFrom: now + state.terms.renewMilliseconds,
+	};
+}
+
+function mayStand(state: StewardState, now: MonotonicTime): boolean {
+	const from = Math.max(freeFrom(state.supporter), state.standsFrom);
+	return isMember(state) && now >= from + turn(state);
+}
+
+function stand(state: StewardState, now: MonotonicTime): StewardTransition {
+	if (state.stoodAt === undefined) {
+		return mayStand(state, now) ? asked({...state, stoodAt: now}, now) : {state, effects: []};
+	}
+
+	if (state.electedAt === undefined && now >= state.stoodAt + (2 * state.terms.renewMilliseconds)) {
+		return {state: withdraw(state, now), effects: []};
+	}
+
+	const due = now >= state.supportAskedAt + state.terms.renewMilliseconds;
+	return due ? asked(state, now) : {state, effects: []};
+}
+
+/** Stands, renews, and asks for the delegation, each when it is due. */
+export function ticked(event: EventOf<'ticked'>, before: StewardState): StewardTransition {
+	const standing = stand(settled(before, event.now), event.now);
+	const asking = delegationRequest(standing.state, event.now);
+	return {state: asking.state, effects: [...standing.effects, ...asking.effects]};
+}
+
+function longestDeadline(table: OwnershipState): Milliseconds {
+	return Object.values(table.policies).reduce((longest, policy) => Math.max(longest, waitedDeadline(policy)), 0);
+}
+
+/** Takes over the roster and the deadlines of a newer table. */
+export function tableChanged(event: EventOf<'tableChanged'>, before: StewardState): StewardTransition {
+	const state = settled(before, event.now);
+	if (event.applied <= state.applied) {
+		return {state, effects: []};
+	}
+
+	const changed = {
+		...state,
+		applied: event.applied,
+		members: event.table.rosters[state.self.zone]?.members ?? [],
+		longestDeadlineMilliseconds: longestDeadline(event.table),
+	};
+	return {state: settled(changed, event.now), effects: []};
+}
+
+/** Answers a candidate. */
+export function supportRequested(event: EventOf<'supportRequested'>, before: StewardState): StewardTransition {
+	const state = settled(before, event.now);
+	const {now, request} = event;
+	const question = {
+		now, candidate: request.candidate, candidateApplied: request.applied, ownApplied: state.applied,
+	};
+	const own = request.zone === state.self.zone;
+	const {supporter, granted} = own ? support(state.supporter, question, state.terms) : {supporter: state.supporter, granted: false};
+	const supported = supportedNow(supporter, now);
+	const answer: SupportAnswer = {
+		granted, supporter: identityOf(state), applied: state.applied, ...(supported !== undefined && {supported}),
+	};
+	return {state: {...state, supporter}, effects: [{kind: 'answerSupport', answer}]};
+}
+
+function refused(state: StewardState, answer: SupportAnswer, now: MonotonicTime): StewardState {
+	const other = answer.supported !== undefined && !sameInstance(answer.supported, state.self);
+	const behind = answer.applied > state.applied;
+	return state.electedAt === undefined && (other || behind) ? withdraw(state, now) : state;
+}
+
+/** Counts an answer, unless it belongs to an earlier candidacy. */
+export function supportAnswered(event: EventOf<'supportAnswered'>, before: StewardState): StewardTransition {
+	const state = settled(before, event.now);
+	const {now, sentAt, answer} = event;
+	if (state.stoodAt === undefined || sentAt < state.stoodAt) {
+		return {state, effects: []};
+	}
+
+	if (!answer.granted) {
+		return {state: refused(state, answer, now), effects: []};
+	}
+
+	const until = sentAt + holderTerm(state.terms.stewardTermMilliseconds, state.terms);
+	const records = withSupport(state.records, answer.supporter, {until, acknowledged: answer.applied});
+	return {state: elected({...state, records}, now), effects: []};
+}
+
+/** Stops standing. The tenure ends with its last support. */
+export function resigned(event: EventOf<'resigned'>, before: StewardState): StewardTransition {
+	const state = settled(before, event.now);
+	return {state: {...state, standsFrom: Infinity}, effects: []};
+}
--- /dev/null
+++ b/packages/ownership/src/steward.ts
@@ -0,0 +1,132 @@
+/**
+ * The part of each instance that takes turns as its zone's steward: it supports
+ * a candidate or stands itself, and as steward gives leases to the zone's
+ * instances and asks control for the zone's delegation.
+ *
+ * A lease never lasts longer than the steward's support, and the part that
+ * rests on control never longer than the delegation. All leases of one steward
+ * are therefore over before another is elected; what they let in flight is past
+ * its deadline a longest deadline later. Only then does a steward report how
+ * far its zone is drained.
+ */
+import {
+	type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+} from '@dogwooddeck/model/identifiers';
+import {
+	type DelegationAnswer, type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
+} from '@dogwooddeck/model/lease';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
+import {delegationAnswered, leaseRequested} from './leasing.js';
+import {type LeaseHolders} from './holders.js';
+import {type OwnershipState} from './state.js';
+import {createSupporter, type Supporter, type SupportRecords} from './support.js';
+import {type LeaseTerms} from './terms.js';
+import {
+	resigned, supportAnswered, supportRequested, tableChanged, ticked,
+} from './standing.js';
+
+/** An instance as supporter, candidate or steward of its zone. */
+export type StewardState = {
+	readonly self: InstanceRecord;
+	readonly terms: LeaseTerms;
+	readonly applied: LogIndex;
+	/** The members of the zone's roster, in the table that this instance has applied. */
+	readonly members: readonly InstanceRecord[];
+	/** The longest deadline of any service. */
+	readonly longestDeadlineMilliseconds: Milliseconds;
+	readonly supporter: Supporter;
+	/** The supports that this instance has as a candidate. */
+	readonly records: SupportRecords;
+	/** When it began to stand. Absent: it doesn't. */
+	readonly stoodAt?: MonotonicTime;
+	/** It doesn't stand before this. */
+	readonly standsFrom: MonotonicTime;
+	/** Answers to requests before this are stale. */
+	readonly withdrawnAt: MonotonicTime;
+	readonly supportAskedAt: MonotonicTime;
+	/** Since when it has been steward without a gap. Absent: it is not. */
+	readonly electedAt?: MonotonicTime;
+	/** Instances that applied less get no lease. */
+	readonly floor: LogIndex;
+	readonly holders: LeaseHolders;
+	/** The end of the zone's delegation, as far as this steward knows. */
+	readonly delegatedUntil: MonotonicTime;
+	readonly delegationAskedAt: MonotonicTime;
+	readonly askedDrained: LogIndex;
+	readonly askedApplied: LogIndex;
+};
+
+/** What happens to a steward. Times are on its own monotonic clock. */
+export type StewardEvent =
+	| {readonly kind: 'ticked'; readonly now: MonotonicTime}
+	/** The instance applied log entries up to `applied`. */
+	| {readonly kind: 'tableChanged'; readonly now: MonotonicTime; readonly applied: LogIndex; readonly table: OwnershipState}
+	| {readonly kind: 'supportRequested'; readonly now: MonotonicTime; readonly request: SupportRequest}
+	| {readonly kind: 'supportAnswered'; readonly now: MonotonicTime; readonly sentAt: MonotonicTime; readonly answer: SupportAnswer}
+	| {readonly kind: 'leaseRequested'; readonly now: MonotonicTime; readonly request: LeaseRequest}
+	/** `applied` is what the request said that was sent at `sentAt`. */
+	| {
+		readonly kind: 'delegationAnswered';
+		readonly now: MonotonicTime;
+		readonly sentAt: MonotonicTime;
+		readonly applied: LogIndex;
+		readonly answer: DelegationAnswer;
+	}
+	/** The instance is to stop: it stands and renews no more. */
+	| {readonly kind: 'resigned'; readonly now: MonotonicTime};
+
+/** What a steward asks the edge to do. Answers go to whoever sent the event's request. */
+export type StewardEffect =
+	| {readonly kind: 'askSupport'; readonly to: InstanceRecord; readonly sentAt: MonotonicTime; readonly request: SupportRequest}
+	| {readonly kind: 'answerSupport'; readonly answer: SupportAnswer}
+	| {readonly kind: 'answerLease'; readonly answer: LeaseAnswer}
+	| {readonly kind: 'askDelegation'; readonly sentAt: MonotonicTime; readonly request: DelegationRequest};
+
+/** A step of a steward. */
+export type StewardTransition = Transition<StewardState, StewardEffect>;
+
+/** An instance whose process starts now. */
+export function createSteward(self: InstanceRecord, now: MonotonicTime, terms: LeaseTerms): StewardState {
+	return {
+		self,
+		terms,
+		applied: 0,
+		members: [],
+		longestDeadlineMilliseconds: 0,
+		supporter: createSupporter(now, terms),
+		records: {},
+		standsFrom: -Infinity,
+		withdrawnAt: -Infinity,
+		supportAskedAt: -Infinity,
+		floor: 0,
+		holders: {},
+		delegatedUntil: -Infinity,
+		delegationAskedAt: -Infinity,
+		askedDrained: 0,
+		askedApplied: 0,
+	};
+}
+
+const handlers: HandlerTable<StewardEvent, [StewardState], StewardTransition> = {
+	ticked,
+	tableChanged,
+	supportRequested,
+	supportAnswered,
+	leaseRequested,
+	delegationAnswered,
+	resigned,
+};
+
+/** The next state of a steward, and what to do. */
+export function stepSteward(state: StewardState, event: StewardEvent): StewardTransition {
+	return dispatch(handlers, event, state);
+}
+
+/** Whether the instance is its zone's steward now. */
+export {isSteward} from './tenure.js';
+
+/** Whether an instance belongs to the roster in the table that it has applied. */
+export function isSeated(state: StewardState): boolean {
+	return state.members.some(member => sameInstance(member, state.self));
+}
--- /dev/null
+++ b/packages/ownership/src/table.ts
@@ -0,0 +1,41 @@
+/**
+ * Applies commands to the ownership table, by a lookup table of handlers. A
+ * command that doesn't fit the table is refused and changes nothing.
+ */
+import {type Failure} from '@dogwooddeck/model/failure';
+import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {type Result} from 'true-myth/result';
+import {grantAssignments, releaseAssignments, revokeAssignments} from './assigning.js';
+import {type OwnershipCommand} from './command.js';
+import {pinKey, unpinKey} from './pinning.js';
+import {releaseZone, seatInstance, unseatInstance} from './roster.js';
+import {
+	changePolicy, closeService, openService, settlePolicy,
+} from './services.js';
+import {type OwnershipState} from './state.js';
+
+const handlers: HandlerTable<OwnershipCommand, [OwnershipState, LogIndex], Result<OwnershipState, Failure>> = {
+	serviceOpened: openService,
+	serviceClosed: closeService,
+	policyChanged: changePolicy,
+	policySettled: settlePolicy,
+	assignmentsGranted: grantAssignments,
+	assignmentsRevoked: revokeAssignments,
+	assignmentsReleased: releaseAssignments,
+	keyPinned: pinKey,
+	keyUnpinned: unpinKey,
+	instanceSeated: seatInstance,
+	instanceUnseated: unseatInstance,
+	zoneReleased: releaseZone,
+};
+
+/** The table after the log entry `index` with a command. Fails: `notFound`, `conflict` or `malformed`. */
+export function applyOwnership(state: OwnershipState, command: OwnershipCommand, index: LogIndex): Result<OwnershipState, Failure> {
+	return dispatch(handlers, command, state, index);
+}
+
+export {
+	assignmentOf, emptyOwnership, slotFor, type OwnershipState, type ZoneRoster,
+} from './state.js';
+export {type OwnershipCommand} from './command.js';
--- /dev/null
+++ b/packages/ownership/src/tenure.ts
@@ -0,0 +1,60 @@
+/**
+ * Whether an instance is steward, and how far its zone is drained.
+ */
+import {type LogIndex, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {countedHolders, lowestDrained} from './holders.js';
+import {type StewardState} from './steward.js';
+import {acknowledgedIndex, supportedUntil} from './support.js';
+import {grantorWait} from './terms.js';
+
+/** When the steward's support ends. */
+export function supportEnd(state: StewardState): MonotonicTime {
+	return supportedUntil(state.members, state.records);
+}
+
+/** Whether the instance is its zone's steward now. */
+export function isSteward(state: StewardState, now: MonotonicTime): boolean {
+	return state.electedAt !== undefined && now < supportEnd(state);
+}
+
+/** The state after a look at the clock: a tenure whose support ran out is over. */
+export function settled(state: StewardState, now: MonotonicTime): StewardState {
+	if (state.electedAt === undefined || now < supportEnd(state)) {
+		return state;
+	}
+
+	const {electedAt: _electedAt, stoodAt: _stoodAt, ...rest} = state;
+	return {...rest, records: {}, withdrawnAt: now};
+}
+
+/** The state after a look at the supports: a majority begins a tenure. */
+export function elected(state: StewardState, now: MonotonicTime): StewardState {
+	if (state.electedAt !== undefined || now >= supportEnd(state)) {
+		return state;
+	}
+
+	return {
+		...state,
+		electedAt: now,
+		floor: state.applied,
+		holders: {},
+		delegatedUntil: -Infinity,
+		delegationAskedAt: -Infinity,
+		askedDrained: 0,
+		askedApplied: 0,
+	};
+}
+
+/**
+ * How far the zone is drained. 0: the steward can't say, because what earlier
+ * stewards allowed may be in flight.
+ */
+export function zoneDrained(state: StewardState, now: MonotonicTime): LogIndex {
+	const wait = grantorWait(state.longestDeadlineMilliseconds, state.terms);
+	if (state.electedAt === undefined || now < state.electedAt + wait) {
+		return 0;
+	}
+
+	const counted = countedHolders(state.holders, now, state.longestDeadlineMilliseconds, state.terms);
+	return Math.min(state.applied, acknowledgedIndex(state.members, state.records), lowestDrained(counted));
+}
