--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -9,11 +9,15 @@
 import {type ServiceContract} from '@dogwooddeck/model/contract';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
-import {UpstreamPhase} from '@dogwooddeck/model/registry';
+import {identityOf, UpstreamPhase} from '@dogwooddeck/model/registry';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
-import {applyOwnership, assignmentOf, type OwnershipCommand, type OwnershipState} from '@dogwooddeck/ownership/table';
+import {
+	applyOwnership, assignmentOf, type OwnershipCommand, type OwnershipState,
+} from '@dogwooddeck/ownership/table';
 import {err, ok, type Result} from 'true-myth/result';
-import {type ControlCommand, decodeCommands, type MoveWished, type OperatorAsked} from './command.js';
+import {
+	type ControlCommand, decodeCommands, type MoveWished, type OperatorAsked,
+} from './command.js';
 import {type ControlAccepted, type ControlState, type KeptAnswer} from './state.js';
 
 /** The next state and the answer to one command. */
@@ -79,10 +83,24 @@
 	return state.wishes.length === 0 ? state : {...state, wishes: state.wishes.filter(wish => isOpenWish(state, wish))};
 }
 
+/** How many seatings are kept: more changes than an instance can miss while it holds a lease. */
+const keptSeatings = 8;
+
+function withSeating(state: ControlState, before: OwnershipState, index: LogIndex): ControlState {
+	if (state.ownership.rosters === before.rosters) {
+		return state;
+	}
+
+	const seats = Object.values(state.ownership.rosters)
+		.flatMap(({members}) => members)
+		.map(({name, incarnation, zone}) => ({name, incarnation, zone}));
+	return {...state, seatings: [{index, seats}, ...state.seatings.filter(seating => seating.index !== index)].slice(0, keptSeatings)};
+}
+
 function toOwnership(command: OwnershipCommand, state: ControlState, index: LogIndex): CommandApplied {
 	const ownership = applyOwnership(state.ownership, command, index);
 	return ownership.isOk
-		? {state: dropMetWishes({...state, ownership: ownership.value}), answer: ok({index})}
+		? {state: withSeating(dropMetWishes({...state, ownership: ownership.value}), state.ownership, index), answer: ok({index})}
 		: {state, answer: err(ownership.error)};
 }
 
@@ -100,6 +118,15 @@
 	return {state: dropMetWishes({...state, wishes: [...others, wish]}), answer: ok({index})};
 }
 
+function drain(asked: DrainAsked, state: ControlState, index: LogIndex): CommandApplied {
+	const record = upstreamsOf(state.membership, asked.service).find(({name}) => name === asked.upstream);
+	if (record === undefined || record.phase === UpstreamPhase.lost) {
+		return {state, answer: err(failure(FailureKind.notFound, `there is no upstream ${asked.upstream} of ${asked.service}`))};
+	}
+
+	return toMembership({kind: 'upstreamPhaseChanged', upstream: identityOf(record), phase: UpstreamPhase.leaving}, state, index);
+}
+
 function keptAnswer({operation}: OperatorAsked, command: string, answer: CommandApplied['answer']): KeptAnswer {
 	return {operation, command, answer: answer.isOk ? {accepted: answer.value} : {failure: answer.error}};
 }
@@ -144,6 +171,7 @@
 	instanceUnseated: toOwnership,
 	zoneReleased: toOwnership,
 	moveWished: takeWish,
+	drainAsked: drain,
 	operatorAsked: onceOnly,
 };
 
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -19,15 +19,22 @@
 	readonly upstream: UpstreamName;
 };
 
+/** An operator wants an upstream, in its present life, to give its keys away. */
+export type DrainAsked = {
+	readonly kind: 'drainAsked';
+	readonly service: ServiceName;
+	readonly upstream: UpstreamName;
+};
+
 /** An operator's command, which takes effect once however often it is sent. */
 export type OperatorAsked = {
 	readonly kind: 'operatorAsked';
 	readonly operation: OperationIdentifier;
-	readonly command: MembershipCommand | OwnershipCommand | MoveWished;
+	readonly command: MembershipCommand | OwnershipCommand | MoveWished | DrainAsked;
 };
 
 /** Any command of the replicated log. */
-export type ControlCommand = ConfigurationCommand | MembershipCommand | OwnershipCommand | MoveWished | OperatorAsked;
+export type ControlCommand = ConfigurationCommand | MembershipCommand | OwnershipCommand | MoveWished | DrainAsked | OperatorAsked;
 
 /** The payload of an entry. */
 export function encodeCommands(commands: readonly ControlCommand[]): string {
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -14,7 +14,7 @@
 import {type LeaseTerms} from '@dogwooddeck/ownership/terms';
 import {type SlotHash} from '@dogwooddeck/placement/hash';
 import {createLoad, type LoadState, receiveLoad} from '@dogwooddeck/placement/load';
-import {type PlacementState} from '@dogwooddeck/placement/plan';
+import {type PlacementState} from '@dogwooddeck/placement/input';
 import {type ControlCommand} from './command.js';
 import {proposals} from './proposals.js';
 import {type ControlState} from './state.js';
--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -13,7 +13,9 @@
 import {identityOf, UpstreamPhase} from '@dogwooddeck/model/registry';
 import {clear, zoneOf} from '@dogwooddeck/ownership/grantor';
 import {noRates, ratesOf} from '@dogwooddeck/placement/load';
-import {createPlacement, planPlacement, type PlacementInput, type PlacementPlan} from '@dogwooddeck/placement/plan';
+import {type PlacementInput} from '@dogwooddeck/placement/input';
+import {createPlacement, planPlacement} from '@dogwooddeck/placement/plan';
+import {type PlacementPlan} from '@dogwooddeck/placement/proposal';
 import {type ControlCommand} from './command.js';
 import {type LeaderState} from './leader.js';
 import {type Proposals} from './proposals.js';
@@ -62,12 +64,16 @@
 	const granted = cleared.filter(({slot}) => mayOwn(control, targetOf(slot)));
 	const released = cleared.filter(assignment => !granted.includes(assignment));
 	const commands: ControlCommand[] = [
-		...(granted.length === 0 ? [] : [{
-			kind: 'assignmentsGranted' as const, service, grants: granted.map(({slot, revokedAt}) => ({slot, owner: targetOf(slot)!, revokedAt})),
-		}]),
-		...(released.length === 0 ? [] : [{
-			kind: 'assignmentsReleased' as const, service, releases: released.map(({slot, revokedAt}) => ({slot, revokedAt})),
-		}]),
+		...(granted.length === 0
+			? []
+			: [{
+				kind: 'assignmentsGranted' as const, service, grants: granted.map(({slot, revokedAt}) => ({slot, owner: targetOf(slot)!, revokedAt})),
+			}]),
+		...(released.length === 0
+			? []
+			: [{
+				kind: 'assignmentsReleased' as const, service, releases: released.map(({slot, revokedAt}) => ({slot, revokedAt})),
+			}]),
 	];
 	return {state: {...state, grantor}, commands};
 }
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -5,7 +5,9 @@
 import {type ConfigurationAccepted, type ConfigurationState, initialConfiguration} from '@dogwooddeck/configuration/tree';
 import {emptyMembership, type MembershipState} from '@dogwooddeck/membership/registry';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {type LogIndex, type OperationIdentifier} from '@dogwooddeck/model/identifiers';
+import {
+	type InstanceIdentity, type LogIndex, type OperationIdentifier, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
 import {emptyOwnership, type OwnershipState} from '@dogwooddeck/ownership/table';
 import {err, ok, type Result} from 'true-myth/result';
 import {type MoveWished} from './command.js';
@@ -37,6 +39,14 @@
 	readonly wishes: readonly MoveWished[];
 	/** Oldest first. */
 	readonly answers: readonly KeptAnswer[];
+	/** The seated instances as they stood lately, newest first. */
+	readonly seatings: readonly Seating[];
+};
+
+/** The seated instances of all zones, from a log entry on. */
+export type Seating = {
+	readonly index: LogIndex;
+	readonly seats: ReadonlyArray<InstanceIdentity & {readonly zone: ZoneName}>;
 };
 
 /** The state before the first entry. */
@@ -47,6 +57,7 @@
 	ownership: emptyOwnership,
 	wishes: [],
 	answers: [],
+	seatings: [],
 };
 
 /** The text of a snapshot. */
--- /dev/null
+++ b/packages/daemon/src/announcements.ts
@@ -0,0 +1,79 @@
+/**
+ * Takes the announcements of upstreams, and answers with their grants.
+ */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {nameField, serviceNameField, upstreamNameField} from '@dogwooddeck/configuration/field';
+import {parseStrictly, strictObject} from '@dogwooddeck/configuration/strict-schema';
+import {contractOf} from '@dogwooddeck/configuration/tree';
+import {type ControlState} from '@dogwooddeck/control/state';
+import {type SurfaceHandler} from '@dogwooddeck/front/surface';
+import {checkAnnouncement} from '@dogwooddeck/membership/registry';
+import {AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {
+	type FenceNumber, sameUpstream, type Slot, type UpstreamIdentity,
+} from '@dogwooddeck/model/identifiers';
+import {type Announcement} from '@dogwooddeck/model/registry';
+import {err, ok, type Result} from 'true-myth/result';
+import * as v from 'valibot';
+import {type ControlHolder} from './control-holder.js';
+
+/** The right to serve one slot: an upstream that checks fences refuses requests with a smaller number. */
+export type SlotGrant = {readonly slot: Slot; readonly fence: FenceNumber};
+
+/** The answer to an announcement that was taken. */
+export type AnnouncementAnswer = {
+	readonly accepted: true;
+	readonly grants: readonly SlotGrant[];
+};
+
+const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v;
+
+const schema = strictObject({
+	service: serviceNameField,
+	name: upstreamNameField,
+	incarnation: v.pipe(v.number(), v.safeInteger(), v.minValue(0)),
+	region: nameField,
+	zone: nameField,
+	address: v.pipe(v.string(), v.regex(addressPattern, 'expected an address such as "127.0.0.1:8080"')),
+	leaving: v.boolean(),
+	load: v.pipe(v.number(), v.minValue(0), v.maxValue(1)),
+});
+
+function sameText(one: string, other: string): boolean {
+	const digest = (text: string) => createHash('sha256').update(text).digest();
+	return timingSafeEqual(digest(one), digest(other));
+}
+
+function grantsOf(control: ControlState, upstream: UpstreamIdentity): readonly SlotGrant[] {
+	return (control.ownership.services[upstream.service]?.assignments ?? []).flatMap(assignment =>
+		assignment.phase === AssignmentPhase.granted && sameUpstream(assignment.owner, upstream)
+			? [{slot: assignment.slot, fence: assignment.fence}]
+			: []);
+}
+
+function checked(control: ControlState, body: unknown): Result<Announcement, Failure> {
+	const announcement = parseStrictly(schema, body, 'announcement');
+	return announcement.andThen(read => contractOf(control.configuration, read.service) === undefined
+		? err(failure(FailureKind.notFound, `there is no service ${read.service}`))
+		: checkAnnouncement(control.membership, read));
+}
+
+/** Makes the handler of announcements. Fails with `unauthenticated`, `settingsInvalid`, `notFound` and `superseded`. */
+export function createAnnouncements(
+	holder: ControlHolder,
+	key: string,
+	taken: (announcement: Announcement) => void,
+): SurfaceHandler {
+	return async ({token, body}) => {
+		if (!sameText(token, key)) {
+			return err(failure(FailureKind.unauthenticated, 'the announcement carries no right token'));
+		}
+
+		const control = holder.state();
+		return checked(control, body).map((announcement): AnnouncementAnswer => {
+			taken(announcement);
+			return {accepted: true, grants: grantsOf(control, announcement)};
+		});
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/operator-surface.ts
@@ -0,0 +1,187 @@
+/**
+ * What operators may ask of an instance, and by which right.
+ */
+import {wallNow} from '@dogwooddeck/clock/monotonic';
+import {
+	type Authority, authorityOf, hashToken, requireOperator, requireTeam,
+} from '@dogwooddeck/configuration/authority';
+import {
+	declareLostConfirmation, type ConfigurationAnswer, type HistoryAnswer, type MemberAnswer, type MembersAnswer, type OwnerAnswer, type OwnersAnswer,
+	parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest, type StatusAnswer, type WriteAnswer,
+} from '@dogwooddeck/configuration/messages';
+import {
+	contractOf, type ConfigurationAccepted, type ConfigurationCommand, subtreeOf, teamOf,
+} from '@dogwooddeck/configuration/tree';
+import {type OperatorAsked} from '@dogwooddeck/control/command';
+import {type ControlAccepted, type ControlState} from '@dogwooddeck/control/state';
+import {type OperatorSurface, type SurfaceHandler, type SurfaceRequest} from '@dogwooddeck/front/surface';
+import {upstreamOf, upstreamsOf} from '@dogwooddeck/membership/registry';
+import {type Assignment, AssignmentPhase, type PinnedKey} from '@dogwooddeck/model/assignment';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type OperationIdentifier, type TeamName} from '@dogwooddeck/model/identifiers';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {ReleaseReason} from '@dogwooddeck/ownership/command';
+import {err, ok, type Result} from 'true-myth/result';
+import {type ControlHolder} from './control-holder.js';
+import {type ControlRunner} from './control-runner.js';
+
+/** What one instance tells another of itself. */
+export type MemberReport = {readonly applied: number; readonly voter: boolean};
+
+/** What the surface needs. */
+export type OperatorSurroundings = {
+	readonly holder: ControlHolder;
+	readonly control: ControlRunner;
+	readonly status: () => Omit<StatusAnswer, 'applied' | 'revisions'>;
+	/** Asks another instance what it has applied; undefined if it can't be reached. */
+	readonly askMember: (member: InstanceRecord) => Promise<MemberReport | undefined>;
+	readonly announce: SurfaceHandler;
+	readonly burn: SurfaceHandler;
+};
+
+type Permission = (state: ControlState, authority: Authority) => Result<Authority, Failure>;
+
+const anyAuthority: Permission = (_state, authority) => ok(authority);
+const ofTeam = (team: TeamName): Permission => (_state, authority) => requireTeam(authority, team);
+
+function permitted({token}: SurfaceRequest, state: ControlState, permission: Permission): Result<Authority, Failure> {
+	return authorityOf(state.configuration, hashToken(token)).andThen(authority => permission(state, authority));
+}
+
+function queried({query}: SurfaceRequest, name: string): Result<string, Failure> {
+	const value = query[name];
+	return value === undefined || value === '' ? err(failure(FailureKind.malformed, `the query lacks "${name}"`)) : ok(value);
+}
+
+function ownerAnswer(state: ControlState, assignment: Assignment, pinned: readonly PinnedKey[]): OwnerAnswer {
+	const key = pinned.find(({slot}) => slot === assignment.slot)?.key;
+	const named = key === undefined ? {} : {key};
+	if (assignment.phase === AssignmentPhase.vacant) {
+		return {slot: assignment.slot, phase: assignment.phase, ...named};
+	}
+
+	const zone = upstreamOf(state.membership, assignment.owner)?.zone;
+	return {
+		slot: assignment.slot,
+		phase: assignment.phase,
+		upstream: assignment.owner.name,
+		incarnation: assignment.owner.incarnation,
+		fence: assignment.fence,
+		...named,
+		...(zone === undefined ? {} : {zone}),
+	};
+}
+
+function ownersAnswer(state: ControlState, service: string): Result<OwnersAnswer, Failure> {
+	const assignments = state.ownership.services[service];
+	return assignments === undefined
+		? err(failure(FailureKind.notFound, `there is no service ${service}`))
+		: ok({
+			service,
+			index: state.applied,
+			owners: assignments.assignments.map(assignment => ownerAnswer(state, assignment, assignments.pinned)),
+		});
+}
+
+/** Makes the operators' surface. */
+export function createOperatorSurface(surroundings: OperatorSurroundings): OperatorSurface {
+	const {holder, control} = surroundings;
+
+	async function configure(command: ConfigurationCommand): Promise<Result<ConfigurationAccepted, Failure>> {
+		const accepted = await control.submit(command);
+		return accepted.andThen(({configuration}) => configuration === undefined
+			? err(failure(FailureKind.internal, 'the change was accepted without an answer'))
+			: ok(configuration));
+	}
+
+	async function ask(operation: OperationIdentifier, command: OperatorAsked['command']): Promise<Result<WriteAnswer, Failure>> {
+		const accepted: Result<ControlAccepted, Failure> = await control.submit({kind: 'operatorAsked', operation, command});
+		return accepted.map(({index}) => ({operation, index}));
+	}
+
+	/** Reads a body, checks the right to what it asks for, and does it. */
+	function writing<Read>(
+		parse: (body: unknown) => Result<Read, Failure>,
+		permission: (read: Read) => Permission,
+		act: (read: Read, request: SurfaceRequest) => Promise<Result<unknown, Failure>>,
+	): SurfaceHandler {
+		return async request => {
+			const known = permitted(request, holder.state(), anyAuthority);
+			const read = known.andThen(() => parse(request.body));
+			const allowed = read.andThen(body => permitted(request, holder.state(), permission(body)).map(() => body));
+			return allowed.isOk ? act(allowed.value, request) : err(allowed.error);
+		};
+	}
+
+	function reading(name: string, team: (value: string) => TeamName, answer: (state: ControlState, value: string) => Result<unknown, Failure>): SurfaceHandler {
+		return async request => {
+			const state = holder.state();
+			return permitted(request, state, anyAuthority)
+				.andThen(() => queried(request, name))
+				.andThen(value => permitted(request, state, ofTeam(team(value))).andThen(() => answer(state, value)));
+		};
+	}
+
+	async function memberAnswer(member: InstanceRecord): Promise<MemberAnswer> {
+		const report = await surroundings.askMember(member);
+		return {
+			...member, applied: report?.applied ?? 0, alive: report !== undefined, voter: report?.voter ?? false,
+		};
+	}
+
+	async function members(request: SurfaceRequest): Promise<Result<unknown, Failure>> {
+		const state = holder.state();
+		const allowed = permitted(request, state, anyAuthority);
+		if (allowed.isErr) {
+			return err(allowed.error);
+		}
+
+		const seated = Object.values(state.ownership.rosters).flatMap(roster => roster.members);
+		const answer: MembersAnswer = {
+			instances: await Promise.all(seated.map(async member => memberAnswer(member))),
+			upstreams: Object.keys(state.membership.services).flatMap(service => upstreamsOf(state.membership, service)),
+		};
+		return ok(answer);
+	}
+
+	function statusAnswer(state: ControlState): StatusAnswer {
+		return {
+			...surroundings.status(),
+			applied: state.applied,
+			revisions: state.configuration.teams.map(({team, revision}) => ({team, revision})),
+		};
+	}
+
+	return {
+		announce: surroundings.announce,
+		apply: writing(parseApplyRequest, ({team}) => ofTeam(team), async (read, {author}) => configure({
+			kind: 'subtreeApplied', ...read, author, at: wallNow(),
+		})),
+		token: writing(parseTokenRequest, () => (_state, authority) => requireOperator(authority), async ({team, operation, token}) => configure({
+			kind: 'tokenSet', team, operation, tokenHash: hashToken(token), at: wallNow(),
+		})),
+		move: writing(parseMoveRequest, ({service}) => ofTeam(teamOf(service)), async ({operation, ...wish}) => ask(operation, {kind: 'moveWished', ...wish})),
+		drain: writing(parseDrainRequest, ({service}) => ofTeam(teamOf(service)), async ({operation, ...asked}) => ask(operation, {kind: 'drainAsked', ...asked})),
+		zoneDeclareLost: writing(parseZoneDeclareLostRequest, () => (_state, authority) => requireOperator(authority), async ({zone, operation, confirm}) =>
+			confirm === declareLostConfirmation(zone)
+				? ask(operation, {kind: 'zoneReleased', zone, reason: ReleaseReason.declaredLost})
+				: err(failure(FailureKind.malformed, `"confirm" must read: ${declareLostConfirmation(zone)}`))),
+		configuration: reading('team', team => team, (state, team) => {
+			const {revision, services} = subtreeOf(state.configuration, team);
+			return ok<ConfigurationAnswer, Failure>({team, revision, services});
+		}),
+		history: reading('team', team => team, (state, team) => ok<HistoryAnswer, Failure>({team, entries: subtreeOf(state.configuration, team).history})),
+		owners: reading('service', teamOf, (state, service) => contractOf(state.configuration, service) === undefined
+			? err(failure(FailureKind.notFound, `there is no service ${service}`))
+			: ownersAnswer(state, service)),
+		async status(request) {
+			const state = holder.state();
+			return permitted(request, state, anyAuthority).map(() => statusAnswer(state));
+		},
+		members,
+		async burn(request) {
+			const allowed = permitted(request, holder.state(), anyAuthority);
+			return allowed.isOk ? surroundings.burn(request) : err(allowed.error);
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/request-path.ts
@@ -0,0 +1,287 @@
+/**
+ * The decisions around each caller's request, from the tables that this
+ * instance holds. Structures here are updated in place: they are on the path of
+ * every request.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {contractsOf} from '@dogwooddeck/configuration/tree';
+import {type ControlState} from '@dogwooddeck/control/state';
+import {AttemptEnd, type EvidenceRecorder} from '@dogwooddeck/membership/evidence';
+import {upstreamOf} from '@dogwooddeck/membership/registry';
+import {AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {HeaderName} from '@dogwooddeck/model/headers';
+import {
+	type InstanceName, type Milliseconds, type ServiceName, type Slot, type UpstreamIdentity, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
+import {Outcome} from '@dogwooddeck/model/outcome';
+import {type Flight, type Flights} from '@dogwooddeck/ownership/drain';
+import {isHeld, type LeaseState, mayStart} from '@dogwooddeck/ownership/lease';
+import {routedDeadline} from '@dogwooddeck/ownership/policy';
+import {assignmentOf, slotFor} from '@dogwooddeck/ownership/table';
+import {type SlotHash} from '@dogwooddeck/placement/hash';
+import {type Admission, connectionsFor, createAdmission} from '@dogwooddeck/routing/admission';
+import {
+	allowsRetry, bookAttempt, createRetryBudget, type RetryBudget,
+} from '@dogwooddeck/routing/budget';
+import {deadlineOf} from '@dogwooddeck/routing/deadline';
+import {Seen, seenRules} from '@dogwooddeck/routing/outcome';
+import {
+	createTargetIndex, matchService, readKey, type RequestHead, routeOf, type ServiceTarget, type TargetIndex,
+} from '@dogwooddeck/routing/target';
+import {type OpenedRequest, type RequestOwner, type RequestPath, type RequestReport} from '@dogwooddeck/upstream-client/request-path';
+import {err, ok, type Result} from 'true-myth/result';
+import {type ClaimRunner} from './claim-runner.js';
+import {type ControlHolder} from './control-holder.js';
+import {type Limiter} from './limiter.js';
+import {type ReportCollector} from './report-collector.js';
+
+/** A request whose head was read. */
+export type Opened = OpenedRequest & {
+	readonly target: ServiceTarget;
+	readonly key: string;
+	readonly hashSlot: Slot;
+	readonly operationKey: string;
+	readonly method: string;
+	readonly path: string;
+};
+
+/** The owner of a request's key. */
+export type Owner = RequestOwner & {
+	readonly service: ServiceName;
+	readonly upstream: UpstreamIdentity;
+	readonly held: boolean;
+	/** Set when the first byte may go. */
+	flight: Flight | undefined;
+};
+
+/** What the path needs. */
+export type PathSurroundings = {
+	readonly name: InstanceName;
+	readonly zone: ZoneName;
+	readonly holder: ControlHolder;
+	readonly lease: () => LeaseState;
+	readonly accepts: () => boolean;
+	readonly flights: Flights;
+	readonly evidence: EvidenceRecorder;
+	readonly reports: ReportCollector;
+	readonly claims: ClaimRunner;
+	readonly limiter: Limiter;
+	readonly hash: SlotHash;
+	readonly requestEnded: (service: ServiceName, opened: Opened | undefined, report: RequestReport) => void;
+};
+
+/** A request without an owner or a lease comes again after this long. */
+const ownerRetryMilliseconds: Milliseconds = 25;
+const queueLength = 1000;
+/** Added to a claimed operation's time: what a frozen socket may still hold is past its deadline. */
+const claimMarginMilliseconds: Milliseconds = 500;
+const longestOperationKey = 256;
+
+const endOfSeen: Readonly<Record<Seen, AttemptEnd>> = {
+	[Seen.refusedConnection]: AttemptEnd.failed,
+	[Seen.closedBeforeFirstByte]: AttemptEnd.failed,
+	[Seen.closedAfterFirstByte]: AttemptEnd.failed,
+	[Seen.shed]: AttemptEnd.shed,
+	[Seen.deadlinePassedBeforeFirstByte]: AttemptEnd.cancelled,
+	[Seen.deadlinePassedAfterFirstByte]: AttemptEnd.timedOut,
+	[Seen.wholeAnswer]: AttemptEnd.answered,
+	[Seen.cutAnswer]: AttemptEnd.failed,
+	[Seen.unboundedAnswer]: AttemptEnd.failed,
+	[Seen.leaseLost]: AttemptEnd.cancelled,
+	[Seen.unsendable]: AttemptEnd.cancelled,
+	[Seen.cancelledBeforeFirstByte]: AttemptEnd.cancelled,
+	[Seen.cancelledAfterFirstByte]: AttemptEnd.cancelled,
+};
+
+const noOwner = failure(FailureKind.noOwner, 'the key has no owner at this moment', {retryAfterMilliseconds: ownerRetryMilliseconds});
+const noLease = failure(FailureKind.noLease, 'this instance holds no lease over the key at this moment', {retryAfterMilliseconds: ownerRetryMilliseconds});
+const notReady = failure(FailureKind.notReady, 'the instance takes no requests now');
+
+function operationKeyOf(head: RequestHead): Result<string, Failure> {
+	const value = head.headers[HeaderName.idempotencyKey];
+	if (value === undefined) {
+		return ok('');
+	}
+
+	return typeof value === 'string' && value.length > 0 && value.length <= longestOperationKey
+		? ok(value)
+		: err(failure(FailureKind.malformed, `${HeaderName.idempotencyKey} must be one value of 1 to ${longestOperationKey} characters`));
+}
+
+/** The instances that share the connections and slots of upstreams, and this one's place among them. */
+type Sharing = {readonly instances: number; readonly position: number};
+
+function sharingOf(state: ControlState, name: InstanceName): Sharing {
+	const names = Object.values(state.ownership.rosters).flatMap(({members}) => members).map(member => member.name).sort();
+	return {instances: Math.max(1, names.length), position: Math.max(0, names.indexOf(name))};
+}
+
+/** Makes the decisions around requests. */
+export function createRequestPath(surroundings: PathSurroundings): RequestPath<Opened, Owner> {
+	const {
+		holder, flights, evidence, reports, claims, limiter, hash,
+	} = surroundings;
+	let index: TargetIndex = createTargetIndex([]);
+	let configuration: ControlState['configuration'] | undefined;
+	let sharing: Sharing = {instances: 1, position: 0};
+	const admissions = new Map<string, Admission>();
+	const budgets = new Map<ServiceName, RetryBudget>();
+
+	function boundsOf(slots: number) {
+		return {slots, instances: sharing.instances, queueLength};
+	}
+
+	function follow(state: ControlState): void {
+		sharing = sharingOf(state, surroundings.name);
+		if (state.configuration !== configuration) {
+			configuration = state.configuration;
+			index = createTargetIndex(contractsOf(configuration));
+		}
+	}
+
+	function admissionOf(address: string, slots: number): Admission {
+		const known = admissions.get(address);
+		if (known !== undefined) {
+			known.rebound(boundsOf(slots));
+			return known;
+		}
+
+		const made = createAdmission(boundsOf(slots));
+		admissions.set(address, made);
+		return made;
+	}
+
+	function budgetOf(opened: Opened): RetryBudget {
+		const {name, retry} = opened.target.contract;
+		return budgets.get(name) ?? createRetryBudget(retry.budgetRatio);
+	}
+
+	function opened(target: ServiceTarget, head: RequestHead, key: string, operationKey: string): Opened {
+		const {contract} = target;
+		const now = monotonicNow();
+		const policy = holder.state().ownership.policies[contract.name];
+		const treatment = routeOf(target, head.method, head.path);
+		const longest = policy === undefined ? contract.longestDeadlineMilliseconds : routedDeadline(policy);
+		return {
+			target,
+			key,
+			hashSlot: hash(key, contract.slots),
+			operationKey,
+			method: head.method,
+			path: head.path,
+			deadline: Math.min(deadlineOf(contract, head, now), now + longest),
+			idempotent: treatment.idempotent,
+			importance: treatment.importance,
+			retry: contract.retry,
+			largestBodyBytes: contract.largestBodyBytes,
+			notRunStatuses: contract.upstream.notRunStatuses,
+			claims: operationKey !== '' && !treatment.idempotent,
+		};
+	}
+
+	function open(head: RequestHead): Result<Opened, Failure> {
+		if (!surroundings.accepts()) {
+			return err(notReady);
+		}
+
+		const target = matchService(index, head.path);
+		if (target === undefined) {
+			return err(failure(FailureKind.notFound, 'no service has this path'));
+		}
+
+		const key = readKey(target, head);
+		if (key.isErr) {
+			return err(key.error);
+		}
+
+		return operationKeyOf(head)
+			.map(operationKey => opened(target, head, key.value, operationKey))
+			.andThen(request => limiter.admit(request, head).map(() => request));
+	}
+
+	function locate(request: Opened): Result<Owner, Failure> {
+		const state = holder.state();
+		const {contract} = request.target;
+		const assignments = state.ownership.services[contract.name];
+		const policy = state.ownership.policies[contract.name];
+		if (assignments === undefined || policy === undefined) {
+			return err(noOwner);
+		}
+
+		const slot = slotFor(assignments, request.hashSlot, request.key);
+		const assignment = assignments.assignments[slot];
+		const upstream = assignment?.phase === AssignmentPhase.granted ? upstreamOf(state.membership, assignment.owner) : undefined;
+		if (assignment?.phase !== AssignmentPhase.granted || upstream === undefined) {
+			return err(noOwner);
+		}
+
+		const held = isHeld(policy, upstream.zone, surroundings.zone);
+		if (!mayStart(surroundings.lease(), monotonicNow(), assignment, held)) {
+			return err(noLease);
+		}
+
+		return ok({
+			address: upstream.address,
+			connections: connectionsFor(contract.upstream.connections, sharing.instances, sharing.position),
+			slot,
+			fence: assignment.fence,
+			admission: admissionOf(upstream.address, contract.upstream.slots),
+			service: contract.name,
+			upstream: assignment.owner,
+			held,
+			flight: undefined,
+		});
+	}
+
+	function mayStartNow(request: Opened, owner: Owner): boolean {
+		const assignment = assignmentOf(holder.state().ownership, owner.service, owner.slot);
+		const now = monotonicNow();
+		if (assignment?.phase !== AssignmentPhase.granted || assignment.fence !== owner.fence || now >= request.deadline) {
+			return false;
+		}
+
+		if (!mayStart(surroundings.lease(), now, assignment, owner.held)) {
+			return false;
+		}
+
+		owner.flight = flights.started(owner.service, owner.slot, owner.fence, now, request.deadline);
+		return true;
+	}
+
+	holder.listen(follow);
+
+	return {
+		now: monotonicNow,
+		open,
+		locate,
+		mayStart: mayStartNow,
+		allowsRetry: request => allowsRetry(budgetOf(request)),
+		attemptStarted(request, owner, retry) {
+			budgets.set(owner.service, bookAttempt(budgetOf(request), {kind: retry ? 'retry' : 'first-attempt'}).state);
+			evidence.started(owner.upstream);
+			reports.requested(owner.service, owner.slot, request.key);
+		},
+		attemptEnded(_request, owner, {seen, latencyMilliseconds}) {
+			evidence.ended(owner.upstream, endOfSeen[seen], latencyMilliseconds);
+			if (owner.flight !== undefined) {
+				const isOver = seenRules[seen].outcome !== Outcome.unknown;
+				(isOver ? flights.ended : flights.abandoned)(owner.flight);
+				owner.flight = undefined;
+			}
+		},
+		claim(request, body, decided) {
+			const fingerprint = [request.method, request.path, body === undefined ? '' : hash(new TextDecoder('latin1').decode(body), 2 ** 32)].join(' ');
+			return claims.claim({
+				service: request.target.contract.name,
+				key: request.key,
+				operationKey: request.operationKey,
+				fingerprint,
+				runsForMilliseconds: request.deadline - monotonicNow() + claimMarginMilliseconds,
+			}, decided);
+		},
+		requestEnded(request, report) {
+			surroundings.requestEnded(request?.target.contract.name ?? '', request, report);
+		},
+	};
+}
