--- /dev/null
+++ b/packages/routing/src/claim-holder.ts
@@ -0,0 +1,236 @@
+/**
+ * What a holder of claims decides. A record is never dropped before its time:
+ * a holder that is full refuses new claims.
+ */
+import {
+	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+} from '@dogwooddeck/model/identifiers';
+import {Outcome} from '@dogwooddeck/model/outcome';
+import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
+import {holdersOf} from './claim-holders.js';
+import {
+	type ClaimAnswer, type ClaimEnded, ClaimPurpose, type ClaimRequest, type ClaimRoster, type ClaimStatus, type ClaimToken, ClaimVerdict, type Operation, operationText, sameToken, type StoredAnswer,
+} from './claim.js';
+import {type TextHash} from './text-hash.js';
+
+/** One claim as a holder keeps it. */
+export type ClaimRecord = {
+	readonly operation: Operation;
+	readonly fingerprint: string;
+	readonly token: ClaimToken;
+	readonly ended?: {readonly outcome: Outcome; readonly answer?: StoredAnswer};
+	/** When a running operation is over at the latest. */
+	readonly runsUntil: MonotonicTime;
+	readonly expiresAt: MonotonicTime;
+	/** The holders that this one copied the record to; they are told of its end. */
+	readonly copies: readonly InstanceIdentity[];
+};
+
+/** How much a holder keeps. */
+export type HolderBounds = {
+	readonly records: number;
+	/** The bytes of stored answers, in base64; answers beyond are not kept, their records are. */
+	readonly answerBytes: number;
+};
+
+/** All that a holder knows. */
+export type HolderState = {
+	readonly self: InstanceIdentity;
+	readonly bounds: HolderBounds;
+	/** The newest roster that any claimant named; older ones are refused. */
+	readonly rosterIndex: LogIndex;
+	readonly answerBytes: number;
+	/** By the text of the operation. Never copied: only this module changes it, in place, since it may hold every claim of hours. */
+	readonly records: Map<string, ClaimRecord>;
+};
+
+/** What a holder meets. `now` is monotonic. */
+export type HolderEvent =
+	| {readonly kind: 'message'; readonly now: MonotonicTime; readonly message: ClaimRequest | ClaimEnded}
+	/** This instance has applied a roster: records are copied to the holders that it brings. */
+	| {readonly kind: 'roster'; readonly now: MonotonicTime; readonly roster: ClaimRoster; readonly hash: TextHash}
+	/** Time to drop what has expired. */
+	| {readonly kind: 'swept'; readonly now: MonotonicTime};
+
+/** What the edge does. */
+export type HolderEffect =
+	| {readonly kind: 'answer'; readonly answer: ClaimAnswer}
+	/** Send a message to another holder. */
+	| {readonly kind: 'send'; readonly message: ClaimRequest | ClaimEnded};
+
+type Step = Transition<HolderState, HolderEffect>;
+
+/** A holder that knows nothing. */
+export function createHolder(self: InstanceIdentity, bounds: HolderBounds): HolderState {
+	return {
+		self, bounds, rosterIndex: 0, answerBytes: 0, records: new Map(),
+	};
+}
+
+/** What a record says at a time. A run that is over without an end has an unknown outcome. */
+export function statusOfRecord(record: ClaimRecord, now: MonotonicTime): ClaimStatus {
+	if (record.ended !== undefined) {
+		return {kind: 'ended', ...record.ended};
+	}
+
+	const remainingMilliseconds: Milliseconds = record.runsUntil - now;
+	return remainingMilliseconds > 0 ? {kind: 'running', remainingMilliseconds} : {kind: 'ended', outcome: Outcome.unknown};
+}
+
+function answered(state: HolderState, request: ClaimRequest, verdict: ClaimVerdict, status?: ClaimStatus): Step {
+	const answer: ClaimAnswer = {
+		kind: 'claim-answer', token: request.token, holder: state.self, verdict, rosterIndex: state.rosterIndex, ...(status === undefined ? {} : {status}),
+	};
+	return {state, effects: [{kind: 'answer', answer}]};
+}
+
+function recordOf(request: ClaimRequest, now: MonotonicTime): ClaimRecord {
+	const {status} = request;
+	const runsUntil = status.kind === 'running' ? now + status.remainingMilliseconds : now;
+	const {kind: _kind, ...ended} = status.kind === 'ended' ? status : {kind: undefined};
+	return {
+		operation: request.operation,
+		fingerprint: request.fingerprint,
+		token: request.token,
+		...(status.kind === 'ended' ? {ended: ended as NonNullable<ClaimRecord['ended']>} : {}),
+		runsUntil,
+		expiresAt: now + request.lifetimeMilliseconds,
+		copies: [],
+	};
+}
+
+function sizeOf(record: ClaimRecord | undefined): number {
+	return record?.ended?.answer?.body.length ?? 0;
+}
+
+function withoutAnswer(record: ClaimRecord): ClaimRecord {
+	return record.ended === undefined ? record : {...record, ended: {outcome: record.ended.outcome}};
+}
+
+function put(state: HolderState, text: string, record: ClaimRecord): HolderState {
+	const before = sizeOf(state.records.get(text));
+	const fits = state.answerBytes - before + sizeOf(record) <= state.bounds.answerBytes;
+	const kept = fits ? record : withoutAnswer(record);
+	state.records.set(text, kept);
+	return {...state, answerBytes: state.answerBytes - before + sizeOf(kept)};
+}
+
+function remove(state: HolderState, text: string): HolderState {
+	const size = sizeOf(state.records.get(text));
+	state.records.delete(text);
+	return {...state, answerBytes: state.answerBytes - size};
+}
+
+function liveRecord(state: HolderState, text: string, now: MonotonicTime): ClaimRecord | undefined {
+	const record = state.records.get(text);
+	return record !== undefined && record.expiresAt > now ? record : undefined;
+}
+
+function verdictOverRecord(state: HolderState, request: ClaimRequest, record: ClaimRecord, now: MonotonicTime): Step {
+	if (record.fingerprint !== request.fingerprint) {
+		return answered(state, request, ClaimVerdict.mismatch);
+	}
+
+	if (!sameToken(record.token, request.token)) {
+		return answered(state, request, ClaimVerdict.taken, statusOfRecord(record, now));
+	}
+
+	const isNews = record.ended === undefined && request.status.kind === 'ended';
+	return answered(isNews ? put(state, operationText(request.operation), recordOf(request, now)) : state, request, ClaimVerdict.held);
+}
+
+function recorded(state: HolderState, request: ClaimRequest, now: MonotonicTime): Step {
+	if (request.purpose === ClaimPurpose.check) {
+		return answered(state, request, ClaimVerdict.free);
+	}
+
+	if (state.records.size >= state.bounds.records) {
+		return answered(state, request, ClaimVerdict.full);
+	}
+
+	return answered(put(state, operationText(request.operation), recordOf(request, now)), request, ClaimVerdict.held);
+}
+
+function whenRequested(request: ClaimRequest, before: HolderState, now: MonotonicTime): Step {
+	if (!sameInstance(request.holder, before.self)) {
+		return answered(before, request, ClaimVerdict.notHolder);
+	}
+
+	const state = request.rosterIndex > before.rosterIndex ? {...before, rosterIndex: request.rosterIndex} : before;
+	const record = liveRecord(state, operationText(request.operation), now);
+	if (record !== undefined) {
+		return verdictOverRecord(state, request, record, now);
+	}
+
+	const isStale = request.rosterIndex < state.rosterIndex && request.purpose !== ClaimPurpose.copy;
+	return isStale ? answered(state, request, ClaimVerdict.staleRoster) : recorded(state, request, now);
+}
+
+function whenEnded(message: ClaimEnded, state: HolderState): Step {
+	const text = operationText(message.operation);
+	const record = state.records.get(text);
+	if (record === undefined || record.ended !== undefined || !sameToken(record.token, message.token)) {
+		return {state, effects: []};
+	}
+
+	const effects = record.copies.map(copy => ({kind: 'send', message: {...message, holder: copy}} as const));
+	if (message.outcome === Outcome.notRun) {
+		return {state: remove(state, text), effects};
+	}
+
+	const ended = message.answer === undefined ? {outcome: message.outcome} : {outcome: message.outcome, answer: message.answer};
+	return {state: put(state, text, {...record, ended}), effects};
+}
+
+const messageHandlers: HandlerTable<ClaimRequest | ClaimEnded, [HolderState, MonotonicTime], Step> = {
+	'claim-request': whenRequested,
+	'claim-ended': whenEnded,
+};
+
+function whenSwept(state: HolderState, now: MonotonicTime): Step {
+	const expired = [...state.records].filter(([, record]) => record.expiresAt <= now);
+	return {state: expired.reduce((swept, [text]) => remove(swept, text), state), effects: []};
+}
+
+function copyOf(state: HolderState, record: ClaimRecord, holder: InstanceIdentity, now: MonotonicTime): ClaimRequest {
+	return {
+		kind: 'claim-request',
+		purpose: ClaimPurpose.copy,
+		operation: record.operation,
+		fingerprint: record.fingerprint,
+		token: record.token,
+		holder,
+		rosterIndex: state.rosterIndex,
+		status: statusOfRecord(record, now),
+		lifetimeMilliseconds: record.expiresAt - now,
+	};
+}
+
+function newHolders(self: InstanceIdentity, record: ClaimRecord, event: Extract<HolderEvent, {kind: 'roster'}>): InstanceIdentity[] {
+	return holdersOf(event.roster, operationText(record.operation), event.hash)
+		.map(seat => ({name: seat.name, incarnation: seat.incarnation}))
+		.filter(seat => !sameInstance(seat, self) && !record.copies.some(copy => sameInstance(copy, seat)));
+}
+
+/** Copies every live record to the holders by the new roster, so that the loss of the last old holder loses nothing. */
+function whenRoster(event: Extract<HolderEvent, {kind: 'roster'}>, before: HolderState): Step {
+	const state = {...before, rosterIndex: Math.max(before.rosterIndex, event.roster.index)};
+	const live = [...state.records].filter(([, record]) => record.expiresAt > event.now);
+	const effects = live.flatMap(([text, record]) => {
+		const holders = newHolders(state.self, record, event);
+		state.records.set(text, {...record, copies: [...record.copies, ...holders]});
+		return holders.map(holder => ({kind: 'send', message: copyOf(state, record, holder, event.now)} as const));
+	});
+	return {state, effects};
+}
+
+const handlers: HandlerTable<HolderEvent, [HolderState], Step> = {
+	message: (event, state) => dispatch(messageHandlers, event.message, state, event.now),
+	roster: whenRoster,
+	swept: (event, state) => whenSwept(state, event.now),
+};
+
+/** The next state of a holder and its answers. */
+export function stepHolder(state: HolderState, event: HolderEvent): Step {
+	return dispatch(handlers, event, state);
+}
--- /dev/null
+++ b/packages/routing/src/claimant.ts
@@ -0,0 +1,211 @@
+/**
+ * What an entry instance decides about one claim: it asks the holders, and may
+ * send the request only once all current holders have recorded the claim and,
+ * for each earlier roster, one of its holders knows nothing of the operation.
+ */
+import {failure, FailureKind} from '@dogwooddeck/model/failure';
+import {
+	type InstanceIdentity, type LogIndex, type Milliseconds, sameInstance,
+} from '@dogwooddeck/model/identifiers';
+import {Outcome} from '@dogwooddeck/model/outcome';
+import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
+import {type ClaimHolders} from './claim-holders.js';
+import {
+	type ClaimAnswer, type ClaimDecision, type ClaimEnded, ClaimPurpose, type ClaimRequest, type ClaimStatus, type ClaimToken, ClaimVerdict, type Operation, sameToken, type StoredAnswer,
+} from './claim.js';
+
+/** Where a claim is, as its claimant sees it. */
+export const ClaimPhase = {
+	asking: 'asking',
+	/** The request may be sent. */
+	held: 'held',
+	/** Nothing more may be sent. */
+	ended: 'ended',
+} as const;
+
+/** One of the phases of a claim. */
+export type ClaimPhase = (typeof ClaimPhase)[keyof typeof ClaimPhase];
+
+/** What a claimant starts from. */
+export type ClaimInput = {
+	readonly operation: Operation;
+	readonly fingerprint: string;
+	readonly token: ClaimToken;
+	readonly holders: ClaimHolders;
+	/** The index of the newest roster, by which the current holders were chosen. */
+	readonly rosterIndex: LogIndex;
+	/** From now until nothing of the operation is in flight any more. */
+	readonly runsForMilliseconds: Milliseconds;
+	readonly lifetimeMilliseconds: Milliseconds;
+};
+
+/** One claim of an entry instance. */
+export type ClaimantState = ClaimInput & {
+	readonly phase: ClaimPhase;
+	/** Who was asked and did not answer yet. */
+	readonly waitingFor: readonly InstanceIdentity[];
+	/** Who recorded the claim, or knows nothing of the operation. */
+	readonly confirmed: readonly InstanceIdentity[];
+};
+
+/** What happens to a claim. */
+export type ClaimantEvent =
+	| {readonly kind: 'answered'; readonly answer: ClaimAnswer}
+	/** A holder can't be reached, or did not answer in time. */
+	| {readonly kind: 'unreachable'; readonly holder: InstanceIdentity}
+	/** The deadline passed before the claim was held, or the caller went away. */
+	| {readonly kind: 'given-up'}
+	/** The request ended. */
+	| {readonly kind: 'finished'; readonly outcome: Outcome; readonly answer?: StoredAnswer};
+
+/** What the edge does. */
+export type ClaimantEffect =
+	| {readonly kind: 'ask'; readonly request: ClaimRequest}
+	| {readonly kind: 'tell'; readonly ended: ClaimEnded}
+	| {readonly kind: 'decide'; readonly decision: ClaimDecision};
+
+type Step = Transition<ClaimantState, ClaimantEffect>;
+
+function isIn(seats: readonly InstanceIdentity[], seat: InstanceIdentity): boolean {
+	return seats.some(other => sameInstance(other, seat));
+}
+
+function requestTo(input: ClaimInput, holder: InstanceIdentity): ClaimRequest {
+	return {
+		kind: 'claim-request',
+		purpose: isIn(input.holders.current, holder) ? ClaimPurpose.hold : ClaimPurpose.check,
+		operation: input.operation,
+		fingerprint: input.fingerprint,
+		token: input.token,
+		holder: {name: holder.name, incarnation: holder.incarnation},
+		rosterIndex: input.rosterIndex,
+		status: {kind: 'running', remainingMilliseconds: input.runsForMilliseconds},
+		lifetimeMilliseconds: input.lifetimeMilliseconds,
+	};
+}
+
+function everybody(holders: ClaimHolders): readonly InstanceIdentity[] {
+	const all = [...holders.current, ...holders.earlier.flat()];
+	return all.filter((seat, position) => all.findIndex(other => sameInstance(other, seat)) === position);
+}
+
+/** Whether enough have confirmed, or still can: all of the current holders and one of each earlier group. */
+function suffices(holders: ClaimHolders, seats: readonly InstanceIdentity[]): boolean {
+	return holders.current.every(seat => isIn(seats, seat))
+		&& holders.earlier.every(group => group.some(seat => isIn(seats, seat)));
+}
+
+function tellAll(state: ClaimantState, outcome: Outcome, answer?: StoredAnswer): ClaimantEffect[] {
+	return state.holders.current.map(holder => ({
+		kind: 'tell',
+		ended: {
+			kind: 'claim-ended', operation: state.operation, token: state.token, holder: {name: holder.name, incarnation: holder.incarnation}, outcome, ...(answer === undefined ? {} : {answer}),
+		},
+	}));
+}
+
+/** Ends a claim under which nothing was sent, and frees what was recorded for it. */
+function endedUnsent(state: ClaimantState, decision: ClaimDecision): Step {
+	return {
+		state: {...state, phase: ClaimPhase.ended, waitingFor: []},
+		effects: [{kind: 'decide', decision}, ...tellAll(state, Outcome.notRun)],
+	};
+}
+
+function unavailable(state: ClaimantState, detail: string): Step {
+	return endedUnsent(state, {kind: 'refuse', failure: failure(FailureKind.claimUnavailable, detail), outcome: Outcome.notRun});
+}
+
+/** Begins a claim: asks every holder. Fails at once where there are not two holders in different zones. */
+export function beginClaim(input: ClaimInput): Step {
+	const waitingFor = everybody(input.holders);
+	const state: ClaimantState = {
+		...input, phase: ClaimPhase.asking, waitingFor, confirmed: [],
+	};
+	if (input.holders.current.length < 2) {
+		return unavailable(state, 'there are not two instances in different availability zones to hold the claim');
+	}
+
+	return {state, effects: waitingFor.map(holder => ({kind: 'ask', request: requestTo(input, holder)}))};
+}
+
+/** Goes on when enough have confirmed, and gives up when enough no longer can. */
+function settled(state: ClaimantState): Step {
+	if (suffices(state.holders, state.confirmed)) {
+		return {state: {...state, phase: ClaimPhase.held}, effects: [{kind: 'decide', decision: {kind: 'run'}}]};
+	}
+
+	const possible = suffices(state.holders, [...state.confirmed, ...state.waitingFor]);
+	return possible || state.waitingFor.length > 0 ? {state, effects: []} : unavailable(state, 'too few of the claim\'s holders can be reached');
+}
+
+function confirmedBy(state: ClaimantState, answer: ClaimAnswer): Step {
+	return settled({...state, confirmed: [...state.confirmed, answer.holder]});
+}
+
+const statusDecisions: {readonly [Kind in ClaimStatus['kind']]: (status: Extract<ClaimStatus, {readonly kind: Kind}>) => ClaimDecision} = {
+	running: status => ({
+		kind: 'refuse',
+		failure: failure(FailureKind.duplicate, 'the same operation is under way', {retryAfterMilliseconds: Math.ceil(status.remainingMilliseconds)}),
+		outcome: Outcome.unknown,
+	}),
+	ended: status => status.answer === undefined
+		? {kind: 'refuse', failure: failure(FailureKind.duplicate, `the same operation ended before; its outcome is ${status.outcome}, its answer is not kept`), outcome: status.outcome}
+		: {kind: 'replay', answer: status.answer},
+};
+
+function takenBefore(state: ClaimantState, answer: ClaimAnswer): Step {
+	const status = answer.status ?? {kind: 'ended', outcome: Outcome.unknown};
+	const decide = statusDecisions[status.kind] as (status: ClaimStatus) => ClaimDecision;
+	return endedUnsent(state, decide(status));
+}
+
+const verdictHandlers: Readonly<Record<ClaimVerdict, (state: ClaimantState, answer: ClaimAnswer) => Step>> = {
+	[ClaimVerdict.held]: confirmedBy,
+	[ClaimVerdict.free]: confirmedBy,
+	[ClaimVerdict.taken]: takenBefore,
+	[ClaimVerdict.mismatch]: state => endedUnsent(state, {
+		kind: 'refuse', failure: failure(FailureKind.conflict, 'the operation key was used for a different request'), outcome: Outcome.notRun,
+	}),
+	[ClaimVerdict.staleRoster]: state => settled(state),
+	[ClaimVerdict.notHolder]: state => settled(state),
+	[ClaimVerdict.full]: state => settled(state),
+};
+
+function whenAnswered(event: Extract<ClaimantEvent, {kind: 'answered'}>, state: ClaimantState): Step {
+	const {answer} = event;
+	if (state.phase !== ClaimPhase.asking || !sameToken(answer.token, state.token) || !isIn(state.waitingFor, answer.holder)) {
+		return {state, effects: []};
+	}
+
+	const waitingFor = state.waitingFor.filter(seat => !sameInstance(seat, answer.holder));
+	return verdictHandlers[answer.verdict]({...state, waitingFor}, answer);
+}
+
+function whenUnreachable(event: Extract<ClaimantEvent, {kind: 'unreachable'}>, state: ClaimantState): Step {
+	if (state.phase !== ClaimPhase.asking) {
+		return {state, effects: []};
+	}
+
+	return settled({...state, waitingFor: state.waitingFor.filter(seat => !sameInstance(seat, event.holder))});
+}
+
+function whenFinished(event: Extract<ClaimantEvent, {kind: 'finished'}>, state: ClaimantState): Step {
+	if (state.phase !== ClaimPhase.held) {
+		return {state, effects: []};
+	}
+
+	return {state: {...state, phase: ClaimPhase.ended}, effects: tellAll(state, event.outcome, event.answer)};
+}
+
+const handlers: HandlerTable<ClaimantEvent, [ClaimantState], Step> = {
+	answered: whenAnswered,
+	unreachable: whenUnreachable,
+	'given-up': (_event, state) => state.phase === ClaimPhase.asking ? unavailable(state, 'the claim was not held in time') : {state, effects: []},
+	finished: whenFinished,
+};
+
+/** The next state of a claim and what the edge does. Events that come too late change nothing. */
+export function stepClaimant(state: ClaimantState, event: ClaimantEvent): Step {
+	return dispatch(handlers, event, state);
+}
--- /dev/null
+++ b/packages/routing/src/deadline.ts
@@ -0,0 +1,16 @@
+/**
+ * The deadline of a request: the contract's longest, or the shorter one that its caller asks for.
+ */
+import {type ServiceContract} from '@dogwooddeck/model/contract';
+import {HeaderName} from '@dogwooddeck/model/headers';
+import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type RequestHead} from './target.js';
+
+const wholeMilliseconds = /^\d{1,9}$/v;
+
+/** Reads the deadline of a request that came at `now`. A field that is no whole number of milliseconds counts as absent. */
+export function deadlineOf(contract: ServiceContract, head: RequestHead, now: MonotonicTime): MonotonicTime {
+	const asked = head.headers[HeaderName.deadline];
+	const longest = contract.longestDeadlineMilliseconds;
+	return now + (typeof asked === 'string' && wholeMilliseconds.test(asked) ? Math.min(Number(asked), longest) : longest);
+}
--- /dev/null
+++ b/packages/routing/src/target.ts
@@ -0,0 +1,172 @@
+/**
+ * Which service a request is for, which key it names and how its route is
+ * declared. The index is built once for each revision of the configuration.
+ */
+import {Result} from 'true-myth';
+import {
+	Importance, type KeySource, type RouteContract, type ServiceContract,
+} from '@dogwooddeck/model/contract';
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+
+/** What is read of a request before its body. Names of header fields are in lower case. */
+export type RequestHead = {
+	readonly method: string;
+	/** The path and the query, as they came. */
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+};
+
+/** How a route is treated. */
+export type RouteTreatment = {
+	readonly idempotent: boolean;
+	readonly importance: Importance;
+};
+
+type DeclaredRoute = {
+	readonly segments: readonly string[];
+	readonly treatment: RouteTreatment;
+};
+
+/** A service with its routes arranged by method. */
+export type ServiceTarget = {
+	readonly contract: ServiceContract;
+	/** The length of the service's prefix, without a slash at its end. */
+	readonly prefixLength: number;
+	readonly routes: ReadonlyMap<string, readonly DeclaredRoute[]>;
+};
+
+/** All services, arranged for look-ups by path. */
+export type TargetIndex = {
+	/** The lengths of all prefixes, longest first. */
+	readonly prefixLengths: readonly number[];
+	readonly targets: ReadonlyMap<string, ServiceTarget>;
+};
+
+const undeclared: RouteTreatment = {idempotent: false, importance: Importance.high};
+const dotSegment = /^(?:\.|%2e){1,2}$/iv;
+
+function segmentsOf(path: string): string[] {
+	return path.split('/').filter(segment => segment !== '');
+}
+
+function declaredRoute(route: RouteContract): DeclaredRoute {
+	return {segments: segmentsOf(route.path), treatment: {idempotent: route.idempotent, importance: route.importance}};
+}
+
+function targetOf(contract: ServiceContract): ServiceTarget {
+	const routes = new Map<string, DeclaredRoute[]>();
+	for (const route of contract.routes) {
+		routes.set(route.method, [...(routes.get(route.method) ?? []), declaredRoute(route)]);
+	}
+
+	return {contract, prefixLength: contract.prefix.replace(/\/$/v, '').length, routes};
+}
+
+/** Arranges contracts for `matchService`. */
+export function createTargetIndex(contracts: readonly ServiceContract[]): TargetIndex {
+	const targets = new Map(contracts.map(contract => [contract.prefix.replace(/\/$/v, ''), targetOf(contract)]));
+	const prefixLengths = [...new Set([...targets.keys()].map(prefix => prefix.length))].sort((one, other) => other - one);
+	return {prefixLengths, targets};
+}
+
+function endsSegment(path: string, position: number): boolean {
+	const character = path[position];
+	return character === undefined || character === '/' || character === '?';
+}
+
+/** Finds the service with the longest prefix of the path that ends at a segment's end. */
+export function matchService(index: TargetIndex, path: string): ServiceTarget | undefined {
+	for (const length of index.prefixLengths) {
+		if (endsSegment(path, length)) {
+			const target = index.targets.get(path.slice(0, length));
+			if (target !== undefined) {
+				return target;
+			}
+		}
+	}
+
+	return undefined;
+}
+
+/** The path after the service's prefix, in segments, without the query. */
+function remainder(target: ServiceTarget, path: string): readonly string[] {
+	const queryAt = path.indexOf('?');
+	const end = queryAt === -1 ? path.length : queryAt;
+	return path.slice(target.prefixLength + 1, end).split('/');
+}
+
+function malformed(detail: string): Result<string, Failure> {
+	return Result.err(failure(FailureKind.malformed, detail));
+}
+
+function decoded(text: string | undefined, place: string): Result<string, Failure> {
+	if (text === undefined || text === '') {
+		return malformed(`the request names no key in its ${place}`);
+	}
+
+	try {
+		return Result.ok(text.includes('%') ? decodeURIComponent(text) : text);
+	} catch {
+		return malformed(`the key in the ${place} is not valid percent-encoding`);
+	}
+}
+
+/**
+ * An upstream may resolve dot segments and empty segments in its own way and
+ * then read another key than the router did, so neither is taken.
+ */
+function keyInPath(source: KeySource & {readonly place: 'path'}, target: ServiceTarget, head: RequestHead): Result<string, Failure> {
+	const segments = remainder(target, head.path);
+	const ambiguous = segments.some((segment, position) => (segment === '' && position < segments.length - 1) || dotSegment.test(segment));
+	return ambiguous ? malformed('the path holds empty or dot segments') : decoded(segments[source.segment], 'path');
+}
+
+function keyInHeader(source: KeySource & {readonly place: 'header'}, _target: ServiceTarget, head: RequestHead): Result<string, Failure> {
+	const value = head.headers[source.name.toLowerCase()];
+	if (typeof value !== 'string' || value === '') {
+		return malformed(`the request needs exactly one header field ${source.name}`);
+	}
+
+	return Result.ok(value);
+}
+
+function keyInQuery(source: KeySource & {readonly place: 'query'}, _target: ServiceTarget, head: RequestHead): Result<string, Failure> {
+	const queryAt = head.path.indexOf('?');
+	const values = new URLSearchParams(queryAt === -1 ? '' : head.path.slice(queryAt + 1)).getAll(source.name);
+	const [value] = values;
+	if (values.length !== 1 || value === undefined || value === '') {
+		return malformed(`the request needs exactly one query parameter ${source.name}`);
+	}
+
+	return Result.ok(value);
+}
+
+type KeyReader<Place extends KeySource['place']> = (source: Extract<KeySource, {readonly place: Place}>, target: ServiceTarget, head: RequestHead) => Result<string, Failure>;
+
+const keyReaders: {readonly [Place in KeySource['place']]: KeyReader<Place>} = {
+	path: keyInPath,
+	header: keyInHeader,
+	query: keyInQuery,
+};
+
+/** Reads the key of a request. Fails with `malformed` where it names none, more than one, or an ambiguous one. */
+export function readKey(target: ServiceTarget, head: RequestHead): Result<string, Failure> {
+	const source = target.contract.key;
+	const reader = keyReaders[source.place] as KeyReader<KeySource['place']>;
+	return reader(source, target, head);
+}
+
+function matches(declared: readonly string[], segments: readonly string[]): boolean {
+	return declared.length === segments.length && declared.every((segment, position) => segment === '*' || segment === segments[position]);
+}
+
+/** How the route of a request is declared. Undeclared routes are non-idempotent and of high importance. */
+export function routeOf(target: ServiceTarget, method: string, path: string): RouteTreatment {
+	const routes = target.routes.get(method);
+	if (routes === undefined) {
+		return undeclared;
+	}
+
+	const segments = remainder(target, path).filter(segment => segment !== '');
+	return routes.find(route => matches(route.segments, segments))?.treatment ?? undeclared;
+}
--- /dev/null
+++ b/packages/upstream-client/src/client.ts
@@ -0,0 +1,141 @@
+/**
+ * Sends requests to upstreams: one bounded pool of connections for each
+ * address, one request at a time on a connection, and none sent again by itself.
+ */
+import {Pool, type Dispatcher} from 'undici';
+import {HeaderName} from '@dogwooddeck/model/headers';
+import {type FenceNumber, type Milliseconds, type Slot} from '@dogwooddeck/model/identifiers';
+import {Seen} from '@dogwooddeck/routing/outcome';
+import {type Abandoned, type AnswerSink, Exchange} from './exchange.js';
+import {type RawHeaders} from './headers.js';
+
+/** One attempt at one upstream. */
+export type UpstreamRequest = {
+	/** Where the upstream listens, as `IP:port`. */
+	readonly address: string;
+	/** The connections that this instance may have to the upstream. 0: none, and the request is refused. */
+	readonly connections: number;
+	readonly method: string;
+	/** The path and the query. */
+	readonly path: string;
+	/** The fields that pass, as `requestHeaders` gives them. The array is not changed. */
+	readonly headers: RawHeaders;
+	readonly body: Uint8Array | undefined;
+	readonly slot: Slot;
+	readonly fence: FenceNumber;
+	/** What is left of the request's time. */
+	readonly timeoutMilliseconds: Milliseconds;
+	/** Statuses by which the upstream says that it did not run the request. */
+	readonly notRunStatuses: readonly number[];
+};
+
+/** A request that is under way. */
+export type SentRequest = {
+	/** Gives the request up: the sink's `onEnd` is called at once, and nothing after it. */
+	abandon(why: Abandoned): void;
+	/** Goes on after the sink's `onChunk` returned `false`. */
+	resume(): void;
+};
+
+/** How the client connects. */
+export type UpstreamClientOptions = {
+	/** The longest wait for a connection. */
+	readonly connectTimeoutMilliseconds: Milliseconds;
+	/** How long an unused connection is kept. */
+	readonly idleMilliseconds: Milliseconds;
+};
+
+/** The client of all upstreams. */
+export type UpstreamClient = {
+	/** Sends one attempt; the sink hears of its end exactly once, and never within this call's own stack before it returns the handle unless the request can't be sent at all. */
+	send(request: UpstreamRequest, sink: AnswerSink): SentRequest;
+	/** Closes the connections to an address once its requests are over. */
+	retire(address: string): void;
+	/** Closes all connections once their requests are over. */
+	close(): Promise<void>;
+};
+
+type OpenPool = {readonly pool: Pool; readonly connections: number};
+
+const noTimeout = 0;
+
+function headersOf(request: UpstreamRequest): string[] {
+	return [
+		...request.headers,
+		HeaderName.fence,
+		String(request.fence),
+		HeaderName.slot,
+		String(request.slot),
+		HeaderName.deadline,
+		String(Math.max(0, Math.floor(request.timeoutMilliseconds))),
+	];
+}
+
+class PooledClient implements UpstreamClient {
+	readonly #options: UpstreamClientOptions;
+	readonly #pools = new Map<string, OpenPool>();
+
+	constructor(options: UpstreamClientOptions) {
+		this.#options = options;
+	}
+
+	send(request: UpstreamRequest, sink: AnswerSink): SentRequest {
+		const exchange = new Exchange(sink, request.method, request.notRunStatuses, request.timeoutMilliseconds);
+		if (request.connections < 1) {
+			exchange.onError({name: 'Error', message: 'no connections', code: 'ECONNREFUSED'});
+			return exchange;
+		}
+
+		this.#poolOf(request).dispatch({
+			path: request.path,
+			method: request.method,
+			headers: headersOf(request),
+			body: request.body ?? null,
+			idempotent: false,
+			headersTimeout: noTimeout,
+			bodyTimeout: noTimeout,
+		}, exchange);
+		return exchange;
+	}
+
+	retire(address: string): void {
+		const open = this.#pools.get(address);
+		this.#pools.delete(address);
+		void open?.pool.close();
+	}
+
+	async close(): Promise<void> {
+		const pools = [...this.#pools.values()];
+		this.#pools.clear();
+		await Promise.all(pools.map(async open => open.pool.close()));
+	}
+
+	#poolOf(request: UpstreamRequest): Pool {
+		const open = this.#pools.get(request.address);
+		if (open?.connections === request.connections) {
+			return open.pool;
+		}
+
+		void open?.pool.close();
+		const pool = new Pool(`http://${request.address}`, {
+			connections: request.connections,
+			pipelining: 1,
+			connectTimeout: this.#options.connectTimeoutMilliseconds,
+			keepAliveTimeout: this.#options.idleMilliseconds,
+			headersTimeout: noTimeout,
+			bodyTimeout: noTimeout,
+		});
+		this.#pools.set(request.address, {pool, connections: request.connections});
+		return pool;
+	}
+}
+
+/** Opens a client without connections. */
+export function createUpstreamClient(options: UpstreamClientOptions): UpstreamClient {
+	return new PooledClient(options);
+}
+
+/** Whether the end of an attempt says that the upstream is in trouble. */
+export function isTrouble(seen: Seen): boolean {
+	return seen === Seen.refusedConnection || seen === Seen.closedAfterFirstByte || seen === Seen.cutAnswer || seen === Seen.unboundedAnswer;
+}
--- /dev/null
+++ b/packages/upstream-client/src/exchange.ts
@@ -0,0 +1,197 @@
+/**
+ * One request on its way to an upstream, as `undici` reports it, told in the
+ * words of the outcome table. It ends exactly once.
+ *
+ * `undici` calls `onConnect` right before it hands the first byte to a socket,
+ * and again when it would send the request anew by itself; that is refused.
+ */
+import {failure, FailureError, FailureKind} from '@dogwooddeck/model/failure';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {Seen} from '@dogwooddeck/routing/outcome';
+import {type RawHeaders, readAnswerHead, retryAfterMilliseconds} from './headers.js';
+
+/** Takes what comes of one request. */
+export type AnswerSink = {
+	/** Called right before the first byte is handed to a socket. `false` refuses: nothing is sent, and `leaseLost` is seen. */
+	beforeFirstByte(): boolean;
+	/** The head of an answer that can be passed on. */
+	onHead(status: number, headers: RawHeaders): void;
+	/** A part of the body. `false` asks to wait until `resume`. */
+	onChunk(chunk: Uint8Array): boolean;
+	/** Called once and last. */
+	onEnd(seen: Seen, retryAfterMilliseconds?: Milliseconds): void;
+};
+
+/** Why a request is given up. */
+export const Abandoned = {
+	callerGone: 'caller-gone',
+	deadlinePassed: 'deadline-passed',
+} as const;
+
+/** One of the reasons. */
+export type Abandoned = (typeof Abandoned)[keyof typeof Abandoned];
+
+const seenWhenAbandoned: Readonly<Record<Abandoned, {readonly before: Seen; readonly after: Seen}>> = {
+	[Abandoned.callerGone]: {before: Seen.cancelledBeforeFirstByte, after: Seen.cancelledAfterFirstByte},
+	[Abandoned.deadlinePassed]: {before: Seen.deadlinePassedBeforeFirstByte, after: Seen.deadlinePassedAfterFirstByte},
+};
+
+/** What an error means while no byte was handed over. Others: the connection ended. */
+const seenByCode: Readonly<Record<string, Seen>> = {
+	ECONNREFUSED: Seen.refusedConnection,
+	EHOSTUNREACH: Seen.refusedConnection,
+	ENETUNREACH: Seen.refusedConnection,
+	ETIMEDOUT: Seen.refusedConnection,
+	UND_ERR_CONNECT_TIMEOUT: Seen.refusedConnection,
+	UND_ERR_INVALID_ARG: Seen.unsendable,
+	UND_ERR_NOT_SUPPORTED: Seen.unsendable,
+	UND_ERR_REQ_CONTENT_LENGTH_MISMATCH: Seen.unsendable,
+};
+
+const firstFinalStatus = 200;
+const noContent = 204;
+const notModified = 304;
+
+/** What of a shed answer's body is read, so that the connection can be used again. */
+const longestDrain = 65_536;
+
+function nothingToDo(): void {
+	// Nothing was handed to a socket yet.
+}
+
+/** The handler that `undici` calls, and the handle by which a request is steered. */
+export class Exchange {
+	readonly #sink: AnswerSink;
+	readonly #method: string;
+	readonly #notRunStatuses: readonly number[];
+	readonly #timer: NodeJS.Timeout;
+	#handedOver = false;
+	#headSeen = false;
+	#ended = false;
+	#drained = 0;
+	#abort: (reason?: Error) => void = nothingToDo;
+	#resume: () => void = nothingToDo;
+
+	constructor(sink: AnswerSink, method: string, notRunStatuses: readonly number[], timeoutMilliseconds: Milliseconds) {
+		this.#sink = sink;
+		this.#method = method;
+		this.#notRunStatuses = notRunStatuses;
+		this.#timer = setTimeout(whenTimedOut, timeoutMilliseconds, this);
+	}
+
+	/** Gives the request up: what comes later goes nowhere, and the upstream sees its connection end. */
+	abandon(why: Abandoned): void {
+		const seen = seenWhenAbandoned[why];
+		this.#finishAndAbort(this.#handedOver ? seen.after : seen.before);
+	}
+
+	/** Goes on after `onChunk` returned `false`. */
+	resume(): void {
+		this.#resume();
+	}
+
+	/** For `undici`: a throw here keeps the request off the socket and the connection usable. */
+	onConnect(abort: (reason?: Error) => void): void {
+		this.#abort = abort;
+		if (this.#ended || this.#handedOver || !this.#mayStart()) {
+			throw new FailureError(failure(FailureKind.noLease, 'the request may not be sent'));
+		}
+
+		this.#handedOver = true;
+	}
+
+	/** For `undici`. */
+	onHeaders(status: number, raw: readonly Uint8Array[], resume: () => void): boolean {
+		if (status < firstFinalStatus || this.#ended) {
+			return true;
+		}
+
+		this.#resume = resume;
+		const head = readAnswerHead(raw);
+		const bounded = head.bounded || this.#method === 'HEAD' || status === noContent || status === notModified;
+		if (this.#notRunStatuses.includes(status)) {
+			this.#shed(bounded, retryAfterMilliseconds(head.retryAfter, Date.now()));
+		} else if (bounded) {
+			this.#headSeen = true;
+			this.#sink.onHead(status, head.headers);
+		} else {
+			this.#finishAndAbort(Seen.unboundedAnswer);
+		}
+
+		return true;
+	}
+
+	/** For `undici`. */
+	onData(chunk: Uint8Array): boolean {
+		if (!this.#ended) {
+			return this.#sink.onChunk(chunk);
+		}
+
+		this.#drained += chunk.length;
+		if (this.#drained > longestDrain) {
+			this.#abort();
+		}
+
+		return true;
+	}
+
+	/** For `undici`. */
+	onComplete(): void {
+		clearTimeout(this.#timer);
+		this.#finish(Seen.wholeAnswer);
+	}
+
+	/** For `undici`. */
+	onError(error: Error & {readonly code?: string}): void {
+		clearTimeout(this.#timer);
+		if (this.#headSeen) {
+			this.#finish(Seen.cutAnswer);
+		} else if (this.#handedOver) {
+			this.#finish(Seen.closedAfterFirstByte);
+		} else {
+			this.#finish(seenByCode[error.code ?? ''] ?? Seen.closedBeforeFirstByte);
+		}
+	}
+
+	/** Runs when the time for the request, or for the rest of a shed answer, is over. */
+	timeOut(): void {
+		this.abandon(Abandoned.deadlinePassed);
+		this.#abort();
+	}
+
+	#mayStart(): boolean {
+		if (this.#sink.beforeFirstByte()) {
+			return true;
+		}
+
+		this.#finish(Seen.leaseLost);
+		return false;
+	}
+
+	/** The head alone says that the request did not run; the rest is read only to keep the connection. */
+	#shed(bounded: boolean, retryAfter: Milliseconds | undefined): void {
+		this.#finish(Seen.shed, retryAfter);
+		if (!bounded) {
+			this.#abort();
+		}
+	}
+
+	#finishAndAbort(seen: Seen): void {
+		if (!this.#ended) {
+			clearTimeout(this.#timer);
+			this.#finish(seen);
+			this.#abort();
+		}
+	}
+
+	#finish(seen: Seen, retryAfter?: Milliseconds): void {
+		if (!this.#ended) {
+			this.#ended = true;
+			this.#sink.onEnd(seen, retryAfter);
+		}
+	}
+}
+
+function whenTimedOut(exchange: Exchange): void {
+	exchange.timeOut();
+}
--- /dev/null
+++ b/packages/upstream-client/src/forward.ts
@@ -0,0 +1,39 @@
+/**
+ * Forwards one caller's request and streams the answer straight to the caller,
+ * for a raw handler of any HTTP server of Node.js.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
+import {Outcome} from '@dogwooddeck/model/outcome';
+import {statusOf} from '@dogwooddeck/routing/outcome';
+import {type Forwarder, Forwarding} from './forwarding.js';
+import {writeProblem} from './problem.js';
+import {type OpenedRequest, type RequestOwner, type RequestPath} from './request-path.js';
+
+/** Nobody can tell a cut answer from a whole one of no length in HTTP/1.0. */
+const oldVersion = failure(FailureKind.malformed, 'HTTP/1.1 is needed');
+
+function refuseHead<Opened extends OpenedRequest, Owner extends RequestOwner>(path: RequestPath<Opened, Owner>, response: ServerResponse, why: Failure): void {
+	const status = statusOf(why.kind);
+	writeProblem(response, why, status, Outcome.notRun);
+	path.requestEnded(undefined, {
+		outcome: Outcome.notRun, status, failure: why, latencyMilliseconds: 0, attempts: 0, bodyBytes: 0,
+	});
+}
+
+/** Forwards one request. The response must be untouched, and nobody else may write to it from now on. */
+export function forward<Opened extends OpenedRequest, Owner extends RequestOwner>(forwarder: Forwarder<Opened, Owner>, request: IncomingMessage, response: ServerResponse): void {
+	if (request.httpVersionMinor === 0) {
+		refuseHead(forwarder.path, response, oldVersion);
+		return;
+	}
+
+	forwarder.path.open({method: request.method!, path: request.url!, headers: request.headers}).match({
+		Ok(opened) {
+			new Forwarding(forwarder, opened, request, response).begin();
+		},
+		Err(why) {
+			refuseHead(forwarder.path, response, why);
+		},
+	});
+}
--- /dev/null
+++ b/packages/upstream-client/src/headers.ts
@@ -0,0 +1,98 @@
+/**
+ * Which header fields pass between callers and upstreams. Fields of one
+ * connection alone (hop-by-hop) and this system's own fields never pass.
+ */
+import {type Buffer} from 'node:buffer';
+import {HeaderName} from '@dogwooddeck/model/headers';
+
+/** Names and values in turn, as Node.js gives and takes them. */
+export type RawHeaders = readonly string[];
+
+const hopByHop = ['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'];
+const ownFields = [HeaderName.fence, HeaderName.deadline, HeaderName.slot, HeaderName.outcome];
+
+/** The client sets the length of the body that it sends; `expect` was met when the body was read. */
+const stoppedInRequests = new Set<string>([...hopByHop, ...ownFields, 'content-length', 'expect']);
+const stoppedInAnswers = new Set<string>([...hopByHop, ...ownFields]);
+
+const none: ReadonlySet<string> = new Set();
+
+/** The fields that a `Connection` field names as of this connection alone. */
+function namedFields(connection: string | undefined): ReadonlySet<string> {
+	if (connection === undefined || connection === 'keep-alive' || connection === 'close') {
+		return none;
+	}
+
+	return new Set(connection.split(',').map(name => name.trim().toLowerCase()));
+}
+
+/** The fields of a caller's request that an upstream gets. `connection` is the value of the caller's `Connection` field. */
+export function requestHeaders(raw: RawHeaders, connection: string | undefined): string[] {
+	const named = namedFields(connection);
+	const kept: string[] = [];
+	for (let position = 0; position < raw.length; position += 2) {
+		const name = raw[position]!;
+		const lowerCase = name.toLowerCase();
+		if (!stoppedInRequests.has(lowerCase) && !named.has(lowerCase)) {
+			kept.push(name, raw[position + 1]!);
+		}
+	}
+
+	return kept;
+}
+
+/** What the head of an upstream's answer says. */
+export type AnswerHead = {
+	/** The fields that the caller gets. */
+	readonly headers: string[];
+	/** Whether the end of the body can be told from a cut. */
+	readonly bounded: boolean;
+	/** The value of `Retry-After`. */
+	readonly retryAfter?: string;
+};
+
+const lastIsChunked = /(?:^|,)\s*chunked\s*$/iv;
+
+/** Reads the raw head of an upstream's answer. */
+export function readAnswerHead(raw: readonly Uint8Array[]): AnswerHead {
+	const fields = raw.map(field => (field as Buffer).toString('latin1'));
+	const headers: string[] = [];
+	let bounded = false;
+	let connection: string | undefined;
+	let retryAfter: string | undefined;
+	for (let position = 0; position < fields.length; position += 2) {
+		const name = fields[position]!;
+		const value = fields[position + 1]!;
+		const lowerCase = name.toLowerCase();
+		bounded ||= lowerCase === 'content-length' || (lowerCase === 'transfer-encoding' && lastIsChunked.test(value));
+		connection = lowerCase === 'connection' ? value.toLowerCase() : connection;
+		retryAfter = lowerCase === 'retry-after' ? value : retryAfter;
+		if (!stoppedInAnswers.has(lowerCase)) {
+			headers.push(name, value);
+		}
+	}
+
+	const named = namedFields(connection);
+	return {headers: named.size === 0 ? headers : withoutNamed(headers, named), bounded, ...(retryAfter === undefined ? {} : {retryAfter})};
+}
+
+function withoutNamed(headers: RawHeaders, named: ReadonlySet<string>): string[] {
+	return headers.filter((_field, position) => !named.has(headers[position - (position % 2)]!.toLowerCase()));
+}
+
+const millisecondsPerSecond = 1000;
+const wholeSeconds = /^\d{1,9}$/v;
+
+/** Reads a `Retry-After` field, in seconds or as a date, into milliseconds from the wall time `now`. */
+export function retryAfterMilliseconds(value: string | undefined, now: number): number | undefined {
+	if (value === undefined) {
+		return undefined;
+	}
+
+	if (wholeSeconds.test(value)) {
+		return Number(value) * millisecondsPerSecond;
+	}
+
+	const date = Date.parse(value);
+	return Number.isNaN(date) ? undefined : Math.max(0, date - now);
+}
--- /dev/null
+++ b/packages/upstream-client/src/request-body.ts
@@ -0,0 +1,44 @@
+/**
+ * Reads a request's body into memory up to a bound, so that it can be sent again.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {Result} from 'true-myth';
+
+/** Whether a request announces a body. */
+export function announcesBody(request: IncomingMessage): boolean {
+	return request.headers['transfer-encoding'] !== undefined || (request.headers['content-length'] ?? '0') !== '0';
+}
+
+function tooLarge(bound: number): Failure {
+	return failure(FailureKind.tooLarge, `the body is larger than ${bound} bytes`);
+}
+
+/**
+ * Reads the whole body and calls `done` once, unless the caller goes away.
+ * Fails with `tooLarge` as soon as the bound is passed.
+ */
+export function readBody(request: IncomingMessage, bound: number, done: (body: Result<Uint8Array, Failure>) => void): void {
+	if (Number(request.headers['content-length'] ?? 0) > bound) {
+		done(Result.err(tooLarge(bound)));
+		return;
+	}
+
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	const onEnd = () => {
+		done(Result.ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+	};
+
+	const onData = (chunk: Uint8Array) => {
+		size += chunk.length;
+		chunks.push(chunk);
+		if (size > bound) {
+			request.off('data', onData).off('end', onEnd).pause();
+			done(Result.err(tooLarge(bound)));
+		}
+	};
+
+	request.on('data', onData).on('end', onEnd);
+}
