--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -16,7 +16,7 @@
 } from '@dogwooddeck/ownership/table';
 import {err, ok, type Result} from 'true-myth/result';
 import {
-	type ControlCommand, decodeCommands, type MoveWished, type OperatorAsked,
+	type ControlCommand, decodeCommands, type DrainAsked, type MoveWished, type OperatorAsked,
 } from './command.js';
 import {type ControlAccepted, type ControlState, type KeptAnswer} from './state.js';
 
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -6,7 +6,7 @@
 import {contractsOf} from '@dogwooddeck/configuration/tree';
 import {advanceWatch, createWatch, type WatchState} from '@dogwooddeck/membership/watch';
 import {
-	type InstanceName, type LogIndex, type MonotonicTime, type ServiceName, type UpstreamIdentity,
+	type InstanceIdentity, type InstanceName, type LogIndex, type MonotonicTime, type ServiceName, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
@@ -30,6 +30,8 @@
 	readonly targets: Readonly<Record<string, UpstreamIdentity>>;
 	/** The instances that ask for a seat. */
 	readonly seats: Readonly<Record<InstanceName, SeatRequest>>;
+	/** When each instance was last heard of. */
+	readonly heard: Readonly<Record<InstanceName, MonotonicTime>>;
 	/** Since when a proposal is under way. Absent: none is. */
 	readonly proposedAt?: MonotonicTime;
 };
@@ -69,6 +71,7 @@
 		placements: {},
 		targets: {},
 		seats: {},
+		heard: {},
 	};
 }
 
@@ -88,6 +91,10 @@
 	return Object.fromEntries(loads);
 }
 
+function hearAll(state: LeaderState, instances: readonly InstanceIdentity[], now: MonotonicTime): LeaderState['heard'] {
+	return {...state.heard, ...Object.fromEntries(instances.map(({name}) => [name, now]))};
+}
+
 function delegationRequested(event: EventOf<'delegationRequested'>, state: LeaderState): LeaderTransition {
 	const {now, quorumHeardAt, control, request} = event;
 	const granted = stepGrantor(state.grantor, {
@@ -98,7 +105,7 @@
 	}).state;
 	return {
 		state: {
-			...state, grantor: granted.state, watch, loads: takeLoads(state, event),
+			...state, grantor: granted.state, watch, loads: takeLoads(state, event), heard: hearAll(state, request.holders ?? [], now),
 		},
 		effects: granted.effects,
 	};
@@ -108,7 +115,12 @@
 	const grantor = stepGrantor(state.grantor, {
 		kind: 'seatRequested', now, table: control.ownership, request,
 	}).state;
-	return {state: {...state, grantor, seats: {...state.seats, [request.instance.name]: request}}, effects: []};
+	return {
+		state: {
+			...state, grantor, seats: {...state.seats, [request.instance.name]: request}, heard: hearAll(state, [request.instance], now),
+		},
+		effects: [],
+	};
 }
 
 function ticked({now, control}: EventOf<'ticked' | 'proposalEnded'>, state: LeaderState): LeaderTransition {
--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -6,9 +6,13 @@
 import {type MembershipCommand} from '@dogwooddeck/membership/registry';
 import {advanceWatch} from '@dogwooddeck/membership/watch';
 import {AssignmentPhase} from '@dogwooddeck/model/assignment';
-import {type MonotonicTime, sameUpstream, type UpstreamIdentity} from '@dogwooddeck/model/identifiers';
-import {proposeRelease, proposeSeat} from '@dogwooddeck/ownership/seat';
-import {type OwnershipCommand} from '@dogwooddeck/ownership/table';
+import {
+	type Milliseconds, type MonotonicTime, sameInstance, sameUpstream, type UpstreamIdentity, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
+import {type SeatRequest} from '@dogwooddeck/model/lease';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {mayChangeRoster, proposeRelease, proposeSeat} from '@dogwooddeck/ownership/seat';
+import {type OwnershipCommand, type ZoneRoster} from '@dogwooddeck/ownership/table';
 import {type ControlCommand} from './command.js';
 import {type LeaderState} from './leader.js';
 import {closingProposals, serviceProposals} from './service-proposals.js';
@@ -20,9 +24,11 @@
 	readonly commands: readonly ControlCommand[];
 };
 
-/** A seat request that isn't repeated for this long is dropped. */
 const commandsAtMost = 512;
 
+/** A member of a roster that isn't heard of for this long loses its seat, where another member of its zone is heard of. */
+export const silentInstanceMilliseconds: Milliseconds = 3000;
+
 function ownsSlots(control: ControlState, upstream: UpstreamIdentity): boolean {
 	const assignments = control.ownership.services[upstream.service]?.assignments ?? [];
 	return assignments.some(assignment => assignment.phase !== AssignmentPhase.vacant && sameUpstream(assignment.owner, upstream));
@@ -45,29 +51,53 @@
 	return {state: {...state, watch: judged.state}, commands};
 }
 
-function isSeated(control: ControlState, {instance}: LeaderState['seats'][string]): boolean {
+function isMember(control: ControlState, {instance}: SeatRequest): boolean {
 	const members = control.ownership.rosters[instance.zone]?.members ?? [];
-	return members.some(member => member.name === instance.name && member.incarnation === instance.incarnation);
+	return members.some(member => sameInstance(member, instance));
 }
 
-function seatProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
-	const asking = Object.values(state.seats).filter(request => !isSeated(control, request));
-	const zones = new Set<string>();
-	const commands: OwnershipCommand[] = [];
-	for (const {instance} of asking) {
-		const command = zones.has(instance.zone) ? undefined : proposeSeat(state.grantor, control.ownership, instance, now);
+function isHeard(state: LeaderState, {name}: InstanceRecord, now: MonotonicTime): boolean {
+	return now - (state.heard[name] ?? state.grantor.startedAt) < silentInstanceMilliseconds;
+}
+
+/**
+ * Takes the seat of a member that leaves, or that is silent while another is
+ * heard. Majorities of the rosters before and after meet, so this is safe
+ * whether the silent one is gone or not.
+ */
+function proposeUnseat(state: LeaderState, roster: ZoneRoster, now: MonotonicTime): OwnershipCommand | undefined {
+	const {zone, members} = roster;
+	if (members.length < 2 || !mayChangeRoster(state.grantor, roster)) {
+		return undefined;
+	}
+
+	const gone = members.find(member => state.seats[member.name]?.leaving === true && sameInstance(member, state.seats[member.name]!.instance))
+		?? members.find(member => !isHeard(state, member, now));
+	const another = members.some(member => member !== gone && state.heard[member.name] !== undefined && isHeard(state, member, now));
+	return gone !== undefined && another
+		? {kind: 'instanceUnseated', zone, instance: {name: gone.name, incarnation: gone.incarnation}}
+		: undefined;
+}
+
+function zoneProposal(state: LeaderState, control: ControlState, zone: ZoneName, now: MonotonicTime): OwnershipCommand | undefined {
+	const asking = Object.values(state.seats).filter(({instance, leaving}) => instance.zone === zone && leaving !== true);
+	for (const request of asking) {
+		const command = isMember(control, request) ? undefined : proposeSeat(state.grantor, control.ownership, request.instance, now);
 		if (command !== undefined) {
-			zones.add(instance.zone);
-			commands.push(command);
+			return command;
 		}
 	}
 
-	const releases = Object.keys(control.ownership.rosters)
-		.filter(zone => !zones.has(zone))
-		.map(zone => proposeRelease(state.grantor, control.ownership, zone))
-		.filter(command => command !== undefined);
-	const seats = Object.fromEntries(asking.map(request => [request.instance.name, request]));
-	return {state: {...state, seats}, commands: [...commands, ...releases]};
+	const roster = control.ownership.rosters[zone];
+	return roster === undefined ? undefined : proposeUnseat(state, roster, now) ?? proposeRelease(state.grantor, control.ownership, zone);
+}
+
+function seatProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
+	const seats = Object.fromEntries(Object.entries(state.seats).filter(([name]) => now - (state.heard[name] ?? 0) < silentInstanceMilliseconds));
+	const zones = new Set([...Object.keys(control.ownership.rosters), ...Object.values(seats).map(({instance}) => instance.zone)]);
+	const next = {...state, seats};
+	const commands = [...zones].map(zone => zoneProposal(next, control, zone, now)).filter(command => command !== undefined);
+	return {state: next, commands};
 }
 
 /** What to propose now, as one entry. */
--- /dev/null
+++ b/packages/daemon/src/caller-handler.ts
@@ -0,0 +1,16 @@
+/**
+ * Joins the callers' server to the forwarder.
+ */
+import {type CallerHandler} from '@dogwooddeck/front/surface';
+import {type UpstreamClient} from '@dogwooddeck/upstream-client/client';
+import {forward} from '@dogwooddeck/upstream-client/forward';
+import {type RequestPath} from '@dogwooddeck/upstream-client/request-path';
+import {type Opened, type Owner} from './request-path.js';
+
+/** Makes the handler of callers' requests. */
+export function createCallerHandler(client: UpstreamClient, path: RequestPath<Opened, Owner>): CallerHandler {
+	const forwarder = {client, path};
+	return (request, response) => {
+		forward(forwarder, request, response);
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/founding.ts
@@ -0,0 +1,77 @@
+/**
+ * Founds a deployment: an operator's explicit act, on one voter and once. The
+ * other voters join the founder.
+ */
+import {hashToken} from '@dogwooddeck/configuration/authority';
+import {wallNow} from '@dogwooddeck/clock/monotonic';
+import {encodeCommands} from '@dogwooddeck/control/command';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {openFolder, type Storage} from '@dogwooddeck/storage/folder';
+import {createPeerClients, type PeerClients} from '@dogwooddeck/wire/client';
+import {err, ok, type Result} from 'true-myth/result';
+import {type InstanceSettings, isVoter} from './settings.js';
+
+const askMilliseconds: Milliseconds = 1000;
+const foundingTerm = 1;
+
+async function knowsDeployment(clients: PeerClients, address: string): Promise<boolean> {
+	const answer = await clients.call(address, 'fetchState', 0, askMilliseconds);
+	return answer.isOk && (answer.value.entries.length > 0 || answer.value.state !== undefined);
+}
+
+async function refuseSecond(settings: InstanceSettings): Promise<Result<undefined, Failure>> {
+	const clients = createPeerClients(settings.keys.peer);
+	const others = settings.control.voters.filter(({name}) => name !== settings.name);
+	const known = await Promise.all(others.map(async ({peerAddress}) => knowsDeployment(clients, peerAddress)));
+	clients.close();
+	const index = known.indexOf(true);
+	return index === -1
+		? ok(undefined)
+		: err(failure(FailureKind.conflict, `${others[index]!.name} knows a deployment already; start this instance without founding, and it joins`));
+}
+
+async function writeFirst(storage: Storage, settings: InstanceSettings, folder: string, operatorToken: string): Promise<Result<undefined, Failure>> {
+	const founded = {
+		kind: 'founded' as const, operation: `found-${settings.name}-${folder}`.slice(0, 64), operatorTokenHash: hashToken(operatorToken), at: wallNow(),
+	};
+	const persisted = await storage.persist({
+		hardState: {term: foundingTerm},
+		entries: [
+			{index: 1, term: foundingTerm, body: {kind: 'votersChanged', voterSet: {voters: [{name: settings.name, folder}], learners: []}}},
+			{index: 2, term: foundingTerm, body: {kind: 'command', payload: encodeCommands([founded])}},
+		],
+	});
+	await storage.close();
+	return persisted;
+}
+
+/**
+ * Founds a deployment in an instance's empty data folder. Whoever holds the
+ * operators' token has every right in it. Fails with `conflict` where the
+ * folder or another voter knows a deployment already.
+ */
+export async function found(settings: InstanceSettings, operatorToken: string): Promise<Result<undefined, Failure>> {
+	const {dataFolder} = settings.control;
+	if (!isVoter(settings) || dataFolder === undefined) {
+		return err(failure(FailureKind.settingsInvalid, `${settings.name} is not listed as a voter, so it can't found a deployment`));
+	}
+
+	const first = await refuseSecond(settings);
+	if (first.isErr) {
+		return first;
+	}
+
+	const opened = await openFolder(dataFolder);
+	if (opened.isErr) {
+		return err(opened.error);
+	}
+
+	const {storage, fresh, folderIdentity} = opened.value;
+	if (!fresh) {
+		await storage.close();
+		return err(failure(FailureKind.conflict, `${dataFolder} holds a deployment already`));
+	}
+
+	return writeFirst(storage, settings, folderIdentity, operatorToken);
+}
--- /dev/null
+++ b/packages/daemon/src/instance.ts
@@ -0,0 +1,281 @@
+/**
+ * One instance: all parts put together, started and stopped in order.
+ */
+import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
+import {type ConsensusEnvelope} from '@dogwooddeck/consensus/message';
+import {createCallerHandler} from './caller-handler.js';
+import {startCallerServer} from '@dogwooddeck/front/caller-server';
+import {startOperatorServer} from '@dogwooddeck/front/operator-server';
+import {type FrontServer, type Readiness} from '@dogwooddeck/front/surface';
+import {createEvidenceRecorder} from '@dogwooddeck/membership/evidence';
+import {type Failure, FailureError} from '@dogwooddeck/model/failure';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {createFlights} from '@dogwooddeck/ownership/drain';
+import {defaultLeaseTerms} from '@dogwooddeck/ownership/terms';
+import {createSlotHash} from '@dogwooddeck/placement/hash';
+import {loadTextHash} from '@dogwooddeck/routing/text-hash';
+import {openFolder} from '@dogwooddeck/storage/folder';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {createMeasures, MeasureName} from '@dogwooddeck/telemetry/measure';
+import {createUpstreamClient} from '@dogwooddeck/upstream-client/client';
+import {createPeerClients} from '@dogwooddeck/wire/client';
+import {type PeerServer, startPeerServer} from '@dogwooddeck/wire/server';
+import {ok, type Result} from 'true-myth/result';
+import {createAnnouncements} from './announcements.js';
+import {startClaims} from './claim-runner.js';
+import {createControlHolder} from './control-holder.js';
+import {startControl} from './control-runner.js';
+import {createLimiter} from './limiter.js';
+import {createOperatorSurface, type MemberReport} from './operator-surface.js';
+import {createPeerHandlers} from './peer-service.js';
+import {createReportCollector} from './report-collector.js';
+import {createRequestPath} from './request-path.js';
+import {type InstanceSettings, isVoter} from './settings.js';
+import {startVoter, type VoterRunner} from './voter-runner.js';
+import {startZone, type ZoneRunner} from './zone-runner.js';
+
+/** An instance that runs. */
+export type Instance = {
+	/** A planned stop: no request in flight is cut off. Ends when the instance has stopped. */
+	readonly stop: () => Promise<void>;
+};
+
+const electionMilliseconds: Milliseconds = 400;
+const heartbeatMilliseconds: Milliseconds = 80;
+const deliverMilliseconds: Milliseconds = 1000;
+const memberMilliseconds: Milliseconds = 500;
+const joinMilliseconds: Milliseconds = 300;
+const entriesBeforeSnapshot = 1000;
+const connectTimeoutMilliseconds: Milliseconds = 1000;
+const idleMilliseconds: Milliseconds = 30_000;
+const leaveMilliseconds: Milliseconds = 4000;
+const pollMilliseconds: Milliseconds = 20;
+
+function taken<Value>(result: Result<Value, Failure>): Value {
+	if (result.isErr) {
+		throw new FailureError(result.error);
+	}
+
+	return result.value;
+}
+
+async function until(holds: () => boolean, longest: Milliseconds): Promise<void> {
+	const end = monotonicNow() + longest;
+	while (!holds() && monotonicNow() < end) {
+		await pause(pollMilliseconds);
+	}
+}
+
+async function pause(duration: Milliseconds): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, duration);
+	});
+}
+
+/** Starts an instance. Throws a `FailureError` when a part of it can't start. */
+export async function startInstance(settings: InstanceSettings, log: Log, failed: (failure: Failure) => void): Promise<Instance> {
+	const terms = defaultLeaseTerms;
+	const self: InstanceRecord = {
+		name: settings.name,
+		incarnation: wallNow(),
+		region: settings.region,
+		zone: settings.zone,
+		peerAddress: settings.addresses.peers,
+		callerAddress: settings.addresses.callers,
+		operatorAddress: settings.addresses.operators,
+	};
+	const identity = {name: self.name, incarnation: self.incarnation};
+	const hash = await createSlotHash();
+	const textHash = await loadTextHash();
+	const holder = createControlHolder();
+	const clients = createPeerClients(settings.keys.peer);
+	const flights = createFlights(terms);
+	const evidence = createEvidenceRecorder();
+	const measures = createMeasures();
+	const ownReports = createReportCollector(identity, () => evidence.take(), () => []);
+	const zoneReports = createReportCollector(identity, () => [], () => []);
+	const claims = startClaims(identity, holder, clients, textHash);
+	let voter: VoterRunner | undefined;
+	let accepting = true;
+	let stopping = false;
+
+	const control = startControl({
+		settings, terms, hash, holder, clients, log, voter: () => voter,
+	});
+	const zone: ZoneRunner = startZone({
+		self,
+		terms,
+		holder,
+		control,
+		clients,
+		flights,
+		ownReports,
+		zoneReports,
+		takeShares() {
+			// Shares are taken by the limiter once it has any.
+		},
+		zoneShares() {
+			// The same.
+		},
+		divideShares: () => [],
+		log,
+	});
+
+	const addresses = new Map(settings.control.voters.map(({name, peerAddress}) => [name, peerAddress]));
+	function send(envelope: ConsensusEnvelope): void {
+		const address = addresses.get(envelope.to.name);
+		if (address !== undefined) {
+			void clients.call(address, 'deliver', envelope, deliverMilliseconds);
+		}
+	}
+
+	async function openVoter(): Promise<void> {
+		const folder = taken(await openFolder(settings.control.dataFolder!));
+		if (folder.saved.snapshot !== undefined) {
+			taken(holder.restore(folder.saved.snapshot.index, folder.saved.snapshot.data));
+		}
+
+		const voterIdentity = {name: settings.name, folder: folder.folderIdentity};
+		voter = startVoter({
+			options: {
+				self: voterIdentity, electionMilliseconds, heartbeatMilliseconds, entriesBeforeSnapshot, seed: self.incarnation % (2 ** 31),
+			},
+			saved: folder.saved,
+			storage: folder.storage,
+			holder,
+			log,
+			send,
+			roleChanged() {
+				control.roleChanged();
+			},
+			failed,
+		});
+		joining = setInterval(() => {
+			const isIn = voter!.voterSet().voters.some(({name, folder: known}) => name === voterIdentity.name && known === voterIdentity.folder);
+			if (!isIn) {
+				void control.callLeader('joinVoters', voterIdentity);
+			}
+		}, joinMilliseconds);
+	}
+
+	let joining: NodeJS.Timeout | undefined;
+	const readiness = (): Readiness => {
+		if (stopping) {
+			return {ready: false, reason: 'the instance stops'};
+		}
+
+		return zone.holdsLease()
+			? {ready: true, reason: 'a routing lease is held'}
+			: {ready: false, reason: 'no routing lease is held'};
+	};
+
+	const member = (): MemberReport => ({applied: holder.state().applied, voter: voter !== undefined});
+	const surface = createOperatorSurface({
+		holder,
+		control,
+		status() {
+			const {ready, reason} = readiness();
+			const leader = control.leader();
+			const steward = zone.steward();
+			return {
+				instance: settings.name,
+				incarnation: self.incarnation,
+				region: settings.region,
+				zone: settings.zone,
+				ready,
+				reason,
+				voter: voter !== undefined,
+				committed: voter?.committed() ?? holder.state().applied,
+				...(leader === undefined ? {} : {leader}),
+				...(steward === undefined ? {} : {steward}),
+			};
+		},
+		async askMember(record) {
+			const answer = await clients.call(record.peerAddress, 'collect', 'member', memberMilliseconds);
+			return answer.isOk ? JSON.parse(answer.value) as MemberReport : undefined;
+		},
+		announce: createAnnouncements(holder, settings.keys.announce, announcement => {
+			measures.add(MeasureName.announcements, {service: announcement.service});
+			ownReports.announced(announcement);
+		}),
+		burn: async () => ok([]),
+	});
+
+	const client = createUpstreamClient({connectTimeoutMilliseconds, idleMilliseconds});
+	const path = createRequestPath({
+		name: settings.name,
+		zone: settings.zone,
+		holder,
+		lease: zone.lease,
+		accepts: () => accepting,
+		flights,
+		evidence,
+		reports: ownReports,
+		claims,
+		limiter: createLimiter(),
+		hash,
+		requestEnded(service, _opened, report) {
+			measures.add(MeasureName.requests, {service, outcome: report.outcome, status: String(report.status ?? 0)});
+			measures.record(MeasureName.latency, {service}, report.latencyMilliseconds);
+			if (report.failure !== undefined) {
+				log.event(EventName.requestFailed, {service, failure: report.failure.kind, outcome: report.outcome});
+			}
+		},
+	});
+
+	function metrics(): string {
+		const usage = process.cpuUsage();
+		measures.set(MeasureName.applied, holder.state().applied);
+		measures.set(MeasureName.ready, Number(readiness().ready));
+		measures.set(MeasureName.leader, Number(voter?.isLeader() ?? false));
+		measures.set(MeasureName.steward, Number(zone.isSteward()));
+		measures.set(MeasureName.memory, process.memoryUsage.rss());
+		measures.set(MeasureName.processor, (usage.user + usage.system) / 1000);
+		return measures.expose();
+	}
+
+	const peers: PeerServer = taken(await startPeerServer(settings.addresses.peers, settings.keys.peer, createPeerHandlers({
+		holder,
+		control,
+		zone: () => zone,
+		claims,
+		voter: () => voter,
+		collectors: {member: () => JSON.stringify(member())},
+	})));
+	const operators: FrontServer = taken(await startOperatorServer(settings.addresses.operators, surface, {readiness, metrics}));
+	const callers: FrontServer = taken(await startCallerServer(settings.addresses.callers, createCallerHandler(client, path)));
+	if (isVoter(settings)) {
+		await openVoter();
+	}
+
+	log.event(EventName.instanceStarted, {
+		region: settings.region, zone: settings.zone, callers: callers.address, operators: operators.address, peers: peers.address,
+	});
+
+	async function stop(): Promise<void> {
+		stopping = true;
+		log.event(EventName.stopRequested);
+		log.event(EventName.instanceNotReady, {reason: 'the instance stops'});
+		await pause(settings.stop.balancerDelayMilliseconds);
+		voter?.handOver();
+		zone.leave();
+		const closing = callers.close();
+		await until(() => !zone.isSeated() || (holder.state().ownership.rosters[self.zone]?.members.length ?? 0) < 2, leaveMilliseconds);
+		await Promise.race([closing, pause(settings.stop.longestMilliseconds)]);
+		accepting = false;
+		await operators.close();
+		clearInterval(joining);
+		zone.stop();
+		control.stop();
+		claims.stop();
+		await client.close();
+		await peers.close();
+		await voter?.stop();
+		clients.close();
+		log.event(EventName.instanceStopped);
+	}
+
+	return {stop};
+}
--- a/packages/daemon/src/zone-runner.ts
+++ b/packages/daemon/src/zone-runner.ts
@@ -4,7 +4,9 @@
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {type InstanceName, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {
+	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime,
+} from '@dogwooddeck/model/identifiers';
 import {
 	type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
 } from '@dogwooddeck/model/lease';
@@ -40,8 +42,8 @@
 	readonly takeSupportRequest: (request: SupportRequest) => Promise<Result<SupportAnswer, Failure>>;
 	/** Another instance has applied this much: fetch what is new. */
 	readonly takeNotice: (applied: number) => void;
-	/** A planned stop: stand and renew no more. */
-	readonly resign: () => void;
+	/** A planned stop: stand no more, and give the seat up unless it is the zone's only one. */
+	readonly leave: () => void;
 	readonly stop: () => void;
 };
 
@@ -67,6 +69,7 @@
 const tickMilliseconds: Milliseconds = 20;
 const peerMilliseconds: Milliseconds = 500;
 const seatMilliseconds: Milliseconds = 300;
+const holderMilliseconds: Milliseconds = 2000;
 
 /** Starts the runner. */
 export function startZone(surroundings: ZoneSurroundings): ZoneRunner {
@@ -79,7 +82,9 @@
 	let fetching = false;
 	let wasSteward = false;
 	let hadLease = false;
+	let leaving = false;
 	const notified = new Map<InstanceName, number>();
+	const leaseAskers = new Map<InstanceName, {readonly instance: InstanceRecord; readonly at: MonotonicTime}>();
 
 	function zoneMembers(): readonly InstanceRecord[] {
 		return holder.state().ownership.rosters[self.zone]?.members ?? [];
@@ -101,9 +106,14 @@
 		}
 	}
 
+	function recentHolders(now: MonotonicTime): readonly InstanceIdentity[] {
+		const recent = [...leaseAskers.values()].filter(({at}) => now - at < holderMilliseconds);
+		return recent.map(({instance}) => ({name: instance.name, incarnation: instance.incarnation}));
+	}
+
 	async function askDelegation(sentAt: MonotonicTime, request: DelegationRequest): Promise<void> {
 		const report = surroundings.zoneReports.take();
-		const answer = await control.callLeader('delegate', {...request, report});
+		const answer = await control.callLeader('delegate', {...request, report, holders: recentHolders(sentAt)});
 		if (answer.isErr) {
 			return;
 		}
@@ -162,6 +172,7 @@
 		}
 
 		surroundings.zoneReports.merge(request.report);
+		leaseAskers.set(request.instance.name, {instance: request.instance, at: now});
 		leaseAnswer = undefined;
 		step({kind: 'leaseRequested', now, request});
 		const answer = leaseAnswer as LeaseAnswer | undefined;
@@ -214,12 +225,13 @@
 	}
 
 	async function askSeat(now: MonotonicTime): Promise<void> {
-		if (isSeated(state) || now < seatAskedAt + seatMilliseconds) {
+		const content = isSeated(state) ? holdsLease(lease, now) && !leaving : leaving;
+		if (content || now < seatAskedAt + seatMilliseconds) {
 			return;
 		}
 
 		seatAskedAt = now;
-		const answer = await control.callLeader('seat', {instance: self, applied: holder.state().applied});
+		const answer = await control.callLeader('seat', {instance: self, applied: holder.state().applied, leaving});
 		if (answer.isOk) {
 			holder.catchUp(answer.value);
 			return;
@@ -298,8 +310,9 @@
 				void fetchFrom(isSteward(state, monotonicNow()) ? leaderRecord?.peerAddress : steward?.peerAddress);
 			}
 		},
-		resign() {
+		leave() {
 			step({kind: 'resigned', now: monotonicNow()});
+			leaving = zoneMembers().length > 1;
 		},
 		stop() {
 			clearInterval(ticking);
--- a/packages/front/src/caller-server.ts
+++ b/packages/front/src/caller-server.ts
@@ -26,7 +26,7 @@
 			const fastify = adapter.getInstance();
 			fastify.removeAllContentTypeParsers();
 			fastify.addContentTypeParser('*', (_request, _payload, done) => {
-				done(null); // eslint-disable-line unicorn/no-null
+				done(null);
 			});
 			fastify.all('/*', (request, reply) => {
 				reply.hijack();
--- a/packages/front/src/operator-controller.ts
+++ b/packages/front/src/operator-controller.ts
@@ -18,7 +18,7 @@
 function surfaceRequest(headers: HeaderFields, query: QueryFields, body: unknown): SurfaceRequest {
 	const single = Object.entries(query).filter((pair): pair is [string, string] => typeof pair[1] === 'string');
 	return {
-		token: bearer.exec(headers['authorization'] ?? '')?.[1] ?? '',
+		token: bearer.exec(headers.authorization ?? '')?.[1] ?? '',
 		author: headers[authorHeader] ?? '',
 		query: Object.fromEntries(single),
 		body,
--- a/packages/model/src/lease.ts
+++ b/packages/model/src/lease.ts
@@ -66,6 +66,8 @@
 	/** As in a lease request, for all instances of the zone together. */
 	readonly drained: LogIndex;
 	readonly report: Report;
+	/** The instances that asked for a lease of late. */
+	readonly holders?: readonly InstanceIdentity[];
 };
 
 /** Control's answer: a delegation, counted from when the request was sent. */
@@ -77,11 +79,14 @@
 
 /**
  * A process that is not in its zone's roster asks control to be seated there.
- * It gives no support before it has been silent for a steward's term.
+ * It gives no support before it has been silent for a steward's term. A seated
+ * one that finds no steward says by it that it is there.
  */
 export type SeatRequest = {
 	readonly instance: InstanceRecord;
 	readonly applied: LogIndex;
+	/** It wants to give its seat up: a planned stop. */
+	readonly leaving?: boolean;
 };
 
 /** An empty report. */
--- a/packages/wire/src/methods.ts
+++ b/packages/wire/src/methods.ts
@@ -133,10 +133,10 @@
 };
 
 const delegate: MethodCodec<'delegate', generated.DelegationRequest, generated.DelegationAnswer> = {
-	requestToWire: request => ({...request, report: reportTo(request.report)}),
+	requestToWire: request => ({...request, report: reportTo(request.report), holders: request.holders ?? []}),
 	requestFromWire: wire => identified(wire.steward) && wire.zone !== ''
 		? ok({
-			zone: wire.zone, steward: wire.steward, applied: wire.applied, drained: wire.drained, report: reportFrom(wire.report),
+			zone: wire.zone, steward: wire.steward, applied: wire.applied, drained: wire.drained, report: reportFrom(wire.report), holders: wire.holders,
 		})
 		: missing('steward'),
 	answerToWire: ({answer, catchUp}) => ({...answer, catchUp: catchUpTo(catchUp)}),
@@ -147,8 +147,10 @@
 };
 
 const seat: MethodCodec<'seat', generated.SeatRequest, generated.SeatAnswer> = {
-	requestToWire: request => request,
-	requestFromWire: wire => recorded(wire.instance) ? ok({instance: wire.instance, applied: wire.applied}) : missing('instance'),
+	requestToWire: request => ({...request, leaving: request.leaving ?? false}),
+	requestFromWire: wire => recorded(wire.instance)
+		? ok({instance: wire.instance, applied: wire.applied, leaving: wire.leaving})
+		: missing('instance'),
 	answerToWire: catchUp => ({catchUp: catchUpTo(catchUp)}),
 	answerFromWire: wire => ok(catchUpFrom(wire.catchUp)),
 };
