Add the replicated log and its storage

Cause: nothing may be called accepted before a majority of the voters has it on disk, and no outside store may hold it.

`storage/folder` keeps frames with length and xxh64; each frame is synced before the next is written, so a bad frame that a whole one follows is damage (refused with file and offset), any other is a torn tail (cut off). `voteRequested` gains the optional field `invited`, which lets voters answer in a planned hand-over although they still hear the old leader; the translation in `wire` drops it today and has to carry it.

--- /dev/null
+++ b/packages/consensus/src/draft.ts
@@ -0,0 +1,159 @@
+/**
+ * One step in the making: the state so far, what the edge will be asked to do,
+ * and what has to reach the disk first.
+ */
+import {type Failure} from '@dogwooddeck/model/failure';
+import {type LogIndex, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type Transition} from '@dogwooddeck/model/transition';
+import {appendEntries, entriesBetween, truncateAfter} from './log.js';
+import {type ConsensusEffect, type HardState} from './machine.js';
+import {
+	type ConsensusEnvelope, type ConsensusMessage, type LogEntry, type Snapshot, type VoterIdentity,
+} from './message.js';
+import {roleOf, type DiskProgress, type VoterState} from './state.js';
+
+/** What the step changed that must be on disk. */
+export type Unsaved = {
+	readonly hardState: boolean;
+	readonly firstIndex: LogIndex | undefined;
+	readonly snapshot: Snapshot | undefined;
+};
+
+/** A step in the making. */
+export type Draft = {
+	readonly state: VoterState;
+	readonly now: MonotonicTime;
+	readonly effects: readonly ConsensusEffect[];
+	/** Messages that wait until all that came before them is synced. */
+	readonly held: readonly ConsensusEnvelope[];
+	readonly unsaved: Unsaved;
+};
+
+/** Begins a step. */
+export function beginStep(state: VoterState, now: MonotonicTime): Draft {
+	return {
+		state, now, effects: [], held: [], unsaved: {hardState: false, firstIndex: undefined, snapshot: undefined},
+	};
+}
+
+/** Changes fields of the state. */
+export function change(draft: Draft, fields: Partial<VoterState>): Draft {
+	return {...draft, state: {...draft.state, ...fields}};
+}
+
+/** Adds effects. */
+export function ask(draft: Draft, ...effects: readonly ConsensusEffect[]): Draft {
+	return {...draft, effects: [...draft.effects, ...effects]};
+}
+
+/** Refuses proposals or reads. */
+export function refuse(draft: Draft, requests: ReadonlyArray<{readonly request: string}>, failure: Failure): Draft {
+	return ask(draft, ...requests.map(({request}) => ({kind: 'refused', request, failure} as const)));
+}
+
+/** Sends a message that depends on nothing that is unsynced. */
+export function sendNow(draft: Draft, to: VoterIdentity, message: ConsensusMessage): Draft {
+	return ask(draft, {kind: 'send', envelope: {from: draft.state.options.self, to, message}});
+}
+
+/** Sends a message once all that came before it is synced. */
+export function sendSynced(draft: Draft, to: VoterIdentity, message: ConsensusMessage): Draft {
+	return {...draft, held: [...draft.held, {from: draft.state.options.self, to, message}]};
+}
+
+/** Sets the term and vote. */
+export function setHardState(draft: Draft, hardState: HardState): Draft {
+	return {...change(draft, {hardState}), unsaved: {...draft.unsaved, hardState: true}};
+}
+
+/** Appends entries, in place of those from the first one's index on. */
+export function writeEntries(draft: Draft, entries: readonly LogEntry[]): Draft {
+	const first = entries[0];
+	if (first === undefined) {
+		return draft;
+	}
+
+	const {log, disk} = draft.state;
+	const kept = first.index <= log.lastIndex ? truncateAfter(log, first.index - 1) : log;
+	const firstIndex = Math.min(draft.unsaved.firstIndex ?? first.index, first.index);
+	return {
+		...change(draft, {
+			log: appendEntries(kept, entries),
+			disk: {...disk, syncedIndex: Math.min(disk.syncedIndex, first.index - 1)},
+		}),
+		unsaved: {...draft.unsaved, firstIndex},
+	};
+}
+
+/** Marks a snapshot, which the log already begins with, for the disk. */
+export function saveSnapshot(draft: Draft, snapshot: Snapshot): Draft {
+	return {...draft, unsaved: {...draft.unsaved, snapshot}};
+}
+
+/** Marks the log from an index on as unsynced, after a snapshot took the place of entries. */
+export function resyncFrom(draft: Draft, index: LogIndex): Draft {
+	const {disk} = draft.state;
+	return {
+		...change(draft, {disk: {...disk, syncedIndex: Math.min(disk.syncedIndex, index - 1)}}),
+		unsaved: {...draft.unsaved, firstIndex: index},
+	};
+}
+
+function isUnsaved(unsaved: Unsaved): boolean {
+	return unsaved.hardState || unsaved.firstIndex !== undefined || unsaved.snapshot !== undefined;
+}
+
+function persist(draft: Draft): Draft {
+	const {state, unsaved, held} = draft;
+	const {log, disk} = state;
+	const ticket = disk.nextTicket;
+	const first = unsaved.firstIndex ?? log.lastIndex + 1;
+	const nextDisk: DiskProgress = {
+		...disk,
+		nextTicket: ticket + 1,
+		hardStateTicket: unsaved.hardState ? ticket : disk.hardStateTicket,
+		writes: [...disk.writes, {
+			ticket, first, last: log.lastIndex, held,
+		}],
+	};
+	const effect: ConsensusEffect = {
+		kind: 'persist',
+		ticket,
+		hardState: state.hardState,
+		entries: entriesBetween(log, Math.max(first, (unsaved.snapshot?.index ?? 0) + 1), log.lastIndex),
+		...(unsaved.snapshot === undefined ? {} : {snapshot: unsaved.snapshot}),
+	};
+	return {...change(draft, {disk: nextDisk}), effects: [effect, ...draft.effects], held: []};
+}
+
+function joinLastWrite(draft: Draft): Draft {
+	const {disk} = draft.state;
+	const last = disk.writes.at(-1);
+	if (last === undefined) {
+		const sends = draft.held.map(envelope => ({kind: 'send', envelope} as const));
+		return {...ask(draft, ...sends), held: []};
+	}
+
+	const writes = [...disk.writes.slice(0, -1), {...last, held: [...last.held, ...draft.held]}];
+	return {...change(draft, {disk: {...disk, writes}}), held: []};
+}
+
+function reportRole(draft: Draft, before: VoterState): Draft {
+	const {state} = draft;
+	const same = roleOf(before) === roleOf(state) && before.hardState.term === state.hardState.term && before.leader === state.leader;
+	if (same) {
+		return draft;
+	}
+
+	const leader = state.leader === undefined ? {} : {leader: state.leader};
+	return ask(draft, {
+		kind: 'roleChanged', role: roleOf(state), term: state.hardState.term, ...leader,
+	});
+}
+
+/** Ends a step: one write for all that changed, and the messages that may go before it or have to wait. */
+export function endStep(draft: Draft, before: VoterState): Transition<VoterState, ConsensusEffect> {
+	const saved = isUnsaved(draft.unsaved) ? persist(draft) : (draft.held.length === 0 ? draft : joinLastWrite(draft));
+	const {state, effects} = reportRole(saved, before);
+	return {state, effects};
+}
--- /dev/null
+++ b/packages/consensus/src/election.ts
@@ -0,0 +1,238 @@
+/**
+ * Elections: when a voter stands, whom it votes for, and how it begins and ends to lead.
+ */
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {
+	change, refuse, sendSynced, setHardState, type Draft,
+} from './draft.js';
+import {lastTermOf, latestVoterSet} from './log.js';
+import {Role} from './machine.js';
+import {type ConsensusMessage, type Term, type VoterIdentity} from './message.js';
+import {roundHeardAt} from './quorum.js';
+import {
+	advanceCommit, appendOwn, newProgress, startRound,
+} from './replication.js';
+import {hardStateSynced, votesItself, type VoterState} from './state.js';
+import {
+	includesVoter, isMajority, membersOf, sameVoter,
+} from './voter-set.js';
+
+type PreVoteRequest = Extract<ConsensusMessage, {readonly kind: 'preVoteRequested'}>;
+type VoteRequest = Extract<ConsensusMessage, {readonly kind: 'voteRequested'}>;
+type Granting = Extract<ConsensusMessage, {readonly kind: 'preVoteAnswered' | 'voteAnswered'}>;
+
+/** The pause before an election, in milliseconds: one to two election times, drawn by the seed and the number of draws. */
+export function drawElectionPause(options: VoterState['options'], draws: number): number {
+	const generator = xoroshiro128plus(options.seed + (draws * 7919));
+	return options.electionMilliseconds + uniformInt(generator, 0, options.electionMilliseconds);
+}
+
+/** Puts the next election off by a new pause. */
+export function postponeElection(draft: Draft): Draft {
+	const {options, draws} = draft.state;
+	return change(draft, {draws: draws + 1, electionAt: draft.now + drawElectionPause(options, draws + 1)});
+}
+
+function hearsLeader(state: VoterState, now: MonotonicTime): boolean {
+	return state.role === Role.leader || now - state.leaderHeardAt < state.options.electionMilliseconds;
+}
+
+/** Gives up leading or standing, with a failure for what was waiting for this leader. */
+export function becomeFollower(draft: Draft, leader: VoterIdentity | undefined, lost: Failure): Draft {
+	const {leadership} = draft.state;
+	const unknown = failure(FailureKind.outcomeUnknown, 'The leader that took the change lost its leadership before the change was committed.');
+	const followed = change(draft, {
+		role: Role.follower, leader, campaign: undefined, leadership: undefined,
+	});
+	return refuse(refuse(followed, leadership?.proposals ?? [], unknown), leadership?.reads ?? [], lost);
+}
+
+/** Takes over a greater term. */
+export function adoptTerm(draft: Draft, term: Term): Draft {
+	const lost = failure(FailureKind.notLeader, 'Another voter started an election.');
+	return setHardState(becomeFollower(postponeElection(draft), undefined, lost), {term});
+}
+
+function lead(draft: Draft): Draft {
+	const {state, now} = draft;
+	const {log, options} = state;
+	const peers = membersOf(latestVoterSet(log)).filter(member => !sameVoter(member, options.self));
+	const started = change(draft, {
+		role: Role.leader,
+		leader: options.self,
+		campaign: undefined,
+		leadership: {
+			startedIndex: log.lastIndex + 1,
+			startedAt: now,
+			progress: peers.map(peer => newProgress(peer, log.lastIndex)),
+			round: 0,
+			rounds: [],
+			heartbeatAt: now,
+			reads: [],
+			proposals: [],
+			handOver: undefined,
+		},
+	});
+	return startRound(appendOwn(started, {kind: 'leaderStarted'}));
+}
+
+function requestVotes(draft: Draft, message: PreVoteRequest | VoteRequest): Draft {
+	const {log, options} = draft.state;
+	const others = latestVoterSet(log).voters.filter(voter => !sameVoter(voter, options.self));
+	return others.reduce((made, voter) => sendSynced(made, voter, message), draft);
+}
+
+function standForElection(draft: Draft, invited: boolean): Draft {
+	const {options, hardState, log} = draft.state;
+	const term = hardState.term + 1;
+	const voted = setHardState(postponeElection(draft), {term, vote: options.self});
+	const standing = change(voted, {role: Role.candidate, leader: undefined, campaign: {phase: 'vote', granted: []}});
+	return requestVotes(standing, {
+		kind: 'voteRequested', term, lastIndex: log.lastIndex, lastTerm: lastTermOf(log), ...(invited ? {invited: true} : {}),
+	});
+}
+
+function standForPreVote(draft: Draft): Draft {
+	const {options, hardState, log} = draft.state;
+	const standing = change(postponeElection(draft), {
+		role: Role.candidate, leader: undefined, campaign: {phase: 'preVote', granted: [options.self]},
+	});
+	const asked = requestVotes(standing, {
+		kind: 'preVoteRequested', term: hardState.term + 1, lastIndex: log.lastIndex, lastTerm: lastTermOf(log),
+	});
+	return countVotes(asked);
+}
+
+const afterMajority = {
+	preVote: (draft: Draft) => standForElection(draft, false),
+	vote: lead,
+} as const;
+
+function countVotes(draft: Draft): Draft {
+	const {campaign, log} = draft.state;
+	const won = campaign !== undefined && isMajority(latestVoterSet(log), campaign.granted);
+	return won ? afterMajority[campaign.phase](draft) : draft;
+}
+
+function addVote(draft: Draft, voter: VoterIdentity): Draft {
+	const {campaign} = draft.state;
+	if (campaign === undefined || includesVoter(campaign.granted, voter)) {
+		return draft;
+	}
+
+	return countVotes(change(draft, {campaign: {...campaign, granted: [...campaign.granted, voter]}}));
+}
+
+/** A candidate's own vote counts once it is synced. */
+export function countOwnVote(draft: Draft): Draft {
+	const {state} = draft;
+	return state.campaign?.phase === 'vote' && hardStateSynced(state) ? addVote(draft, state.options.self) : draft;
+}
+
+function newerThanOwn(state: VoterState, message: PreVoteRequest | VoteRequest): number {
+	const termDifference = message.lastTerm - lastTermOf(state.log);
+	return termDifference === 0 ? message.lastIndex - state.log.lastIndex : termDifference;
+}
+
+/**
+ * Whether the candidate's log lets the voter vote for it. One that isn't a voter
+ * by its own log votes only for a newer log: no other can hold its promotion.
+ */
+function logAllowsVote(state: VoterState, message: PreVoteRequest | VoteRequest): boolean {
+	const newer = newerThanOwn(state, message);
+	return newer > 0 || (newer === 0 && votesItself(state));
+}
+
+/** Answers a candidate that asks whether it would be voted for. Nothing is promised by it. */
+export function receivePreVoteRequest(draft: Draft, from: VoterIdentity, message: PreVoteRequest): Draft {
+	const {state, now} = draft;
+	const granted = message.term > state.hardState.term && !hearsLeader(state, now) && logAllowsVote(state, message);
+	return sendSynced(draft, from, {kind: 'preVoteAnswered', term: granted ? message.term : state.hardState.term, granted});
+}
+
+/** Votes for a candidate, or not. The vote goes out once it is synced. */
+export function receiveVoteRequest(draft: Draft, from: VoterIdentity, message: VoteRequest): Draft {
+	const {hardState} = draft.state;
+	if (message.term > hardState.term) {
+		const heard = hearsLeader(draft.state, draft.now) && message.invited !== true;
+		return heard ? draft : receiveVoteRequest(adoptTerm(draft, message.term), from, message);
+	}
+
+	const free = hardState.vote === undefined || sameVoter(hardState.vote, from);
+	const granted = message.term === hardState.term && free && logAllowsVote(draft.state, message);
+	const voted = granted ? setHardState(postponeElection(draft), {term: hardState.term, vote: from}) : draft;
+	return sendSynced(voted, from, {kind: 'voteAnswered', term: hardState.term, granted});
+}
+
+const askedTerm = {
+	preVote: (term: Term) => term + 1,
+	vote: (term: Term) => term,
+} as const;
+
+function receiveVote(draft: Draft, from: VoterIdentity, message: Granting, phase: 'preVote' | 'vote'): Draft {
+	const {campaign, hardState} = draft.state;
+	if (!message.granted && message.term > hardState.term) {
+		return adoptTerm(draft, message.term);
+	}
+
+	const counts = message.granted && campaign?.phase === phase && message.term === askedTerm[phase](hardState.term);
+	return counts ? addVote(draft, from) : draft;
+}
+
+/** Takes in the answer to a question before an election. */
+export function receivePreVote(draft: Draft, from: VoterIdentity, message: Granting): Draft {
+	return receiveVote(draft, from, message, 'preVote');
+}
+
+/** Takes in a vote. */
+export function receiveElectionVote(draft: Draft, from: VoterIdentity, message: Granting): Draft {
+	return receiveVote(draft, from, message, 'vote');
+}
+
+/** Starts an election at once, as the leader asks in a planned hand-over. */
+export function receiveInvitation(draft: Draft, from: VoterIdentity, message: {readonly term: Term}): Draft {
+	const {state} = draft;
+	const follows = state.role === Role.follower && state.leader !== undefined && sameVoter(state.leader, from);
+	return follows && message.term === state.hardState.term && votesItself(state) ? standForElection(draft, true) : draft;
+}
+
+function tickFollower(draft: Draft): Draft {
+	const {state, now} = draft;
+	const alone = isMajority(latestVoterSet(state.log), [state.options.self]) && state.campaign === undefined;
+	return votesItself(state) && (alone || now >= state.electionAt) ? standForPreVote(draft) : draft;
+}
+
+function endHandOver(draft: Draft): Draft {
+	const {leadership, options} = draft.state;
+	const startedAt = leadership?.handOver?.startedAt;
+	const expired = startedAt !== undefined && draft.now - startedAt >= options.electionMilliseconds;
+	return expired ? change(draft, {leadership: {...leadership!, handOver: undefined}}) : draft;
+}
+
+function tickLeader(draft: Draft): Draft {
+	const {state, now} = draft;
+	const leadership = state.leadership!;
+	const alone = isMajority(latestVoterSet(state.log), [state.options.self]);
+	if (!alone && now - roundHeardAt(state, leadership) >= state.options.electionMilliseconds) {
+		const lost = failure(FailureKind.noQuorum, 'The leader can\'t hear a majority of the voters any more.');
+		return becomeFollower(postponeElection(draft), undefined, lost);
+	}
+
+	const ticked = endHandOver(draft);
+	return now >= leadership.heartbeatAt ? advanceCommit(startRound(ticked)) : ticked;
+}
+
+const tickByRole = {
+	[Role.learner]: (draft: Draft) => draft,
+	[Role.follower]: tickFollower,
+	[Role.candidate]: tickFollower,
+	[Role.leader]: tickLeader,
+} as const;
+
+/** Lets time pass: heartbeats, elections, and the end of a leadership that hears no majority. */
+export function tick(draft: Draft): Draft {
+	return tickByRole[draft.state.role](draft);
+}
--- /dev/null
+++ b/packages/consensus/src/follower.ts
@@ -0,0 +1,119 @@
+/**
+ * The follower's side of the log: it takes entries and snapshots from the leader.
+ */
+import {failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {applyCommitted} from './commit.js';
+import {
+	ask, change, resyncFrom, saveSnapshot, sendNow, sendSynced, writeEntries, type Draft,
+} from './draft.js';
+import {adoptTerm, becomeFollower, postponeElection} from './election.js';
+import {installSnapshot, termAt} from './log.js';
+import {Role} from './machine.js';
+import {type ConsensusMessage, type LogEntry, type VoterIdentity} from './message.js';
+import {hardStateSynced} from './state.js';
+import {sameVoter} from './voter-set.js';
+
+type AppendRequest = Extract<ConsensusMessage, {readonly kind: 'appendRequested'}>;
+type SnapshotMessage = Extract<ConsensusMessage, {readonly kind: 'snapshotSent'}>;
+
+function follow(draft: Draft, leader: VoterIdentity): Draft {
+	const {state, now} = draft;
+	const known = state.leader !== undefined && sameVoter(state.leader, leader) ? state.leader : leader;
+	const lost = failure(FailureKind.notLeader, 'Another voter leads.', {leader: leader.name});
+	return change(becomeFollower(postponeElection(draft), known, lost), {leaderHeardAt: now});
+}
+
+/** The first entry of the term that stands at an index; no earlier than what is not committed. */
+function firstOfTerm(draft: Draft, index: LogIndex): LogIndex {
+	const {log, committed} = draft.state;
+	const term = termAt(log, index);
+	let first = index;
+	while (first - 1 > committed && termAt(log, first - 1) === term) {
+		first--;
+	}
+
+	return first;
+}
+
+function reject(draft: Draft, from: VoterIdentity, request: AppendRequest): Draft {
+	const {log, hardState, committed} = draft.state;
+	const index = request.previousIndex > log.lastIndex ? log.lastIndex + 1 : firstOfTerm(draft, request.previousIndex);
+	return sendSynced(draft, from, {
+		kind: 'appendAnswered', term: hardState.term, accepted: false, index: Math.max(index, committed + 1), round: request.round,
+	});
+}
+
+function newEntries(draft: Draft, entries: readonly LogEntry[]): readonly LogEntry[] {
+	const {log, committed} = draft.state;
+	const first = entries.findIndex(entry => entry.index > committed && termAt(log, entry.index) !== entry.term);
+	return first === -1 ? [] : entries.slice(first);
+}
+
+function accept(draft: Draft, from: VoterIdentity, request: AppendRequest): Draft {
+	const matched = request.previousIndex + request.entries.length;
+	const written = writeEntries(draft, newEntries(draft, request.entries));
+	const applied = applyCommitted(written, Math.min(request.committed, matched));
+	const {hardState, disk} = applied.state;
+	const answer = {
+		kind: 'appendAnswered', term: hardState.term, accepted: true, round: request.round,
+	} as const;
+	const answersAtOnce = request.entries.length === 0 && hardStateSynced(applied.state) && !applied.unsaved.hardState;
+	return answersAtOnce
+		? sendNow(applied, from, {...answer, index: Math.min(matched, disk.syncedIndex)})
+		: sendSynced(applied, from, {...answer, index: matched});
+}
+
+/** Whether the log agrees with the leader's before the entries that are sent. */
+function agrees(draft: Draft, request: AppendRequest): boolean {
+	const {log, committed} = draft.state;
+	return request.previousIndex <= committed || termAt(log, request.previousIndex) === request.previousTerm;
+}
+
+function refuseOldTerm(draft: Draft, from: VoterIdentity, round: number): Draft {
+	const {hardState, log} = draft.state;
+	return sendSynced(draft, from, {
+		kind: 'appendAnswered', term: hardState.term, accepted: false, index: log.lastIndex + 1, round,
+	});
+}
+
+/** Follows the sender where its term allows; undefined where the term is old. */
+function followSender(draft: Draft, from: VoterIdentity, term: number): Draft | undefined {
+	const {hardState, role} = draft.state;
+	if (term < hardState.term || (term === hardState.term && role === Role.leader)) {
+		return undefined;
+	}
+
+	return follow(term > hardState.term ? adoptTerm(draft, term) : draft, from);
+}
+
+/** Takes entries or a heartbeat from the leader. */
+export function receiveAppend(draft: Draft, from: VoterIdentity, request: AppendRequest): Draft {
+	const followed = followSender(draft, from, request.term);
+	if (followed === undefined) {
+		return refuseOldTerm(draft, from, request.round);
+	}
+
+	return agrees(followed, request) ? accept(followed, from, request) : reject(followed, from, request);
+}
+
+function install(draft: Draft, message: SnapshotMessage): Draft {
+	const {snapshot} = message;
+	const {log, committed} = draft.state;
+	const changed = change(draft, {log: installSnapshot(log, snapshot), committed: snapshot.index});
+	return ask(resyncFrom(saveSnapshot(changed, snapshot), committed + 1), {kind: 'restore', snapshot});
+}
+
+/** Takes a snapshot from the leader, where it is ahead of what is committed here. */
+export function receiveSnapshot(draft: Draft, from: VoterIdentity, message: SnapshotMessage): Draft {
+	const followed = followSender(draft, from, message.term);
+	if (followed === undefined) {
+		return refuseOldTerm(draft, from, message.round);
+	}
+
+	const ahead = message.snapshot.index > followed.state.committed;
+	const taken = ahead ? install(followed, message) : followed;
+	return sendSynced(taken, from, {
+		kind: 'appendAnswered', term: taken.state.hardState.term, accepted: true, index: message.snapshot.index, round: message.round,
+	});
+}
--- /dev/null
+++ b/packages/consensus/src/log.ts
@@ -0,0 +1,150 @@
+/**
+ * The entries that a voter holds in memory, and the snapshot before them.
+ * Entries stand in chunks, so that an append copies one chunk, not the log.
+ */
+import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {
+	type LogEntry, type Snapshot, type Term, type VoterSet,
+} from './message.js';
+import {emptyVoterSet} from './voter-set.js';
+
+const chunkSize = 128;
+
+type Chunk = {
+	readonly start: LogIndex;
+	readonly entries: readonly LogEntry[];
+};
+
+/** The log. `firstIndex` may be at or before the snapshot's index, to help replicas that are a little behind. */
+export type Log = {
+	readonly snapshot: Snapshot | undefined;
+	readonly chunks: readonly Chunk[];
+	readonly firstIndex: LogIndex;
+	readonly lastIndex: LogIndex;
+	/** The voter sets of the entries that are held, after the set that holds before them. */
+	readonly voterSets: ReadonlyArray<{readonly index: LogIndex; readonly voterSet: VoterSet}>;
+};
+
+/** A log that begins after a snapshot, or at index 1. */
+export function createLog(snapshot: Snapshot | undefined): Log {
+	const index = snapshot?.index ?? 0;
+	return {
+		snapshot,
+		chunks: [],
+		firstIndex: index + 1,
+		lastIndex: index,
+		voterSets: [{index, voterSet: snapshot?.voterSet ?? emptyVoterSet}],
+	};
+}
+
+function chunkNumber(index: LogIndex): number {
+	return Math.floor(index / chunkSize);
+}
+
+/** The entry at an index; undefined where the log doesn't hold it. */
+export function entryAt(log: Log, index: LogIndex): LogEntry | undefined {
+	if (index < log.firstIndex || index > log.lastIndex) {
+		return undefined;
+	}
+
+	const chunk = log.chunks[chunkNumber(index) - chunkNumber(log.firstIndex)];
+	return chunk?.entries[index - chunk.start];
+}
+
+/** The term at an index; undefined where it is no longer, or not yet, known. */
+export function termAt(log: Log, index: LogIndex): Term | undefined {
+	if (index === 0) {
+		return 0;
+	}
+
+	return index === log.snapshot?.index ? log.snapshot.term : entryAt(log, index)?.term;
+}
+
+/** The term of the newest entry; 0 for a log without entries. */
+export function lastTermOf(log: Log): Term {
+	return termAt(log, log.lastIndex) ?? 0;
+}
+
+/** The entries from one index up to another, both included. */
+export function entriesBetween(log: Log, from: LogIndex, to: LogIndex): readonly LogEntry[] {
+	const first = Math.max(from, log.firstIndex);
+	const last = Math.min(to, log.lastIndex);
+	const entries: LogEntry[] = [];
+	for (let index = first; index <= last; index++) {
+		entries.push(entryAt(log, index)!);
+	}
+
+	return entries;
+}
+
+function appendToChunks(chunks: readonly Chunk[], entries: readonly LogEntry[]): readonly Chunk[] {
+	const grown = [...chunks];
+	let rest = entries;
+	while (rest.length > 0) {
+		const start = rest[0]!.index;
+		const open = grown.at(-1);
+		const joins = open !== undefined && chunkNumber(open.start) === chunkNumber(start);
+		const room = ((chunkNumber(start) + 1) * chunkSize) - start;
+		const taken = rest.slice(0, room);
+		grown.splice(joins ? -1 : grown.length, 1, joins ? {start: open.start, entries: [...open.entries, ...taken]} : {start, entries: taken});
+		rest = rest.slice(room);
+	}
+
+	return grown;
+}
+
+/** Appends entries that follow the last one without a gap. */
+export function appendEntries(log: Log, entries: readonly LogEntry[]): Log {
+	const changes = entries.flatMap(({index, body}) => body.kind === 'votersChanged' ? [{index, voterSet: body.voterSet}] : []);
+	return {
+		...log,
+		chunks: appendToChunks(log.chunks, entries),
+		lastIndex: log.lastIndex + entries.length,
+		voterSets: changes.length === 0 ? log.voterSets : [...log.voterSets, ...changes],
+	};
+}
+
+/** Drops the entries after an index. */
+export function truncateAfter(log: Log, index: LogIndex): Log {
+	const chunks = log.chunks
+		.filter(chunk => chunk.start <= index)
+		.map(chunk => chunk.start + chunk.entries.length - 1 <= index
+			? chunk
+			: {start: chunk.start, entries: chunk.entries.slice(0, index - chunk.start + 1)});
+	return {
+		...log, chunks, lastIndex: index, voterSets: log.voterSets.filter(change => change.index <= index),
+	};
+}
+
+/** Takes a snapshot of entries that the log holds, and drops whole chunks that are more than `kept` entries before it. */
+export function compact(log: Log, snapshot: Snapshot, kept: number): Log {
+	const chunks = log.chunks.filter(chunk => chunk.start + chunk.entries.length - 1 > snapshot.index - kept);
+	const later = log.voterSets.filter(change => change.index > snapshot.index);
+	return {
+		...log,
+		snapshot,
+		chunks,
+		firstIndex: chunks[0]?.start ?? log.lastIndex + 1,
+		voterSets: [{index: snapshot.index, voterSet: snapshot.voterSet}, ...later],
+	};
+}
+
+/** Puts a snapshot from the leader in place of the log, or of its beginning where the log agrees with it. */
+export function installSnapshot(log: Log, snapshot: Snapshot): Log {
+	return termAt(log, snapshot.index) === snapshot.term ? compact(log, snapshot, 0) : createLog(snapshot);
+}
+
+/** The voter set that holds after the entry at an index. */
+export function voterSetAt(log: Log, index: LogIndex): VoterSet {
+	return (log.voterSets.findLast(change => change.index <= index) ?? log.voterSets[0]!).voterSet;
+}
+
+/** The newest voter set, committed or not: the one that counts. */
+export function latestVoterSet(log: Log): VoterSet {
+	return log.voterSets.at(-1)!.voterSet;
+}
+
+/** The index of the entry that made the newest voter set. */
+export function latestVoterSetIndex(log: Log): LogIndex {
+	return log.voterSets.at(-1)!.index;
+}
--- a/packages/consensus/src/message.ts
+++ b/packages/consensus/src/message.ts
@@ -46,7 +46,14 @@
 export type ConsensusMessage =
 	| {readonly kind: 'preVoteRequested'; readonly term: Term; readonly lastIndex: LogIndex; readonly lastTerm: Term}
 	| {readonly kind: 'preVoteAnswered'; readonly term: Term; readonly granted: boolean}
-	| {readonly kind: 'voteRequested'; readonly term: Term; readonly lastIndex: LogIndex; readonly lastTerm: Term}
+	| {
+		readonly kind: 'voteRequested';
+		readonly term: Term;
+		readonly lastIndex: LogIndex;
+		readonly lastTerm: Term;
+		/** The leader invited the candidate, so voters that still hear the leader answer too. */
+		readonly invited?: true;
+	}
 	| {readonly kind: 'voteAnswered'; readonly term: Term; readonly granted: boolean}
 	| {
 		readonly kind: 'appendRequested';
--- /dev/null
+++ b/packages/consensus/src/replication.ts
@@ -0,0 +1,225 @@
+/**
+ * The leader's side of the log: what it sends to each member, and what it
+ * learns from the answers.
+ */
+import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {applyCommitted} from './commit.js';
+import {
+	ask, change, sendNow, writeEntries, type Draft,
+} from './draft.js';
+import {entriesBetween, latestVoterSet, termAt} from './log.js';
+import {
+	type ConsensusMessage, type EntryBody, type LogEntry, type VoterIdentity,
+} from './message.js';
+import {answeredRound, ownTermCommitted, syncedByMajority} from './quorum.js';
+import {type Leadership, type Progress} from './state.js';
+import {membersOf, sameVoter} from './voter-set.js';
+
+const entriesInMessage = 256;
+const charactersInMessage = 524_288;
+
+type Answer = Extract<ConsensusMessage, {readonly kind: 'appendAnswered'}>;
+
+/** Changes fields of the leadership; nothing on a voter that doesn't lead. */
+export function changeLeadership(draft: Draft, fields: Partial<Leadership>): Draft {
+	const {leadership} = draft.state;
+	return leadership === undefined ? draft : change(draft, {leadership: {...leadership, ...fields}});
+}
+
+/** What the leader assumes about a member before its first answer. */
+export function newProgress(peer: VoterIdentity, lastIndex: LogIndex): Progress {
+	return {
+		peer, next: lastIndex + 1, match: 0, probing: true, answeredRound: 0, snapshotSentAt: undefined,
+	};
+}
+
+function changeProgress(draft: Draft, changed: Progress): Draft {
+	const progress = draft.state.leadership?.progress.map(one => sameVoter(one.peer, changed.peer) ? changed : one);
+	return progress === undefined ? draft : changeLeadership(draft, {progress});
+}
+
+function progressOf(draft: Draft, peer: VoterIdentity): Progress | undefined {
+	return draft.state.leadership?.progress.find(one => sameVoter(one.peer, peer));
+}
+
+function fitting(entries: readonly LogEntry[]): readonly LogEntry[] {
+	let characters = 0;
+	const end = entries.findIndex(({body}) => {
+		characters += body.kind === 'command' ? body.payload.length : 0;
+		return characters > charactersInMessage;
+	});
+	return end === -1 ? entries : entries.slice(0, Math.max(1, end));
+}
+
+function sendSnapshot(draft: Draft, progress: Progress): Draft {
+	const {state, now} = draft;
+	const {snapshot} = state.log;
+	const waits = progress.snapshotSentAt !== undefined && now - progress.snapshotSentAt < state.options.electionMilliseconds;
+	if (snapshot === undefined || waits) {
+		return draft;
+	}
+
+	const marked = changeProgress(draft, {...progress, next: snapshot.index + 1, snapshotSentAt: now});
+	return sendNow(marked, progress.peer, {
+		kind: 'snapshotSent', term: state.hardState.term, snapshot, round: state.leadership!.round,
+	});
+}
+
+function sendEntries(draft: Draft, progress: Progress, entries: readonly LogEntry[]): Draft {
+	const {state} = draft;
+	const previousIndex = progress.next - 1;
+	const moved = changeProgress(draft, {...progress, next: progress.next + entries.length});
+	return sendNow(moved, progress.peer, {
+		kind: 'appendRequested',
+		term: state.hardState.term,
+		previousIndex,
+		previousTerm: termAt(state.log, previousIndex) ?? 0,
+		entries,
+		committed: state.committed,
+		round: state.leadership!.round,
+	});
+}
+
+function holdsFrom(draft: Draft, next: LogIndex): boolean {
+	const {log} = draft.state;
+	return next >= log.firstIndex && termAt(log, next - 1) !== undefined;
+}
+
+/** Sends a member the entries that follow what it has; without any, a heartbeat. */
+export function replicateTo(draft: Draft, peer: VoterIdentity): Draft {
+	const progress = progressOf(draft, peer);
+	if (progress === undefined) {
+		return draft;
+	}
+
+	if (!holdsFrom(draft, progress.next)) {
+		return sendSnapshot(draft, progress);
+	}
+
+	const entries = fitting(entriesBetween(draft.state.log, progress.next, progress.next + entriesInMessage - 1));
+	return sendEntries(draft, progress, entries);
+}
+
+function heartbeatTo(draft: Draft, progress: Progress): Draft {
+	return holdsFrom(draft, progress.next) ? sendEntries(draft, progress, []) : sendSnapshot(draft, progress);
+}
+
+/** Tells every member at once what is new: entries to those that keep up, a heartbeat to the others. */
+export function broadcast(draft: Draft): Draft {
+	const progress = draft.state.leadership?.progress ?? [];
+	return progress.reduce((made, one) => one.probing ? heartbeatTo(made, one) : replicateTo(made, one.peer), draft);
+}
+
+/** Begins a round: a request to every member, whose answers confirm leadership after this moment. */
+export function startRound(draft: Draft): Draft {
+	const {leadership, options} = draft.state;
+	if (leadership === undefined) {
+		return draft;
+	}
+
+	const round = leadership.round + 1;
+	const answered = answeredRound(draft.state, leadership);
+	return broadcast(changeLeadership(draft, {
+		round,
+		rounds: [...leadership.rounds.filter(one => one.round >= answered), {round, sentAt: draft.now}],
+		heartbeatAt: draft.now + options.heartbeatMilliseconds,
+	}));
+}
+
+/** Appends an entry of the leader's own. */
+export function appendOwn(draft: Draft, body: EntryBody): Draft {
+	const {log, hardState} = draft.state;
+	return writeEntries(draft, [{index: log.lastIndex + 1, term: hardState.term, body}]);
+}
+
+/** Brings the list of members that the leader replicates to in line with the newest voter set. */
+export function refreshMembers(draft: Draft): Draft {
+	const {log, options, leadership} = draft.state;
+	const peers = membersOf(latestVoterSet(log)).filter(member => !sameVoter(member, options.self));
+	const progress = peers.map(peer => leadership?.progress.find(one => sameVoter(one.peer, peer)) ?? newProgress(peer, log.lastIndex));
+	return changeLeadership(draft, {progress});
+}
+
+/** Commits what a majority has synced, as soon as it reaches an entry of the current term. */
+export function advanceCommit(draft: Draft): Draft {
+	const {state} = draft;
+	const {leadership} = state;
+	const index = leadership === undefined ? 0 : syncedByMajority(state, leadership);
+	if (leadership === undefined || index <= state.committed || termAt(state.log, index) !== state.hardState.term) {
+		return draft;
+	}
+
+	const proposals = leadership.proposals.filter(proposal => proposal.index > index);
+	return answerReads(broadcast(applyCommitted(changeLeadership(draft, {proposals}), index)));
+}
+
+/** Answers the reads whose round a majority has answered, and begins a round for those that came later. */
+export function answerReads(draft: Draft): Draft {
+	const {state} = draft;
+	const {leadership} = state;
+	if (leadership === undefined || leadership.reads.length === 0 || !ownTermCommitted(state)) {
+		return draft;
+	}
+
+	const answered = answeredRound(state, leadership);
+	const ready = leadership.reads.filter(read => read.round <= answered);
+	const reads = leadership.reads.filter(read => read.round > answered);
+	const effects = ready.map(({request}) => ({kind: 'readReady', request, index: state.committed} as const));
+	const rest = ask(changeLeadership(draft, {reads}), ...effects);
+	return reads.some(read => read.round > leadership.round) && answered === leadership.round ? answerReads(startRound(rest)) : rest;
+}
+
+function noteRound(draft: Draft, peer: VoterIdentity, round: number): Draft {
+	const progress = progressOf(draft, peer);
+	const current = draft.state.leadership?.round ?? 0;
+	if (progress === undefined || round <= progress.answeredRound || round > current) {
+		return draft;
+	}
+
+	return changeProgress(draft, {...progress, answeredRound: round});
+}
+
+function noteAccepted(draft: Draft, progress: Progress, answer: Answer): Draft {
+	const match = Math.max(progress.match, Math.min(answer.index, draft.state.log.lastIndex));
+	const passed = progress.snapshotSentAt !== undefined && match < (draft.state.log.snapshot?.index ?? 0);
+	const noted = changeProgress(draft, {
+		...progress,
+		match,
+		next: Math.max(progress.next, match + 1),
+		probing: false,
+		snapshotSentAt: passed ? progress.snapshotSentAt : undefined,
+	});
+	const lags = Math.max(progress.next, match + 1) <= draft.state.log.lastIndex;
+	return inviteSuccessor(advanceCommit(lags ? replicateTo(noted, progress.peer) : noted));
+}
+
+function noteRejected(draft: Draft, progress: Progress, answer: Answer): Draft {
+	const next = Math.max(progress.match + 1, Math.min(answer.index, draft.state.log.lastIndex + 1));
+	if (progress.probing && next >= progress.next) {
+		return draft;
+	}
+
+	return replicateTo(changeProgress(draft, {...progress, next, probing: true}), progress.peer);
+}
+
+/** Takes in a member's answer. */
+export function receiveAnswer(draft: Draft, from: VoterIdentity, answer: Answer): Draft {
+	const noted = noteRound(draft, from, answer.round);
+	const progress = progressOf(noted, from);
+	if (progress === undefined || answer.term !== draft.state.hardState.term) {
+		return draft;
+	}
+
+	const taken = answer.accepted ? noteAccepted(noted, progress, answer) : noteRejected(noted, progress, answer);
+	return answerReads(taken);
+}
+
+/** Invites the successor of a planned hand-over to start its election, once it has the whole log. */
+export function inviteSuccessor(draft: Draft): Draft {
+	const {leadership, log, hardState} = draft.state;
+	const successor = leadership?.handOver?.successor;
+	const progress = successor === undefined ? undefined : progressOf(draft, successor);
+	return progress?.match === log.lastIndex
+		? sendNow(draft, progress.peer, {kind: 'electionInvited', term: hardState.term})
+		: draft;
+}
--- /dev/null
+++ b/packages/consensus/src/voter.ts
@@ -0,0 +1,102 @@
+/**
+ * One voter of the replicated log, as a state machine: a state and an event
+ * give the next state and what the edge has to do, in this order.
+ */
+import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
+import {
+	beginStep, ask, change, endStep, type Draft,
+} from './draft.js';
+import {
+	countOwnVote, drawElectionPause, receiveElectionVote, receiveInvitation, receivePreVote, receivePreVoteRequest, receiveVoteRequest, adoptTerm, tick,
+} from './election.js';
+import {receiveAppend, receiveSnapshot} from './follower.js';
+import {appendEntries, createLog} from './log.js';
+import {
+	Role, type ConsensusEffect, type ConsensusEvent, type ConsensusOptions, type SavedState,
+} from './machine.js';
+import {type ConsensusMessage, type VoterIdentity} from './message.js';
+import {advanceCommit, receiveAnswer} from './replication.js';
+import {
+	handOver, propose, proposeVoterChange, requestRead, takeSnapshot,
+} from './requests.js';
+import {isSound} from './soundness.js';
+import {type VoterState} from './state.js';
+
+export {
+	committedIndex, leaderOf, roleOf, termOf, voterSetOf, type VoterState,
+} from './state.js';
+export {quorumHeardAt} from './quorum.js';
+export {foundCluster, founderFolder, foundVoterSet} from './founding.js';
+
+/**
+ * The state of a voter that starts with what its disk holds. The edge has to
+ * restore the state machine from the saved snapshot itself; entries are applied
+ * once they are known to be committed.
+ */
+export function createVoter(options: ConsensusOptions, saved: SavedState, now: MonotonicTime): VoterState {
+	const log = appendEntries(createLog(saved.snapshot), saved.entries);
+	return {
+		options,
+		hardState: saved.hardState,
+		log,
+		committed: saved.snapshot?.index ?? 0,
+		role: Role.follower,
+		leader: undefined,
+		leaderHeardAt: now,
+		electionAt: now + drawElectionPause(options, 0),
+		draws: 0,
+		campaign: undefined,
+		leadership: undefined,
+		disk: {
+			nextTicket: 1, writes: [], syncedIndex: log.lastIndex, hardStateTicket: 0, persistedTicket: 0,
+		},
+		snapshotAskedAt: 0,
+	};
+}
+
+const messageHandlers: HandlerTable<ConsensusMessage, [Draft, VoterIdentity], Draft> = {
+	preVoteRequested: (message, draft, from) => receivePreVoteRequest(draft, from, message),
+	preVoteAnswered: (message, draft, from) => receivePreVote(draft, from, message),
+	voteRequested: (message, draft, from) => receiveVoteRequest(draft, from, message),
+	voteAnswered: (message, draft, from) => receiveElectionVote(draft, from, message),
+	appendRequested: (message, draft, from) => receiveAppend(draft, from, message),
+	appendAnswered: (message, draft, from) => message.term > draft.state.hardState.term
+		? adoptTerm(draft, message.term)
+		: receiveAnswer(draft, from, message),
+	electionInvited: (message, draft, from) => receiveInvitation(draft, from, message),
+	snapshotSent: (message, draft, from) => receiveSnapshot(draft, from, message),
+};
+
+/** Takes in that the disk has synced a write: what waited for it is sent, and the voter's own copy counts. */
+function notePersisted(draft: Draft, ticket: number): Draft {
+	const {disk} = draft.state;
+	const synced = disk.writes.filter(write => write.ticket <= ticket);
+	const writes = disk.writes.filter(write => write.ticket > ticket);
+	const reached = Math.min(synced.at(-1)?.last ?? disk.syncedIndex, ...writes.map(write => write.first - 1));
+	const noted = change(draft, {
+		disk: {
+			...disk, writes, syncedIndex: Math.max(disk.syncedIndex, reached), persistedTicket: Math.max(disk.persistedTicket, ticket),
+		},
+	});
+	const released = synced.flatMap(write => write.held.map(envelope => ({kind: 'send', envelope} as const)));
+	return advanceCommit(countOwnVote(ask(noted, ...released)));
+}
+
+const eventHandlers: HandlerTable<ConsensusEvent, [Draft], Draft> = {
+	ticked: (_event, draft) => tick(draft),
+	received: ({envelope}, draft) => isSound(envelope, draft.state.options.self)
+		? dispatch(messageHandlers, envelope.message, draft, envelope.from)
+		: draft,
+	proposed: (event, draft) => propose(draft, event),
+	voterChangeProposed: (event, draft) => proposeVoterChange(draft, event),
+	readRequested: (event, draft) => requestRead(draft, event),
+	persisted: ({ticket}, draft) => notePersisted(draft, ticket),
+	snapshotTaken: (event, draft) => takeSnapshot(draft, event),
+	handOverRequested: (_event, draft) => handOver(draft),
+};
+
+/** Takes one event in. */
+export function stepVoter(state: VoterState, event: ConsensusEvent): Transition<VoterState, ConsensusEffect> {
+	return endStep(dispatch(eventHandlers, event, beginStep(state, event.now)), state);
+}
--- /dev/null
+++ b/packages/storage/src/folder.ts
@@ -0,0 +1,125 @@
+/**
+ * The data folder of one voter: its identity, its log and its snapshot.
+ */
+import {randomUUID} from 'node:crypto';
+import {mkdir} from 'node:fs/promises';
+import path from 'node:path';
+import {founderFolder} from '@dogwooddeck/consensus/founding';
+import {type SavedState} from '@dogwooddeck/consensus/machine';
+import {
+	failure, FailureError, FailureKind, toFailure, type Failure,
+} from '@dogwooddeck/model/failure';
+import {err, ok, type Result} from 'true-myth/result';
+import loadHash, {type XXHashAPI} from 'xxhash-wasm';
+import {
+	damaged, readIfThere, replaceFile, syncFolder,
+} from './files.js';
+import {
+	openLogFile, readLogFile, replaceLogFile, type LogContent,
+} from './log-file.js';
+import {isEmpty, stateOf} from './record.js';
+import {readSnapshot} from './snapshot-file.js';
+import {Storage} from './storage.js';
+
+export {Storage, type PersistRequest} from './storage.js';
+
+/** A data folder that is open. */
+export type OpenFolder = {
+	readonly storage: Storage;
+	readonly saved: SavedState;
+	/** Tells this folder from one that was lost and made anew. */
+	readonly folderIdentity: string;
+	/** Whether the folder holds no state yet. */
+	readonly fresh: boolean;
+};
+
+type FolderPaths = {readonly folder: string; readonly identity: string; readonly log: string; readonly snapshot: string};
+
+function pathsOf(folder: string): FolderPaths {
+	return {
+		folder,
+		identity: path.join(folder, 'identity'),
+		log: path.join(folder, 'log'),
+		snapshot: path.join(folder, 'snapshot'),
+	};
+}
+
+async function makeFolder(folder: string): Promise<void> {
+	await mkdir(folder, {recursive: true});
+	await syncFolder(path.dirname(path.resolve(folder)));
+}
+
+async function readIdentity(file: string): Promise<string | undefined> {
+	const bytes = await readIfThere(file);
+	const text = bytes === undefined ? undefined : new TextDecoder().decode(bytes);
+	if (text !== undefined && !/^dogwooddeck folder 1 [\w\-]+\n$/v.test(text)) {
+		throw damaged(file, 0, 'The file does not hold a folder identity of format 1.');
+	}
+
+	return text?.trim().split(' ').at(-1);
+}
+
+/** The identity comes last: a folder with an identity always has a log. */
+async function makeIdentity(file: string, found: boolean): Promise<string> {
+	const identity = found ? founderFolder : randomUUID();
+	await replaceFile(file, new TextEncoder().encode(`dogwooddeck folder 1 ${identity}\n`));
+	return identity;
+}
+
+type FolderContent = {
+	readonly identity: string | undefined;
+	readonly log: LogContent | undefined;
+	readonly saved: SavedState;
+};
+
+async function readFolder(hash: XXHashAPI, paths: FolderPaths): Promise<FolderContent> {
+	const identity = await readIdentity(paths.identity);
+	const snapshot = await readSnapshot(hash, paths.snapshot);
+	const log = await readLogFile(hash, paths.log);
+	if (log === undefined && (identity !== undefined || snapshot !== undefined)) {
+		throw damaged(paths.log, 0, 'The log is missing.');
+	}
+
+	const saved = stateOf(log?.records ?? [], snapshot);
+	if (saved === undefined) {
+		throw damaged(paths.log, 0, 'Entries are missing between the snapshot and the log.');
+	}
+
+	if (identity === undefined && !isEmpty(saved)) {
+		throw damaged(paths.identity, 0, 'The folder holds a log but its identity is missing.');
+	}
+
+	return {identity, log, saved};
+}
+
+async function open(folder: string, found: boolean): Promise<OpenFolder> {
+	const paths = pathsOf(folder);
+	const hash = await loadHash();
+	await makeFolder(folder);
+	const {identity, log, saved} = await readFolder(hash, paths);
+	const fresh = isEmpty(saved);
+	if (found && fresh && identity !== undefined && identity !== founderFolder) {
+		throw new FailureError(failure(FailureKind.conflict, 'The folder was opened before without founding a cluster; found with an empty folder.'));
+	}
+
+	const file = log === undefined ? await replaceLogFile(hash, paths.log, []) : await openLogFile(paths.log, log);
+	const folderIdentity = identity ?? await makeIdentity(paths.identity, found);
+	const parts = {hash, logPath: paths.log, snapshotPath: paths.snapshot};
+	return {
+		storage: new Storage(parts, file, saved), saved, folderIdentity, fresh,
+	};
+}
+
+/**
+ * Opens a data folder, and makes it where it is missing. With `found` a new
+ * folder gets the identity that founders share; otherwise a random one, which no
+ * voter set holds before an operator adds it.
+ * Fails with `storageDamaged` (file and offset), `storageFailed` or `conflict`.
+ */
+export async function openFolder(folder: string, options: {readonly found?: boolean} = {}): Promise<Result<OpenFolder, Failure>> {
+	try {
+		return ok(await open(folder, options.found ?? false));
+	} catch (error) {
+		return err(toFailure(error, FailureKind.storageFailed));
+	}
+}
--- /dev/null
+++ b/packages/storage/src/log-file.ts
@@ -0,0 +1,78 @@
+/**
+ * The log file: a line that names its format, then one frame for each write.
+ * Each frame is synced before the next is written, so only the last can be torn.
+ */
+import {Buffer} from 'node:buffer';
+import {open, type FileHandle} from 'node:fs/promises';
+import {type XXHashAPI} from 'xxhash-wasm';
+import {encodeFrame, scanFrames} from './frame.js';
+import {
+	damaged, readIfThere, replaceFile, writeFully,
+} from './files.js';
+import {type LogRecord} from './record.js';
+
+const format = new TextEncoder().encode('dogwooddeck log 1\n');
+
+/** A log file that is open for writing. */
+export type LogFile = {
+	readonly handle: FileHandle;
+	readonly endOffset: number;
+};
+
+/** Whether a file begins with the line that names a format. */
+export function hasFormat(bytes: Uint8Array, expected: Uint8Array): boolean {
+	return bytes.length >= expected.length && expected.every((byte, position) => bytes[position] === byte);
+}
+
+/** What a log file holds. */
+export type LogContent = {
+	readonly records: readonly LogRecord[];
+	/** Where the whole records end. What stands after it is a torn tail. */
+	readonly endOffset: number;
+};
+
+/** Reads the records of the log file; undefined where there is no file. */
+export async function readLogFile(hash: XXHashAPI, file: string): Promise<LogContent | undefined> {
+	const bytes = await readIfThere(file);
+	if (bytes === undefined) {
+		return undefined;
+	}
+
+	if (!hasFormat(bytes, format)) {
+		throw damaged(file, 0, 'The file does not begin as a log of format 1.');
+	}
+
+	const scan = scanFrames(hash, bytes, format.length);
+	if (scan.wholeFrameFollows) {
+		throw damaged(file, scan.endOffset, 'A record in the middle of the log is damaged.');
+	}
+
+	return {records: scan.payloads.map(payload => JSON.parse(payload) as LogRecord), endOffset: scan.endOffset};
+}
+
+/** Opens a log file that was read, and cuts a torn tail off. */
+export async function openLogFile(file: string, {endOffset}: LogContent): Promise<LogFile> {
+	const handle = await open(file, 'r+');
+	const {size} = await handle.stat();
+	if (endOffset < size) {
+		await handle.truncate(endOffset);
+		await handle.sync();
+	}
+
+	return {handle, endOffset};
+}
+
+/** Puts a new log file in place of any other. */
+export async function replaceLogFile(hash: XXHashAPI, file: string, records: readonly LogRecord[]): Promise<LogFile> {
+	const bytes = Buffer.concat([format, ...records.map(record => encodeFrame(hash, JSON.stringify(record)))]);
+	await replaceFile(file, bytes);
+	return {handle: await open(file, 'r+'), endOffset: bytes.length};
+}
+
+/** Appends one frame and syncs it. */
+export async function appendRecord(hash: XXHashAPI, log: LogFile, record: LogRecord): Promise<LogFile> {
+	const frame = encodeFrame(hash, JSON.stringify(record));
+	await writeFully(log.handle, frame, log.endOffset);
+	await log.handle.datasync();
+	return {...log, endOffset: log.endOffset + frame.length};
+}
