--- a/packages/control-tool/test/test-check.ts
+++ b/packages/control-tool/test/test-check.ts
@@ -1,23 +1,9 @@
 import assert from 'node:assert/strict';
-import {execFile} from 'node:child_process';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import process from 'node:process';
 import {test} from 'node:test';
-
-const root = path.resolve(import.meta.dirname, '../../../..');
-const binary = path.join(root, 'packages/control-tool/bin/dogwooddeckctl.js');
-
-type Ended = {readonly code: number; readonly stdout: string; readonly stderr: string};
-
-async function run(parameters: readonly string[]): Promise<Ended> {
-	return new Promise(resolve => {
-		execFile(process.execPath, [binary, ...parameters], {cwd: root}, (error, stdout, stderr) => {
-			resolve({code: typeof error?.code === 'number' ? error.code : 0, stdout, stderr});
-		});
-	});
-}
+import {runTool} from './run-tool.js';
 
 const service = 'prefix = "/schedule"\nkey = {place = "path", segment = 0}\n';
 const team = 'team = "bermrand"\n';
@@ -80,7 +66,7 @@
 	test(`check: ${name}`, async () => {
 		const folder = await mkdtemp(path.join(tmpdir(), 'dogwooddeck-'));
 		await Promise.all(Object.entries(files).map(async ([file, text]) => writeFile(path.join(folder, file), text)));
-		const ended = await run(['check', folder]);
+		const ended = await runTool(['check', folder]);
 		await rm(folder, {recursive: true});
 		assert.deepEqual(ended.stderr.replaceAll(folder, 'FOLDER').trimEnd().split('\n'), lines);
 		assert.equal(ended.code, code);
@@ -90,7 +76,7 @@
 
 for (const example of ['bermrand', 'valbrembo']) {
 	test(`check: the example ${example} is accepted`, async () => {
-		const ended = await run(['check', `examples/${example}`, '--format', 'json']);
+		const ended = await runTool(['check', `examples/${example}`, '--format', 'json']);
 		assert.equal(ended.stderr, '');
 		assert.equal(ended.code, 0);
 		const read = JSON.parse(ended.stdout) as {readonly team: string; readonly services: readonly unknown[]};
