--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -12,7 +12,9 @@
 import {
 	type ClaimAnswer, type ClaimDecision, type ClaimEnded, type ClaimRequest, operationText,
 } from '@dogwooddeck/routing/claim';
-import {createHolder, type HolderEffect, type HolderEvent, stepHolder} from '@dogwooddeck/routing/claim-holder';
+import {
+	createHolder, type HolderEffect, type HolderEvent, stepHolder,
+} from '@dogwooddeck/routing/claim-holder';
 import {claimHolders} from '@dogwooddeck/routing/claim-holders';
 import {
 	beginClaim, type ClaimantEffect, type ClaimantEvent, type ClaimantState, ClaimPhase, stepClaimant,
@@ -56,7 +58,9 @@
 		const message = JSON.parse(body) as Message;
 		const known = message.kind === 'claim-request' || message.kind === 'claim-ended';
 		return known && typeof message.operation?.operationKey === 'string' && typeof message.holder?.name === 'string'
-			&& typeof message.token?.sequence === 'number' ? message : undefined;
+			&& typeof message.token?.sequence === 'number'
+			? message
+			: undefined;
 	} catch {
 		return undefined;
 	}
--- a/packages/daemon/src/control-holder.ts
+++ b/packages/daemon/src/control-holder.ts
@@ -4,7 +4,9 @@
  * never goes backwards.
  */
 import {applyEntry} from '@dogwooddeck/control/apply';
-import {type ControlAccepted, type ControlState, decodeControl, emptyControl, encodeControl} from '@dogwooddeck/control/state';
+import {
+	type ControlAccepted, type ControlState, decodeControl, emptyControl, encodeControl,
+} from '@dogwooddeck/control/state';
 import {type Failure} from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {type CatchUp} from '@dogwooddeck/wire/methods';
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -20,7 +20,9 @@
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {type PeerClients} from '@dogwooddeck/wire/client';
-import {type CatchUp, type PeerCall, type PeerCalls, type WithCatchUp} from '@dogwooddeck/wire/methods';
+import {
+	type CatchUp, type PeerCall, type PeerCalls, type WithCatchUp,
+} from '@dogwooddeck/wire/methods';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ControlHolder} from './control-holder.js';
 import {type InstanceSettings} from './settings.js';
@@ -169,7 +171,7 @@
 
 	async function takeProposal(payload: string): Promise<Result<PeerCalls['propose']['answer'], Failure>> {
 		const voter = surroundings.voter();
-		if (voter === undefined || !voter.isLeader()) {
+		if (!voter?.isLeader()) {
 			return err(notLeader());
 		}
 
@@ -180,7 +182,7 @@
 
 	async function takeVoter(joining: VoterIdentity): Promise<Result<undefined, Failure>> {
 		const voter = surroundings.voter();
-		if (voter === undefined || !voter.isLeader()) {
+		if (!voter?.isLeader()) {
 			return err(notLeader());
 		}
 
@@ -216,7 +218,7 @@
 			return local[call](request);
 		}
 
-		return clients.call(addresses.get(name)!, call as PeerCall, request, timeouts[call]) as Promise<Result<PeerCalls[Call]['answer'], Failure>>;
+		return clients.call(addresses.get(name)!, call, request, timeouts[call]) as Promise<Result<PeerCalls[Call]['answer'], Failure>>;
 	}
 
 	const passedOn: ReadonlySet<FailureKind> = new Set([FailureKind.notLeader, FailureKind.unreachable, FailureKind.notReady]);
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -3,7 +3,6 @@
  */
 import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {type ConsensusEnvelope} from '@dogwooddeck/consensus/message';
-import {createCallerHandler} from './caller-handler.js';
 import {startCallerServer} from '@dogwooddeck/front/caller-server';
 import {startOperatorServer} from '@dogwooddeck/front/operator-server';
 import {type FrontServer, type Readiness} from '@dogwooddeck/front/surface';
@@ -23,6 +22,7 @@
 import {createPeerClients} from '@dogwooddeck/wire/client';
 import {type PeerServer, startPeerServer} from '@dogwooddeck/wire/server';
 import {ok, type Result} from 'true-myth/result';
+import {createCallerHandler} from './caller-handler.js';
 import {createAnnouncements} from './announcements.js';
 import {startClaims} from './claim-runner.js';
 import {createControlHolder} from './control-holder.js';
--- a/packages/daemon/src/report-collector.ts
+++ b/packages/daemon/src/report-collector.ts
@@ -57,7 +57,7 @@
 ): ReportCollector {
 	const services = new Map<ServiceName, Counts>();
 	const announcements = new Map<string, Announcement>();
-	let evidence: Report['evidence'][number][] = [];
+	let evidence: Array<Report['evidence'][number]> = [];
 	const demands = new Map<string, LimitDemand>();
 
 	function countsOf(service: ServiceName): Counts {
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -29,7 +29,9 @@
 import {
 	createTargetIndex, matchService, readKey, type RequestHead, routeOf, type ServiceTarget, type TargetIndex,
 } from '@dogwooddeck/routing/target';
-import {type OpenedRequest, type RequestOwner, type RequestPath, type RequestReport} from '@dogwooddeck/upstream-client/request-path';
+import {
+	type OpenedRequest, type RequestOwner, type RequestPath, type RequestReport,
+} from '@dogwooddeck/upstream-client/request-path';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClaimRunner} from './claim-runner.js';
 import {type ControlHolder} from './control-holder.js';
--- a/packages/daemon/src/voter-runner.ts
+++ b/packages/daemon/src/voter-runner.ts
@@ -76,7 +76,7 @@
 	const reads: Array<{readonly index: LogIndex; readonly settle: Settle}> = [];
 
 	function settleReads(): void {
-		const applied = holder.state().applied;
+		const {applied} = holder.state();
 		const ready = reads.filter(({index}) => index <= applied);
 		for (const read of ready) {
 			reads.splice(reads.indexOf(read), 1);
