--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -1,6 +1,7 @@
 /**
  * One instance: all parts put together, started and stopped in order.
  */
+import process from 'node:process';
 import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {type ConsensusEnvelope} from '@dogwooddeck/consensus/message';
 import {startCallerServer} from '@dogwooddeck/front/caller-server';
--- a/packages/daemon/src/peer-service.ts
+++ b/packages/daemon/src/peer-service.ts
@@ -1,10 +1,9 @@
 /**
  * What an instance does with the calls of other instances.
  */
-import {ok} from 'true-myth/result';
 import {type PeerHandlers} from '@dogwooddeck/wire/server';
 import {failure, FailureKind} from '@dogwooddeck/model/failure';
-import {err} from 'true-myth/result';
+import {err, ok} from 'true-myth/result';
 import {type ClaimRunner} from './claim-runner.js';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
--- a/packages/daemon/src/voter-runner.ts
+++ b/packages/daemon/src/voter-runner.ts
@@ -109,9 +109,14 @@
 		step({kind: 'persisted', now: monotonicNow(), ticket: effect.ticket});
 	}
 
+	async function writeAfter(earlier: Promise<void>, later: Promise<void>): Promise<void> {
+		await earlier;
+		await later;
+	}
+
 	const effects: HandlerTable<ConsensusEffect, [], void> = {
 		persist(effect) {
-			writing = Promise.all([writing, write(effect)]).then(() => undefined);
+			writing = writeAfter(writing, write(effect));
 		},
 		send({envelope}) {
 			surroundings.send(envelope);
