Judge upstreams only on reports that had the chance to name them

Cause: the seeded schedules of test-watch.ts (seed 5) found an upstream judged after 500 ms of real silence: its zone's reports had a gap of just under the timeout, and the gap was counted as silence. Change: a zone must have sent two reports without the upstream; a later life that announces itself ends the earlier one at once; tables of scenes and three properties for the watch. Seen to fail: verdicts in unreachable zones (seed 5, 'n-1/u0 judged at 2550'), no overload guard, no storm confirmation ('judged at 2800'), no holding back, phases that go back, and the missing second report (seed 5, 'n-1/u0 judged at 5050').

--- a/packages/membership/src/watch.ts
+++ b/packages/membership/src/watch.ts
@@ -26,6 +26,8 @@
 export const announcementTimeoutMilliseconds: Milliseconds = 1000;
 /** A zone that sends no report for this long can't be reached: what isn't heard of its upstreams says nothing. */
 export const zoneTimeoutMilliseconds: Milliseconds = 1000;
+/** A zone must have sent this many reports without an upstream before its silence counts. */
+export const silentReportsForVerdict = 2;
 /** When a large part of a service's upstreams in a zone goes silent at once, the verdict waits for this much more silence. */
 export const stormConfirmationMilliseconds: Milliseconds = 500;
 /** Silence of more than this share of a service's upstreams in a zone looks like a cut, not like deaths. */
@@ -42,6 +44,8 @@
 	/** The latest announcement. */
 	readonly announcement?: Announcement;
 	readonly heardAt: MonotonicTime;
+	/** The number of reports of the upstream's zone when it was heard. */
+	readonly heardInReport: number;
 	/** When the incarnation was first heard by this leader. Absent: it was in the registry before. */
 	readonly joinedAt?: MonotonicTime;
 	/** When the record was first seen as lost. */
@@ -56,6 +60,8 @@
 	readonly reportedAt: MonotonicTime;
 	/** The start of the present run of reports without a long gap. */
 	readonly reachableSince: MonotonicTime;
+	/** The number of reports that this leader had from the zone. */
+	readonly reports: number;
 };
 
 /** The leader's view. */
@@ -100,7 +106,9 @@
 }
 
 function watchOf(state: WatchState, service: ServiceName, name: string): UpstreamWatch {
-	return state.upstreams[upstreamKey(service, name)] ?? {heardAt: state.startedAt, witnesses: {}, flaps: {lives: []}};
+	return state.upstreams[upstreamKey(service, name)] ?? {
+		heardAt: state.startedAt, heardInReport: 0, witnesses: {}, flaps: {lives: []},
+	};
 }
 
 /** When this leader first heard the incarnation. Absent: before this leader's time. */
@@ -122,33 +130,37 @@
 	return flappingUpstreams(histories, now);
 }
 
-function hearAnnouncement(watch: UpstreamWatch, announcement: Announcement, now: MonotonicTime): UpstreamWatch {
+function hearAnnouncement(watch: UpstreamWatch, announcement: Announcement, heardInReport: number, now: MonotonicTime): UpstreamWatch {
 	const known = watch.announcement;
 	if (known !== undefined && known.incarnation > announcement.incarnation) {
 		return watch;
 	}
 
 	if (known?.incarnation === announcement.incarnation) {
-		return {...watch, announcement, heardAt: now};
+		return {
+			...watch, announcement, heardAt: now, heardInReport,
+		};
 	}
 
 	const {lostAt: _lostAt, proposedAt: _proposedAt, ...kept} = watch;
 	return {
-		...kept, announcement, heardAt: now, joinedAt: now, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
+		...kept, announcement, heardAt: now, heardInReport, joinedAt: now, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
 	};
 }
 
 function hearZone(zone: ZoneWatch | undefined, now: MonotonicTime): ZoneWatch {
 	const isContinuous = zone !== undefined && now - zone.reportedAt <= zoneTimeoutMilliseconds;
-	return {reportedAt: now, reachableSince: isContinuous ? zone.reachableSince : now};
+	return {reportedAt: now, reachableSince: isContinuous ? zone.reachableSince : now, reports: (zone?.reports ?? 0) + 1};
 }
 
 function receive(event: Extract<WatchEvent, {readonly kind: 'reportReceived'}>, state: WatchState): Transition<WatchState, WatchEffect> {
 	const {now, report, reporter} = event;
+	const zones = {...state.zones, [reporter.zone]: hearZone(state.zones[reporter.zone], now)};
 	const upstreams: Record<string, UpstreamWatch> = {...state.upstreams};
 	for (const announcement of report.announcements) {
-		const key = upstreamKey(announcement.service, announcement.name);
-		upstreams[key] = hearAnnouncement(watchOf({...state, upstreams}, announcement.service, announcement.name), announcement, now);
+		const {service, name, zone} = announcement;
+		const watch = watchOf({...state, upstreams}, service, name);
+		upstreams[upstreamKey(service, name)] = hearAnnouncement(watch, announcement, zones[zone]?.reports ?? 0, now);
 	}
 
 	for (const evidence of report.evidence) {
@@ -157,7 +169,6 @@
 		upstreams[upstreamKey(service, name)] = {...watch, witnesses: noteEvidence(watch.witnesses, evidence, reporter.zone, now)};
 	}
 
-	const zones = {...state.zones, [reporter.zone]: hearZone(state.zones[reporter.zone], now)};
 	return {state: {...state, zones, upstreams}, effects: []};
 }
 
@@ -174,6 +185,20 @@
 	return tick.now - Math.max(heardAt, reachableSince);
 }
 
+/** Whether the upstream's zone had its chance to tell of it. A zone out of reach is judged by the contract. */
+function isMissedByZone(state: WatchState, tick: Tick, record: UpstreamRecord): boolean {
+	const isWatched = (tick.rosterSizes[record.zone] ?? 0) > 0;
+	const reports = state.zones[record.zone]?.reports ?? 0;
+	const {heardInReport} = watchOf(state, record.service, record.name);
+	return !isWatched || !isZoneReachable(state, tick, record.zone) || reports - heardInReport >= silentReportsForVerdict;
+}
+
+/** A later life that announces itself ends the earlier, also while it is held back itself. */
+function isOver(state: WatchState, record: UpstreamRecord): boolean {
+	const {announcement} = watchOf(state, record.service, record.name);
+	return announcement !== undefined && announcement.incarnation > record.incarnation;
+}
+
 type ZoneView = {
 	readonly isReachable: boolean;
 	readonly isStorm: boolean;
@@ -212,7 +237,9 @@
 	const zones = new Map([...new Set(records.map(record => record.zone))].map(zone => [zone, viewZone(state, tick, records, zone)]));
 	return records
 		.filter(record => record.phase !== UpstreamPhase.lost)
-		.filter(record => condemned.has(record) || silenceSaysLost(silenceOf(state, tick, record), contract, zones.get(record.zone)!))
+		.filter(record => condemned.has(record)
+			|| isOver(state, record)
+			|| (isMissedByZone(state, tick, record) && silenceSaysLost(silenceOf(state, tick, record), contract, zones.get(record.zone)!)))
 		.map(record => ({kind: 'upstreamPhaseChanged', upstream: identityOf(record), phase: UpstreamPhase.lost}));
 }
 
--- /dev/null
+++ b/packages/membership/test/test-watch.ts
@@ -0,0 +1,315 @@
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {test} from 'node:test';
+import {defaultContract, type ServiceContract, WhenCut} from '@dogwooddeck/model/contract';
+import {emptyReport, type Report} from '@dogwooddeck/model/lease';
+import {type Announcement, UpstreamPhase} from '@dogwooddeck/model/registry';
+import fc from 'fast-check';
+import {
+	applyMembership, emptyMembership, type MembershipState, upstreamsOf,
+} from '@dogwooddeck/membership/registry';
+import {
+	advanceWatch, createWatch, flappingCount, joinedAt, type WatchEffect, type WatchEvent,
+} from '@dogwooddeck/membership/watch';
+
+const service = 'bermrand/schedule';
+const reportMilliseconds = 250;
+const tickMilliseconds = 50;
+const seed = Number(process.env.SEED ?? 5);
+
+/** What stands for a zone's instances and a service's upstreams: each field says what goes wrong, and from when. */
+type Scene = {
+	readonly whenCut?: WhenCut;
+	/** Upstreams in each of the zones `n-1` and `n-2`. */
+	readonly upstreams?: number;
+	readonly rosterSize?: number;
+	/** From when an upstream no longer announces itself, by its name. */
+	readonly silentFrom?: Readonly<Record<string, number>>;
+	readonly leavingFrom?: Readonly<Record<string, number>>;
+	/** When an upstream begins its next life, by its name. */
+	readonly restartsAt?: Readonly<Record<string, readonly number[]>>;
+	/** From when these instances of zone `n-1` fail at an upstream, by the upstream's name. */
+	readonly failingFrom?: Readonly<Record<string, {readonly at: number; readonly instances: readonly string[]}>>;
+	/** The time in which no report of a zone comes through, by the zone. */
+	readonly cut?: Readonly<Record<string, readonly [from: number, until: number]>>;
+	/** When another leader begins with an empty view. */
+	readonly newLeaderAt?: number;
+	readonly untilMilliseconds: number;
+};
+
+type Run = {
+	readonly registry: MembershipState;
+	readonly log: ReadonlyArray<{readonly at: number; readonly name: string; readonly change: string}>;
+	readonly flapping: number;
+};
+
+const instances = ['i1', 'i2', 'i3'];
+
+function contractOf(scene: Scene): ServiceContract {
+	return {
+		...defaultContract, name: service, prefix: '/schedule', key: {place: 'path', segment: 0}, whenCut: scene.whenCut ?? WhenCut.hold,
+	};
+}
+
+function namesIn(scene: Scene, zone: string): readonly string[] {
+	return Array.from({length: scene.upstreams ?? 4}, (_, number) => `${zone}/u${number}`);
+}
+
+function announcementsOf(scene: Scene, zone: string, now: number): readonly Announcement[] {
+	return namesIn(scene, zone)
+		.filter(name => now < (scene.silentFrom?.[name] ?? Number.POSITIVE_INFINITY))
+		.map(name => ({
+			service,
+			name,
+			incarnation: 1 + (scene.restartsAt?.[name] ?? []).filter(at => at <= now).length,
+			region: 'noord',
+			zone,
+			address: '127.0.0.1:1',
+			leaving: now >= (scene.leavingFrom?.[name] ?? Number.POSITIVE_INFINITY),
+			load: 0,
+		}));
+}
+
+function evidenceOf(scene: Scene, zone: string, now: number): Report['evidence'] {
+	return Object.entries(scene.failingFrom ?? {})
+		.filter(([name]) => name.startsWith(zone))
+		.flatMap(([name, {at, instances: failing}]) => instances.slice(0, scene.rosterSize ?? 3).map(instance => {
+			const isFailing = now >= at && failing.includes(instance);
+			return {
+				upstream: {service, name, incarnation: 1},
+				answered: isFailing ? 0 : 5,
+				failed: isFailing ? 2 : 0,
+				timedOut: 0,
+				shed: 0,
+				inFlight: 1,
+				meanLatencyMilliseconds: 5,
+				seenBy: {name: instance, incarnation: 1},
+			};
+		}));
+}
+
+function isCut(scene: Scene, zone: string, now: number): boolean {
+	const [from, until] = scene.cut?.[zone] ?? [Number.POSITIVE_INFINITY, 0];
+	return now >= from && now < until;
+}
+
+function play(scene: Scene): Run {
+	let watch = createWatch(0);
+	let registry = emptyMembership;
+	let index = 0;
+	const log: Array<{at: number; name: string; change: string}> = [];
+	const carryOut = (effect: WatchEffect, at: number) => {
+		const {command} = effect;
+		const name = command.kind === 'upstreamJoined' ? command.record.name : command.upstream.name;
+		log.push({at, name, change: command.kind === 'upstreamPhaseChanged' ? command.phase : command.kind});
+		registry = applyMembership(registry, command, ++index).unwrapOr(registry);
+	};
+
+	const feed = (event: WatchEvent) => {
+		const {state, effects} = advanceWatch(watch, event);
+		watch = state;
+		for (const effect of effects) {
+			carryOut(effect, event.now);
+		}
+	};
+
+	const rosterSizes = {'n-1': scene.rosterSize ?? 3, 'n-2': scene.rosterSize ?? 3};
+	for (let now = 0; now <= scene.untilMilliseconds; now += tickMilliseconds) {
+		if (now === scene.newLeaderAt) {
+			watch = createWatch(now);
+		}
+
+		for (const zone of ['n-1', 'n-2'].filter(zone => now % reportMilliseconds === 0 && !isCut(scene, zone, now))) {
+			const report = {...emptyReport, announcements: announcementsOf(scene, zone, now), evidence: evidenceOf(scene, zone, now)};
+			feed({
+				kind: 'reportReceived', now, report, reporter: {zone, instance: 'i1'},
+			});
+		}
+
+		feed({
+			kind: 'ticked', now, registry, contracts: [contractOf(scene)], rosterSizes,
+		});
+	}
+
+	return {registry, log, flapping: flappingCount(watch, service, scene.untilMilliseconds)};
+}
+
+function lostNames(run: Run): readonly string[] {
+	return upstreamsOf(run.registry, service).filter(record => record.phase === UpstreamPhase.lost).map(record => record.name);
+}
+
+const allOfZone = (at: number): Readonly<Record<string, number>> => Object.fromEntries(namesIn({untilMilliseconds: 0}, 'n-1').map(name => [name, at]));
+
+const lossCases: ReadonlyArray<{readonly name: string; readonly scene: Scene; readonly lost: readonly string[]; readonly within?: readonly [from: number, until: number]}> = [
+	{name: 'nothing goes wrong', scene: {untilMilliseconds: 5000}, lost: []},
+	{
+		name: 'one goes silent',
+		scene: {silentFrom: {'n-1/u1': 2000}, untilMilliseconds: 5000},
+		lost: ['n-1/u1'],
+		within: [2750, 3100],
+	},
+	{name: 'silence shorter than the timeout', scene: {silentFrom: {'n-1/u1': 2000}, untilMilliseconds: 2700}, lost: []},
+	{
+		name: 'one announces itself but nobody gets an answer',
+		scene: {failingFrom: {'n-1/u1': {at: 2000, instances}}, untilMilliseconds: 4000},
+		lost: ['n-1/u1'],
+		within: [2250, 2600],
+	},
+	{name: 'one instance fails, two get answers', scene: {failingFrom: {'n-1/u1': {at: 2000, instances: ['i1']}}, untilMilliseconds: 9000}, lost: []},
+	{
+		name: 'two instances of three fail',
+		scene: {failingFrom: {'n-1/u1': {at: 2000, instances: ['i1', 'i2']}}, untilMilliseconds: 4000},
+		lost: ['n-1/u1'],
+	},
+	{
+		name: 'the only instance of a zone fails',
+		scene: {rosterSize: 1, failingFrom: {'n-1/u1': {at: 2000, instances: ['i1']}}, untilMilliseconds: 4000},
+		lost: ['n-1/u1'],
+	},
+	{
+		name: 'evidence against most upstreams at once looks like overload',
+		scene: {failingFrom: Object.fromEntries(namesIn({untilMilliseconds: 0}, 'n-1').map(name => [name, {at: 2000, instances}])), untilMilliseconds: 9000},
+		lost: [],
+	},
+	{name: 'a zone is cut off, and its service holds', scene: {cut: {'n-1': [2000, 60_000]}, untilMilliseconds: 20_000}, lost: []},
+	{
+		name: 'a zone is cut off, and its service is taken over',
+		scene: {whenCut: WhenCut.takeOver, cut: {'n-1': [2000, 60_000]}, untilMilliseconds: 20_000},
+		lost: namesIn({untilMilliseconds: 0}, 'n-1'),
+		within: [3250, 3400],
+	},
+	{
+		name: 'most of a reachable zone goes silent: judged later than one alone',
+		scene: {silentFrom: allOfZone(2000), untilMilliseconds: 9000},
+		lost: namesIn({untilMilliseconds: 0}, 'n-1'),
+		within: [3250, 3400],
+	},
+	{name: 'a cut heals: everybody has a full grace period', scene: {cut: {'n-1': [2000, 9000]}, untilMilliseconds: 20_000}, lost: []},
+	{
+		name: 'one died during a cut',
+		scene: {cut: {'n-1': [2000, 9000]}, silentFrom: {'n-1/u1': 4000}, untilMilliseconds: 20_000},
+		lost: ['n-1/u1'],
+		within: [10_000, 10_100],
+	},
+	{
+		name: 'a new leader gives a full grace period',
+		scene: {silentFrom: {'n-1/u1': 2000}, newLeaderAt: 2500, untilMilliseconds: 6000},
+		lost: ['n-1/u1'],
+		within: [3500, 3600],
+	},
+];
+
+for (const {name, scene, lost, within} of lossCases) {
+	test(`loss: ${name}`, () => {
+		const run = play(scene);
+		assert.deepEqual(lostNames(run), lost);
+		for (const entry of run.log.filter(({change}) => within !== undefined && change === UpstreamPhase.lost)) {
+			assert.ok(entry.at >= within![0] && entry.at <= within![1], `judged at ${entry.at}`);
+		}
+	});
+}
+
+const lifeCases: ReadonlyArray<{readonly name: string; readonly scene: Scene; readonly expected: ReadonlyArray<readonly [at: number, change: string]>; readonly flapping: number}> = [
+	{
+		name: 'joins when first heard', scene: {untilMilliseconds: 2000}, expected: [[0, 'upstreamJoined']], flapping: 0,
+	},
+	{
+		name: 'leaves when it says so',
+		scene: {leavingFrom: {'n-1/u1': 2000}, untilMilliseconds: 3000},
+		expected: [[0, 'upstreamJoined'], [2000, UpstreamPhase.leaving]],
+		flapping: 0,
+	},
+	{
+		name: 'one that leaves and goes silent is lost',
+		scene: {leavingFrom: {'n-1/u1': 2000}, silentFrom: {'n-1/u1': 2100}, untilMilliseconds: 4000},
+		expected: [[0, 'upstreamJoined'], [2000, UpstreamPhase.leaving], [3050, UpstreamPhase.lost]],
+		flapping: 0,
+	},
+	{
+		name: 'a restart joins at once',
+		scene: {restartsAt: {'n-1/u1': [2000]}, untilMilliseconds: 5000},
+		expected: [[0, 'upstreamJoined'], [2000, UpstreamPhase.lost], [2000, 'upstreamJoined']],
+		flapping: 0,
+	},
+	{
+		name: 'the third life is held back for 5 s, the fourth for 10 s',
+		scene: {restartsAt: {'n-1/u1': [10_000, 20_000, 30_000]}, untilMilliseconds: 45_000},
+		expected: [
+			[0, 'upstreamJoined'],
+			[10_000, UpstreamPhase.lost],
+			[10_000, 'upstreamJoined'],
+			[20_000, UpstreamPhase.lost],
+			[25_000, 'upstreamJoined'],
+			[30_000, UpstreamPhase.lost],
+			[40_000, 'upstreamJoined'],
+		],
+		flapping: 1,
+	},
+];
+
+for (const {name, scene, expected, flapping} of lifeCases) {
+	test(`life: ${name}`, () => {
+		const run = play(scene);
+		assert.deepEqual(run.log.filter(entry => entry.name === 'n-1/u1').map(({at, change}) => [at, change]), expected);
+		assert.equal(run.flapping, flapping);
+	});
+}
+
+test('the time of joining is known for lives that began under this leader', () => {
+	const [announcement] = announcementsOf({untilMilliseconds: 0}, 'n-1', 0);
+	const {state} = advanceWatch(createWatch(0), {
+		kind: 'reportReceived', now: 70, report: {...emptyReport, announcements: [announcement!]}, reporter: {zone: 'n-1', instance: 'i1'},
+	});
+	assert.equal(joinedAt(state, {service, name: 'n-1/u0', incarnation: 1}), 70);
+	assert.equal(joinedAt(state, {service, name: 'n-1/u0', incarnation: 2}), undefined);
+});
+
+const randomScene: fc.Arbitrary<Scene> = fc.record({
+	whenCut: fc.constantFrom(WhenCut.hold, WhenCut.takeOver),
+	upstreams: fc.integer({min: 2, max: 6}),
+	silentFrom: fc.dictionary(fc.constantFrom('n-1/u0', 'n-1/u1', 'n-2/u0'), fc.integer({min: 500, max: 8000})),
+	failingFrom: fc.dictionary(fc.constantFrom('n-1/u1', 'n-2/u1'), fc.record({
+		at: fc.integer({min: 500, max: 8000}), instances: fc.subarray(instances),
+	})),
+	cut: fc.dictionary(fc.constantFrom('n-1', 'n-2'), fc.tuple(fc.integer({min: 1000, max: 5000}), fc.integer({min: 5000, max: 20_000}))),
+	newLeaderAt: fc.integer({min: 20, max: 100}).map(ticks => ticks * tickMilliseconds),
+	untilMilliseconds: fc.constant(12_000),
+});
+
+function isExplained(scene: Scene, name: string, at: number): boolean {
+	const zone = name.slice(0, 3);
+	const failing = scene.failingFrom?.[name];
+	const isSilent = at - (scene.silentFrom?.[name] ?? Number.POSITIVE_INFINITY) > 500;
+	const isFailing = failing !== undefined && at >= failing.at && failing.instances.length >= 2;
+	// Until the first report after the cut, the zone is still unheard of.
+	const isUnheard = isCut(scene, zone, at) || isCut(scene, zone, at - reportMilliseconds);
+	return isSilent || isFailing || (scene.whenCut === WhenCut.takeOver && isUnheard);
+}
+
+test(`no verdict without silence, agreed evidence, or a cut of a service that is taken over (seed ${seed})`, () => {
+	fc.assert(fc.property(randomScene, scene => {
+		for (const {at, name} of play(scene).log.filter(({change}) => change === UpstreamPhase.lost)) {
+			assert.ok(isExplained(scene, name, at), `${name} judged at ${at}`);
+		}
+	}), {seed, numRuns: 100});
+});
+
+test(`a verdict never comes from a zone that is out of reach while its service holds (seed ${seed})`, () => {
+	fc.assert(fc.property(randomScene, scene => {
+		const run = play({...scene, whenCut: WhenCut.hold, failingFrom: {}});
+		for (const {at, name} of run.log.filter(({change}) => change === UpstreamPhase.lost)) {
+			const from = scene.cut?.[name.slice(0, 3)]?.[0] ?? Number.POSITIVE_INFINITY;
+			assert.ok(!isCut(scene, name.slice(0, 3), at) || at <= from + 1000, `${name} judged at ${at}`);
+		}
+	}), {seed, numRuns: 100});
+});
+
+test(`everyone who stays silent within reach is judged within 3 s (seed ${seed})`, () => {
+	fc.assert(fc.property(randomScene, scene => {
+		const run = play({...scene, cut: {}, newLeaderAt: -1});
+		const lost = lostNames(run);
+		for (const [name, from] of Object.entries(scene.silentFrom ?? {})) {
+			assert.ok(lost.includes(name) || from > 9000, `${name} silent from ${from}`);
+		}
+	}), {seed, numRuns: 100});
+});
