Divide a new service's keys over the upstreams that come together

Cause: the first upstream that joined got all 256 slots, since a grant was proposed at the first tick that knew an upstream; the others would have got theirs by the budget of moves only. Ruled out: the announcements (all four upstreams stood in the registry as serving). Change: a service without any owner waits for 1500 ms from its first upstream's joining. Before: granted viewer-noord-b 256.

--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -8,7 +8,7 @@
 import {type Assignment, AssignmentPhase, type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {type ServiceContract} from '@dogwooddeck/model/contract';
 import {
-	type MonotonicTime, sameUpstream, type ServiceName, type Slot, type UpstreamIdentity, type ZoneName,
+	type Milliseconds, type MonotonicTime, sameUpstream, type ServiceName, type Slot, type UpstreamIdentity, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
 import {identityOf, UpstreamPhase} from '@dogwooddeck/model/registry';
 import {clear, zoneOf} from '@dogwooddeck/ownership/grantor';
@@ -124,9 +124,22 @@
 	return added.length === 0 ? state : {...state, targets: {...state.targets, ...Object.fromEntries(added)}};
 }
 
+/** A service without any owner waits until the first of its upstreams has been there for this long, so that its keys are divided over all that come together. */
+export const formationMilliseconds: Milliseconds = 1500;
+
+function isForming(input: PlacementInput): boolean {
+	const {assignments} = input.assignments;
+	const joined = input.upstreams.map(upstream => upstream.joinedAt ?? -Infinity);
+	return assignments.every(({phase}) => phase === AssignmentPhase.vacant) && input.now - Math.min(...joined) < formationMilliseconds;
+}
+
 function plannedProposals(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Proposals {
 	const service = contract.name;
 	const input = placementInput(state, control, contract, now);
+	if (isForming(input)) {
+		return {state, commands: []};
+	}
+
 	const plan = planPlacement(input);
 	const wished = wishedMoves(control, input.assignments);
 	const planned = plan.moves.flatMap(({slot, to}) => to === undefined ? [] : [{slot, to}]);
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -21,7 +21,7 @@
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {
-	type CatchUp, type PeerCall, type PeerCalls, type WithCatchUp,
+	type CatchUp, type PeerCalls, type WithCatchUp,
 } from '@dogwooddeck/wire/methods';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ControlHolder} from './control-holder.js';
@@ -218,7 +218,7 @@
 			return local[call](request);
 		}
 
-		return clients.call(addresses.get(name)!, call, request, timeouts[call]) as Promise<Result<PeerCalls[Call]['answer'], Failure>>;
+		return clients.call<Call>(addresses.get(name)!, call, request, timeouts[call]);
 	}
 
 	const passedOn: ReadonlySet<FailureKind> = new Set([FailureKind.notLeader, FailureKind.unreachable, FailureKind.notReady]);
--- a/packages/stand-in/src/child.ts
+++ b/packages/stand-in/src/child.ts
@@ -28,11 +28,12 @@
 		env: {...process.env, ...environment},
 	});
 	let output = '';
-	for (const stream of [child.stdout, child.stderr]) {
-		stream?.on('data', chunk => {
-			output += String(chunk);
-		});
-	}
+	const collect = (chunk: unknown) => {
+		output += String(chunk);
+	};
+
+	child.stdout?.on('data', collect);
+	child.stderr?.on('data', collect);
 
 	const ended = once(child, 'exit');
 	const running = () => child.exitCode === null && child.signalCode === null;
--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -2,7 +2,9 @@
  * Starts a whole deployment on this machine for trials and tests: instances,
  * stand-in upstreams and the operators' command line, each a process.
  */
-import {mkdir, mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {
+	mkdir, mkdtemp, rm, writeFile,
+} from 'node:fs/promises';
 import {type AddressInfo, createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -126,6 +128,12 @@
 	};
 }
 
+function nearestFirst(instances: readonly TrialInstance[], zone: ZoneName): readonly string[] {
+	const near = instances.filter(instance => instance.zone === zone);
+	const far = instances.filter(instance => instance.zone !== zone);
+	return [...near, ...far].map(({addresses}) => addresses.operators);
+}
+
 async function isReady(instance: TrialInstance): Promise<boolean> {
 	try {
 		const {statusCode, body} = await request(`http://${instance.addresses.operators}/ready`);
@@ -189,13 +197,20 @@
 		restart: start,
 		startUpstream(plan) {
 			const child = startChild(plan.name, upstreamScript, [
-				'--service', plan.service,
-				'--name', plan.name,
-				'--region', plan.region,
-				'--zone', plan.zone,
-				'--announce-to', [...instances].sort((one, other) => Number(other.zone === plan.zone) - Number(one.zone === plan.zone)).map(({addresses}) => addresses.operators).join(','),
-				'--token', announceKey,
-				'--work-milliseconds', String(plan.workMilliseconds ?? 1),
+				'--service',
+				plan.service,
+				'--name',
+				plan.name,
+				'--region',
+				plan.region,
+				'--zone',
+				plan.zone,
+				'--announce-to',
+				nearestFirst(instances, plan.zone).join(','),
+				'--token',
+				announceKey,
+				'--work-milliseconds',
+				String(plan.workMilliseconds ?? 1),
 				...(plan.checksFence ? ['--checks-fence'] : []),
 			]);
 			upstreams.set(plan.name, child);
--- a/packages/stand-in/test/test-session.ts
+++ b/packages/stand-in/test/test-session.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {request} from 'undici';
 import {type Deployment, startDeployment, type TrialInstance} from '@dogwooddeck/stand-in/deployment';
 import {eventually} from '@dogwooddeck/stand-in/child';
-import {request} from 'undici';
 
 const zones = [
 	{region: 'noord', zone: 'noord-a'},
