--- a/packages/stand-in/test/test-session.ts
+++ b/packages/stand-in/test/test-session.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {type Deployment, startDeployment, type TrialInstance} from '@dogwooddeck/stand-in/deployment';
 import {eventually} from '@dogwooddeck/stand-in/child';
+import {golden, masked} from '@dogwooddeck/stand-in/golden';
 
 const zones = [
 	{region: 'noord', zone: 'noord-a'},
@@ -11,6 +13,15 @@
 	{region: 'zuid', zone: 'zuid-b'},
 ];
 
+const goldenFile = fileURLToPath(new URL('../../test/golden/session.txt', import.meta.url));
+
+const refusedRequests = [
+	['GET', '/elsewhere/verge-1'],
+	['GET', '/schedule'],
+	['GET', '/schedule/..%2fverge'],
+	['POST', '/booking/verge-1/bookings'],
+] as const;
+
 const plans = zones.map((place, position) => ({...place, name: `entry-${position}`, voter: position < 3}));
 
 type Owner = {readonly slot: number; readonly phase: string; readonly upstream?: string};
@@ -24,8 +35,18 @@
 	const deployment = await startDeployment(plans);
 	try {
 		await deployment.ready();
-		const applied = await deployment.control('apply', 'examples/bermrand', '--wait');
-		assert.equal(applied.code, 0, applied.output);
+		const transcript: string[] = [];
+		const operate = async (...parameters: string[]) => {
+			const {output, code} = await deployment.control(...parameters);
+			const lines = output.split('\n').filter(line => !/in force on \d of 4/v.test(line)).sort();
+			transcript.push(`$ dogwooddeckctl ${parameters.join(' ')}`, ...lines.filter(line => line !== ''), `exit code ${code}`);
+			return code;
+		};
+
+		assert.equal(await operate('apply', 'examples/bermrand', '--wait'), 0);
+		await operate('apply', 'examples/bermrand', '--operation', 'second-change', '--base', '1');
+		await operate('plan', 'examples/bermrand');
+		await operate('history', '--team', 'bermrand');
 		for (const {region, zone} of zones) {
 			deployment.startUpstream({
 				service: 'bermrand/schedule', name: `viewer-${zone}`, region, zone, checksFence: true,
@@ -53,6 +74,13 @@
 		}
 
 		assert.equal(new Set(served.values()).size, 4);
+		for (const [method, where] of refusedRequests) {
+			const {statusCode, headers, body} = await request(`http://${deployment.instances[0]!.addresses.callers}${where}`, {method});
+			transcript.push(`${method} ${where}`, `${statusCode} outcome ${String(headers['dogwooddeck-outcome'])}: ${await body.text()}`);
+		}
+
+		const actual = masked(transcript.join('\n') + '\n');
+		assert.equal(actual, await golden(goldenFile, actual));
 		const codes = await Promise.all(deployment.instances.map(async ({child}) => child.stop()));
 		assert.deepEqual(codes, [0, 0, 0, 0]);
 	} finally {
