--- /dev/null
+++ b/packages/routing/test/fake-claim-network.ts
@@ -0,0 +1,222 @@
+/**
+ * Instances that claim operations over a network that loses, doubles, delays
+ * and reorders messages, while instances are lost, return and learn of rosters late.
+ */
+import {type InstanceIdentity} from '@dogwooddeck/model/identifiers';
+import {Outcome} from '@dogwooddeck/model/outcome';
+import {
+	type Operation, type ClaimEnded, type ClaimRequest, type ClaimAnswer, type ClaimDecision, type ClaimRoster, type StoredAnswer,
+} from '@dogwooddeck/routing/claim';
+import {
+	type ClaimsEffect, type ClaimsEvent, type ClaimsState, createClaims, stepClaims,
+} from '@dogwooddeck/routing/claims';
+import {type TextHash} from '@dogwooddeck/routing/text-hash';
+
+export const lifetimeMilliseconds = 60_000;
+export const runsForMilliseconds = 1500;
+
+/** One decision to run, and what came of it. */
+export type Run = {
+	readonly operation: string;
+	readonly entry: string;
+	readonly sequence: number;
+	readonly at: number;
+	outcome: Outcome | undefined;
+	readonly answer: StoredAnswer;
+};
+
+type Packet = {readonly from: InstanceIdentity; readonly to: InstanceIdentity; readonly content: ClaimRequest | ClaimEnded | ClaimAnswer};
+type Member = {claims: ClaimsState; applied: number; readonly begun: Map<number, {readonly operation: string; readonly at: number; decided: boolean}>};
+
+const seats = [
+	{name: 'a', zone: 'noord-1'},
+	{name: 'b', zone: 'noord-1'},
+	{name: 'c', zone: 'noord-2'},
+	{name: 'd', zone: 'noord-2'},
+	{name: 'e', zone: 'zuid-1'},
+	{name: 'f', zone: 'zuid-2'},
+];
+
+export class FakeClaimNetwork {
+	now = 0;
+	readonly runs: Run[] = [];
+	readonly decisions: Array<{readonly entry: string; readonly operation: string; readonly decision: ClaimDecision}> = [];
+	readonly rosters: ClaimRoster[];
+	packets: Packet[] = [];
+	readonly #members = new Map<string, Member>();
+	readonly #hash: TextHash;
+
+	constructor(hash: TextHash) {
+		this.#hash = hash;
+		this.rosters = [{index: 1, seats: seats.map(seat => ({...seat, incarnation: 1}))}];
+		for (const seat of seats) {
+			this.#start(seat.name, 1);
+		}
+	}
+
+	/** The names of the instances that run, in order. */
+	get live(): string[] {
+		return [...this.#members.keys()].sort();
+	}
+
+	begin(entry: string, operation: string): void {
+		const member = this.#members.get(entry);
+		if (member !== undefined) {
+			member.begun.set(member.claims.sequence + 1, {operation, at: this.now, decided: false});
+			this.#step(entry, {
+				kind: 'begun', now: this.now, operation: operationOf(operation), fingerprint: 'same', runsForMilliseconds,
+			});
+		}
+	}
+
+	finish(run: Run, outcome: Outcome): void {
+		const member = this.#members.get(run.entry);
+		if (member?.begun.has(run.sequence) && run.outcome === undefined) {
+			run.outcome = outcome;
+			this.#step(run.entry, {
+				kind: 'finished', now: this.now, sequence: run.sequence, outcome, ...(outcome === Outcome.ran ? {answer: run.answer} : {}),
+			});
+		}
+	}
+
+	/** Delivers a packet; with `keep` it stays in the network, to come again. */
+	deliver(position: number, keep = false): void {
+		const packet = this.packets[position];
+		if (packet === undefined) {
+			return;
+		}
+
+		this.packets = keep ? this.packets : this.packets.filter(other => other !== packet);
+		const member = this.#members.get(packet.to.name);
+		if (member?.claims.self.incarnation !== packet.to.incarnation && packet.content.kind !== 'claim-request') {
+			return;
+		}
+
+		if (member === undefined) {
+			this.#unreachable(packet);
+		} else if (packet.content.kind === 'claim-answer') {
+			this.#step(packet.to.name, {kind: 'answered', now: this.now, answer: packet.content});
+		} else {
+			this.#step(packet.to.name, {kind: 'message', now: this.now, message: packet.content}, packet.from);
+		}
+	}
+
+	lose(position: number): void {
+		const packet = this.packets[position];
+		if (packet !== undefined) {
+			this.packets = this.packets.filter(other => other !== packet);
+			this.#unreachable(packet);
+		}
+	}
+
+	kill(name: string): void {
+		this.#members.delete(name);
+	}
+
+	/** Writes a roster with a later life of an instance, which starts; others learn of it later. */
+	restart(name: string): void {
+		const newest = this.rosters[0]!;
+		const seat = seats.find(known => known.name === name)!;
+		const incarnation = 1 + Math.max(0, ...this.rosters.flatMap(roster => roster.seats).filter(other => other.name === name).map(other => other.incarnation));
+		this.rosters.unshift({index: newest.index + 1, seats: [...newest.seats.filter(other => other.name !== name), {...seat, incarnation}]});
+		this.#start(name, incarnation);
+	}
+
+	/** Writes a roster without an instance. */
+	unseat(name: string): void {
+		const newest = this.rosters[0]!;
+		if (newest.seats.length > 2) {
+			this.rosters.unshift({index: newest.index + 1, seats: newest.seats.filter(other => other.name !== name)});
+		}
+	}
+
+	/** An instance learns of the next roster that it lacks. */
+	learn(name: string): void {
+		const member = this.#members.get(name);
+		const next = this.rosters.findLast(roster => roster.index > (member?.applied ?? Number.POSITIVE_INFINITY));
+		if (member !== undefined && next !== undefined) {
+			member.applied = next.index;
+			this.#step(name, {kind: 'roster', now: this.now, roster: next});
+		}
+	}
+
+	/** Time passes: claims that were asked for too long are given up, runs that are over have ended, and everyone sweeps. */
+	advance(milliseconds: number): void {
+		this.now += milliseconds;
+		const acknowledged = Math.min(...[...this.#members.values()].map(member => member.applied));
+		for (const name of this.live) {
+			this.#giveUpOld(name);
+			this.#step(name, {kind: 'swept', now: this.now, acknowledged});
+		}
+	}
+
+	/** Delivers everything, in order. */
+	settle(): void {
+		while (this.packets.length > 0) {
+			this.deliver(0);
+		}
+	}
+
+	#giveUpOld(name: string): void {
+		for (const [sequence, claim] of this.#members.get(name)!.begun) {
+			if (!claim.decided && this.now - claim.at >= runsForMilliseconds) {
+				this.#step(name, {kind: 'given-up', now: this.now, sequence});
+			}
+		}
+	}
+
+	#start(name: string, incarnation: number): void {
+		this.#members.set(name, {
+			applied: this.rosters[0]!.index,
+			begun: new Map(),
+			claims: createClaims({
+				self: {name, incarnation}, hash: this.#hash, bounds: {records: 1000, answerBytes: 10_000}, lifetimeMilliseconds, rosters: this.rosters, rostersComplete: true, now: this.now,
+			}),
+		});
+	}
+
+	#unreachable(packet: Packet): void {
+		const sender = this.#members.get(packet.from.name);
+		if (packet.content.kind === 'claim-request' && sender?.claims.self.incarnation === packet.from.incarnation) {
+			this.#step(packet.from.name, {kind: 'unreachable', now: this.now, request: packet.content});
+		}
+	}
+
+	#step(name: string, event: ClaimsEvent, from?: InstanceIdentity): void {
+		const member = this.#members.get(name)!;
+		const {state, effects} = stepClaims(member.claims, event);
+		member.claims = state;
+		for (const effect of effects) {
+			this.#carry(name, member, effect, from);
+		}
+	}
+
+	#carry(name: string, member: Member, effect: ClaimsEffect, from: InstanceIdentity | undefined): void {
+		if (effect.kind === 'decide') {
+			this.#decided(name, member, effect);
+		} else {
+			const content = effect.kind === 'send' ? effect.message : effect.answer;
+			this.packets.push({from: member.claims.self, to: effect.kind === 'send' ? effect.message.holder : from ?? effect.answer.token.claimant, content});
+		}
+	}
+
+	#decided(name: string, member: Member, effect: Extract<ClaimsEffect, {kind: 'decide'}>): void {
+		const claim = member.begun.get(effect.sequence)!;
+		claim.decided = true;
+		this.decisions.push({entry: name, operation: claim.operation, decision: effect.decision});
+		if (effect.decision.kind === 'run') {
+			this.runs.push({
+				operation: claim.operation,
+				entry: name,
+				sequence: effect.sequence,
+				at: this.now,
+				outcome: undefined,
+				answer: {status: 200, headers: [], body: `${claim.operation} ${this.runs.length}`},
+			});
+		}
+	}
+}
+
+export function operationOf(operation: string): Operation {
+	return {service: 'bermrand/booking', key: 'verge-1', operationKey: operation};
+}
--- /dev/null
+++ b/packages/routing/test/test-claims.ts
@@ -0,0 +1,204 @@
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {FailureKind} from '@dogwooddeck/model/failure';
+import {Outcome} from '@dogwooddeck/model/outcome';
+import {
+	FakeClaimNetwork, lifetimeMilliseconds, operationOf, type Run, runsForMilliseconds,
+} from './fake-claim-network.js';
+import {operationText} from '@dogwooddeck/routing/claim';
+import {holdersOf} from '@dogwooddeck/routing/claim-holders';
+import {loadTextHash} from '@dogwooddeck/routing/text-hash';
+
+const hash = await loadTextHash();
+const names = ['a', 'b', 'c', 'd', 'e', 'f'] as const;
+const operations = ['one', 'two'] as const;
+const seed = Number(process.env.TEST_SEED ?? 20_261_204);
+
+type Action = {readonly kind: keyof typeof actions; readonly name: string; readonly operation: string; readonly number: number};
+
+const outcomes = [Outcome.ran, Outcome.notRun, Outcome.unknown] as const;
+
+const actions = {
+	begin(network: FakeClaimNetwork, action: Action) {
+		network.begin(action.name, action.operation);
+	},
+	deliver(network: FakeClaimNetwork, action: Action) {
+		network.deliver(action.number % Math.max(1, network.packets.length));
+	},
+	double(network: FakeClaimNetwork, action: Action) {
+		network.deliver(action.number % Math.max(1, network.packets.length), true);
+	},
+	lose(network: FakeClaimNetwork, action: Action) {
+		network.lose(action.number % Math.max(1, network.packets.length));
+	},
+	finish(network: FakeClaimNetwork, action: Action) {
+		const run = network.runs[action.number % Math.max(1, network.runs.length)];
+		if (run !== undefined) {
+			network.finish(run, outcomes[action.number % outcomes.length]!);
+		}
+	},
+	kill(network: FakeClaimNetwork, action: Action) {
+		network.kill(action.name);
+	},
+	restart(network: FakeClaimNetwork, action: Action) {
+		network.restart(action.name);
+	},
+	unseat(network: FakeClaimNetwork, action: Action) {
+		network.unseat(action.name);
+	},
+	learn(network: FakeClaimNetwork, action: Action) {
+		network.learn(action.name);
+	},
+	advance(network: FakeClaimNetwork, action: Action) {
+		network.advance(action.number);
+	},
+	settle(network: FakeClaimNetwork) {
+		network.settle();
+	},
+};
+
+const kinds: Array<{readonly weight: number; readonly arbitrary: fc.Arbitrary<keyof typeof actions>}> = [
+	{weight: 6, arbitrary: fc.constant('begin')},
+	{weight: 20, arbitrary: fc.constant('deliver')},
+	{weight: 3, arbitrary: fc.constant('double')},
+	{weight: 2, arbitrary: fc.constant('lose')},
+	{weight: 3, arbitrary: fc.constant('finish')},
+	{weight: 1, arbitrary: fc.constant('kill')},
+	{weight: 1, arbitrary: fc.constant('restart')},
+	{weight: 2, arbitrary: fc.constant('unseat')},
+	{weight: 3, arbitrary: fc.constant('learn')},
+	{weight: 1, arbitrary: fc.constant('advance')},
+	{weight: 2, arbitrary: fc.constant('settle')},
+];
+
+const action: fc.Arbitrary<Action> = fc.record({
+	kind: fc.oneof(...kinds),
+	name: fc.constantFrom(...names),
+	operation: fc.constantFrom(...operations),
+	number: fc.nat({max: 40_000}),
+});
+
+/** A second run is wrong unless the first is known not to have run, or is a lifetime ago. */
+function assertNothingRanTwice(runs: readonly Run[]): void {
+	for (const [position, run] of runs.entries()) {
+		const earlier = runs.slice(0, position).filter(other => other.operation === run.operation && other.outcome !== Outcome.notRun);
+		for (const other of earlier) {
+			assert.ok(run.at - other.at >= lifetimeMilliseconds - runsForMilliseconds, `${run.operation} runs at ${other.entry} from ${other.at} and at ${run.entry} from ${run.at}`);
+		}
+	}
+}
+
+test('claims: over any schedule of losses, returns and late rosters nothing runs twice', () => {
+	let ran = 0;
+	let refused = 0;
+	fc.assert(fc.property(fc.array(action, {minLength: 20, maxLength: 120, size: 'max'}), schedule => {
+		const network = new FakeClaimNetwork(hash);
+		for (const next of schedule) {
+			actions[next.kind](network, next);
+			assertNothingRanTwice(network.runs);
+		}
+
+		ran += network.runs.length;
+		refused += network.decisions.length - network.runs.length;
+	}), {seed, numRuns: 3000});
+	console.log(`claims: seed ${seed}, ${ran} runs, ${refused} refusals and replays`);
+	assert.ok(ran > 1000 && refused > 1000);
+});
+
+type LossCase = {
+	readonly name: string;
+	/** What is lost after the first run began, or ended. */
+	readonly lost: ReadonlyArray<'entry' | 'first holder' | 'second holder'>;
+	/** Whether the others learn of a roster without the lost ones, and records are copied. */
+	readonly repaired: boolean;
+	readonly ends?: Outcome;
+	readonly expected: 'duplicate' | 'replay' | 'run' | FailureKind;
+};
+
+const lossCases: readonly LossCase[] = [
+	{
+		name: 'a resend while the first runs', lost: [], repaired: false, expected: FailureKind.duplicate,
+	},
+	{
+		name: 'a resend after the end', lost: [], repaired: false, ends: Outcome.ran, expected: 'replay',
+	},
+	{
+		name: 'a resend after not-run', lost: [], repaired: false, ends: Outcome.notRun, expected: 'run',
+	},
+	{
+		name: 'a resend after an unknown end', lost: [], repaired: false, ends: Outcome.unknown, expected: FailureKind.duplicate,
+	},
+	{
+		name: 'the entry instance is lost while it runs', lost: ['entry'], repaired: false, expected: FailureKind.duplicate,
+	},
+	{
+		name: 'the entry instance is lost after the end', lost: ['entry'], repaired: false, ends: Outcome.ran, expected: 'replay',
+	},
+	{
+		name: 'the first holder is lost', lost: ['first holder'], repaired: false, ends: Outcome.ran, expected: 'replay',
+	},
+	{
+		name: 'the second holder is lost', lost: ['second holder'], repaired: false, ends: Outcome.ran, expected: 'replay',
+	},
+	{
+		name: 'the entry instance and a holder are lost', lost: ['entry', 'first holder'], repaired: false, ends: Outcome.ran, expected: 'replay',
+	},
+	{
+		name: 'the second holder is lost right after the repair of the first', lost: ['first holder', 'second holder'], repaired: true, ends: Outcome.ran, expected: 'replay',
+	},
+	{
+		name: 'both holders are lost at once', lost: ['first holder', 'second holder'], repaired: false, ends: Outcome.ran, expected: FailureKind.claimUnavailable,
+	},
+];
+
+function lose(network: FakeClaimNetwork, name: string, repaired: boolean): void {
+	network.kill(name);
+	if (repaired) {
+		network.unseat(name);
+		for (const other of network.live) {
+			network.learn(other);
+		}
+
+		network.settle();
+	}
+}
+
+for (const {name, lost, repaired, ends, expected} of lossCases) {
+	test(`claims: ${name}`, () => {
+		const network = new FakeClaimNetwork(hash);
+		const [first, second] = holdersOf(network.rosters[0]!, operationText(operationOf('one')), hash);
+		const [entry, other] = names.filter(candidate => candidate !== first?.name && candidate !== second?.name);
+		const places = {entry: entry!, 'first holder': first!.name, 'second holder': second!.name};
+		network.begin(entry!, 'one');
+		network.settle();
+		if (ends !== undefined) {
+			network.finish(network.runs[0]!, ends);
+			network.settle();
+		}
+
+		for (const place of lost) {
+			lose(network, places[place], repaired);
+		}
+
+		network.begin(other!, 'one');
+		network.settle();
+		const {decision} = network.decisions.at(-1)!;
+		assert.equal(decision.kind === 'refuse' ? decision.failure.kind : decision.kind, expected);
+		if (decision.kind === 'replay') {
+			assert.deepEqual(decision.answer, network.runs[0]!.answer);
+		}
+	});
+}
+
+test('claims: the holders are in different zones and every instance finds the same', () => {
+	fc.assert(fc.property(fc.string(), operationKey => {
+		const network = new FakeClaimNetwork(hash);
+		const {seats} = network.rosters[0]!;
+		const one = holdersOf({index: 1, seats}, operationKey, hash);
+		const other = holdersOf({index: 1, seats: [...seats].reverse()}, operationKey, hash);
+		assert.deepEqual(one, other);
+		assert.equal(new Set(one.map(seat => seat.zone)).size, 2);
+	}), {seed});
+});
