--- a/packages/stand-in/src/upstream.ts
+++ b/packages/stand-in/src/upstream.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
@@ -51,6 +51,8 @@
 	readonly ran: ReadonlyMap<string, number>;
 	/** How many connections were taken. */
 	readonly connections: number;
+	/** The header fields of the newest request. */
+	readonly lastHeaders: IncomingHttpHeaders;
 	readonly announcer: Announcer | undefined;
 	/** Shows a fault from now on. */
 	order(order: FaultOrder): Promise<void>;
@@ -96,6 +98,7 @@
 class Upstream implements StandInUpstream {
 	address = '';
 	connections = 0;
+	lastHeaders: IncomingHttpHeaders = {};
 	announcer: Announcer | undefined;
 	readonly ran = new Map<string, number>();
 	readonly #options: UpstreamOptions;
@@ -218,6 +221,7 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse, began: number): Promise<void> {
+		this.lastHeaders = request.headers;
 		const order = this.#nextOrder();
 		if (answers[order.fault].runs) {
 			await this.#slot();
--- /dev/null
+++ b/packages/upstream-client/src/claim-desk.ts
@@ -0,0 +1,132 @@
+/**
+ * Carries the claims of one instance: between the forwarder, which waits for
+ * decisions, and the other instances, which hold claims.
+ */
+import {type Failure} from '@dogwooddeck/model/failure';
+import {type LogIndex, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {
+	type ClaimAnswer, type ClaimDecision, type ClaimEnded, ClaimPurpose, type ClaimRequest, type ClaimRoster, type Operation,
+} from '@dogwooddeck/routing/claim';
+import {
+	type ClaimsEffect, type ClaimsEvent, type ClaimsInput, type ClaimsState, createClaims, stepClaims,
+} from '@dogwooddeck/routing/claims';
+import {type Result} from 'true-myth';
+import {type OpenClaim} from './request-path.js';
+
+/** Takes messages to other instances. */
+export type ClaimCarrier = {
+	/** Brings a request to its holder and the answer back. Fails where the holder can't be reached in time. */
+	ask(request: ClaimRequest): Promise<Result<ClaimAnswer, Failure>>;
+	/** Brings an end to its holder, as far as that can be reached. */
+	tell(ended: ClaimEnded): void;
+};
+
+/** What a request claims. */
+export type ClaimWish = {
+	readonly operation: Operation;
+	readonly fingerprint: string;
+	/** From now until nothing of the operation is in flight any more. */
+	readonly runsForMilliseconds: Milliseconds;
+};
+
+/** The claims of one instance. */
+export type ClaimDesk = {
+	/** Claims an operation and calls `decided` once. */
+	claim(wish: ClaimWish, decided: (decision: ClaimDecision) => void): OpenClaim;
+	/** Takes a message of another instance; a request is answered at once. */
+	receive(message: ClaimRequest | ClaimEnded): ClaimAnswer | undefined;
+	/** This instance has applied a newer roster. */
+	rosterApplied(roster: ClaimRoster): void;
+	/** Drops what has expired. Every live instance has applied the entry `acknowledged`. */
+	sweep(acknowledged: LogIndex): void;
+};
+
+class CarriedClaims implements ClaimDesk {
+	static readonly #effects: HandlerTable<ClaimsEffect, [CarriedClaims], void> = {
+		send(effect, desk) {
+			void desk.#send(effect.message);
+		},
+		answer(effect, desk) {
+			desk.#answer = effect.answer;
+		},
+		decide(effect, desk) {
+			const decided = desk.#waiting.get(effect.sequence);
+			desk.#waiting.delete(effect.sequence);
+			decided?.(effect.decision);
+		},
+	};
+
+	readonly #carrier: ClaimCarrier;
+	readonly #now: () => MonotonicTime;
+	readonly #waiting = new Map<number, (decision: ClaimDecision) => void>();
+	#state: ClaimsState;
+	#answer: ClaimAnswer | undefined;
+
+	constructor(input: ClaimsInput, carrier: ClaimCarrier, now: () => MonotonicTime) {
+		this.#state = createClaims(input);
+		this.#carrier = carrier;
+		this.#now = now;
+	}
+
+	claim(wish: ClaimWish, decided: (decision: ClaimDecision) => void): OpenClaim {
+		const sequence = this.#state.sequence + 1;
+		this.#waiting.set(sequence, decided);
+		this.#step({kind: 'begun', now: this.#now(), ...wish});
+		return {
+			giveUp: () => {
+				this.#waiting.delete(sequence);
+				this.#step({kind: 'given-up', now: this.#now(), sequence});
+			},
+			finished: (outcome, answer) => {
+				this.#step({
+					kind: 'finished', now: this.#now(), sequence, outcome, ...(answer === undefined ? {} : {answer}),
+				});
+			},
+		};
+	}
+
+	receive(message: ClaimRequest | ClaimEnded): ClaimAnswer | undefined {
+		this.#answer = undefined;
+		this.#step({kind: 'message', now: this.#now(), message});
+		return this.#answer;
+	}
+
+	rosterApplied(roster: ClaimRoster): void {
+		this.#step({kind: 'roster', now: this.#now(), roster});
+	}
+
+	sweep(acknowledged: LogIndex): void {
+		this.#step({kind: 'swept', now: this.#now(), acknowledged});
+	}
+
+	#step(event: ClaimsEvent): void {
+		const {state, effects} = stepClaims(this.#state, event);
+		this.#state = state;
+		for (const effect of effects) {
+			dispatch(CarriedClaims.#effects, effect, this);
+		}
+	}
+
+	async #send(message: ClaimRequest | ClaimEnded): Promise<void> {
+		if (message.kind === 'claim-ended') {
+			this.#carrier.tell(message);
+			return;
+		}
+
+		const answer = await this.#carrier.ask(message);
+		if (message.purpose === ClaimPurpose.copy) {
+			return;
+		}
+
+		this.#step(answer.match<ClaimsEvent>({
+			Ok: come => ({kind: 'answered', now: this.#now(), answer: come}),
+			Err: () => ({kind: 'unreachable', now: this.#now(), request: message}),
+		}));
+	}
+}
+
+/** Opens the claims of an instance that has just started. */
+export function createClaimDesk(input: ClaimsInput, carrier: ClaimCarrier, now: () => MonotonicTime): ClaimDesk {
+	return new CarriedClaims(input, carrier, now);
+}
