Run the claims of an instance by the tested state machine

Cause: the daemon joined claimant and holder by itself beside routing's own, tested, machine; and that asked the holders of every seating of the last hour, so that a rolling restart of all instances made claims unavailable for an hour. Change: the runner uses claims.ts; holders before the last changes are asked for 10 s, within which records are copied, with the copies sent again until they arrive. Conclusion: one loss at a time within the copying time is tolerated.

--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -1,24 +1,19 @@
 /**
- * Runs the claims of non-idempotent operations: asks and answers as claimant
- * and as holder, and copies records when the seated instances change.
+ * Runs the claims of non-idempotent operations: carries messages between this
+ * instance and the holders, and follows the seated instances.
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
-import {type Seating} from '@dogwooddeck/control/state';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {
-	type InstanceIdentity, type Milliseconds, type MonotonicTime, sameInstance, type ServiceName,
+	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance, type ServiceName,
 } from '@dogwooddeck/model/identifiers';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {
-	type ClaimAnswer, type ClaimDecision, type ClaimEnded, type ClaimRequest, operationText,
+	type ClaimAnswer, type ClaimDecision, type ClaimEnded, type ClaimRequest,
 } from '@dogwooddeck/routing/claim';
 import {
-	createHolder, type HolderEffect, type HolderEvent, stepHolder,
-} from '@dogwooddeck/routing/claim-holder';
-import {claimHolders} from '@dogwooddeck/routing/claim-holders';
-import {
-	beginClaim, type ClaimantEffect, type ClaimantEvent, type ClaimantState, ClaimPhase, stepClaimant,
-} from '@dogwooddeck/routing/claimant';
+	type ClaimsEffect, type ClaimsEvent, createClaims, stepClaims,
+} from '@dogwooddeck/routing/claims';
 import {type TextHash} from '@dogwooddeck/routing/text-hash';
 import {type OpenClaim} from '@dogwooddeck/upstream-client/request-path';
 import {type PeerClients} from '@dogwooddeck/wire/client';
@@ -43,35 +38,44 @@
 	readonly stop: () => void;
 };
 
+type Message = ClaimRequest | ClaimEnded;
+
 /** How long a claim is remembered. */
 export const claimLifetimeMilliseconds: Milliseconds = 3_600_000;
-/** A seating that another followed may still be in use for this long: a lease, a deadline and the copying. */
-const earlierSeatingMilliseconds: Milliseconds = 10_000;
+/** How long the holders before the last change of the seats are asked beside the present ones. */
+const copyingMilliseconds: Milliseconds = 10_000;
+/** After this long every instance that still holds a lease has applied an entry. */
+const spreadMilliseconds: Milliseconds = 5000;
 const askMilliseconds: Milliseconds = 400;
-const sweepMilliseconds: Milliseconds = 10_000;
+const copyPauses: readonly Milliseconds[] = [0, 500, 2000];
+const sweepMilliseconds: Milliseconds = 1000;
 const holderBounds = {records: 200_000, answerBytes: 16_777_216};
 
-type Message = ClaimRequest | ClaimEnded;
-
 function readMessage(body: string): Message | undefined {
 	try {
 		const message = JSON.parse(body) as Message;
 		const known = message.kind === 'claim-request' || message.kind === 'claim-ended';
 		return known && typeof message.operation?.operationKey === 'string' && typeof message.holder?.name === 'string'
-			&& typeof message.token?.sequence === 'number'
-			? message
-			: undefined;
+			&& typeof message.token?.sequence === 'number' ? message : undefined;
 	} catch {
 		return undefined;
 	}
 }
 
+async function pause(duration: Milliseconds): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, duration);
+	});
+}
+
 /** Starts the claims. */
 export function startClaims(self: InstanceIdentity, control: ControlHolder, clients: PeerClients, hash: TextHash): ClaimRunner {
-	let holder = createHolder(self, holderBounds);
-	let sequence = 0;
-	const replacedAt = new Map<number, MonotonicTime>();
-	let newest: Seating | undefined;
+	let state = createClaims({
+		self, hash, bounds: holderBounds, lifetimeMilliseconds: claimLifetimeMilliseconds, copyingMilliseconds, rosters: [], rostersComplete: true, now: monotonicNow(),
+	});
+	const seenAt = new Map<LogIndex, MonotonicTime>();
+	const deciding = new Map<number, (decision: ClaimDecision) => void>();
+	let answer: ClaimAnswer | undefined;
 
 	function addressOf(instance: InstanceIdentity): string | undefined {
 		return Object.values(control.state().ownership.rosters)
@@ -79,136 +83,97 @@
 			.find(member => sameInstance(member, instance))?.peerAddress;
 	}
 
-	async function send(message: Message): Promise<ClaimAnswer | undefined> {
-		if (sameInstance(message.holder, self)) {
-			return takeAsHolder(message);
-		}
-
+	async function sendOnce(message: Message): Promise<ClaimAnswer | '' | undefined> {
 		const address = addressOf(message.holder);
-		if (address === undefined) {
+		const sent = address === undefined ? undefined : await clients.call(address, 'claim', JSON.stringify(message), askMilliseconds);
+		if (sent === undefined || sent.isErr) {
 			return undefined;
 		}
 
-		const answer = await clients.call(address, 'claim', JSON.stringify(message), askMilliseconds);
-		return answer.isOk && answer.value !== '' ? JSON.parse(answer.value) as ClaimAnswer : undefined;
+		return sent.value === '' ? '' : JSON.parse(sent.value) as ClaimAnswer;
 	}
 
-	async function copy(message: Message): Promise<void> {
-		const answer = await send(message);
-		if (answer !== undefined) {
-			stepAsHolder({kind: 'swept', now: monotonicNow()});
+	async function ask(request: ClaimRequest): Promise<void> {
+		const received = await sendOnce(request);
+		step(received === undefined || received === ''
+			? {kind: 'unreachable', now: monotonicNow(), request}
+			: {kind: 'answered', now: monotonicNow(), answer: received});
+	}
+
+	/** Ends and copies are sent again until they arrive: later claims rest on them. */
+	async function insist(message: Message): Promise<void> {
+		for (const duration of copyPauses) {
+			await pause(duration);
+			if (await sendOnce(message) !== undefined) {
+				return;
+			}
 		}
 	}
 
-	let holderAnswer: ClaimAnswer | undefined;
-	const holderEffects: HandlerTable<HolderEffect, [], void> = {
-		answer({answer}) {
-			holderAnswer = answer;
-		},
+	const effects: HandlerTable<ClaimsEffect, [], void> = {
 		send({message}) {
-			void copy(message);
+			const isQuestion = message.kind === 'claim-request' && sameInstance(message.token.claimant, self) && state.open.has(message.token.sequence);
+			void (isQuestion ? ask(message) : insist(message));
+		},
+		answer(effect) {
+			answer = effect.answer;
+		},
+		decide({sequence, decision}) {
+			const decided = deciding.get(sequence);
+			deciding.delete(sequence);
+			decided?.(decision);
 		},
 	};
 
-	function stepAsHolder(event: HolderEvent): void {
-		const next = stepHolder(holder, event);
-		holder = next.state;
+	function step(event: ClaimsEvent): void {
+		const next = stepClaims(state, event);
+		state = next.state;
 		for (const effect of next.effects) {
-			dispatch(holderEffects, effect);
+			dispatch(effects, effect);
 		}
 	}
 
-	function takeAsHolder(message: Message): ClaimAnswer | undefined {
-		holderAnswer = undefined;
-		stepAsHolder({kind: 'message', now: monotonicNow(), message});
-		return holderAnswer;
-	}
-
-	function noteSeatings(): void {
-		const {seatings} = control.state();
-		const [current] = seatings;
-		if (current === undefined || current.index === newest?.index) {
-			return;
-		}
-
+	function followSeatings(): void {
 		const now = monotonicNow();
-		for (const {index} of seatings.slice(1)) {
-			replacedAt.set(index, replacedAt.get(index) ?? now);
+		for (const roster of [...control.state().seatings].reverse()) {
+			if (!seenAt.has(roster.index)) {
+				seenAt.set(roster.index, now);
+				step({kind: 'roster', now, roster});
+			}
 		}
-
-		newest = current;
-		stepAsHolder({
-			kind: 'roster', now, roster: current, hash,
-		});
 	}
 
-	function usableSeatings(now: MonotonicTime): readonly Seating[] {
-		const [current, ...earlier] = control.state().seatings;
-		const recent = earlier.filter(({index}) => now - (replacedAt.get(index) ?? now) < earlierSeatingMilliseconds);
-		return current === undefined ? [] : [current, ...recent];
+	function sweep(): void {
+		const now = monotonicNow();
+		const spread = [...seenAt].filter(([, at]) => now - at >= spreadMilliseconds).map(([index]) => index);
+		step({kind: 'swept', now, acknowledged: Math.max(0, ...spread)});
 	}
 
 	function claim(wish: ClaimWish, decided: (decision: ClaimDecision) => void): OpenClaim {
-		const operation = {service: wish.service, key: wish.key, operationKey: wish.operationKey};
-		const seatings = usableSeatings(monotonicNow());
-		sequence += 1;
-		let state: ClaimantState | undefined;
-
-		async function ask(request: ClaimRequest): Promise<void> {
-			const answer = await send(request);
-			step(answer === undefined ? {kind: 'unreachable', holder: request.holder} : {kind: 'answered', answer});
-		}
-
-		const effects: HandlerTable<ClaimantEffect, [], void> = {
-			ask({request}) {
-				void ask(request);
-			},
-			tell({ended}) {
-				void send(ended);
-			},
-			decide({decision}) {
-				decided(decision);
-			},
-		};
-
-		function carryOut(next: ReturnType<typeof stepClaimant>): void {
-			state = next.state;
-			for (const effect of next.effects) {
-				dispatch(effects, effect);
-			}
-		}
-
-		function step(event: ClaimantEvent): void {
-			if (state !== undefined) {
-				carryOut(stepClaimant(state, event));
-			}
-		}
-
-		carryOut(beginClaim({
-			operation,
+		const sequence = state.sequence + 1;
+		deciding.set(sequence, decided);
+		step({
+			kind: 'begun',
+			now: monotonicNow(),
+			operation: {service: wish.service, key: wish.key, operationKey: wish.operationKey},
 			fingerprint: wish.fingerprint,
-			token: {claimant: self, sequence},
-			holders: claimHolders(seatings, operationText(operation), hash),
-			rosterIndex: seatings[0]?.index ?? 0,
 			runsForMilliseconds: wish.runsForMilliseconds,
-			lifetimeMilliseconds: claimLifetimeMilliseconds,
-		}));
+		});
 		return {
 			giveUp() {
-				if (state?.phase === ClaimPhase.asking) {
-					step({kind: 'given-up'});
-				}
+				deciding.delete(sequence);
+				step({kind: 'given-up', now: monotonicNow(), sequence});
 			},
-			finished(outcome, answer) {
-				step(answer === undefined ? {kind: 'finished', outcome} : {kind: 'finished', outcome, answer});
+			finished(outcome, stored) {
+				step({
+					kind: 'finished', now: monotonicNow(), sequence, outcome, ...(stored === undefined ? {} : {answer: stored}),
+				});
 			},
 		};
 	}
 
-	control.listen(noteSeatings);
-	const sweeping = setInterval(() => {
-		stepAsHolder({kind: 'swept', now: monotonicNow()});
-	}, sweepMilliseconds);
+	control.listen(followSeatings);
+	const sweeping = setInterval(sweep, sweepMilliseconds);
 
 	return {
 		claim,
@@ -218,8 +183,10 @@
 				return err(failure(FailureKind.malformed, 'the claim message can\'t be read'));
 			}
 
-			const answer = takeAsHolder(message);
-			return ok(answer === undefined ? '' : JSON.stringify(answer));
+			answer = undefined;
+			step({kind: 'message', now: monotonicNow(), message});
+			const given = answer as ClaimAnswer | undefined;
+			return ok(given === undefined ? '' : JSON.stringify(given));
 		},
 		stop() {
 			clearInterval(sweeping);
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -24,6 +24,7 @@
 import {
 	allowsRetry, bookAttempt, createRetryBudget, type RetryBudget,
 } from '@dogwooddeck/routing/budget';
+import {fingerprintOf} from '@dogwooddeck/routing/claim-fingerprint';
 import {deadlineOf} from '@dogwooddeck/routing/deadline';
 import {Seen, seenRules} from '@dogwooddeck/routing/outcome';
 import {
@@ -44,8 +45,7 @@
 	readonly key: string;
 	readonly hashSlot: Slot;
 	readonly operationKey: string;
-	readonly method: string;
-	readonly path: string;
+	readonly head: RequestHead;
 };
 
 /** The owner of a request's key. */
@@ -170,8 +170,7 @@
 			key,
 			hashSlot: hash(key, contract.slots),
 			operationKey,
-			method: head.method,
-			path: head.path,
+			head,
 			deadline: Math.min(deadlineOf(contract, head, now), now + longest),
 			idempotent: treatment.idempotent,
 			importance: treatment.importance,
@@ -273,12 +272,11 @@
 			}
 		},
 		claim(request, body, decided) {
-			const fingerprint = [request.method, request.path, body === undefined ? '' : hash(new TextDecoder('latin1').decode(body), 2 ** 32)].join(' ');
 			return claims.claim({
 				service: request.target.contract.name,
 				key: request.key,
 				operationKey: request.operationKey,
-				fingerprint,
+				fingerprint: fingerprintOf(request.head, body),
 				runsForMilliseconds: request.deadline - monotonicNow() + claimMarginMilliseconds,
 			}, decided);
 		},
--- a/packages/routing/src/claims.ts
+++ b/packages/routing/src/claims.ts
@@ -27,7 +27,12 @@
 	readonly bounds: HolderBounds;
 	/** How long a claim is kept. A resend that comes later runs anew. */
 	readonly lifetimeMilliseconds: Milliseconds;
-	/** Every roster that a live instance may have used within a lifetime, newest first. */
+	/**
+	 * How long the holders of an earlier roster are asked after the roster went out of
+	 * use. By then their records must have been copied. Absent: for one lifetime.
+	 */
+	readonly copyingMilliseconds?: Milliseconds;
+	/** Every roster that a live instance may have used within that time, newest first. */
 	readonly rosters: readonly ClaimRoster[];
 	/** Whether `rosters` is known to hold them all. If not, nothing is claimed for one lifetime. */
 	readonly rostersComplete: boolean;
@@ -45,6 +50,7 @@
 	readonly self: InstanceIdentity;
 	readonly hash: TextHash;
 	readonly lifetimeMilliseconds: Milliseconds;
+	readonly copyingMilliseconds: Milliseconds;
 	/** Newest first. */
 	readonly rosters: readonly KnownRoster[];
 	readonly claimsFrom: MonotonicTime;
@@ -88,12 +94,14 @@
 /** The claims of an instance that has just started. */
 export function createClaims(input: ClaimsInput): ClaimsState {
 	const holder = createHolder(input.self, input.bounds);
+	const copyingMilliseconds = input.copyingMilliseconds ?? input.lifetimeMilliseconds;
 	return {
 		self: input.self,
 		hash: input.hash,
 		lifetimeMilliseconds: input.lifetimeMilliseconds,
+		copyingMilliseconds,
 		rosters: input.rosters.map(roster => ({roster})),
-		claimsFrom: input.rostersComplete ? input.now : input.now + input.lifetimeMilliseconds,
+		claimsFrom: input.rostersComplete ? input.now : input.now + copyingMilliseconds,
 		holder: {...holder, rosterIndex: input.rosters[0]?.index ?? 0},
 		open: new Map(),
 		sequence: 0,
@@ -184,7 +192,7 @@
 	}, event.now);
 }
 
-/** Forgets a roster one lifetime after the last instance may have used it. */
+/** Forgets a roster some time after the last instance may have used it. */
 function rostersInUse(state: ClaimsState, now: MonotonicTime, acknowledged: LogIndex): readonly KnownRoster[] {
 	const [newest, ...earlier] = state.rosters;
 	if (newest === undefined) {
@@ -195,7 +203,7 @@
 		const replacedAt = position === 0 ? newest.roster.index : earlier[position - 1]!.roster.index;
 		return known.outOfUseSince === undefined && replacedAt <= acknowledged ? {...known, outOfUseSince: now} : known;
 	});
-	return [newest, ...marked.filter(known => known.outOfUseSince === undefined || now - known.outOfUseSince < state.lifetimeMilliseconds)];
+	return [newest, ...marked.filter(known => known.outOfUseSince === undefined || now - known.outOfUseSince < state.copyingMilliseconds)];
 }
 
 const handlers: HandlerTable<ClaimsEvent, [ClaimsState], Step> = {
