--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -56,7 +56,9 @@
 		const message = JSON.parse(body) as Message;
 		const known = message.kind === 'claim-request' || message.kind === 'claim-ended';
 		return known && typeof message.operation?.operationKey === 'string' && typeof message.holder?.name === 'string'
-			&& typeof message.token?.sequence === 'number' ? message : undefined;
+			&& typeof message.token?.sequence === 'number'
+			? message
+			: undefined;
 	} catch {
 		return undefined;
 	}
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -5,7 +5,7 @@
 import {type Failure} from '@dogwooddeck/model/failure';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {
-	type ChannelOptions, credentials, Metadata, type ServiceError,
+	type ChannelOptions, credentials, logVerbosity, Metadata, type ServiceError, setLogVerbosity,
 } from '@grpc/grpc-js';
 import {err, type Result} from 'true-myth/result';
 import {PeerClient} from './generated/peer.js';
@@ -51,6 +51,8 @@
 	readonly close: () => void;
 };
 
+setLogVerbosity(logVerbosity.NONE);
+
 /** Makes the calls of one instance. The key authenticates it to the others. */
 export function createPeerClients(key: string): PeerClients {
 	const clients = new Map<string, PeerClient>();
