Let a leader rely on its quorum, and test pauses, slow disks and hand-overs

Cause: `quorumHeardAt` is what control relies on, but a voter could vote against a leader that it had just heard: the check was made only for a request with a later term, not for one with the voter's own. A leader whose hand-over did not come about went on to lead, although its invitation could still arrive late and pass by that check.

Change: while a leader is heard only its invited successor is answered; a leader whose hand-over takes longer than an election steps down. The schedules now freeze processes, hand leadership over and slow the disks down; they check that no leader relies on a quorum that elected another in a later term, that what is accepted is synced by a majority, and that what a member confirms is what the leader has.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -15,7 +15,9 @@
 import {
 	advanceCommit, appendOwn, newProgress, startRound,
 } from './replication.js';
-import {hardStateSynced, votesItself, type VoterState} from './state.js';
+import {
+	hardStateSynced, votesItself, type Leadership, type VoterState,
+} from './state.js';
 import {
 	includesVoter, isMajority, membersOf, sameVoter,
 } from './voter-set.js';
@@ -153,20 +155,27 @@
 	return sendSynced(draft, from, {kind: 'preVoteAnswered', term: granted ? message.term : state.hardState.term, granted});
 }
 
-/** Votes for a candidate, or not. The vote goes out once it is synced. */
-export function receiveVoteRequest(draft: Draft, from: VoterIdentity, message: VoteRequest): Draft {
+function vote(draft: Draft, from: VoterIdentity, message: VoteRequest): Draft {
 	const {hardState} = draft.state;
-	if (message.term > hardState.term) {
-		const heard = hearsLeader(draft.state, draft.now) && message.invited !== true;
-		return heard ? draft : receiveVoteRequest(adoptTerm(draft, message.term), from, message);
-	}
-
 	const free = hardState.vote === undefined || sameVoter(hardState.vote, from);
 	const granted = message.term === hardState.term && free && logAllowsVote(draft.state, message);
 	const voted = granted ? setHardState(postponeElection(draft), {term: hardState.term, vote: from}) : draft;
 	return sendSynced(voted, from, {kind: 'voteAnswered', term: hardState.term, granted});
 }
 
+/**
+ * Votes for a candidate, or not. The vote goes out once it is synced. While a
+ * leader is heard only its own successor is answered: the leader relies on it.
+ */
+export function receiveVoteRequest(draft: Draft, from: VoterIdentity, message: VoteRequest): Draft {
+	const {term} = draft.state.hardState;
+	if (message.term >= term && message.invited !== true && hearsLeader(draft.state, draft.now)) {
+		return draft;
+	}
+
+	return vote(message.term > term ? adoptTerm(draft, message.term) : draft, from, message);
+}
+
 const askedTerm = {
 	preVote: (term: Term) => term + 1,
 	vote: (term: Term) => term,
@@ -205,24 +214,24 @@
 	return votesItself(state) && (alone || now >= state.electionAt) ? standForPreVote(draft) : draft;
 }
 
-function endHandOver(draft: Draft): Draft {
-	const {leadership, options} = draft.state;
-	const startedAt = leadership?.handOver?.startedAt;
-	const expired = startedAt !== undefined && draft.now - startedAt >= options.electionMilliseconds;
-	return expired ? change(draft, {leadership: {...leadership!, handOver: undefined}}) : draft;
+function noQuorumLeft({state, now}: Draft, leadership: Leadership): boolean {
+	const alone = isMajority(latestVoterSet(state.log), [state.options.self]);
+	return !alone && now - roundHeardAt(state, leadership) >= state.options.electionMilliseconds;
+}
+
+/** The invitation may arrive late, so a leader that sent one doesn't go on to lead. */
+function handOverExpired({state, now}: Draft, {handOver}: Leadership): boolean {
+	return handOver !== undefined && now - handOver.startedAt >= state.options.electionMilliseconds;
 }
 
 function tickLeader(draft: Draft): Draft {
-	const {state, now} = draft;
-	const leadership = state.leadership!;
-	const alone = isMajority(latestVoterSet(state.log), [state.options.self]);
-	if (!alone && now - roundHeardAt(state, leadership) >= state.options.electionMilliseconds) {
+	const leadership = draft.state.leadership!;
+	if (noQuorumLeft(draft, leadership) || handOverExpired(draft, leadership)) {
 		const lost = failure(FailureKind.noQuorum, 'The leader can\'t hear a majority of the voters any more.');
 		return becomeFollower(postponeElection(draft), undefined, lost);
 	}
 
-	const ticked = endHandOver(draft);
-	return now >= leadership.heartbeatAt ? advanceCommit(startRound(ticked)) : ticked;
+	return draft.now >= leadership.heartbeatAt ? advanceCommit(startRound(draft)) : draft;
 }
 
 const tickByRole = {
--- a/packages/consensus/test/test-schedules.ts
+++ b/packages/consensus/test/test-schedules.ts
@@ -9,6 +9,7 @@
 import fc from 'fast-check';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {entryAt} from '@dogwooddeck/consensus/log';
 import {
 	committedIndex, createVoter, foundCluster, founderFolder, quorumHeardAt, roleOf, stepVoter, termOf, voterSetOf, type VoterState,
 } from '@dogwooddeck/consensus/voter';
@@ -28,17 +29,23 @@
 	readonly duplication: number;
 	readonly longDelay: number;
 	readonly crash: number;
+	readonly pause: number;
 	readonly cut: number;
 	readonly wipe: number;
+	readonly handOver: number;
 	readonly proposals: number;
+	/** The longest time that a write takes. */
+	readonly syncMilliseconds: number;
 };
 
 const calm: Faults = {
-	loss: 0, duplication: 0, longDelay: 0, crash: 0, cut: 0, wipe: 0, proposals: 0,
+	loss: 0, duplication: 0, longDelay: 0, crash: 0, pause: 0, cut: 0, wipe: 0, handOver: 0, proposals: 0, syncMilliseconds: 30,
 };
 
 type Write = {readonly syncedAt: number; readonly effect: Extract<ConsensusEffect, {kind: 'persist'}>};
 
+type Mail = {readonly at: number; readonly envelope: ConsensusEnvelope};
+
 type Node = {
 	readonly name: string;
 	identity: VoterIdentity;
@@ -47,6 +54,7 @@
 	writes: Write[];
 	machine: string[];
 	startsAt: number;
+	frozenUntil: number;
 	lives: number;
 };
 
@@ -67,7 +75,7 @@
 	readonly readIndexes = new Map<string, number>();
 	snapshotsSent = 0;
 	readonly #random;
-	#mail: Array<{readonly at: number; readonly envelope: ConsensusEnvelope}> = [];
+	#mail: Mail[] = [];
 	readonly #leaders = new Map<number, string>();
 	readonly #committed = new Map<number, string>();
 	readonly #placed = new Map<string, {readonly name: string; readonly index: number; readonly term: number}>();
@@ -79,7 +87,7 @@
 	readonly #edges: HandlerTable<ConsensusEffect, [Node], void> = {
 		persist: (effect, node) => {
 			const after = node.writes.at(-1)?.syncedAt ?? 0;
-			node.writes.push({effect, syncedAt: Math.max(after, this.now + this.pick(30))});
+			node.writes.push({effect, syncedAt: Math.max(after, this.now + this.pick(this.#faultsNow.syncMilliseconds))});
 		},
 		send: ({envelope}, node) => {
 			this.#checkSynced(envelope, node);
@@ -108,6 +116,7 @@
 			if (role === Role.leader) {
 				assert.equal(this.#leaders.get(term) ?? node.name, node.name, `two leaders in term ${term}`);
 				this.#leaders.set(term, node.name);
+				this.#checkLeases(node);
 			}
 		},
 	};
@@ -115,7 +124,7 @@
 	constructor(seed: number, names: readonly string[]) {
 		this.#random = xoroshiro128plus(seed);
 		this.nodes = names.map(name => ({
-			name, identity: {name, folder: founderFolder}, voter: undefined, disk: foundCluster(names), writes: [], machine: [], startsAt: 0, lives: 0,
+			name, identity: {name, folder: founderFolder}, voter: undefined, disk: foundCluster(names), writes: [], machine: [], startsAt: 0, frozenUntil: 0, lives: 0,
 		}));
 	}
 
@@ -123,6 +132,11 @@
 		return this.nodes.find(node => node.name === name)!;
 	}
 
+	/** Whether a process is stopped, with all its state: it returns as if nothing had happened. */
+	isFrozen(name: string): boolean {
+		return this.nodes.some(node => node.name === name && node.frozenUntil > this.now);
+	}
+
 	chance(thousandths: number): boolean {
 		return uniformInt(this.#random, 0, 999) < thousandths;
 	}
@@ -175,7 +189,7 @@
 		const reached = this.pick(node.writes.length + 1);
 		node.disk = node.writes.slice(0, reached).reduce((disk, {effect}) => written(disk, effect), node.disk);
 		Object.assign(node, {
-			voter: undefined, writes: [], machine: [], startsAt: this.now + silentMilliseconds,
+			voter: undefined, writes: [], machine: [], startsAt: this.now + silentMilliseconds, frozenUntil: 0,
 		});
 	}
 
@@ -189,12 +203,11 @@
 		const end = this.now + milliseconds;
 		while (this.now < end && !until()) {
 			this.now += stepMilliseconds;
+			this.#fail(faults);
 			this.#deliver();
-			for (const node of this.nodes) {
+			for (const node of this.nodes.filter(({name}) => !this.isFrozen(name))) {
 				this.#live(node);
 			}
-
-			this.#fail(faults);
 		}
 
 		return until();
@@ -256,10 +269,40 @@
 		const claimsVote = message.kind === 'voteRequested' || (message.kind === 'voteAnswered' && message.granted);
 		assert.ok(message.kind === 'preVoteRequested' || message.kind === 'preVoteAnswered' || hardState.term >= message.term, 'a term is sent before it is synced');
 		assert.ok(!claimsVote || hardState.term > message.term || hardState.vote !== undefined, 'a vote is sent before it is synced');
+		this.#checkConfirmed(message, node);
 		const claimed = message.kind === 'appendAnswered' && message.accepted && hardState.term === message.term ? message.index : 0;
 		assert.ok(claimed <= (entries.at(-1)?.index ?? snapshot?.index ?? 0), 'entries are confirmed before they are synced');
 	}
 
+	/** No leader relies on a quorum that elected another in a later term. */
+	#checkLeases(elected: Node): void {
+		for (const {name, voter} of this.nodes) {
+			const heardAt = voter === undefined || termOf(voter) >= termOf(elected.voter!) ? undefined : quorumHeardAt(voter, this.now);
+			assert.equal(heardAt, undefined, `${name} relies on a quorum that elected ${elected.name}`);
+		}
+	}
+
+	/** What a member confirms is what the leader of the term has. */
+	#checkConfirmed(message: ConsensusEnvelope['message'], node: Node): void {
+		const leader = this.nodes.find(({voter}) => voter !== undefined && roleOf(voter) === Role.leader && termOf(voter) === message.term);
+		if (message.kind === 'appendAnswered' && message.accepted && leader !== undefined) {
+			const confirmed = node.disk.entries.find(({index}) => index === message.index);
+			const expected = entryAt(leader.voter!.log, message.index);
+			assert.ok(confirmed === undefined || expected === undefined || confirmed.term === expected.term, 'an entry is confirmed that the leader does not have');
+		}
+	}
+
+	/** What is accepted is on the disks of a majority, but for folders that were lost since. */
+	#checkMajority({index, term}: LogEntry, leader: Node): void {
+		const {voters} = voterSetOf(leader.voter!);
+		const holding = voters.filter(voter => {
+			const {identity, disk} = this.node(voter.name);
+			const lost = identity.folder !== voter.folder;
+			return lost || index <= (disk.snapshot?.index ?? 0) || disk.entries.some(entry => entry.index === index && entry.term === term);
+		});
+		assert.ok(holding.length * 2 > voters.length, `entry ${index} is accepted before a majority has synced it`);
+	}
+
 	#apply(entry: LogEntry, node: Node): void {
 		const text = JSON.stringify(entry);
 		assert.equal(this.#committed.get(entry.index) ?? text, text, `entry ${entry.index} was changed after it was committed`);
@@ -271,12 +314,13 @@
 		for (const [request, {name, index, term}] of this.#placed) {
 			if (name === `${node.name}/${node.lives}` && index === entry.index && term === entry.term) {
 				this.#placed.delete(request);
-				this.#accept(entry);
+				this.#accept(entry, node);
 			}
 		}
 	}
 
-	#accept(entry: LogEntry): void {
+	#accept(entry: LogEntry, node: Node): void {
+		this.#checkMajority(entry, node);
 		this.#highestAccepted = Math.max(this.#highestAccepted, entry.index);
 		if (entry.body.kind === 'command') {
 			this.accepted.set(entry.body.payload, entry.index);
@@ -295,8 +339,9 @@
 	}
 
 	#deliver(): void {
-		const due = this.#mail.filter(({at}) => at <= this.now);
-		this.#mail = this.#mail.filter(({at}) => at > this.now);
+		const isDue = ({at, envelope}: Mail) => at <= this.now && !this.isFrozen(envelope.to.name);
+		const due = this.#mail.filter(mail => isDue(mail));
+		this.#mail = this.#mail.filter(mail => !isDue(mail));
 		for (const {envelope} of due) {
 			const {from, to} = envelope;
 			const receiver = this.nodes.find(node => node.name === to.name);
@@ -338,8 +383,14 @@
 			[this.isWhole() ? 0 : faults.wipe * 10, () => {
 				this.repair();
 			}],
-			[faults.proposals, () => this.propose(node)],
-			[faults.proposals, () => this.read(node)],
+			[faults.pause, () => {
+				node.frozenUntil = this.now + this.pick(2000);
+			}],
+			[faults.handOver, () => {
+				this.handle(node, {kind: 'handOverRequested', now: this.now});
+			}],
+			[this.isFrozen(node.name) ? 0 : faults.proposals, () => this.propose(node)],
+			[this.isFrozen(node.name) ? 0 : faults.proposals, () => this.read(node)],
 		];
 		for (const [likely, act] of actions) {
 			if (this.chance(likely)) {
@@ -453,6 +504,66 @@
 			assert.equal(schedule.refused.get(schedule.changeVoters(leader, {voters: [...voters, stranger], learners: []})), 'conflict');
 		},
 	},
+	{
+		name: 'a voter that was cut off for long returns without an election',
+		play(seed) {
+			const schedule = started(seed, names3);
+			const leader = schedule.leader()!;
+			const term = termOf(leader.voter!);
+			schedule.cut.add(schedule.nodes.find(node => node !== leader)!.name);
+			schedule.run(20_000);
+			schedule.settle();
+			assert.equal(termOf(leader.voter!), term);
+			assert.equal(roleOf(leader.voter!), Role.leader);
+		},
+	},
+	{
+		name: 'a leader that was frozen answers no read from before',
+		play(seed) {
+			const schedule = started(seed, names3);
+			proposeMany(schedule, 5);
+			const old = schedule.leader()!;
+			old.frozenUntil = schedule.now + 5000;
+			assert.ok(schedule.run(5000, calm, () => schedule.leader() !== old));
+			proposeMany(schedule, 5);
+			old.frozenUntil = 0;
+			const read = schedule.read(old);
+			schedule.settle();
+			assert.equal(schedule.refused.get(read), 'not-leader');
+		},
+	},
+	{
+		name: 'a voter votes for a log as new as its own, a learner only for a newer one',
+		play(seed) {
+			const schedule = started(seed, names3);
+			schedule.settle();
+			schedule.run(500);
+			const {identity, voter} = schedule.nodes.find(node => node !== schedule.leader())!;
+			const {term} = voter!.hardState;
+			const {lastIndex} = voter!.log;
+			const learnerSet = {voters: [identity], learners: [{name: 'x', folder: 'x'}]};
+			const learner = createVoter({...options, self: learnerSet.learners[0]!, seed}, {
+				hardState: {term}, entries: [], snapshot: {
+					index: lastIndex, term, voterSet: learnerSet, data: '',
+				},
+			}, 0);
+			const cases: ReadonlyArray<readonly [VoterState, number, number, boolean]> = [
+				[voter!, lastIndex, term, true],
+				[voter!, lastIndex - 1, term, false],
+				[voter!, lastIndex + 9, term - 1, false],
+				[learner, lastIndex, term, false],
+				[learner, lastIndex + 1, term, true],
+			];
+			for (const [state, index, lastTerm, granted] of cases) {
+				const message = {
+					kind: 'preVoteRequested', term: term + 1, lastIndex: index, lastTerm,
+				} as const;
+				const event = {kind: 'received', now: 100_000, envelope: {from: {name: 'z', folder: 'z'}, to: state.options.self, message}} as const;
+				const answers = stepVoter(state, event).effects.flatMap(effect => effect.kind === 'send' ? [effect.envelope.message] : []);
+				assert.deepEqual(answers.map(answer => answer.kind === 'preVoteAnswered' && answer.granted), [granted]);
+			}
+		},
+	},
 	{
 		name: 'leadership is handed over at once',
 		play(seed) {
@@ -530,6 +641,20 @@
 			...calm, loss: 30, longDelay: 20, crash: 3, cut: 3, wipe: 10, proposals: 200,
 		},
 	},
+	{
+		name: 'slow disks',
+		names: names3,
+		faults: {
+			...calm, loss: 50, longDelay: 20, crash: 8, cut: 8, proposals: 300, syncMilliseconds: 250,
+		},
+	},
+	{
+		name: 'frozen processes and hand-overs',
+		names: names3,
+		faults: {
+			...calm, loss: 50, duplication: 50, longDelay: 50, pause: 10, handOver: 5, proposals: 200,
+		},
+	},
 ];
 
 for (const {name, names, faults} of mixes) {
