--- a/packages/configuration/test/test-apply.ts
+++ b/packages/configuration/test/test-apply.ts
@@ -1,23 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {defaultContract, KeyPlace, type ServiceContract} from '@dogwooddeck/model/contract';
 import {FailureKind} from '@dogwooddeck/model/failure';
 import {applyConfiguration} from '../src/apply.js';
 import {
-	contractsOf, initialConfiguration, revisionOf, type ConfigurationCommand, type ConfigurationState,
+	contractsOf, initialConfiguration, revisionOf, type ConfigurationCommand,
 } from '../src/tree.js';
-
-function contract(name: string, more: Partial<ServiceContract> = {}): ServiceContract {
-	return {
-		...defaultContract, name, prefix: `/${name.split('/')[1]}`, key: {place: KeyPlace.path, segment: 0}, ...more,
-	};
-}
-
-function applied(operation: string, base: number, services: readonly ServiceContract[], team = 'bermrand'): ConfigurationCommand {
-	return {
-		kind: 'subtreeApplied', team, operation, base, services, author: 'planner', at: 0,
-	};
-}
+import {applied, contract, restarted} from './sample.js';
 
 /** An answer in few words: the revision, or the kind of failure and the revision that stands. */
 type Expected = number | string;
@@ -53,6 +41,16 @@
 		expected: [`${FailureKind.conflict} 0`, 2, `${FailureKind.conflict} 0`],
 		services: ['bermrand/booking'],
 	},
+	{
+		name: 'an operation that is sent again after 600 changes gets the first answer',
+		commands: [
+			applied('operation-0', 0, [schedule]),
+			...Array.from({length: 600}, (_unused, number) => applied(`operation-${number + 1}`, number + 1, [booking])),
+			applied('operation-0', 0, [schedule]),
+		],
+		expected: [1, ...Array.from({length: 600}, (_unused, number) => number + 2), 1],
+		services: ['bermrand/booking'],
+	},
 	{
 		name: 'an operation with other content is a conflict',
 		commands: [applied('operation-1', 0, [schedule]), applied('operation-1', 1, [booking])],
@@ -82,11 +80,6 @@
 	},
 ];
 
-function restarted(state: ConfigurationState): ConfigurationState {
-	const snapshot = JSON.stringify(state);
-	return JSON.parse(snapshot) as ConfigurationState;
-}
-
 for (const {name, commands, expected, services} of cases) {
 	test(`configuration: ${name}`, () => {
 		let state = initialConfiguration;
