Keep a zone's steward when instances restart, and end the loop of refused proposals

Cause: (1) a leader that passes leadership on refuses proposals at once, and its leader role proposed again at once: a loop without end within one turn, so that it answered nobody for 3 s. (2) A restarted instance was seated while it still kept silent, which took a steward of a small zone its majority: leases lost for 0.5 to 1 s at each restart. Change: after a refused proposal the leader waits 50 ms; an instance is seated once its silence is over, and the steward asks newcomers for support ahead of their seat.

--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -11,8 +11,9 @@
 } from '@dogwooddeck/model/identifiers';
 import {type SeatRequest} from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
-import {mayChangeRoster, proposeRelease, proposeSeat} from '@dogwooddeck/ownership/seat';
+import {mayChangeRoster, proposeSeat} from '@dogwooddeck/ownership/seat';
 import {type OwnershipCommand, type ZoneRoster} from '@dogwooddeck/ownership/table';
+import {grantorWait} from '@dogwooddeck/ownership/terms';
 import {type ControlCommand} from './command.js';
 import {type LeaderState} from './leader.js';
 import {closingProposals, serviceProposals} from './service-proposals.js';
@@ -79,17 +80,28 @@
 		: undefined;
 }
 
+/** A process that still keeps silent would only take the zone's steward its majority. */
+function isTooEarly(state: LeaderState, control: ControlState, command: OwnershipCommand, now: MonotonicTime): boolean {
+	if (command.kind !== 'instanceSeated' || (control.ownership.rosters[command.record.zone]?.members.length ?? 0) === 0) {
+		return false;
+	}
+
+	const heardAt = state.grantor.sightings[command.record.name]?.heardAt ?? now;
+	const {terms} = state.grantor;
+	return now < heardAt + grantorWait(terms.stewardTermMilliseconds, terms) + terms.renewMilliseconds;
+}
+
 function zoneProposal(state: LeaderState, control: ControlState, zone: ZoneName, now: MonotonicTime): OwnershipCommand | undefined {
 	const asking = Object.values(state.seats).filter(({instance, leaving}) => instance.zone === zone && leaving !== true);
 	for (const request of asking) {
 		const command = isMember(control, request) ? undefined : proposeSeat(state.grantor, control.ownership, request.instance, now);
-		if (command !== undefined) {
+		if (command !== undefined && !isTooEarly(state, control, command, now)) {
 			return command;
 		}
 	}
 
 	const roster = control.ownership.rosters[zone];
-	return roster === undefined ? undefined : proposeUnseat(state, roster, now) ?? proposeRelease(state.grantor, control.ownership, zone);
+	return roster === undefined ? undefined : proposeUnseat(state, roster, now);
 }
 
 function seatProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -60,6 +60,8 @@
 };
 
 const tickMilliseconds: Milliseconds = 50;
+/** The pause after a refused proposal. */
+const refusedMilliseconds: Milliseconds = 50;
 const callMilliseconds: Milliseconds = 1000;
 const proposeMilliseconds: Milliseconds = 5000;
 
@@ -109,7 +111,15 @@
 			log.warning(EventName.commandRefused, {failure: refusal.isErr ? refusal.error.kind : '', detail: refusal.isErr ? refusal.error.detail : ''});
 		}
 
-		step({kind: 'proposalEnded', now: monotonicNow(), control: holder.state()});
+		const ended = () => {
+			step({kind: 'proposalEnded', now: monotonicNow(), control: holder.state()});
+		};
+
+		if (proposed.isOk) {
+			ended();
+		} else {
+			setTimeout(ended, refusedMilliseconds);
+		}
 	}
 
 	let delegationAnswer: DelegationAnswer | undefined;
--- a/packages/ownership/src/leasing.ts
+++ b/packages/ownership/src/leasing.ts
@@ -2,7 +2,7 @@
  * Handlers for what a steward gives and gets: leases to the zone's instances,
  * and the zone's delegation from control.
  */
-import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type Milliseconds, type MonotonicTime, sameInstance} from '@dogwooddeck/model/identifiers';
 import {emptyReport, type LeaseAnswer, type LeaseRequest} from '@dogwooddeck/model/lease';
 import {countedHolders, withHolder} from './holders.js';
 import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
@@ -43,10 +43,23 @@
 	return {...state, records: withSupport(state.records, request.instance, {until: record.until, acknowledged})};
 }
 
+/** The newcomers that are remembered. */
+const newcomersAtMost = 9;
+
+function withNewcomer(state: StewardState, {instance}: LeaseRequest): StewardState {
+	const isKnown = [...state.members, ...state.newcomers].some(known => sameInstance(known, instance));
+	if (isKnown || instance.zone !== state.self.zone) {
+		return state;
+	}
+
+	const others = state.newcomers.filter(newcomer => newcomer.name !== instance.name);
+	return {...state, newcomers: [...others, instance].slice(-newcomersAtMost)};
+}
+
 /** Gives an instance a lease, or answers that it has none. */
 export function leaseRequested(event: EventOf<'leaseRequested'>, before: StewardState): StewardTransition {
 	const {now, request} = event;
-	const state = withAcknowledgement(settled(before, now), request, now);
+	const state = withNewcomer(withAcknowledgement(settled(before, now), request, now), request);
 	if (!mayHaveLease(state, request, now)) {
 		return {state, effects: [{kind: 'answerLease', answer: answerFor(state, 0, 0)}]};
 	}
--- a/packages/ownership/src/standing.ts
+++ b/packages/ownership/src/standing.ts
@@ -14,7 +14,7 @@
 import {
 	freeFrom, support, supportedNow, withdrawn, withSupport,
 } from './support.js';
-import {elected, settled} from './tenure.js';
+import {elected, isSteward, settled} from './tenure.js';
 import {holderTerm} from './terms.js';
 
 type EventOf<Kind extends StewardEvent['kind']> = Extract<StewardEvent, {readonly kind: Kind}>;
@@ -51,7 +51,8 @@
 
 function askOthers(state: StewardState, now: MonotonicTime): readonly StewardEffect[] {
 	const request = {zone: state.self.zone, candidate: identityOf(state), applied: state.applied};
-	return state.members
+	const newcomers = isSteward(state, now) ? state.newcomers : [];
+	return [...state.members, ...newcomers]
 		.filter(member => member.name !== state.self.name)
 		.map(to => ({
 			kind: 'askSupport', to, sentAt: now, request,
@@ -111,10 +112,12 @@
 		return {state, effects: []};
 	}
 
+	const members = event.table.rosters[state.self.zone]?.members ?? [];
 	const changed = {
 		...state,
 		applied: event.applied,
-		members: event.table.rosters[state.self.zone]?.members ?? [],
+		members,
+		newcomers: state.newcomers.filter(newcomer => !members.some(member => member.name === newcomer.name)),
 		longestDeadlineMilliseconds: longestDeadline(event.table),
 	};
 	return {state: settled(changed, event.now), effects: []};
--- a/packages/ownership/src/steward.ts
+++ b/packages/ownership/src/steward.ts
@@ -50,6 +50,8 @@
 	/** Instances that applied less get no lease. */
 	readonly floor: LogIndex;
 	readonly holders: LeaseHolders;
+	/** Instances of the zone that asked for a lease and have no seat. A steward asks for their support ahead of their seat. */
+	readonly newcomers: readonly InstanceRecord[];
 	/** The end of the zone's delegation, as far as this steward knows. */
 	readonly delegatedUntil: MonotonicTime;
 	readonly delegationAskedAt: MonotonicTime;
@@ -101,6 +103,7 @@
 		supportAskedAt: -Infinity,
 		floor: 0,
 		holders: {},
+		newcomers: [],
 		delegatedUntil: -Infinity,
 		delegationAskedAt: -Infinity,
 		askedDrained: 0,
--- a/packages/stand-in/src/upstream.ts
+++ b/packages/stand-in/src/upstream.ts
@@ -256,7 +256,9 @@
 			await this.#work();
 		}
 
-		const body = JSON.stringify({operation, served: this.#keys.get(request.url!) ?? 0, upstream: this.#options.name, fence: Number(request.headers[HeaderName.fence] ?? 0)});
+		const body = JSON.stringify({
+			operation, served: this.#keys.get(request.url!) ?? 0, upstream: this.#options.name, fence: Number(request.headers[HeaderName.fence] ?? 0),
+		});
 		answer({
 			request, response, order, operation, body: body.padEnd(this.#options.answerBytes),
 		});
