Add contracted limits: units, buckets and divided shares

Cause: limits are quoted in units that only the old system used, and they have to hold over all instances together, also under cuts and losses.

Change: `limits/unit` turns a quoted limit into counted things by its declared unit (undeclared: refused). `limits/bucket` admits by fixed and sliding windows; `limits/division` divides one amount over holders in leased shares, for control over zones and stewards over instances. What a holder may have used within a window counts against the amount, as far as it says that it used it, and else until a window after its share's end.

A burst below 1 is refused.

--- /dev/null
+++ b/packages/limits/src/bucket.ts
@@ -0,0 +1,142 @@
+/**
+ * The admission of requests under a limit, at one instance. The share of the
+ * limit may change at any time; 0 is the share of an instance that holds none.
+ *
+ * Sliding: no stretch of `burst` intervals has more than `burst` times the share.
+ * Fixed: a window has the share, and what earlier windows left of theirs, up to
+ * `burst` times the share together.
+ */
+import {WindowForm} from '@dogwooddeck/model/contract';
+import {type Milliseconds, type MonotonicTime, type WallTime} from '@dogwooddeck/model/identifiers';
+import {windowMilliseconds, type EffectiveLimit} from './unit.js';
+
+const slicesInWindow = 64;
+
+/** What was used in a slice of time, numbered from the start of the monotonic clock. */
+type Slice = {readonly number: number; readonly used: number};
+
+type FixedUse = {
+	/** The number of the window since 1970; it never goes back, even where the wall clock does. */
+	readonly number: number;
+	readonly used: number;
+	/** What was used in the window before this one. */
+	readonly usedBefore: number;
+	readonly carried: number;
+	/** The least share that was seen in the window: what it may leave to the next. */
+	readonly leastShare: number;
+};
+
+/** The use of a limit so far. */
+export type BucketState = {
+	readonly limit: EffectiveLimit;
+	readonly slices: readonly Slice[];
+	readonly fixed: FixedUse;
+};
+
+/** Whether a request may go on, and if not, when to come again. */
+export type Admission = {
+	readonly state: BucketState;
+	readonly admitted: boolean;
+	/** 0 for an admitted request. */
+	readonly retryAfterMilliseconds: Milliseconds;
+};
+
+/** A bucket from which nothing was used. */
+export function createBucket(limit: EffectiveLimit): BucketState {
+	return {
+		limit, slices: [], fixed: {
+			number: -1, used: 0, usedBefore: 0, carried: 0, leastShare: 0,
+		},
+	};
+}
+
+function sliceMilliseconds(limit: EffectiveLimit): Milliseconds {
+	return windowMilliseconds(limit) / slicesInWindow;
+}
+
+/** When a slice stops to count: a whole window after its end. */
+function sliceEnd(limit: EffectiveLimit, slice: Slice): MonotonicTime {
+	return ((slice.number + 1) * sliceMilliseconds(limit)) + windowMilliseconds(limit);
+}
+
+function waitForSlices(limit: EffectiveLimit, slices: readonly Slice[], missing: number): MonotonicTime | undefined {
+	let freed = 0;
+	const last = slices.find(slice => {
+		freed += slice.used;
+		return freed >= missing;
+	});
+	return last === undefined ? undefined : sliceEnd(limit, last);
+}
+
+function addToSlices(slices: readonly Slice[], number: number, cost: number): readonly Slice[] {
+	const last = slices.at(-1);
+	return last?.number === number
+		? [...slices.slice(0, -1), {number, used: last.used + cost}]
+		: [...slices, {number, used: cost}];
+}
+
+function admitSliding(state: BucketState, now: MonotonicTime, cost: number, share: number): Admission {
+	const {limit} = state;
+	const slices = state.slices.filter(slice => sliceEnd(limit, slice) > now);
+	const used = slices.reduce((sum, slice) => sum + slice.used, 0);
+	const missing = used + cost - (share * limit.burst);
+	if (missing <= 0) {
+		const number = Math.floor(now / sliceMilliseconds(limit));
+		return {state: {...state, slices: addToSlices(slices, number, cost)}, admitted: true, retryAfterMilliseconds: 0};
+	}
+
+	const freeAt = waitForSlices(limit, slices, missing) ?? now + windowMilliseconds(limit);
+	return {state: {...state, slices}, admitted: false, retryAfterMilliseconds: Math.ceil(freeAt - now)};
+}
+
+function openWindow(state: BucketState, number: number, share: number): FixedUse {
+	const {limit, fixed} = state;
+	if (number <= fixed.number) {
+		return {...fixed, leastShare: Math.min(fixed.leastShare, share)};
+	}
+
+	const left = Math.max(0, fixed.carried + fixed.leastShare - fixed.used);
+	return {
+		number, used: 0, usedBefore: number === fixed.number + 1 ? fixed.used : 0, carried: Math.min(left, (limit.burst - 1) * share), leastShare: share,
+	};
+}
+
+function admitFixed(state: BucketState, now: WallTime, cost: number, share: number): Admission {
+	const {limit} = state;
+	const opened = openWindow(state, Math.floor(now / limit.intervalMilliseconds), share);
+	const carried = Math.min(opened.carried, (limit.burst - 1) * share);
+	const admitted = opened.used + cost <= share + carried;
+	const fixed = {...opened, used: opened.used + (admitted ? cost : 0)};
+	const nextAt = (opened.number + 1) * limit.intervalMilliseconds;
+	return {state: {...state, fixed}, admitted, retryAfterMilliseconds: admitted ? 0 : Math.ceil(nextAt - now)};
+}
+
+/**
+ * Admits a request that costs so many counted things, or refuses it. A cost of 0
+ * notes a change of the share, which a fixed window with a burst has to see.
+ */
+export function admit(state: BucketState, nowWall: WallTime, nowMonotonic: MonotonicTime, cost: number, shareAmount: number): Admission {
+	return state.limit.window === WindowForm.sliding
+		? admitSliding(state, nowMonotonic, cost, shareAmount)
+		: admitFixed(state, nowWall, cost, shareAmount);
+}
+
+function usedSliding({limit, slices}: BucketState, now: MonotonicTime): number {
+	return slices.filter(slice => sliceEnd(limit, slice) > now).reduce((sum, slice) => sum + slice.used, 0);
+}
+
+function usedFixed({limit, fixed}: BucketState, now: WallTime, skew: Milliseconds): number {
+	const earliest = Math.floor((now - skew) / limit.intervalMilliseconds);
+	const current = fixed.number >= earliest ? fixed.used : 0;
+	return fixed.number > earliest ? Math.max(current, fixed.usedBefore) : current;
+}
+
+/**
+ * The share that accounts for what was used within the last window: what an
+ * instance reports when its share shrinks. With fixed windows, one that ended
+ * within the skew of the wall clocks counts as well.
+ */
+export function usedShare(state: BucketState, nowWall: WallTime, nowMonotonic: MonotonicTime, skewMilliseconds: Milliseconds): number {
+	const used = state.limit.window === WindowForm.sliding ? usedSliding(state, nowMonotonic) : usedFixed(state, nowWall, skewMilliseconds);
+	return used / state.limit.burst;
+}
--- /dev/null
+++ b/packages/limits/test/test-unit.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	Counted, LimitScope, Rounding, WindowForm, type LegacyUnit,
+} from '@dogwooddeck/model/contract';
+import {admit, createBucket} from '@dogwooddeck/limits/bucket';
+import {effectiveLimit, type EffectiveLimit} from '@dogwooddeck/limits/unit';
+
+const unit: LegacyUnit = {
+	name: 'batch', counts: Counted.requests, countedPerUnit: 7, intervalMilliseconds: 1000, window: WindowForm.fixed, burst: 1, rounding: Rounding.down, scope: LimitScope.deployment,
+};
+
+const quoted: ReadonlyArray<{readonly name: string; readonly amount: number; readonly unit: Partial<LegacyUnit>; readonly quotedIn?: string; readonly expected: number | string}> = [
+	{
+		name: 'rounded down', amount: 2.5, unit: {}, expected: 17,
+	},
+	{
+		name: 'rounded to the nearest', amount: 2.5, unit: {rounding: Rounding.nearest}, expected: 18,
+	},
+	{
+		name: 'rounded up', amount: 2.1, unit: {rounding: Rounding.up}, expected: 15,
+	},
+	{
+		name: 'undeclared', amount: 2, unit: {}, quotedIn: 'bale', expected: 'unit-undeclared',
+	},
+	{
+		name: 'in another case', amount: 2, unit: {}, quotedIn: 'Batch', expected: 'unit-undeclared',
+	},
+	{
+		name: 'negative', amount: -1, unit: {}, expected: 'settings-invalid',
+	},
+	{
+		name: 'not a number', amount: Number.NaN, unit: {}, expected: 'settings-invalid',
+	},
+	{
+		name: 'a unit that counts nothing', amount: 1, unit: {countedPerUnit: 0}, expected: 'settings-invalid',
+	},
+	{
+		name: 'a unit without an interval', amount: 1, unit: {intervalMilliseconds: 0}, expected: 'settings-invalid',
+	},
+	{
+		name: 'a burst below the limit', amount: 1, unit: {burst: 0.5}, expected: 'settings-invalid',
+	},
+];
+
+for (const {name, amount, unit: changes, quotedIn = 'batch', expected} of quoted) {
+	test(`unit: a limit ${name}`, () => {
+		const result = effectiveLimit({name: 'l', amount, unit: quotedIn}, [{...unit, ...changes}]);
+		assert.equal(result.match({Ok: limit => limit.amount as number | string, Err: ({kind}) => kind}), expected);
+	});
+}
+
+const limit: EffectiveLimit = {
+	amount: 3, intervalMilliseconds: 1000, window: WindowForm.fixed, burst: 1, counts: Counted.requests, scope: LimitScope.deployment,
+};
+
+/** Requests as time, cost, share, and whether each is admitted. */
+type Asked = readonly [number, number, number, boolean];
+
+const admissions: ReadonlyArray<{readonly name: string; readonly limit: EffectiveLimit; readonly asked: readonly Asked[]}> = [
+	{name: 'a fixed window starts at whole intervals', limit, asked: [[900, 3, 3, true], [950, 1, 3, false], [1000, 3, 3, true], [1999, 1, 3, false]]},
+	{name: 'a wall clock that goes back opens no window again', limit, asked: [[2000, 3, 3, true], [1000, 1, 3, false], [2500, 1, 3, false]]},
+	{name: 'a share that shrinks counts what was used', limit, asked: [[100, 2, 3, true], [200, 1, 2, false], [300, 1, 3, true]]},
+	{name: 'no share admits nothing', limit, asked: [[100, 1, 0, false]]},
+	{name: 'a fixed burst carries what was left', limit: {...limit, burst: 2}, asked: [[100, 1, 3, true], [1100, 5, 3, true], [1200, 1, 3, false], [2100, 4, 3, false], [2200, 3, 3, true]]},
+	{name: 'a sliding window has no edge', limit: {...limit, window: WindowForm.sliding}, asked: [[900, 3, 3, true], [1500, 1, 3, false], [1890, 1, 3, false], [1920, 3, 3, true]]},
+	{name: 'a sliding burst is spread over its intervals', limit: {...limit, window: WindowForm.sliding, burst: 2}, asked: [[100, 6, 3, true], [1900, 1, 3, false], [2200, 6, 3, true]]},
+];
+
+for (const {name, limit: held, asked} of admissions) {
+	test(`bucket: ${name}`, () => {
+		let state = createBucket(held);
+		for (const [now, cost, share, expected] of asked) {
+			const admission = admit(state, now, now, cost, share);
+			assert.equal(admission.admitted, expected, `at ${now}`);
+			assert.equal(admission.retryAfterMilliseconds > 0, !expected);
+			state = admission.state;
+		}
+	});
+}
