Measure placement on traces, and move hot keys alone

Change: the bench package (generator, detection by the real watch and registry, replay, queueing model, baselines, table); pinned keys move at a lower score and price than slots, a cooldown after optional moves, rates of just pinned keys taken from their home's, cooled pins granted to their home's owner, pinned keys brought to the region of their requests.

--- /dev/null
+++ b/packages/bench/src/replay.ts
@@ -0,0 +1,165 @@
+/**
+ * The second half of a replay: what one policy makes of a trace. Ownership is
+ * a small fake that takes stated times to revoke and to grant.
+ */
+import {AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {type SlotHash} from '@dogwooddeck/placement/hash';
+import {type PlacementInput, type PlacementState} from '@dogwooddeck/placement/input';
+import {
+	createLoad, type LoadState, ratesOf, receiveLoad,
+} from '@dogwooddeck/placement/load';
+import {createPlacement} from '@dogwooddeck/placement/plan';
+import {placementPolicies} from '@dogwooddeck/placement/policy';
+import {type PlacementPlan} from '@dogwooddeck/placement/proposal';
+import {
+	contractOf, cutZonesAt, type Detection, lifeKey, type RegistryChange,
+} from './detection.js';
+import {type Measures, noMeasures} from './measures.js';
+import {createOwnership, type Ownership} from './ownership.js';
+import {type Planner} from './policies.js';
+import {createRandom, noisyCount, type Random} from './random.js';
+import {sample} from './sample.js';
+import {deployments, type ServiceShape, type Trace} from './trace.js';
+import {createTraffic, riseAt, type TrafficSource} from './traffic.js';
+
+/** How often loads are reported and optional moves are planned, in seconds. */
+export const stepSeconds = 5;
+/** The first part of each trace, in which placements settle and nothing is measured. */
+export const settleSeconds = 60;
+const millisecondsPerSecond = 1000;
+
+/** One service under one policy. */
+export type ServiceReplay = {
+	readonly trace: Trace;
+	readonly service: ServiceShape;
+	readonly detection: Detection;
+	readonly traffic: TrafficSource;
+	readonly ownership: Ownership;
+	readonly planner: Planner;
+	readonly random: Random;
+	readonly hash: SlotHash;
+	measures: Measures;
+	loads: LoadState;
+	state: PlacementState;
+	registry: RegistryChange;
+	/** Requests that each life has answered, by service, name and incarnation. */
+	readonly answered: Record<string, number>;
+};
+
+function open(trace: Trace, service: ServiceShape, detection: Detection, planner: Planner, hash: SlotHash): ServiceReplay {
+	const contract = contractOf(trace, service);
+	const {smoothingMilliseconds} = placementPolicies[contract.weigh];
+	const traffic = createTraffic(service, contract.slots, hash, trace.seed);
+	const measures = noMeasures();
+	return {
+		trace,
+		service,
+		detection,
+		traffic,
+		planner,
+		hash,
+		measures,
+		ownership: createOwnership({
+			trace, service, detection, traffic, slots: contract.slots, regions: deployments[trace.deployment]!.zones,
+		}),
+		random: createRandom(trace.seed, service.keys, 7),
+		loads: createLoad(service.name, smoothingMilliseconds, 0),
+		state: createPlacement(0),
+		registry: detection.changes[0]!,
+		answered: {},
+	};
+}
+
+function inputOf(replay: ServiceReplay, now: number): PlacementInput {
+	const {trace, service, registry, ownership, loads, hash} = replay;
+	const contract = contractOf(trace, service);
+	const rates = ratesOf(loads, now);
+	return {
+		now,
+		contract,
+		assignments: ownership.assignments(),
+		upstreams: (registry.upstreams[service.name] ?? []).map(record => {
+			const joinedAt = registry.joinedAt[lifeKey(record.service, record.name, record.incarnation)];
+			return joinedAt === undefined ? {record} : {record, joinedAt};
+		}),
+		loads: rates,
+		hotKeys: Object.entries(rates.keys).map(([key, rate]) => ({key, home: hash(key, contract.slots), rate})),
+		flapping: registry.flapping[service.name] ?? 0,
+		unreachableZones: cutZonesAt(trace, now / millisecondsPerSecond),
+		state: replay.state,
+	};
+}
+
+function plan(replay: ServiceReplay, now: number): PlacementPlan {
+	const planned = replay.planner(inputOf(replay, now));
+	replay.state = planned.state;
+	replay.ownership.carryOut(planned, now, replay.measures);
+	return planned;
+}
+
+function reportLoads(replay: ServiceReplay, now: number): void {
+	const {service, ownership, traffic, random, trace} = replay;
+	const seconds = now / millisecondsPerSecond;
+	const scale = riseAt(seconds) * stepSeconds;
+	const {regions} = deployments[trace.deployment]!;
+	const current = traffic.at(seconds);
+	const slots = ownership.slotTraffic(current);
+	for (const [number, region] of regions.entries()) {
+		const share = (firstShare: number) => (number === 0 ? firstShare : 1 - firstShare);
+		replay.loads = receiveLoad(replay.loads, {
+			now,
+			region,
+			slotLoads: slots.map(({slot, rate, firstShare}) => ({service: service.name, slot, requests: noisyCount(random, rate * scale * share(firstShare))})),
+			keyLoads: current.hot.map(({key, rate, firstShare}) => ({service: service.name, key, requests: noisyCount(random, rate * scale * share(firstShare))})),
+			evidence: number === 0 ? ownership.answers(current, scale) : [],
+		});
+	}
+}
+
+function step(replay: ServiceReplay, now: number): void {
+	if (now > 0) {
+		reportLoads(replay, now);
+	}
+
+	sample(replay, now);
+	plan(replay, now);
+}
+
+/** The next time at which something happens: a step, a change of the registry, or the end of a revocation. */
+function nextTime(replay: ServiceReplay, changes: readonly RegistryChange[], stepAt: number): number {
+	return Math.min(stepAt, changes[0]?.at ?? Number.POSITIVE_INFINITY, replay.ownership.nextDue());
+}
+
+/** Replays one service of a trace under a policy. */
+export function replayService(trace: Trace, service: ServiceShape, detection: Detection, planner: Planner, hash: SlotHash): Measures {
+	const replay = open(trace, service, detection, planner, hash);
+	const end = trace.durationSeconds * millisecondsPerSecond;
+	const changes = [...detection.changes];
+	let stepAt = 0;
+	let isSettled = false;
+	for (let now = 0; now < end; now = nextTime(replay, changes, stepAt)) {
+		if (!isSettled && now >= settleSeconds * millisecondsPerSecond) {
+			isSettled = true;
+			replay.measures = noMeasures();
+		}
+
+		while (changes.length > 0 && changes[0]!.at <= now) {
+			replay.registry = changes.shift()!;
+			replay.measures.events += isSettled ? 1 : 0;
+		}
+
+		replay.ownership.endRevocations(now);
+		if (now >= stepAt) {
+			step(replay, now);
+			stepAt += stepSeconds * millisecondsPerSecond;
+		} else {
+			plan(replay, now);
+		}
+	}
+
+	replay.ownership.close(end, replay.measures);
+	return replay.measures;
+}
+
+/** The phases in which a slot can't be served. */
+export const unservedPhases: ReadonlySet<AssignmentPhase> = new Set([AssignmentPhase.vacant, AssignmentPhase.revoking]);
--- a/packages/membership/src/watch.ts
+++ b/packages/membership/src/watch.ts
@@ -69,7 +69,7 @@
 	readonly startedAt: MonotonicTime;
 	readonly zones: Readonly<Record<ZoneName, ZoneWatch>>;
 	/** By service and name, joined as `upstreamKey` says. */
-	readonly upstreams: Readonly<Record<string, UpstreamWatch>>;
+	readonly upstreams: ReadonlyMap<string, UpstreamWatch>;
 };
 
 /** What the watch is fed with. */
@@ -102,15 +102,19 @@
 
 /** The view of a leader that begins now. */
 export function createWatch(now: MonotonicTime): WatchState {
-	return {startedAt: now, zones: {}, upstreams: {}};
+	return {startedAt: now, zones: {}, upstreams: new Map()};
 }
 
-function watchOf(state: WatchState, service: ServiceName, name: string): UpstreamWatch {
-	return state.upstreams[upstreamKey(service, name)] ?? {
+function unheard(state: WatchState): UpstreamWatch {
+	return {
 		heardAt: state.startedAt, heardInReport: 0, witnesses: {}, flaps: {lives: []},
 	};
 }
 
+function watchOf(state: WatchState, service: ServiceName, name: string): UpstreamWatch {
+	return state.upstreams.get(upstreamKey(service, name)) ?? unheard(state);
+}
+
 /** When this leader first heard the incarnation. Absent: before this leader's time. */
 export function joinedAt(state: WatchState, upstream: UpstreamIdentity): MonotonicTime | undefined {
 	const watch = watchOf(state, upstream.service, upstream.name);
@@ -126,7 +130,7 @@
 /** How many of a service's upstreams changed lives several times in a short while. */
 export function flappingCount(state: WatchState, service: ServiceName, now: MonotonicTime): number {
 	const prefix = upstreamKey(service, '');
-	const histories = Object.entries(state.upstreams).filter(([key]) => key.startsWith(prefix)).map(([, watch]) => watch.flaps);
+	const histories = [...state.upstreams].filter(([key]) => key.startsWith(prefix)).map(([, watch]) => watch.flaps);
 	return flappingUpstreams(histories, now);
 }
 
@@ -156,17 +160,18 @@
 function receive(event: Extract<WatchEvent, {readonly kind: 'reportReceived'}>, state: WatchState): Transition<WatchState, WatchEffect> {
 	const {now, report, reporter} = event;
 	const zones = {...state.zones, [reporter.zone]: hearZone(state.zones[reporter.zone], now)};
-	const upstreams: Record<string, UpstreamWatch> = {...state.upstreams};
+	const upstreams = new Map(state.upstreams);
 	for (const announcement of report.announcements) {
 		const {service, name, zone} = announcement;
-		const watch = watchOf({...state, upstreams}, service, name);
-		upstreams[upstreamKey(service, name)] = hearAnnouncement(watch, announcement, zones[zone]?.reports ?? 0, now);
+		const key = upstreamKey(service, name);
+		upstreams.set(key, hearAnnouncement(upstreams.get(key) ?? unheard(state), announcement, zones[zone]?.reports ?? 0, now));
 	}
 
 	for (const evidence of report.evidence) {
 		const {service, name} = evidence.upstream;
-		const watch = watchOf({...state, upstreams}, service, name);
-		upstreams[upstreamKey(service, name)] = {...watch, witnesses: noteEvidence(watch.witnesses, evidence, reporter.zone, now)};
+		const key = upstreamKey(service, name);
+		const watch = upstreams.get(key) ?? unheard(state);
+		upstreams.set(key, {...watch, witnesses: noteEvidence(watch.witnesses, evidence, reporter.zone, now)});
 	}
 
 	return {state: {...state, zones, upstreams}, effects: []};
@@ -274,7 +279,7 @@
 
 function joinCommands(state: WatchState, tick: Tick): MembershipCommand[] {
 	const services = new Set(tick.contracts.map(contract => contract.name));
-	return Object.values(state.upstreams).flatMap(watch => {
+	return [...state.upstreams.values()].flatMap(watch => {
 		const {announcement, heardAt, flaps} = watch;
 		const isDue = announcement !== undefined
 			&& services.has(announcement.service)
@@ -290,31 +295,35 @@
 }
 
 function noteProposals(state: WatchState, commands: readonly MembershipCommand[], now: MonotonicTime): WatchState {
-	const upstreams: Record<string, UpstreamWatch> = {...state.upstreams};
+	if (commands.length === 0) {
+		return state;
+	}
+
+	const upstreams = new Map(state.upstreams);
 	for (const {service, name} of commands.map(command => targetOf(command))) {
-		upstreams[upstreamKey(service, name)] = {...watchOf(state, service, name), proposedAt: now};
+		upstreams.set(upstreamKey(service, name), {...watchOf(state, service, name), proposedAt: now});
 	}
 
 	return {...state, upstreams};
 }
 
 function noteLosses(state: WatchState, tick: Tick): WatchState {
-	const upstreams: Record<string, UpstreamWatch> = {...state.upstreams};
-	for (const record of tick.contracts.flatMap(contract => upstreamsOf(tick.registry, contract.name))) {
-		const watch = watchOf(state, record.service, record.name);
-		if (record.phase === UpstreamPhase.lost && watch.lostAt === undefined) {
-			upstreams[upstreamKey(record.service, record.name)] = {...watch, lostAt: tick.now};
-		}
+	const lost = tick.contracts
+		.flatMap(contract => upstreamsOf(tick.registry, contract.name))
+		.filter(({service, name, phase}) => phase === UpstreamPhase.lost && watchOf(state, service, name).lostAt === undefined);
+	if (lost.length === 0) {
+		return state;
 	}
 
-	return {...state, upstreams};
+	const noted = lost.map(({service, name}) => [upstreamKey(service, name), {...watchOf(state, service, name), lostAt: tick.now}] as const);
+	return {...state, upstreams: new Map([...state.upstreams, ...noted])};
 }
 
 /** Drops what is known of upstreams that are silent for long and have no record. */
 function dropForgotten(state: WatchState, tick: Tick): WatchState {
-	const kept = Object.entries(state.upstreams).filter(([, {announcement, heardAt}]) => tick.now - heardAt <= forgetAfterMilliseconds
+	const kept = [...state.upstreams].filter(([, {announcement, heardAt}]) => tick.now - heardAt <= forgetAfterMilliseconds
 		|| (announcement !== undefined && upstreamOf(tick.registry, announcement) !== undefined));
-	return kept.length === Object.keys(state.upstreams).length ? state : {...state, upstreams: Object.fromEntries(kept)};
+	return kept.length === state.upstreams.size ? state : {...state, upstreams: new Map(kept)};
 }
 
 function isUnproposed(state: WatchState, now: MonotonicTime): (command: MembershipCommand) => boolean {
--- a/packages/placement/src/balance.ts
+++ b/packages/placement/src/balance.ts
@@ -5,11 +5,10 @@
 import {AssignmentPhase} from '@dogwooddeck/model/assignment';
 import {type Slot} from '@dogwooddeck/model/identifiers';
 import {
-	type Book, cheapest, countOf, put, rateOf, scoreOf, scoreWith, type Shelf, take,
+	type Book, cheapest, countOf, isPinned, put, rateOf, remoteShareOf, scoreOf, scoreWith, type Shelf, take,
 } from './book.js';
-import {idleMoveCost} from './budget.js';
+import {idleMoveCost, pinnedMoveCost} from './budget.js';
 import {type PlacementInput, type PlacementState} from './input.js';
-import {type PlacementPolicy} from './policy.js';
 import {MoveReason, type PlannedMove} from './proposal.js';
 
 type Candidate = {
@@ -39,9 +38,9 @@
 	return scoreOf(book, from) - after;
 }
 
-function bestCandidate(book: Book, from: Shelf, movable: ReadonlySet<Slot>): Candidate | undefined {
+function bestCandidate(book: Book, from: Shelf, slots: readonly Slot[]): Candidate | undefined {
 	let best: Candidate | undefined;
-	for (const slot of [...from.slots].filter(slot => movable.has(slot)).sort((one, other) => one - other)) {
+	for (const slot of slots) {
 		const to = cheapest(book, slot, from);
 		const gain = to === undefined ? 0 : gainOf(book, from, to, slot);
 		if (to !== undefined && gain > (best?.gain ?? 0)) {
@@ -55,31 +54,103 @@
 }
 
 function costOf(book: Book, slot: Slot): number {
-	return rateOf(book.input, slot) > 0 ? 1 : idleMoveCost;
+	if (rateOf(book.input, slot) === 0) {
+		return idleMoveCost;
+	}
+
+	return isPinned(book, slot) ? pinnedMoveCost : 1;
 }
 
-/** Plans optional moves. The table must hold the outcome of all others. */
-export function planBalance(input: PlacementInput, book: Book, policy: PlacementPolicy, state: PlacementState): BalancePlan {
-	const movable = new Set(grantedSlots(input));
-	const moves: PlannedMove[] = [];
-	let {tokens, isBalancing} = state;
-	let underWay = input.assignments.assignments.filter(({phase}) => phase === AssignmentPhase.revoking).length;
+type Work = {
+	readonly book: Book;
+	readonly movable: Set<Slot>;
+	readonly moves: PlannedMove[];
+	tokens: number;
+	underWay: number;
+};
+
+function movableOf(work: Work, from: Shelf): readonly Slot[] {
+	return [...from.slots].filter(slot => work.movable.has(slot)).sort((one, other) => one - other);
+}
+
+/** A pinned key if one brings enough, and else, when slots may move, a slot. */
+function chooseCandidate(work: Work, from: Shelf, maySlotsMove: boolean): Candidate | undefined {
+	const {book} = work;
+	const slots = movableOf(work, from);
+	const pinned = bestCandidate(book, from, slots.filter(slot => isPinned(book, slot)));
+	if (!maySlotsMove || (pinned !== undefined && pinned.gain >= book.policy.leastGain)) {
+		return pinned;
+	}
+
+	return bestCandidate(book, from, slots.filter(slot => !isPinned(book, slot)));
+}
+
+function carryOut(work: Work, {slot, from, to}: Candidate, reason: MoveReason): void {
+	const cost = costOf(work.book, slot);
+	work.tokens -= cost;
+	work.underWay += cost;
+	work.movable.delete(slot);
+	take(work.book, from, slot);
+	put(work.book, to, slot);
+	work.moves.push({
+		slot, from: from.identity, to: to.identity, reason,
+	});
+}
+
+function isAffordable(work: Work, slot: Slot): boolean {
+	return work.underWay < work.book.policy.movesAtOnce && work.tokens >= costOf(work.book, slot);
+}
+
+/** Moves what brings the most loaded upstream down, until it is low enough. Returns whether slots still have to move. */
+function balance(work: Work, wasBalancing: boolean): boolean {
+	const {book} = work;
+	const {balanceTrigger, balanceTarget, pinTrigger, leastGain} = book.policy;
+	let isBalancing = wasBalancing;
 	for (;;) {
 		const from = mostLoaded(book);
 		const score = from === undefined ? 0 : scoreOf(book, from);
-		isBalancing = score > (isBalancing ? policy.balanceTarget : policy.balanceTrigger);
-		const candidate = from !== undefined && isBalancing ? bestCandidate(book, from, movable) : undefined;
-		if (candidate === undefined || candidate.gain < policy.leastGain || underWay >= policy.movesAtOnce || tokens < costOf(book, candidate.slot)) {
-			return {moves, state: {...state, tokens, isBalancing}};
+		isBalancing = score > (isBalancing ? balanceTarget : balanceTrigger);
+		const candidate = from !== undefined && score > pinTrigger ? chooseCandidate(work, from, isBalancing) : undefined;
+		if (candidate === undefined || candidate.gain < leastGain || !isAffordable(work, candidate.slot)) {
+			return isBalancing;
 		}
 
-		tokens -= costOf(book, candidate.slot);
-		underWay += costOf(book, candidate.slot);
-		movable.delete(candidate.slot);
-		take(book, candidate.from, candidate.slot);
-		put(book, candidate.to, candidate.slot);
-		moves.push({
-			slot: candidate.slot, from: candidate.from.identity, to: candidate.to.identity, reason: MoveReason.balance,
-		});
+		carryOut(work, candidate, MoveReason.balance);
 	}
 }
+
+/** Moves pinned keys to the region that their requests come from, where there is room for them. */
+function bringNearer(work: Work): void {
+	const {book} = work;
+	for (const from of book.shelves) {
+		for (const slot of movableOf(work, from).filter(slot => isPinned(book, slot) && isAffordable(work, slot))) {
+			const to = cheapest(book, slot, from);
+			const gain = to === undefined ? 0 : remoteShareOf(book.input, slot, from.region) - remoteShareOf(book.input, slot, to.region);
+			if (to !== undefined && gain >= book.policy.localityGain && scoreWith(book, to, slot) <= book.policy.pinTrigger) {
+				carryOut(work, {
+					slot, from, to, gain,
+				}, MoveReason.locality);
+			}
+		}
+	}
+}
+
+/** Plans optional moves. The table must hold the outcome of all others. */
+export function planBalance(input: PlacementInput, book: Book, state: PlacementState, taken: ReadonlySet<Slot>): BalancePlan {
+	const revoking = input.assignments.assignments.filter(({phase}) => phase === AssignmentPhase.revoking);
+	const work: Work = {
+		book,
+		movable: new Set([...grantedSlots(input)].filter(slot => !taken.has(slot) && !Object.hasOwn(state.movedAt, slot))),
+		moves: [],
+		tokens: state.tokens,
+		underWay: revoking.reduce((sum, {slot}) => sum + costOf(book, slot), 0),
+	};
+	const isBalancing = balance(work, state.isBalancing);
+	bringNearer(work);
+	const movedAt = {...state.movedAt, ...Object.fromEntries(work.moves.map(({slot}) => [slot, input.now]))};
+	return {
+		moves: work.moves, state: {
+			...state, tokens: work.tokens, isBalancing, movedAt,
+		},
+	};
+}
--- a/packages/placement/src/book.ts
+++ b/packages/placement/src/book.ts
@@ -2,7 +2,7 @@
  * The working table of one plan: what each upstream owns and would own. It is
  * made for one call of the planner and updated in place, unlike its input.
  */
-import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {type Assignment, AssignmentPhase, type PinnedKey} from '@dogwooddeck/model/assignment';
 import {
 	type RegionName, sameUpstream, type Slot, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
@@ -115,9 +115,26 @@
 	shelf.count -= countOf(book, slot);
 }
 
+/** Whether a slot is a pinned key's own. */
+export function isPinned(book: Book, slot: Slot): boolean {
+	return slot >= book.contractSlots;
+}
+
+/** Whether a pinned key is no longer hot and should go back to its slot. */
+export function isCool(book: Book, pin: PinnedKey): boolean {
+	return rateOf(book.input, pin.slot) < book.policy.unpinShare * book.loadPerCapacity;
+}
+
+/** The upstream for a slot without an owner: for a pinned key that cooled down its slot's owner, and else the cheapest. */
+export function shelfFor(book: Book, slot: Slot): Shelf | undefined {
+	const pin = isPinned(book, slot) ? book.input.assignments.pinned.find(pinned => pinned.slot === slot) : undefined;
+	const home = pin !== undefined && isCool(book, pin) ? book.shelves.find(shelf => shelf.slots.has(pin.home)) : undefined;
+	return home ?? cheapest(book, slot);
+}
+
 /** A pinned key counts for its load alone. */
 export function countOf(book: Book, slot: Slot): number {
-	return slot < book.contractSlots ? 1 : 0;
+	return isPinned(book, slot) ? 0 : 1;
 }
 
 /** What an upstream would have as a multiple of its fair share, with so much more load and so many more slots. */
--- a/packages/placement/src/input.ts
+++ b/packages/placement/src/input.ts
@@ -31,6 +31,8 @@
 	readonly refilledAt: MonotonicTime;
 	/** Whether optional moves have begun, and go on down to the target. */
 	readonly isBalancing: boolean;
+	/** When slots were last moved without need. Entries older than the policy's cooldown are dropped. */
+	readonly movedAt: Readonly<Record<Slot, MonotonicTime>>;
 };
 
 /** Everything that a plan for one service is made from. */
--- a/packages/placement/src/load.ts
+++ b/packages/placement/src/load.ts
@@ -20,11 +20,11 @@
 	readonly startedAt: MonotonicTime;
 	readonly updatedAt: MonotonicTime;
 	/** By slot, pinned keys' slots among them. */
-	readonly slots: Readonly<Record<Slot, number>>;
+	readonly slots: readonly number[];
 	/** By key. */
 	readonly keys: Readonly<Record<string, number>>;
 	/** By the region that requests came in at, then by slot. */
-	readonly origins: Readonly<Record<RegionName, Readonly<Record<Slot, number>>>>;
+	readonly origins: Readonly<Record<RegionName, readonly number[]>>;
 	/** Whole answers a second, by `answererKey`. */
 	readonly answered: Readonly<Record<string, number>>;
 };
@@ -61,7 +61,7 @@
 /** The smoothing of one service's reports, from now on. */
 export function createLoad(service: ServiceName, timeConstantMilliseconds: Milliseconds, now: MonotonicTime): LoadState {
 	return {
-		service, timeConstantMilliseconds, startedAt: now, updatedAt: now, ...noRates,
+		service, timeConstantMilliseconds, startedAt: now, updatedAt: now, slots: [], keys: {}, origins: {}, answered: {},
 	};
 }
 
@@ -78,6 +78,20 @@
 	return rates;
 }
 
+/** Decays the rates of slots and adds counts. */
+function addSlots(rates: readonly number[], loads: readonly SlotLoad[], factor: number, perCount: number): readonly number[] {
+	const next = rates.map(rate => (rate * factor < smallestRate ? 0 : rate * factor));
+	for (const {slot, requests} of loads) {
+		while (next.length <= slot) {
+			next.push(0);
+		}
+
+		next[slot]! += requests * perCount;
+	}
+
+	return next;
+}
+
 function hottest(rates: Record<string, number>): Record<string, number> {
 	const entries = Object.entries(rates);
 	return entries.length <= keysKept ? rates : Object.fromEntries(entries.sort(([, one], [, other]) => other - one).slice(0, keysKept));
@@ -88,19 +102,19 @@
 	const elapsed = Math.max(0, report.now - state.updatedAt);
 	const factor = Math.exp(-elapsed / state.timeConstantMilliseconds);
 	const perCount = millisecondsPerSecond / state.timeConstantMilliseconds;
-	const slotCounts = report.slotLoads.filter(load => load.service === state.service).map(load => [String(load.slot), load.requests] as const);
+	const slotLoads = report.slotLoads.filter(load => load.service === state.service);
 	const keyCounts = report.keyLoads.filter(load => load.service === state.service).map(load => [load.key, load.requests] as const);
 	const answers = report.evidence.filter(({upstream}) => upstream.service === state.service)
 		.map(({upstream, answered}) => [answererKey(upstream), answered] as const);
-	const origins = {...state.origins, [report.region]: state.origins[report.region] ?? {}};
+	const origins = {...state.origins, [report.region]: state.origins[report.region] ?? []};
 	return {
 		...state,
 		updatedAt: Math.max(state.updatedAt, report.now),
-		slots: add(decay(state.slots, factor), slotCounts, perCount),
+		slots: addSlots(state.slots, slotLoads, factor, perCount),
 		keys: hottest(add(decay(state.keys, factor), keyCounts, perCount)),
 		origins: Object.fromEntries(Object.entries(origins).map(([region, rates]) => [
 			region,
-			region === report.region ? add(decay(rates, factor), slotCounts, perCount) : decay(rates, factor),
+			addSlots(rates, region === report.region ? slotLoads : [], factor, perCount),
 		])),
 		answered: add(decay(state.answered, factor), answers, perCount),
 	};
@@ -115,9 +129,9 @@
 	const age = Math.max(1, now - state.startedAt);
 	const factor = Math.exp(-Math.max(0, now - state.updatedAt) / state.timeConstantMilliseconds) / (1 - Math.exp(-age / state.timeConstantMilliseconds));
 	return {
-		slots: scale(state.slots, factor),
+		slots: state.slots.map(rate => rate * factor),
 		keys: scale(state.keys, factor),
-		origins: Object.fromEntries(Object.entries(state.origins).map(([region, rates]) => [region, scale(rates, factor)])),
+		origins: Object.fromEntries(Object.entries(state.origins).map(([region, rates]) => [region, rates.map(rate => rate * factor)])),
 		answered: scale(state.answered, factor),
 	};
 }
--- a/packages/placement/src/pins.ts
+++ b/packages/placement/src/pins.ts
@@ -2,10 +2,10 @@
  * Which hot keys are split out of their slots, so that they can move alone,
  * and which go back.
  */
-import {AssignmentPhase, type PinnedKey} from '@dogwooddeck/model/assignment';
+import {AssignmentPhase} from '@dogwooddeck/model/assignment';
 import {sameUpstream, type Slot, type UpstreamIdentity} from '@dogwooddeck/model/identifiers';
 import {
-	type Book, rateOf, scoreOf, type Shelf,
+	type Book, isCool, remoteShareOf, scoreOf, type Shelf,
 } from './book.js';
 import {type HotKey, type PlacementInput} from './input.js';
 import {type PlacementPolicy} from './policy.js';
@@ -13,9 +13,6 @@
 	MoveReason, type PlannedMove, type PlannedPin, type PlannedUnpin,
 } from './proposal.js';
 
-/** A slot whose other keys have less than this part of its load moves as a whole. */
-export const leastRemainder = 0.1;
-
 /** What is planned for hot keys. */
 export type PinPlan = {
 	readonly pins: readonly PlannedPin[];
@@ -23,16 +20,36 @@
 	readonly moves: readonly PlannedMove[];
 };
 
+/**
+ * The input with loads in which a pinned key's slot has at least the key's own
+ * rate. Just after the split, its smoothed rate is still counted at its home.
+ */
+export function withPinnedRates(input: PlacementInput): PlacementInput {
+	const hot = new Map(input.hotKeys.map(({key, rate}) => [key, rate]));
+	const rates: Record<Slot, number> = {};
+	for (const {key, home, slot} of input.assignments.pinned) {
+		const homeRate = rates[home] ?? input.loads.slots[home] ?? 0;
+		const seen = input.loads.slots[slot] ?? 0;
+		const missing = Math.min(homeRate, Math.max(0, (hot.get(key) ?? 0) - seen));
+		rates[slot] = seen + missing;
+		rates[home] = homeRate - missing;
+	}
+
+	return {...input, loads: {...input.loads, slots: {...input.loads.slots, ...rates}}};
+}
+
 function ownersBySlot(input: PlacementInput): ReadonlyMap<Slot, UpstreamIdentity> {
 	return new Map(input.assignments.assignments.flatMap(assignment =>
 		assignment.phase === AssignmentPhase.granted ? [[assignment.slot, assignment.owner]] : []));
 }
 
 function isWorthPinning(book: Book, policy: PlacementPolicy, shelf: Shelf | undefined, hot: HotKey): boolean {
-	return shelf !== undefined
-		&& hot.rate > policy.pinShare * book.loadPerCapacity
-		&& scoreOf(book, shelf) > policy.balanceTrigger
-		&& rateOf(book.input, hot.home) - hot.rate > leastRemainder * rateOf(book.input, hot.home);
+	if (shelf === undefined || hot.rate <= policy.pinShare * book.loadPerCapacity) {
+		return false;
+	}
+
+	const isFarAway = remoteShareOf(book.input, hot.home, shelf.region) >= (1 + policy.localityGain) / 2;
+	return isFarAway || scoreOf(book, shelf) > policy.pinTrigger;
 }
 
 function choosePins(input: PlacementInput, book: Book, policy: PlacementPolicy): readonly PlannedPin[] {
@@ -47,16 +64,12 @@
 		.map(({key, home}) => ({key, home}));
 }
 
-function isCool(book: Book, policy: PlacementPolicy, pin: PinnedKey): boolean {
-	return rateOf(book.input, pin.slot) < policy.unpinShare * book.loadPerCapacity;
-}
-
 /** Plans pins, and the way back for pinned keys that are no longer hot: first to their slot's owner, then into the slot. */
 export function planPins(input: PlacementInput, book: Book, policy: PlacementPolicy): PinPlan {
 	const owners = ownersBySlot(input);
 	const unpins: PlannedUnpin[] = [];
 	const moves: PlannedMove[] = [];
-	for (const pin of input.assignments.pinned.filter(pin => isCool(book, policy, pin))) {
+	for (const pin of input.assignments.pinned.filter(pin => isCool(book, pin))) {
 		const owner = owners.get(pin.slot);
 		const homeOwner = owners.get(pin.home);
 		if (owner === undefined || homeOwner === undefined) {
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -7,14 +7,16 @@
 import {type Book, openBook} from './book.js';
 import {refillBudget} from './budget.js';
 import {type PlacementInput, type PlacementState} from './input.js';
-import {planPins} from './pins.js';
+import {planPins, withPinnedRates} from './pins.js';
 import {type PlacementPolicy, placementPolicies} from './policy.js';
 import {type PlacementPlan} from './proposal.js';
 import {grantVacant, planForcedMoves} from './recovery.js';
 
 /** Placement of a leader that begins now. */
 export function createPlacement(now: MonotonicTime): PlacementState {
-	return {tokens: 0, refilledAt: now, isBalancing: false};
+	return {
+		tokens: 0, refilledAt: now, isBalancing: false, movedAt: {},
+	};
 }
 
 /** The policy that an input asks for. */
@@ -29,7 +31,8 @@
 }
 
 /** Plans grants for vacant slots, moves away from upstreams that go, and what brings loads nearer to each other. */
-export function planPlacement(input: PlacementInput): PlacementPlan {
+export function planPlacement(given: PlacementInput): PlacementPlan {
+	const input = given.assignments.pinned.length === 0 ? given : withPinnedRates(given);
 	const policy = policyOf(input);
 	const book = openBook(input, policy);
 	const state = refillBudget(input.state, policy, input.now);
@@ -42,7 +45,7 @@
 	}
 
 	const {pins, unpins, moves: homing} = planPins(input, book, policy);
-	const balance = planBalance(input, book, policy, state);
+	const balance = planBalance(input, book, state, new Set([...homing, ...unpins].map(({slot}) => slot)));
 	return {
 		grants, moves: [...forced, ...homing, ...balance.moves], pins, unpins, state: balance.state,
 	};
--- a/packages/placement/src/policy.ts
+++ b/packages/placement/src/policy.ts
@@ -6,9 +6,11 @@
 
 /** The numbers of one policy. Scores are multiples of an upstream's fair share. */
 export type PlacementPolicy = {
-	/** Optional moves begin when an upstream's score is above this. */
+	/** Pinned keys move when an upstream's score is above this. */
+	readonly pinTrigger: number;
+	/** Optional moves of slots begin when an upstream's score is above this. */
 	readonly balanceTrigger: number;
-	/** Optional moves go on until no score is above this. */
+	/** Optional moves of slots go on until no score is above this. */
 	readonly balanceTarget: number;
 	/** A move must bring the greater of the two scores down by at least this much. */
 	readonly leastGain: number;
@@ -20,10 +22,14 @@
 	readonly movesPerMinute: number;
 	/** Optional moves that may be under way at one time. */
 	readonly movesAtOnce: number;
+	/** A slot or pinned key that was moved without need stays at least this long. */
+	readonly cooldownMilliseconds: Milliseconds;
 	/** Optional moves stop when more than this share of the upstreams flaps or warms up after a loss. */
 	readonly stormShare: number;
 	/** A key with more than this part of an upstream's fair share of load may be pinned. */
 	readonly pinShare: number;
+	/** A pinned key goes nearer to its requests when the part that comes from another region goes down by this much. */
+	readonly localityGain: number;
 	/** A pinned key with less than this part goes back to its slot. */
 	readonly unpinShare: number;
 	/** The number of pinned keys of one service. */
@@ -39,33 +45,39 @@
 /** The policies by the contract's weight. */
 export const placementPolicies: Readonly<Record<Weigh, PlacementPolicy>> = {
 	[Weigh.availability]: {
-		balanceTrigger: 1.3,
-		balanceTarget: 1.15,
-		leastGain: 0.02,
+		pinTrigger: 1.1,
+		balanceTrigger: 1.6,
+		balanceTarget: 1.4,
+		leastGain: 0.03,
 		loadWeight: 0.8,
 		remoteWeight: 0.1,
 		movesPerMinute: 12,
 		movesAtOnce: 4,
+		cooldownMilliseconds: 60_000,
 		stormShare: 0.25,
-		pinShare: 0.25,
-		unpinShare: 0.05,
-		mostPinned: 16,
+		pinShare: 0.1,
+		localityGain: 0.4,
+		unpinShare: 0.03,
+		mostPinned: 32,
 		smoothingMilliseconds: 15_000,
 		coldShare: 0.2,
 		coldGrowth: 2,
 	},
 	[Weigh.churn]: {
-		balanceTrigger: 1.6,
-		balanceTarget: 1.35,
+		pinTrigger: 1.15,
+		balanceTrigger: 2,
+		balanceTarget: 1.7,
 		leastGain: 0.05,
 		loadWeight: 0.8,
 		remoteWeight: 0.3,
 		movesPerMinute: 4,
 		movesAtOnce: 2,
+		cooldownMilliseconds: 180_000,
 		stormShare: 0.15,
-		pinShare: 0.4,
-		unpinShare: 0.05,
-		mostPinned: 8,
+		pinShare: 0.1,
+		localityGain: 0.4,
+		unpinShare: 0.03,
+		mostPinned: 32,
 		smoothingMilliseconds: 30_000,
 		coldShare: 0.2,
 		coldGrowth: 2,
--- /dev/null
+++ b/packages/placement/test/test-invariants.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {test} from 'node:test';
+import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {defaultContract, Weigh} from '@dogwooddeck/model/contract';
+import {sameUpstream} from '@dogwooddeck/model/identifiers';
+import {identityOf, UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
+import fc from 'fast-check';
+import {type PlacementInput} from '@dogwooddeck/placement/input';
+import {noRates} from '@dogwooddeck/placement/load';
+import {createPlacement, planPlacement, policyOf} from '@dogwooddeck/placement/plan';
+import {MoveReason, type PlacementPlan} from '@dogwooddeck/placement/proposal';
+
+const seed = Number(process.env.SEED ?? 11);
+const service = 'valbrembo/catalogue';
+const slots = 24;
+const zones = ['lombardia-1', 'lombardia-2', 'veneto-1'];
+const forcedReasons: ReadonlySet<MoveReason> = new Set([MoveReason.lost, MoveReason.leaving, MoveReason.zone]);
+
+const someUpstream: fc.Arbitrary<Omit<UpstreamRecord, 'name'>> = fc.record({
+	service: fc.constant(service),
+	incarnation: fc.integer({min: 1, max: 2}),
+	region: fc.constantFrom('lombardia', 'veneto'),
+	zone: fc.constantFrom(...zones),
+	address: fc.constant('127.0.0.1:1'),
+	phase: fc.constantFrom(...Object.values(UpstreamPhase), UpstreamPhase.serving, UpstreamPhase.serving),
+});
+
+type Ownership = {readonly phase: AssignmentPhase; readonly owner: number; readonly incarnation: number};
+
+const someOwnership: fc.Arbitrary<Ownership> = fc.record({
+	phase: fc.constantFrom(AssignmentPhase.vacant, AssignmentPhase.revoking, AssignmentPhase.granted, AssignmentPhase.granted, AssignmentPhase.granted),
+	owner: fc.integer({min: 0, max: 7}),
+	incarnation: fc.integer({min: 1, max: 2}),
+});
+
+function toAssignment({phase, owner, incarnation}: Ownership, slot: number): Assignment {
+	return phase === AssignmentPhase.vacant
+		? {phase, slot}
+		: {
+			phase, slot, owner: {service, name: `u${owner}`, incarnation}, fence: 1, revokedAt: 1,
+		};
+}
+
+const someInput: fc.Arbitrary<PlacementInput> = fc.record({
+	upstreams: fc.array(someUpstream, {maxLength: 8}),
+	weigh: fc.constantFrom(...Object.values(Weigh)),
+	owned: fc.array(someOwnership, {minLength: slots, maxLength: slots}),
+	pinned: fc.array(someOwnership, {maxLength: 3}),
+	rates: fc.array(fc.integer({min: 0, max: 200}), {minLength: slots + 3, maxLength: slots + 3}),
+	tokens: fc.integer({min: 0, max: 12}),
+	flapping: fc.integer({min: 0, max: 3}),
+	unreachableZones: fc.subarray(zones, {maxLength: 1}),
+	ownZones: fc.subarray(zones),
+}).map(given => ({
+	now: 100_000,
+	contract: {
+		...defaultContract, name: service, prefix: '/', key: {place: 'path', segment: 0}, slots, weigh: given.weigh, upstream: {...defaultContract.upstream, zones: given.ownZones},
+	},
+	assignments: {
+		service,
+		assignments: [...given.owned, ...given.pinned].map((ownership, slot) => toAssignment(ownership, slot)),
+		pinned: given.pinned.map((_, number) => ({key: `key ${number}`, home: number, slot: slots + number})),
+	},
+	upstreams: given.upstreams.map((record, number) => ({record: {...record, name: `u${number}`}})),
+	loads: {...noRates, slots: Object.fromEntries(given.rates.entries())},
+	hotKeys: [{key: 'key 9', home: 9, rate: given.rates[9]! / 2}],
+	flapping: given.flapping,
+	unreachableZones: given.unreachableZones,
+	state: {...createPlacement(100_000), tokens: given.tokens},
+}));
+
+function mayBeGranted(input: PlacementInput, owner: {readonly service: string; readonly name: string; readonly incarnation: number}): boolean {
+	const record = input.upstreams.map(upstream => upstream.record).find(candidate => sameUpstream(identityOf(candidate), owner));
+	const {zones: allowed} = input.contract.upstream;
+	return record?.phase === UpstreamPhase.serving
+		&& !input.unreachableZones.includes(record.zone)
+		&& (allowed.length === 0 || allowed.includes(record.zone));
+}
+
+function slotsIn(input: PlacementInput, phase: AssignmentPhase): readonly number[] {
+	return input.assignments.assignments.filter(assignment => assignment.phase === phase).map(({slot}) => slot);
+}
+
+function grantAll(input: PlacementInput, plan: PlacementPlan): PlacementInput {
+	const granted = new Map(plan.grants.map(({slot, owner}) => [slot, owner]));
+	const assignments = input.assignments.assignments.map((assignment): Assignment => {
+		const owner = granted.get(assignment.slot);
+		return owner === undefined
+			? assignment
+			: {
+				phase: AssignmentPhase.granted, slot: assignment.slot, owner, fence: 2,
+			};
+	});
+	return {...input, assignments: {...input.assignments, assignments}};
+}
+
+function heaviest(input: PlacementInput, moves: PlacementPlan['moves']): number {
+	const to = new Map(moves.map(move => [move.slot, move.to]));
+	const loads = new Map<string, number>();
+	for (const assignment of input.assignments.assignments) {
+		const owner = to.get(assignment.slot) ?? (assignment.phase === AssignmentPhase.granted ? assignment.owner : undefined);
+		if (owner !== undefined) {
+			loads.set(owner.name, (loads.get(owner.name) ?? 0) + (input.loads.slots[assignment.slot] ?? 0) + 1);
+		}
+	}
+
+	return Math.max(0, ...loads.values());
+}
+
+type Invariant = {readonly name: string; readonly check: (input: PlacementInput, plan: PlacementPlan) => void};
+
+const invariants: readonly Invariant[] = [
+	{
+		name: 'every vacant slot is granted when somebody can take it',
+		check(input, plan) {
+			const canAnybody = input.upstreams.some(({record}) => mayBeGranted(input, record));
+			assert.deepEqual(plan.grants.map(({slot}) => slot).sort((one, other) => one - other), canAnybody ? slotsIn(input, AssignmentPhase.vacant) : []);
+		},
+	},
+	{
+		name: 'nothing goes to an upstream that is lost, leaving, out of reach or in the wrong zone',
+		check(input, plan) {
+			const targets = [...plan.grants.map(({owner}) => owner), ...plan.moves.flatMap(({to}) => (to === undefined ? [] : [to]))];
+			assert.ok(targets.every(target => mayBeGranted(input, target)));
+		},
+	},
+	{
+		name: 'every slot of an owner that may no longer own it is revoked at once',
+		check(input, plan) {
+			const isStranded = (owner: UpstreamRecord | {service: string; name: string; incarnation: number}) =>
+				!mayBeGranted({...input, unreachableZones: []}, owner);
+			const stranded = input.assignments.assignments.filter(assignment => assignment.phase === AssignmentPhase.granted && isStranded(assignment.owner));
+			const revoked = plan.moves.filter(({reason}) => forcedReasons.has(reason)).map(({slot}) => slot);
+			assert.deepEqual(revoked.sort((one, other) => one - other), stranded.map(({slot}) => slot));
+		},
+	},
+	{
+		name: 'only granted slots are moved, each once, and from their owner',
+		check(input, plan) {
+			assert.equal(new Set(plan.moves.map(({slot}) => slot)).size, plan.moves.length);
+			for (const {slot, from, to} of plan.moves) {
+				const assignment = input.assignments.assignments[slot]!;
+				assert.ok(assignment.phase === AssignmentPhase.granted && sameUpstream(assignment.owner, from));
+				assert.ok(to === undefined || !sameUpstream(from, to));
+			}
+		},
+	},
+	{
+		name: 'optional moves stay within the budget',
+		check(input, plan) {
+			const slotMoves = plan.moves.filter(({reason, slot}) => reason === MoveReason.balance && slot < slots && (input.loads.slots[slot] ?? 0) > 0);
+			assert.ok(slotMoves.length <= input.state.tokens, `${slotMoves.length} moves with ${input.state.tokens} tokens`);
+			assert.ok(slotMoves.length <= policyOf(input).movesAtOnce);
+			assert.ok(plan.state.tokens >= 0);
+		},
+	},
+	{
+		name: 'optional moves make no upstream the most loaded',
+		check(input, plan) {
+			const settled = grantAll(input, plan);
+			const forced = plan.moves.filter(({reason}) => forcedReasons.has(reason));
+			const balancing = plan.moves.filter(({reason}) => reason === MoveReason.balance);
+			const before = heaviest(settled, forced);
+			assert.ok(balancing.length === 0 || heaviest(settled, [...forced, ...balancing]) <= before + slots, 'the heaviest load grew');
+		},
+	},
+	{
+		name: 'nothing optional happens in a storm',
+		check(input) {
+			const stormy = planPlacement({...input, flapping: 8});
+			assert.ok(stormy.moves.every(({reason}) => forcedReasons.has(reason)));
+			assert.equal(stormy.pins.length + stormy.unpins.length, 0);
+		},
+	},
+	{
+		name: 'the plan depends on nothing but its input, and not on the order of upstreams',
+		check(input, plan) {
+			assert.deepEqual(planPlacement({...input, upstreams: input.upstreams.toReversed()}), plan);
+		},
+	},
+	{
+		name: 'the input is left as it was',
+		check(input) {
+			const copy = structuredClone(input);
+			planPlacement(input);
+			assert.deepEqual(input, copy);
+		},
+	},
+];
+
+for (const {name, check} of invariants) {
+	test(`${name} (seed ${seed})`, () => {
+		fc.assert(fc.property(someInput, input => {
+			check(input, planPlacement(input));
+		}), {seed, numRuns: 400});
+	});
+}
