--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -9,6 +9,7 @@
 import {Importance} from '@dogwooddeck/model/contract';
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {Seen} from './outcome.js';
 
 /** What waits for a slot. The queue compares tickets by identity. */
 export type Ticket = {
@@ -44,6 +45,18 @@
 /** One of the ends. */
 export type Finished = (typeof Finished)[keyof typeof Finished];
 
+const finishedBySeen: Partial<Record<Seen, Finished>> = {
+	[Seen.wholeAnswer]: Finished.answered,
+	[Seen.shed]: Finished.strained,
+	[Seen.deadlinePassedAfterFirstByte]: Finished.strained,
+	[Seen.closedAfterFirstByte]: Finished.strained,
+};
+
+/** What the end of an attempt says about the upstream's load. */
+export function finishedBy(seen: Seen): Finished {
+	return finishedBySeen[seen] ?? Finished.neutral;
+}
+
 /** The bounds of one upstream's admission. */
 export type AdmissionBounds = {
 	/** The slots of the upstream. */
--- a/packages/stand-in/test/test-requests-under-faults.ts
+++ b/packages/stand-in/test/test-requests-under-faults.ts
@@ -45,7 +45,7 @@
 	}
 
 	if (answer.status === 200) {
-		assert.equal(ran, 1);
+		assert.deepEqual([ran, answer.body.length], [1, 200]);
 		assert.equal((JSON.parse(answer.body) as {readonly operation: string}).operation, answer.operation);
 	}
 }
--- a/packages/upstream-client/src/forward.ts
+++ b/packages/upstream-client/src/forward.ts
@@ -6,7 +6,8 @@
 import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {statusOf} from '@dogwooddeck/routing/outcome';
-import {type Forwarder, Forwarding} from './forwarding.js';
+import {type Forwarder} from './forwarder.js';
+import {Forwarding} from './forwarding.js';
 import {writeProblem} from './problem.js';
 import {type OpenedRequest, type RequestOwner, type RequestPath} from './request-path.js';
 
--- a/packages/upstream-client/src/forwarding.ts
+++ b/packages/upstream-client/src/forwarding.ts
@@ -2,48 +2,34 @@
  * One caller's request on its way: the state machine of `routing` decides what
  * to do, and this module carries it out on the raw messages of Node.js.
  */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Importance} from '@dogwooddeck/model/contract';
 import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
-import {HeaderName} from '@dogwooddeck/model/headers';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
-import {Entered, Finished, type Ticket} from '@dogwooddeck/routing/admission';
+import {Entered, finishedBy, type Ticket} from '@dogwooddeck/routing/admission';
 import {
 	beginRequest, type RequestEffect, type RequestEvent, RequestPhase, type RequestState, stepRequest,
 } from '@dogwooddeck/routing/attempt';
 import {type ClaimDecision, type StoredAnswer} from '@dogwooddeck/routing/claim';
-import {Seen, seenRules, statusOf} from '@dogwooddeck/routing/outcome';
+import {type Seen, seenRules, statusOf} from '@dogwooddeck/routing/outcome';
+import {CallerAnswer} from './caller-answer.js';
 import {type SentRequest, type UpstreamClient} from './client.js';
+import {type Forwarder} from './forwarder.js';
 import {Abandoned, type AnswerSink} from './exchange.js';
 import {type RawHeaders, requestHeaders} from './headers.js';
 import {type KeptAnswer, keepAnswer} from './kept-answer.js';
-import {writeProblem} from './problem.js';
 import {announcesBody, readBody} from './request-body.js';
 import {
 	type OpenClaim, type OpenedRequest, type RequestOwner, type RequestPath,
 } from './request-path.js';
 
-const finishedBySeen: Partial<Record<Seen, Finished>> = {
-	[Seen.wholeAnswer]: Finished.answered,
-	[Seen.shed]: Finished.strained,
-	[Seen.deadlinePassedAfterFirstByte]: Finished.strained,
-	[Seen.closedAfterFirstByte]: Finished.strained,
-};
-
 /** Jitter has to differ between requests, not to be hard to guess. */
 function nextSeed(): number {
 	return Math.floor(Math.random() * (2 ** 31));
 }
 
-/** What forwards requests: the client of the upstreams and the decisions around a request. */
-export type Forwarder<Opened extends OpenedRequest, Owner extends RequestOwner> = {
-	readonly client: UpstreamClient;
-	readonly path: RequestPath<Opened, Owner>;
-};
-
 type EffectTable = HandlerTable<RequestEffect, [Forwarding<any, any>], void>;
 
 /** One request from its head to its end. It is mutable: a copy for each step of the edge would cost more than the step. */
@@ -56,7 +42,9 @@
 			forwarding.#send(effect.retry);
 		},
 		pause(effect, forwarding) {
-			forwarding.#timer = setTimeout(whenPauseOver, effect.milliseconds, forwarding);
+			forwarding.#timer = setTimeout(() => {
+				forwarding.step({kind: 'pause-over', now: forwarding.#path.now()});
+			}, effect.milliseconds);
 		},
 		cancel(_effect, forwarding) {
 			forwarding.#cancel();
@@ -68,7 +56,7 @@
 			forwarding.#break();
 		},
 		refuse(effect, forwarding) {
-			forwarding.#refuse(effect.failure, effect.status, effect.outcome);
+			forwarding.refuse(effect.failure, effect.outcome, effect.status);
 		},
 	};
 
@@ -78,7 +66,7 @@
 	readonly #path: RequestPath<Opened, Owner>;
 	readonly #opened: Opened;
 	readonly #request: IncomingMessage;
-	readonly #response: ServerResponse;
+	readonly #answer: CallerAnswer;
 	readonly #beganAt: MonotonicTime;
 	#state: RequestState | undefined;
 	#body: Uint8Array | undefined;
@@ -90,9 +78,7 @@
 	#claim: OpenClaim | undefined;
 	#claimed = false;
 	#kept: KeptAnswer | undefined;
-	#status: number | undefined;
 	#mayHaveRun = false;
-	#callerGone = false;
 	#over = false;
 
 	constructor(forwarder: Forwarder<Opened, Owner>, opened: Opened, request: IncomingMessage, response: ServerResponse) {
@@ -100,7 +86,7 @@
 		this.#path = forwarder.path;
 		this.#opened = opened;
 		this.#request = request;
-		this.#response = response;
+		this.#answer = new CallerAnswer(response);
 		this.#beganAt = forwarder.path.now();
 		this.importance = opened.importance;
 		this.deadline = opened.deadline;
@@ -108,7 +94,7 @@
 
 	/** Begins: reads the body, claims the operation where that is asked for, and goes through the attempts. */
 	begin(): void {
-		this.#response.once('close', () => {
+		this.#answer.watch(() => {
 			this.#whenClosed();
 		});
 		if (!announcesBody(this.#request)) {
@@ -118,15 +104,12 @@
 
 		this.#armDeadline();
 		readBody(this.#request, this.#opened.largestBodyBytes, body => {
-			body.match({
-				Ok: bytes => {
-					this.#body = bytes;
-					this.#whenBodyRead();
-				},
-				Err: why => {
-					this.#refuse(why, statusOf(why.kind), Outcome.notRun);
-				},
-			});
+			if (body.isErr) {
+				this.refuse(body.error, Outcome.notRun);
+			} else {
+				this.#body = body.value;
+				this.#whenBodyRead();
+			}
 		});
 	}
 
@@ -143,25 +126,15 @@
 	}
 
 	onHead(status: number, headers: RawHeaders): void {
-		this.#status = status;
 		this.#kept = this.#claimed ? keepAnswer(status, headers) : undefined;
-
-		if (!this.#callerGone) {
-			this.#response.sendDate = false;
-			this.#response.writeHead(status, [...headers, HeaderName.outcome, Outcome.ran]);
-		}
+		this.#answer.head(status, headers);
 	}
 
 	onChunk(chunk: Uint8Array): boolean {
 		this.#kept?.add(chunk);
-		if (this.#callerGone || this.#response.write(chunk)) {
-			return true;
-		}
-
-		this.#response.once('drain', () => {
+		return this.#answer.chunk(chunk, () => {
 			this.#sent?.resume();
 		});
-		return false;
 	}
 
 	onEnd(seen: Seen, retryAfterMilliseconds?: Milliseconds): void {
@@ -174,11 +147,11 @@
 			kind: 'seen',
 			now,
 			seen,
-			headPassed: this.#status !== undefined,
+			headPassed: this.#answer.begun,
 			budgetAllows: this.#path.allowsRetry(this.#opened),
 			...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
 		});
-		owner.admission.finish(finishedBySeen[seen] ?? Finished.neutral, latencyMilliseconds);
+		owner.admission.finish(finishedBy(seen), latencyMilliseconds);
 	}
 
 	/** Feeds the state machine and carries its effects out. */
@@ -191,7 +164,7 @@
 	/** Runs when the deadline passes while nothing is sent. */
 	whenDeadlinePassed(): void {
 		if (this.#state === undefined) {
-			this.#refuse(failure(FailureKind.deadlineExceeded, 'the deadline passed before the request was sent'), statusOf(FailureKind.deadlineExceeded), Outcome.notRun);
+			this.refuse(failure(FailureKind.deadlineExceeded, 'the deadline passed before the request was sent'), Outcome.notRun);
 		} else {
 			this.step({kind: 'deadline-passed', now: this.#path.now()});
 		}
@@ -205,15 +178,16 @@
 
 	/** The operation ended before: its answer is sent again. */
 	replay(answer: StoredAnswer): void {
-		this.#status = answer.status;
-		this.#response.sendDate = false;
-		this.#response.writeHead(answer.status, [...answer.headers, HeaderName.outcome, Outcome.ran]).end(Buffer.from(answer.body, 'base64'));
+		this.#answer.replay(answer);
 		this.#finish(Outcome.ran);
 	}
 
-	/** Nothing is sent: the claim was refused. */
-	refuseClaim(why: Failure, outcome: Outcome): void {
-		this.#refuse(why, statusOf(why.kind), outcome);
+	/** Tells the caller why there is no answer. */
+	refuse(why: Failure, outcome: Outcome, status = statusOf(why.kind)): void {
+		if (!this.#over) {
+			this.#answer.refuse(why, status, outcome);
+			this.#finish(outcome, why);
+		}
 	}
 
 	#carryOut(step: Transition<RequestState, RequestEffect>): void {
@@ -312,40 +286,22 @@
 	}
 
 	#complete(): void {
-		if (!this.#callerGone) {
-			this.#response.end();
-		}
-
+		this.#answer.end();
 		this.#finish(Outcome.ran);
 	}
 
-	/** The caller has part of an answer, so it must not see an end. */
 	#break(): void {
-		this.#status = undefined;
-		this.#response.destroy();
+		this.#answer.break();
 		this.#finish(Outcome.unknown);
 	}
 
-	#refuse(why: Failure, status: number, outcome: Outcome): void {
-		if (this.#over) {
-			return;
-		}
-
-		if (!this.#callerGone) {
-			this.#status = status;
-			writeProblem(this.#response, why, status, outcome);
-		}
-
-		this.#finish(outcome, why);
-	}
-
 	/** A claimed operation that was sent goes on without its caller, so that a resend gets the answer. */
 	#whenClosed(): void {
 		if (this.#over) {
 			return;
 		}
 
-		this.#callerGone = true;
+		this.#answer.gone = true;
 		if (this.#claimed && this.#state?.phase === RequestPhase.sending) {
 			return;
 		}
@@ -363,12 +319,13 @@
 			this.#claim?.giveUp();
 		}
 
+		const {status} = this.#answer;
 		this.#path.requestEnded(this.#opened, {
 			outcome,
 			latencyMilliseconds: this.#path.now() - this.#beganAt,
 			attempts: this.#state?.attempts ?? 0,
 			bodyBytes: this.#body?.length ?? 0,
-			...(this.#status === undefined || this.#callerGone ? {} : {status: this.#status}),
+			...(status === undefined ? {} : {status}),
 			...(why === undefined ? {} : {failure: why}),
 		});
 	}
@@ -382,14 +339,10 @@
 		forwarding.replay(decision.answer);
 	},
 	refuse(decision, forwarding) {
-		forwarding.refuseClaim(decision.failure, decision.outcome);
+		forwarding.refuse(decision.failure, decision.outcome);
 	},
 };
 
-function whenPauseOver(forwarding: Forwarding<any, any>): void {
-	forwarding.step({kind: 'pause-over', now: 0});
-}
-
 function whenDeadlinePassed(forwarding: Forwarding<any, any>): void {
 	forwarding.whenDeadlinePassed();
 }
--- /dev/null
+++ b/packages/upstream-client/test/test-exchange.ts
@@ -0,0 +1,168 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {Seen} from '@dogwooddeck/routing/outcome';
+import {Abandoned, type AnswerSink, Exchange} from '@dogwooddeck/upstream-client/exchange';
+
+type Told = {
+	readonly heads: number[];
+	readonly ends: Array<[Seen, number | undefined]>;
+	chunks: number;
+	aborts: number;
+};
+
+type Step = (exchange: Exchange, told: Told) => void;
+
+function sinkOf(told: Told, mayStart: boolean): AnswerSink {
+	return {
+		beforeFirstByte: () => mayStart,
+		onHead(status) {
+			told.heads.push(status);
+		},
+		onChunk() {
+			told.chunks++;
+			return true;
+		},
+		onEnd(seen, retryAfter) {
+			told.ends.push([seen, retryAfter]);
+		},
+	};
+}
+
+const connect: Step = (exchange, told) => {
+	exchange.onConnect(() => {
+		told.aborts++;
+	});
+};
+
+function head(status: number, ...fields: readonly string[]): Step {
+	return exchange => {
+		exchange.onHeaders(status, fields.map(field => Buffer.from(field)), () => undefined);
+	};
+}
+
+const chunk: Step = exchange => {
+	exchange.onData(Buffer.from('part'));
+};
+
+const largeChunk: Step = exchange => {
+	exchange.onData(Buffer.alloc(100_000));
+};
+
+const complete: Step = exchange => {
+	exchange.onComplete();
+};
+
+function fail(code: string): Step {
+	return exchange => {
+		exchange.onError(Object.assign(new Error(code), {code}));
+	};
+}
+
+function abandon(why: Abandoned): Step {
+	return exchange => {
+		exchange.abandon(why);
+	};
+}
+
+/** `undici` may call `onConnect` again; a throw is how it is refused. */
+const refusedConnect: Step = (exchange, told) => {
+	assert.throws(() => {
+		connect(exchange, told);
+	});
+};
+
+type Case = {
+	readonly name: string;
+	readonly steps: readonly Step[];
+	readonly seen: Seen;
+	readonly method?: string;
+	readonly mayStart?: boolean;
+	readonly heads?: readonly number[];
+	readonly aborts?: number;
+	readonly retryAfter?: number;
+};
+
+const length = ['Content-Length', '4'];
+const ok = head(200, ...length);
+
+const cases: readonly Case[] = [
+	{
+		name: 'a whole answer', steps: [connect, ok, chunk, complete], seen: Seen.wholeAnswer, heads: [200],
+	},
+	{
+		name: 'an informational head comes first', steps: [connect, head(103), ok, chunk, complete], seen: Seen.wholeAnswer, heads: [200],
+	},
+	{
+		name: 'chunks', steps: [connect, head(200, 'Transfer-Encoding', 'gzip, chunked'), chunk, complete], seen: Seen.wholeAnswer, heads: [200],
+	},
+	{
+		name: 'a coding that is not chunks', steps: [connect, head(200, 'Transfer-Encoding', 'gzip'), chunk], seen: Seen.unboundedAnswer, aborts: 1,
+	},
+	{
+		name: 'neither length nor chunks', steps: [connect, head(200), chunk, complete], seen: Seen.unboundedAnswer, aborts: 1,
+	},
+	{
+		name: 'no length in an answer to HEAD', steps: [connect, head(200), complete], seen: Seen.wholeAnswer, method: 'HEAD', heads: [200],
+	},
+	{
+		name: 'no length in an answer without content', steps: [connect, head(204), complete], seen: Seen.wholeAnswer, heads: [204],
+	},
+	{
+		name: 'a body that ends early', steps: [connect, ok, fail('UND_ERR_SOCKET')], seen: Seen.cutAnswer, heads: [200],
+	},
+	{name: 'an end before the head', steps: [connect, fail('ECONNRESET')], seen: Seen.closedAfterFirstByte},
+	{name: 'no connection', steps: [fail('ECONNREFUSED')], seen: Seen.refusedConnection},
+	{name: 'no connection in time', steps: [fail('UND_ERR_CONNECT_TIMEOUT')], seen: Seen.refusedConnection},
+	{name: 'an end before the first byte', steps: [fail('ECONNRESET')], seen: Seen.closedBeforeFirstByte},
+	{name: 'a head that can\'t be sent', steps: [fail('UND_ERR_INVALID_ARG')], seen: Seen.unsendable},
+	{
+		name: 'a shed with Retry-After', steps: [connect, head(503, 'Retry-After', '2', 'Content-Length', '0'), complete], seen: Seen.shed, retryAfter: 2000,
+	},
+	{
+		name: 'a shed whose body does not end', steps: [connect, head(503, ...length), chunk, largeChunk], seen: Seen.shed, aborts: 1,
+	},
+	{
+		name: 'a lease that ended', steps: [refusedConnect], seen: Seen.leaseLost, mayStart: false,
+	},
+	{name: 'sent anew by the library', steps: [connect, refusedConnect, fail('UND_ERR_SOCKET')], seen: Seen.closedAfterFirstByte},
+	{name: 'given up while it waits for a connection', steps: [abandon(Abandoned.callerGone), refusedConnect], seen: Seen.cancelledBeforeFirstByte},
+	{
+		name: 'given up after the first byte', steps: [connect, abandon(Abandoned.callerGone), fail('UND_ERR_ABORTED')], seen: Seen.cancelledAfterFirstByte, aborts: 1,
+	},
+	{name: 'the deadline before the first byte', steps: [abandon(Abandoned.deadlinePassed), refusedConnect], seen: Seen.deadlinePassedBeforeFirstByte},
+	{
+		name: 'an answer after the deadline', steps: [connect, abandon(Abandoned.deadlinePassed), ok, chunk, complete], seen: Seen.deadlinePassedAfterFirstByte, aborts: 1,
+	},
+];
+
+for (const {name, steps, seen, method = 'GET', mayStart = true, heads = [], aborts = 0, retryAfter} of cases) {
+	test(`exchange: ${name}`, () => {
+		const told: Told = {
+			heads: [], ends: [], chunks: 0, aborts: 0,
+		};
+		const exchange = new Exchange(sinkOf(told, mayStart), method, [503], 1000);
+		for (const step of steps) {
+			step(exchange, told);
+		}
+
+		exchange.abandon(Abandoned.callerGone);
+		exchange.onError(Object.assign(new Error('closed'), {code: 'UND_ERR_CLOSED'}));
+		assert.deepEqual(told.ends, [[seen, retryAfter]]);
+		assert.deepEqual(told.heads, heads);
+		assert.equal(told.aborts, aborts);
+	});
+}
+
+test('exchange: the deadline ends it by itself', t => {
+	t.mock.timers.enable({apis: ['setTimeout']});
+	const told: Told = {
+		heads: [], ends: [], chunks: 0, aborts: 0,
+	};
+	const exchange = new Exchange(sinkOf(told, true), 'GET', [], 100);
+	connect(exchange, told);
+	t.mock.timers.tick(99);
+	assert.deepEqual(told.ends, []);
+	t.mock.timers.tick(1);
+	assert.deepEqual([told.ends, told.aborts > 0], [[[Seen.deadlinePassedAfterFirstByte, undefined]], true]);
+});
