--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -83,8 +83,15 @@
 
 /** Begins a request whose head was read. */
 export function beginRequest(input: Pick<RequestState, 'idempotent' | 'deadline' | 'retry' | 'seed'>): Step {
-	const state = {
-		...input, phase: RequestPhase.admitting, attempts: 0, pauses: 0, mayHaveRun: false,
+	const state: RequestState = {
+		phase: RequestPhase.admitting,
+		idempotent: input.idempotent,
+		deadline: input.deadline,
+		retry: input.retry,
+		seed: input.seed,
+		attempts: 0,
+		pauses: 0,
+		mayHaveRun: false,
 	};
 	return {state, effects: [{kind: 'admit'}]};
 }
--- a/packages/stand-in/src/cost.ts
+++ b/packages/stand-in/src/cost.ts
@@ -20,12 +20,22 @@
 	readonly connections: number;
 };
 
-type Figures = {readonly requestsPerSecond: number; readonly median: number; readonly slowest: number; readonly bad: number};
+type Figures = {
+	readonly requestsPerSecond: number;
+	readonly median: number;
+	readonly slowest: number;
+	readonly bad: number;
+	/** The processor time of the forwarder for one request, in microseconds. Absent for a process that this tool did not start. */
+	readonly processorTime: number | undefined;
+};
+
+/** A process that is loaded. */
+type Subject = {readonly address: string; readonly child: ChildProcess | undefined};
 
 const millisecondsPerSecond = 1000;
 const paths = 1000;
 
-async function startChild(script: string, role: string, upstreamAddress: string): Promise<{readonly child: ChildProcess; readonly address: string}> {
+async function startChild(script: string, role: string, upstreamAddress: string): Promise<Subject & {readonly child: ChildProcess}> {
 	const child = fork(script, ['--role', role, '--upstream', upstreamAddress]);
 	const [address] = await once(child, 'message') as [string];
 	return {child, address};
@@ -34,33 +44,51 @@
 /** Runs as one of the processes that the measurement starts. */
 async function runAsChild(role: string, upstreamAddress: string): Promise<void> {
 	process.send!(await costChildren[role]!(upstreamAddress));
+	process.on('message', () => {
+		const {user, system} = process.cpuUsage();
+		process.send!(user + system);
+	});
 	process.on('disconnect', () => process.exit());
 }
 
-function figuresOf(report: CallerReport): Figures {
+async function processorTimeOf(subject: Subject): Promise<number | undefined> {
+	if (subject.child === undefined) {
+		return undefined;
+	}
+
+	subject.child.send('processor time');
+	const [microseconds] = await once(subject.child, 'message') as [number];
+	return microseconds;
+}
+
+function figuresOf(report: CallerReport, processorTime: number | undefined): Figures {
 	const bad = report.broken + report.foreign + report.sent - report.broken - (report.statuses['200'] ?? 0);
 	return {
 		requestsPerSecond: report.latencies.length / report.elapsedMilliseconds * millisecondsPerSecond,
 		median: percentile(report.latencies, 0.5),
 		slowest: percentile(report.latencies, 0.99),
 		bad,
+		processorTime: processorTime === undefined ? undefined : processorTime / report.sent,
 	};
 }
 
-async function measure(address: string, settings: CostSettings): Promise<Figures> {
-	return figuresOf(await runCaller({
-		address,
+async function measure(subject: Subject, settings: CostSettings): Promise<Figures> {
+	const before = await processorTimeOf(subject);
+	const report = await runCaller({
+		address: subject.address,
 		paths: Array.from({length: paths}, (_, position) => `${settings.path}/key-${position}`),
 		method: 'GET',
 		connections: settings.connections,
 		requests: Number.POSITIVE_INFINITY,
 		longestMilliseconds: settings.seconds * millisecondsPerSecond,
 		name: 'cost',
-	}));
+	});
+	const after = await processorTimeOf(subject);
+	return figuresOf(report, before === undefined || after === undefined ? undefined : after - before);
 }
 
 function row(name: string, figures: Figures): string {
-	const columns = [figures.requestsPerSecond.toFixed(0), figures.median.toFixed(2), figures.slowest.toFixed(2), String(figures.bad)];
+	const columns = [figures.requestsPerSecond.toFixed(0), figures.median.toFixed(2), figures.slowest.toFixed(2), String(figures.bad), figures.processorTime?.toFixed(0) ?? '-'];
 	return [name.padEnd(16), ...columns.map(column => column.padStart(12))].join('');
 }
 
@@ -68,13 +96,13 @@
 	return [...values].sort((one, other) => one - other)[Math.floor(values.length / 2)]!;
 }
 
-async function measureRounds(addresses: {readonly entry: string; readonly bare: string}, settings: CostSettings): Promise<void> {
+async function measureRounds(subjects: {readonly entry: Subject; readonly bare: Subject}, settings: CostSettings): Promise<void> {
 	const ratios: Array<{readonly rate: number; readonly slowest: number}> = [];
-	await measure(addresses.entry, {...settings, seconds: 1});
-	await measure(addresses.bare, {...settings, seconds: 1});
+	await measure(subjects.entry, {...settings, seconds: 1});
+	await measure(subjects.bare, {...settings, seconds: 1});
 	for (let round = 0; round < settings.rounds; round++) {
-		const entry = await measure(addresses.entry, settings);
-		const bare = await measure(addresses.bare, settings);
+		const entry = await measure(subjects.entry, settings);
+		const bare = await measure(subjects.bare, settings);
 		console.log(row('entry', entry));
 		console.log(row('bare forwarder', bare));
 		ratios.push({rate: entry.requestsPerSecond / bare.requestsPerSecond, slowest: entry.slowest / bare.slowest});
@@ -87,16 +115,16 @@
 
 async function measureAll(script: string, settings: CostSettings): Promise<void> {
 	const children: ChildProcess[] = [];
-	const start = async (role: string, upstreamAddress: string) => {
-		const {child, address} = await startChild(script, role, upstreamAddress);
-		children.push(child);
-		return address;
+	const start = async (role: string, upstreamAddress: string): Promise<Subject> => {
+		const subject = await startChild(script, role, upstreamAddress);
+		children.push(subject.child);
+		return subject;
 	};
 
-	const upstream = settings.upstream ?? await start('upstream', '');
-	const bare = await start('bare', upstream);
-	const entry = settings.entry ?? await start('forwarder', upstream);
-	console.log(['what'.padEnd(16), ...['requests/s', 'p50 ms', 'p99 ms', 'bad'].map(column => column.padStart(12))].join(''));
+	const upstream = settings.upstream === undefined ? await start('upstream', '') : {address: settings.upstream};
+	const bare = await start('bare', upstream.address);
+	const entry = settings.entry === undefined ? await start('forwarder', upstream.address) : {address: settings.entry, child: undefined};
+	console.log(['what'.padEnd(16), ...['requests/s', 'p50 ms', 'p99 ms', 'bad', 'CPU us/req'].map(column => column.padStart(12))].join(''));
 	await measureRounds({entry, bare}, settings);
 	for (const child of children) {
 		child.disconnect();
--- a/packages/upstream-client/src/caller-answer.ts
+++ b/packages/upstream-client/src/caller-answer.ts
@@ -11,6 +11,11 @@
 import {type RawHeaders} from './headers.js';
 import {writeProblem} from './problem.js';
 
+/** A write that comes between the end of a connection and its `close` event fails; the event tells the rest. */
+function ignoreError(): void {
+	// The connection is over.
+}
+
 /** What a caller has got of its answer. It is mutable: it follows the connection. */
 export class CallerAnswer {
 	/** Whether the caller went away before its answer was whole. */
@@ -35,6 +40,7 @@
 	/** Calls `whenGone` if the connection ends before the answer is over. */
 	watch(whenGone: () => void): void {
 		this.#response.once('close', whenGone);
+		this.#response.on('error', ignoreError);
 	}
 
 	/** Passes the head of an upstream's answer on. */
