Report service-level burn

Cause: the users need a report on service-level burn, merged over instances. Change: judgement of a request by objective (lookup tables), a recorder, 10 s intervals folded to 5 min past an hour, windows of 5 min, 1 h, 6 h and 3 d, checked JSON of an interval, the report as data, text and one HTML page with inline SVG; dogwooddeckctl report burn. Seen to fail against a broken variant: a merge that keeps one side's counts (path 0:0:1:0:0:1:1:1:2:3:3:3, 'Expected values to be strictly deep-equal'); a fold that forgets its bucket (after the test's intervals were brought closer together, the first form did not see it); a decoder that takes more bad requests than all. Conclusion: the page is not rendered: there is no browser here. What persists intervals over a restart is the daemon's.

--- /dev/null
+++ b/packages/burn/src/encoding.ts
@@ -0,0 +1,87 @@
+/**
+ * Intervals as JSON, for a file that survives a restart and for the operators'
+ * surface. What is read back is checked, also the histograms.
+ */
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {err, ok, type Result} from 'true-myth/result';
+import {summariseLatency, type ServiceLatency} from './latency.js';
+import {
+	badJudgements, badOf, keptMilliseconds, type BurnInterval, type Counts, type InstanceBurn, type ObjectiveCounts,
+} from './window.js';
+
+const largestHistogramCharacters = 65_536;
+const largestNameCharacters = 256;
+
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function isCount(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+function isName(value: unknown): value is string {
+	return typeof value === 'string' && value.length > 0 && value.length <= largestNameCharacters;
+}
+
+function isCounts(value: unknown): value is Counts {
+	return isRecord(value)
+		&& [...badJudgements, 'total'].every(key => isCount(value[key]))
+		&& badOf(value as Counts) <= (value as Counts).total;
+}
+
+function isObjective(value: unknown): value is ObjectiveCounts {
+	return isRecord(value) && isName(value.service) && isName(value.objective) && isCounts(value.counts);
+}
+
+function isHistogram(latency: ServiceLatency): boolean {
+	try {
+		return isCount(summariseLatency(latency).requests);
+	} catch {
+		return false;
+	}
+}
+
+function isLatency(value: unknown): value is ServiceLatency {
+	return isRecord(value) && isName(value.service)
+		&& typeof value.histogram === 'string' && value.histogram.length <= largestHistogramCharacters
+		&& isHistogram(value as ServiceLatency);
+}
+
+function isListOf<Item>(value: unknown, isItem: (item: unknown) => item is Item): value is readonly Item[] {
+	return Array.isArray(value) && value.every(item => isItem(item));
+}
+
+/** Whether a value is an interval. */
+export function isInterval(value: unknown): value is BurnInterval {
+	return isRecord(value)
+		&& isCount(value.startedAt)
+		&& isCount(value.lengthMilliseconds) && value.lengthMilliseconds > 0 && value.lengthMilliseconds <= keptMilliseconds
+		&& isListOf(value.objectives, isObjective)
+		&& isListOf(value.latencies, isLatency);
+}
+
+/** Whether a value is what one instance counted. */
+export function isInstanceBurn(value: unknown): value is InstanceBurn {
+	return isRecord(value) && isName(value.instance) && isListOf(value.intervals, isInterval);
+}
+
+/** An interval as one line of JSON. */
+export function encodeInterval(interval: BurnInterval): string {
+	return JSON.stringify(interval);
+}
+
+function parse(text: string): Result<unknown, Failure> {
+	try {
+		return ok(JSON.parse(text));
+	} catch {
+		return err(failure(FailureKind.malformed, 'the interval is not JSON'));
+	}
+}
+
+/** Reads an interval from its JSON. Fails with `malformed`. */
+export function decodeInterval(text: string): Result<BurnInterval, Failure> {
+	return parse(text).andThen((value): Result<BurnInterval, Failure> => isInterval(value)
+		? ok(value)
+		: err(failure(FailureKind.malformed, 'the interval has fields of another form')));
+}
--- /dev/null
+++ b/packages/burn/src/judgement.ts
@@ -0,0 +1,68 @@
+/**
+ * What counts as bad: a request's end, judged for one objective.
+ */
+import {type Objective} from '@dogwooddeck/model/contract';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+
+/** How a request ended, as its caller saw it. */
+export const RequestEnd = {
+	/** A whole answer that is not an error of the upstream. */
+	answered: 'answered',
+	/** A whole answer that tells of an error of the upstream. */
+	failed: 'failed',
+	/** Refused: it was not run, and never will be. */
+	notRun: 'notRun',
+	/** Whether it ran isn't known. */
+	unknown: 'unknown',
+	/** Refused for the caller's own fault: a malformed request, or its limit spent. */
+	callerFault: 'callerFault',
+} as const;
+
+/** One of the ends. */
+export type RequestEnd = (typeof RequestEnd)[keyof typeof RequestEnd];
+
+/** One request that has ended. */
+export type RequestSample = {
+	readonly end: RequestEnd;
+	readonly idempotent: boolean;
+	/** From the first byte of the request to the last of the answer. */
+	readonly latencyMilliseconds: Milliseconds;
+};
+
+/** What a request is for an objective. */
+export const Judgement = {
+	good: 'good',
+	/** Answered, but later than the objective says. */
+	slow: 'slow',
+	failed: 'failed',
+	notRun: 'notRun',
+	unknown: 'unknown',
+	/** It says nothing about the objective. */
+	uncounted: 'uncounted',
+} as const;
+
+/** One of the judgements. */
+export type Judgement = (typeof Judgement)[keyof typeof Judgement];
+
+type Judge = (sample: RequestSample, withinMilliseconds: Milliseconds | undefined) => Judgement;
+
+/**
+ * A non-idempotent request that was not run can be sent again safely and has
+ * no answer to be late: it counts for availability, not for latency.
+ */
+function judgeNotRun(sample: RequestSample, withinMilliseconds: Milliseconds | undefined): Judgement {
+	return !sample.idempotent && withinMilliseconds !== undefined ? Judgement.uncounted : Judgement.notRun;
+}
+
+const judges: Readonly<Record<RequestEnd, Judge>> = {
+	answered: (sample, within) => sample.latencyMilliseconds > (within ?? Number.POSITIVE_INFINITY) ? Judgement.slow : Judgement.good,
+	failed: () => Judgement.failed,
+	notRun: judgeNotRun,
+	unknown: () => Judgement.unknown,
+	callerFault: () => Judgement.uncounted,
+};
+
+/** Judges a request for an objective. */
+export function judge(sample: RequestSample, objective: Pick<Objective, 'withinMilliseconds'>): Judgement {
+	return judges[sample.end](sample, objective.withinMilliseconds);
+}
--- /dev/null
+++ b/packages/burn/src/latency.ts
@@ -0,0 +1,70 @@
+/**
+ * Latencies of a service as histograms, which travel and are kept as text.
+ */
+import {type Milliseconds, type ServiceName} from '@dogwooddeck/model/identifiers';
+import {
+	build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram,
+} from 'hdr-histogram-js';
+
+/** The latencies of a service's requests; the histogram is in compressed base64. */
+export type ServiceLatency = {
+	readonly service: ServiceName;
+	readonly histogram: string;
+};
+
+/** Latencies at some points of their distribution. */
+export type LatencySummary = {
+	readonly service: ServiceName;
+	readonly requests: number;
+	readonly medianMilliseconds: Milliseconds;
+	readonly percentile99Milliseconds: Milliseconds;
+	readonly longestMilliseconds: Milliseconds;
+};
+
+const highestTrackableValue = 3_600_000;
+
+/** A histogram of whole milliseconds, up to an hour, to two digits. */
+export function emptyHistogram(): Histogram {
+	return build({
+		bitBucketSize: 32, lowestDiscernibleValue: 1, highestTrackableValue, numberOfSignificantValueDigits: 2,
+	});
+}
+
+/** Counts a latency. */
+export function recordLatency(histogram: Histogram, latencyMilliseconds: Milliseconds): void {
+	histogram.recordValue(Math.min(highestTrackableValue, Math.max(1, Math.round(latencyMilliseconds))));
+}
+
+/** A histogram as text. */
+export function encodeHistogram(histogram: Histogram): string {
+	return encodeIntoCompressedBase64(histogram);
+}
+
+function mergeTexts(one: string, other: string): string {
+	const sum = decodeFromCompressedBase64(one);
+	sum.add(decodeFromCompressedBase64(other));
+	return encodeHistogram(sum);
+}
+
+/** Adds up the latencies of each service. */
+export function mergeLatencies(one: readonly ServiceLatency[], other: readonly ServiceLatency[]): readonly ServiceLatency[] {
+	const merged = new Map(one.map(entry => [entry.service, entry.histogram]));
+	for (const {service, histogram} of other) {
+		const known = merged.get(service);
+		merged.set(service, known === undefined ? histogram : mergeTexts(known, histogram));
+	}
+
+	return [...merged].sort(([left], [right]) => left < right ? -1 : 1).map(([service, histogram]) => ({service, histogram}));
+}
+
+/** The points of a service's latencies that a report shows. */
+export function summariseLatency({service, histogram}: ServiceLatency): LatencySummary {
+	const decoded = decodeFromCompressedBase64(histogram);
+	return {
+		service,
+		requests: decoded.totalCount,
+		medianMilliseconds: decoded.getValueAtPercentile(50),
+		percentile99Milliseconds: decoded.getValueAtPercentile(99),
+		longestMilliseconds: decoded.maxValue,
+	};
+}
--- /dev/null
+++ b/packages/burn/src/plot.ts
@@ -0,0 +1,67 @@
+/**
+ * A plot of burn rates over time as inline SVG.
+ */
+import {type BurnPoint} from './report.js';
+
+/** The measures of a plot, in pixels. */
+const size = {
+	width: 480, height: 150, left: 44, right: 8, top: 8, bottom: 22,
+} as const;
+
+const leastTop = 2;
+
+type Scale = (value: number) => number;
+
+function horizontalScale(count: number): Scale {
+	const span = size.width - size.left - size.right;
+	return position => size.left + (span * (position + 0.5) / Math.max(1, count));
+}
+
+function verticalScale(most: number): Scale {
+	const span = size.height - size.top - size.bottom;
+	return rate => size.height - size.bottom - (span * rate / most);
+}
+
+function label(value: number): string {
+	return value >= 10 ? value.toFixed(0) : value.toFixed(1);
+}
+
+function ruleAt(rate: number, vertical: Scale, colour: string): string {
+	const height = vertical(rate).toFixed(1);
+	return `<line x1="${size.left}" x2="${size.width - size.right}" y1="${height}" y2="${height}" stroke="${colour}"/>`
+		+ `<text x="${size.left - 6}" y="${(vertical(rate) + 4).toFixed(1)}" text-anchor="end">${label(rate)}</text>`;
+}
+
+function bars(points: readonly BurnPoint[], horizontal: Scale, vertical: Scale): string {
+	const width = Math.max(1, horizontal(1) - horizontal(0) - 1).toFixed(1);
+	return points.map(({burnRate}, position) => {
+		if (burnRate === undefined) {
+			return '';
+		}
+
+		const top = vertical(burnRate);
+		const height = Math.max(0.8, vertical(0) - top).toFixed(1);
+		const left = (horizontal(position) - (Number(width) / 2)).toFixed(1);
+		return `<rect x="${left}" y="${Math.min(top, vertical(0) - 0.8).toFixed(1)}" width="${width}" height="${height}" fill="${burnRate > 1 ? '#a4161a' : '#2f6f8f'}"/>`;
+	}).join('');
+}
+
+function timeLabel(point: BurnPoint | undefined, position: number, anchor: string): string {
+	const text = point === undefined ? '' : new Date(point.at).toISOString().slice(5, 16).replace('T', ' ');
+	return `<text x="${position}" y="${size.height - 6}" text-anchor="${anchor}">${text}</text>`;
+}
+
+/** Burn rates as bars, oldest first, with a rule at 1. A gap: no requests. The title must be escaped. */
+export function plotPoints(points: readonly BurnPoint[], title: string): string {
+	const most = Math.max(leastTop, ...points.map(point => point.burnRate ?? 0));
+	const horizontal = horizontalScale(points.length);
+	const vertical = verticalScale(most);
+	return `<svg viewBox="0 0 ${size.width} ${size.height}" width="100%" role="img" aria-label="${title}">`
+		+ ruleAt(0, vertical, '#c3ccd4')
+		+ (most > 1.2 * leastTop ? ruleAt(most, vertical, '#eceff2') : '')
+		+ bars(points, horizontal, vertical)
+		+ ruleAt(1, vertical, '#d99a00')
+		+ timeLabel(points[0], size.left, 'start')
+		+ timeLabel(points.at(-1), size.width - size.right, 'end')
+		+ '</svg>';
+}
--- /dev/null
+++ b/packages/burn/src/recorder.ts
@@ -0,0 +1,95 @@
+/**
+ * Counts the requests of the current interval. This is the one part that
+ * changes in place, since it runs for every request.
+ */
+import {type Objective, type ServiceContract} from '@dogwooddeck/model/contract';
+import {type ServiceName, type WallTime} from '@dogwooddeck/model/identifiers';
+import {type Histogram} from 'hdr-histogram-js';
+import {Judgement, judge, type RequestSample} from './judgement.js';
+import {emptyHistogram, encodeHistogram, recordLatency} from './latency.js';
+import {intervalMilliseconds, type BurnInterval, type ObjectiveCounts} from './window.js';
+
+type MutableCounts = {
+	total: number;
+	slow: number;
+	failed: number;
+	notRun: number;
+	unknown: number;
+};
+
+type ServiceRecord = {
+	readonly latencies: Histogram;
+	readonly objectives: Map<Objective['name'], MutableCounts>;
+};
+
+type Counter = (counts: MutableCounts) => void;
+
+const counters: Readonly<Record<Judgement, Counter>> = {
+	[Judgement.good](counts) {
+		counts.total += 1;
+	},
+	[Judgement.slow](counts) {
+		counts.total += 1;
+		counts.slow += 1;
+	},
+	[Judgement.failed](counts) {
+		counts.total += 1;
+		counts.failed += 1;
+	},
+	[Judgement.notRun](counts) {
+		counts.total += 1;
+		counts.notRun += 1;
+	},
+	[Judgement.unknown](counts) {
+		counts.total += 1;
+		counts.unknown += 1;
+	},
+	[Judgement.uncounted]() {
+		// The request says nothing about the objective.
+	},
+};
+
+function objectivesOf(service: ServiceName, record: ServiceRecord): readonly ObjectiveCounts[] {
+	const names = [...record.objectives.keys()].sort();
+	return names.map(objective => ({service, objective, counts: {...record.objectives.get(objective)!}}));
+}
+
+/** Counts requests until the interval is taken. */
+export class BurnRecorder {
+	readonly #services = new Map<ServiceName, ServiceRecord>();
+
+	/** Counts one request for each objective of its service. */
+	record(contract: Pick<ServiceContract, 'name' | 'objectives'>, sample: RequestSample): void {
+		const record = this.#recordOf(contract.name);
+		recordLatency(record.latencies, sample.latencyMilliseconds);
+		for (const objective of contract.objectives) {
+			counters[judge(sample, objective)](this.#countsOf(record, objective.name));
+		}
+	}
+
+	/** Gives what was counted as the interval that starts at a moment, and begins the next. */
+	take(startedAt: WallTime): BurnInterval {
+		const services = [...this.#services].sort(([left], [right]) => left < right ? -1 : 1);
+		this.#services.clear();
+		return {
+			startedAt,
+			lengthMilliseconds: intervalMilliseconds,
+			objectives: services.flatMap(([service, record]) => objectivesOf(service, record)),
+			latencies: services.map(([service, record]) => ({service, histogram: encodeHistogram(record.latencies)})),
+		};
+	}
+
+	#recordOf(service: ServiceName): ServiceRecord {
+		const record = this.#services.get(service) ?? {latencies: emptyHistogram(), objectives: new Map()};
+		this.#services.set(service, record);
+		return record;
+	}
+
+	#countsOf(record: ServiceRecord, objective: Objective['name']): MutableCounts {
+		const counts = record.objectives.get(objective) ?? {
+			total: 0, slow: 0, failed: 0, notRun: 0, unknown: 0,
+		};
+		record.objectives.set(objective, counts);
+		return counts;
+	}
+}
--- /dev/null
+++ b/packages/burn/src/report-text.ts
@@ -0,0 +1,77 @@
+/**
+ * The report as lines of text.
+ */
+import {type BurnReport, type ObjectiveBurn, type WindowBurn} from './report.js';
+import {badJudgements} from './window.js';
+
+/** A burn rate for a person. */
+export function showRate(rate: number | undefined): string {
+	return rate === undefined ? '-' : rate.toFixed(2);
+}
+
+/** A share for a person. */
+export function showShare(share: number): string {
+	return `${(share * 100).toFixed(1)} %`;
+}
+
+/** What an objective asks for, for a person. */
+export function showObjective({objective}: ObjectiveBurn): string {
+	const within = objective.withinMilliseconds === undefined ? '' : ` within ${objective.withinMilliseconds} ms`;
+	return `${Number((objective.target * 100).toFixed(4))} %${within}`;
+}
+
+/** What was bad in a window, for a person. */
+export function showBad({counts}: WindowBurn): string {
+	const parts = badJudgements.filter(judgement => counts[judgement] > 0).map(judgement => `${judgement} ${counts[judgement]}`);
+	return parts.length === 0 ? 'none' : parts.join(', ');
+}
+
+function aligned(rows: ReadonlyArray<readonly string[]>): readonly string[] {
+	const widths = rows[0]!.map((_cell, column) => Math.max(...rows.map(row => row[column]!.length)));
+	return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd());
+}
+
+function objectiveRows(report: BurnReport): ReadonlyArray<readonly string[]> {
+	return report.objectives.map(burn => [
+		burn.objective.service, burn.objective.name, showObjective(burn), ...burn.windows.map(window => showRate(window.burnRate)), showShare(burn.budgetLeft), showBad(burn.windows.at(-1)!),
+	]);
+}
+
+function objectiveLines(report: BurnReport): readonly string[] {
+	const names = report.objectives[0]?.windows.map(window => `burn ${window.window}`) ?? [];
+	return aligned([['service', 'objective', 'target', ...names, 'budget left', 'bad in the longest window'], ...objectiveRows(report)]);
+}
+
+function latencyLines(report: BurnReport): readonly string[] {
+	const rows = report.latencies.map(latency => [
+		latency.service, String(latency.requests), `${latency.medianMilliseconds} ms`, `${latency.percentile99Milliseconds} ms`, `${latency.longestMilliseconds} ms`,
+	]);
+	return aligned([['service', 'requests 1 h', '50th', '99th', 'longest'], ...rows]);
+}
+
+function figureLines(report: BurnReport): readonly string[] {
+	const rows = report.figures.map(figures => [
+		figures.service, `${(figures.unavailableSlotMilliseconds / 1000).toFixed(1)} s`, String(figures.moves), figures.slotImbalance.toFixed(2), figures.loadImbalance.toFixed(2),
+	]);
+	return aligned([['service', 'unavailable slot time', 'slots moved', 'slot imbalance', 'load imbalance'], ...rows]);
+}
+
+/** Which instances are in the report, and which it lacks. */
+export function coverageLine(report: BurnReport): string {
+	const lacking = report.lacking.length === 0 ? 'none lacking' : `LACKING: ${report.lacking.join(', ')}`;
+	return `counted by ${report.instances.length} instances, ${lacking}`;
+}
+
+/** The report as lines of text. */
+export function reportLines(report: BurnReport): readonly string[] {
+	return [
+		`service-level burn at ${new Date(report.at).toISOString()}`,
+		coverageLine(report),
+		'',
+		...objectiveLines(report),
+		'',
+		...latencyLines(report),
+		'',
+		...figureLines(report),
+	];
+}
--- a/packages/control-tool/src/main.ts
+++ b/packages/control-tool/src/main.ts
@@ -12,6 +12,7 @@
 import {
 	getCommand, historyCommand, membersCommand, ownersCommand, statusCommand,
 } from './command/read.js';
+import {reportCommand} from './command/report.js';
 import {
 	drainCommand, moveCommand, tokenCommand, zoneCommand,
 } from './command/write.js';
@@ -36,6 +37,7 @@
 		move: moveCommand,
 		drain: drainCommand,
 		zone: zoneCommand,
+		report: reportCommand,
 		token: tokenCommand,
 	},
 });
--- a/packages/control-tool/test/fake-operator.ts
+++ b/packages/control-tool/test/fake-operator.ts
@@ -73,6 +73,15 @@
 		return ok({team, entries: history});
 	},
 	[OperatorPath.members]: members,
+	[OperatorPath.burn]: () => ok({
+		at: 1_796_378_400_000,
+		objectives: [{
+			service: 'bermrand/booking', name: 'available', target: 0.999, periodDays: 28,
+		}],
+		expected: ['entry-0', 'entry-1'],
+		instances: [{instance: 'entry-0', intervals: []}],
+		figures: [],
+	}),
 	[OperatorPath.owners]: () => err(failure(FailureKind.notFound, 'no such service')),
 };
 
--- a/packages/control-tool/test/test-session.ts
+++ b/packages/control-tool/test/test-session.ts
@@ -138,6 +138,30 @@
 			},
 		],
 	},
+	{
+		name: 'the burn report as text, and as a page in a file',
+		faults: [],
+		steps: [
+			{
+				parameters: 'report burn --server SERVER',
+				code: 0,
+				stdout: [
+					'service-level burn at 2026-12-04T10:00:00.000Z',
+					'counted by 1 instances, LACKING: entry-1',
+					'service           objective  target  burn 5 min  burn 1 h  burn 6 h  burn 3 d  budget left  bad in the longest window',
+					'bermrand/booking  available  99.9 %  -           -         -         -         100.0 %      none',
+					'service  requests 1 h  50th  99th  longest',
+					'service  unavailable slot time  slots moved  slot imbalance  load imbalance',
+				],
+			},
+			{parameters: 'report burn --server SERVER --format html --out FOLDER/burn.html', code: 0, stdout: ['written to FOLDER/burn.html']},
+			{
+				parameters: 'report burn --server SERVER --out FOLDER/absent/burn.txt',
+				code: 3,
+				stderr: ['storage-failed: FOLDER/absent/burn.txt: the file does not exist'],
+			},
+		],
+	},
 	{
 		name: 'a service that does not stand, a profile with an unknown key, an operation without its base',
 		faults: [],
