--- /dev/null
+++ b/packages/configuration/test/test-surface.ts
@@ -0,0 +1,182 @@
+/**
+ * What arrives from outside: tokens, bodies of requests, problem bodies.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {type Result} from 'true-myth/result';
+import {applyConfiguration} from '../src/apply.js';
+import {
+	authorityOf, hashToken, requireOperator, requireTeam,
+} from '../src/authority.js';
+import {checkContract} from '../src/contract-check.js';
+import {
+	parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest,
+} from '../src/messages.js';
+import {failureOfProblem, problemOfFailure} from '../src/problem.js';
+import {parseDuration, parseSize} from '../src/quantity.js';
+import {initialConfiguration, type ConfigurationCommand} from '../src/tree.js';
+import {contract} from './sample.js';
+
+const quantities: ReadonlyArray<readonly [text: string, duration: number | undefined, size: number | undefined]> = [
+	['1500 ms', 1500, undefined],
+	['2 s', 2000, undefined],
+	['1.5 s', 1500, undefined],
+	['1 MiB', undefined, 1_048_576],
+	['0.3 B', undefined, undefined],
+	['2s', undefined, undefined],
+	['2', undefined, undefined],
+	['-2 s', undefined, undefined],
+	['2 constructor', undefined, undefined],
+	['1 S', undefined, undefined],
+	['99999999999999 d', undefined, undefined],
+];
+
+for (const [text, duration, size] of quantities) {
+	test(`quantity: ${text}`, () => {
+		assert.deepEqual([parseDuration(text), parseSize(text)], [duration, size]);
+	});
+}
+
+const commands: readonly ConfigurationCommand[] = [
+	{
+		kind: 'founded', operation: 'founding-1', operatorTokenHash: hashToken('operator'), at: 0,
+	},
+	{
+		kind: 'tokenSet', team: 'bermrand', operation: 'token-of-bermrand', tokenHash: hashToken('first'), at: 0,
+	},
+	{
+		kind: 'tokenSet', team: 'bermrand', operation: 'token-again', tokenHash: hashToken('second'), at: 0,
+	},
+	{
+		kind: 'founded', operation: 'founding-2', operatorTokenHash: hashToken('usurper'), at: 0,
+	},
+];
+
+const rights: ReadonlyArray<readonly [token: string, team: string, forTeam: string, forOperator: string]> = [
+	['operator', 'bermrand', 'given', 'given'],
+	['second', 'bermrand', 'given', FailureKind.forbidden],
+	['second', 'valbrembo', FailureKind.forbidden, FailureKind.forbidden],
+	['first', 'bermrand', FailureKind.unauthenticated, FailureKind.unauthenticated],
+	['usurper', 'bermrand', FailureKind.unauthenticated, FailureKind.unauthenticated],
+	['', 'bermrand', FailureKind.unauthenticated, FailureKind.unauthenticated],
+];
+
+function kindOf(result: Result<unknown, Failure>): string {
+	return result.match({Ok: () => 'given', Err: refusal => refusal.kind});
+}
+
+for (const [token, team, forTeam, forOperator] of rights) {
+	test(`authority: the token "${token}" for ${team}`, () => {
+		const state = commands.reduce((before, command, index) => applyConfiguration(before, command, index + 1).state, initialConfiguration);
+		const authority = authorityOf(state, hashToken(token));
+		assert.equal(kindOf(authority.andThen(known => requireTeam(known, team))), forTeam);
+		assert.equal(kindOf(authority.andThen(known => requireOperator(known))), forOperator);
+		assert.ok(!JSON.stringify(state).includes('"second"'), 'the state holds a token');
+	});
+}
+
+const operation = 'operation-1';
+const wanted = {
+	team: 'bermrand', operation, base: 0, services: [contract('bermrand/schedule')],
+};
+
+const bodies: ReadonlyArray<{
+	readonly name: string;
+	readonly parse: (body: unknown) => Result<unknown, Failure>;
+	readonly body: unknown;
+	readonly expected: readonly string[];
+}> = [
+	{
+		name: 'apply', parse: parseApplyRequest, body: wanted, expected: [],
+	},
+	{
+		name: 'apply with no body', parse: parseApplyRequest, body: undefined, expected: [': missing'],
+	},
+	{
+		name: 'apply with wrong fields',
+		parse: parseApplyRequest,
+		body: {
+			...wanted, base: -1, services: [{...contract('bermrand/schedule'), slots: 0, sloths: 1}], extra: true,
+		},
+		expected: [
+			'base: expected a whole number from 0 to 9007199254740991',
+			'services.0.slots: expected a whole number from 1 to 65536',
+			'services.0.sloths: unknown key',
+			'extra: unknown key',
+		],
+	},
+	{
+		name: 'apply with too many services',
+		parse: parseApplyRequest,
+		body: {...wanted, services: Array.from({length: 257}, () => contract('bermrand/schedule'))},
+		expected: ['services: expected at most 256 items'],
+	},
+	{
+		name: 'apply with a team that is no name',
+		parse: parseApplyRequest,
+		body: {...wanted, team: '__proto__'},
+		expected: ['team: expected a name of lower-case letters, digits and hyphens that starts with a letter, at most 63 characters'],
+	},
+	{
+		name: 'move',
+		parse: parseMoveRequest,
+		body: {
+			service: 'bermrand/schedule', slot: 1.5, upstream: 'server 1', operation: 'x',
+		},
+		expected: [
+			'slot: expected a whole number from 0 to 131072',
+			'upstream: expected an upstream\'s name',
+			'operation: expected an operation identifier of 8 to 64 letters, digits and "-_.:"',
+		],
+	},
+	{
+		name: 'drain', parse: parseDrainRequest, body: {service: 'bermrand/schedule', upstream: 'server-1', operation}, expected: [],
+	},
+	{
+		name: 'declare-lost', parse: parseZoneDeclareLostRequest, body: {zone: 'noord-a', operation}, expected: ['confirm: missing'],
+	},
+	{
+		name: 'token',
+		parse: parseTokenRequest,
+		body: {team: 'bermrand', operation, token: 'short'},
+		expected: ['token: expected a token of 24 to 256 letters, digits and "-_.~"'],
+	},
+];
+
+for (const {name, parse, body, expected} of bodies) {
+	test(`body: ${name}`, () => {
+		const problems = parse(body).match({Ok: () => [], Err: refusal => refusal.problems ?? []});
+		assert.deepEqual(problems.map(problem => `${problem.path}: ${problem.reason}`), expected);
+		assert.ok(problems.every(problem => problem.file === 'request'));
+	});
+}
+
+test('contract: a check that the caller adds is asked too', () => {
+	const content = {prefix: '/schedule', key: {place: 'path', segment: 0}};
+	const checked = checkContract({file: 'schedule.toml', service: 'bermrand/schedule', content}, [
+		(read, file) => [{file, path: 'longest_deadline', reason: `${read.longestDeadlineMilliseconds} ms is too long`}],
+	]);
+	assert.equal(checked.match({Ok: () => '', Err: refusal => refusal.detail}), 'schedule.toml: longest_deadline: 1500 ms is too long');
+});
+
+for (const kind of Object.values(FailureKind)) {
+	test(`problem: ${kind} is read back as it was written`, () => {
+		const written = failure(kind, 'what is wrong', {winningRevision: 7, leader: 'entry-1', problems: [{file: 'a', path: 'b', reason: 'c'}]});
+		const body = problemOfFailure(written);
+		assert.deepEqual(failureOfProblem(body.status, structuredClone(body)), written);
+		assert.ok(body.status >= 400);
+	});
+}
+
+const foreign: ReadonlyArray<readonly [status: number, body: unknown, kind: FailureKind]> = [
+	[401, undefined, FailureKind.unauthenticated],
+	[503, '<html>', FailureKind.notReady],
+	[500, {kind: 'unheard-of', detail: 'x'}, FailureKind.internal],
+];
+
+for (const [status, body, kind] of foreign) {
+	test(`problem: a foreign body with status ${status}`, () => {
+		assert.equal(failureOfProblem(status, body).kind, kind);
+	});
+}
