--- a/packages/burn/src/encoding.ts
+++ b/packages/burn/src/encoding.ts
@@ -85,3 +85,18 @@
 		? ok(value)
 		: err(failure(FailureKind.malformed, 'the interval has fields of another form')));
 }
+
+/** What a file of intervals held, and how many of its lines couldn't be read. */
+export type Journal = {readonly intervals: readonly BurnInterval[]; readonly damagedLines: number};
+
+/** A file that holds intervals, one on each line. */
+export function encodeJournal(intervals: readonly BurnInterval[]): string {
+	return intervals.map(interval => `${encodeInterval(interval)}\n`).join('');
+}
+
+/** Reads a file of intervals. A line that a crash cut short or that is damaged costs its interval alone. */
+export function decodeJournal(text: string): Journal {
+	const read = text.split('\n').filter(line => line !== '').map(line => decodeInterval(line));
+	const intervals = read.flatMap(result => result.isOk ? [result.value] : []);
+	return {intervals, damagedLines: read.length - intervals.length};
+}
--- a/packages/burn/src/judgement.ts
+++ b/packages/burn/src/judgement.ts
@@ -3,6 +3,7 @@
  */
 import {type Objective} from '@dogwooddeck/model/contract';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {Outcome} from '@dogwooddeck/model/outcome';
 
 /** How a request ended, as its caller saw it. */
 export const RequestEnd = {
@@ -21,6 +22,33 @@
 /** One of the ends. */
 export type RequestEnd = (typeof RequestEnd)[keyof typeof RequestEnd];
 
+/** What is known of a request when it has ended. */
+export type Ended = {
+	readonly outcome: Outcome;
+	/** The status that the caller got; absent where no whole answer came. */
+	readonly status?: number;
+	/** Whether it was refused because its caller's limit is spent. */
+	readonly limited: boolean;
+};
+
+const firstErrorStatus = 500;
+const firstCallerStatus = 400;
+
+const endsOfOutcome: Readonly<Record<Outcome, (ended: Ended) => RequestEnd>> = {
+	[Outcome.ran]: ({status}) => status === undefined || status >= firstErrorStatus ? RequestEnd.failed : RequestEnd.answered,
+	[Outcome.notRun]: ({status, limited}) => limited || isCallerStatus(status) ? RequestEnd.callerFault : RequestEnd.notRun,
+	[Outcome.unknown]: () => RequestEnd.unknown,
+};
+
+function isCallerStatus(status: number | undefined): boolean {
+	return status !== undefined && status >= firstCallerStatus && status < firstErrorStatus;
+}
+
+/** How a request ended, from its outcome and the status that its caller got. */
+export function endOf(ended: Ended): RequestEnd {
+	return endsOfOutcome[ended.outcome](ended);
+}
+
 /** One request that has ended. */
 export type RequestSample = {
 	readonly end: RequestEnd;
--- a/packages/burn/test/test-burn.ts
+++ b/packages/burn/test/test-burn.ts
@@ -3,8 +3,12 @@
 import {test} from 'node:test';
 import {type Objective} from '@dogwooddeck/model/contract';
 import * as fc from 'fast-check';
-import {decodeInterval, encodeInterval} from '../src/encoding.js';
-import {judge, type RequestEnd, type Judgement} from '../src/judgement.js';
+import {
+	decodeInterval, decodeJournal, encodeInterval, encodeJournal,
+} from '../src/encoding.js';
+import {
+	endOf, judge, type Ended, type RequestEnd, type Judgement,
+} from '../src/judgement.js';
 import {BurnRecorder} from '../src/recorder.js';
 import {reportPage} from '../src/report-page.js';
 import {reportLines} from '../src/report-text.js';
@@ -39,6 +43,23 @@
 	});
 }
 
+const ends: ReadonlyArray<readonly [ended: Ended, expected: RequestEnd]> = [
+	[{outcome: 'ran', status: 200, limited: false}, 'answered'],
+	[{outcome: 'ran', status: 404, limited: false}, 'answered'],
+	[{outcome: 'ran', status: 500, limited: false}, 'failed'],
+	[{outcome: 'ran', limited: false}, 'failed'],
+	[{outcome: 'not-run', status: 503, limited: false}, 'notRun'],
+	[{outcome: 'not-run', status: 400, limited: false}, 'callerFault'],
+	[{outcome: 'not-run', status: 503, limited: true}, 'callerFault'],
+	[{outcome: 'unknown', status: 504, limited: false}, 'unknown'],
+];
+
+for (const [ended, expected] of ends) {
+	test(`judge: ${JSON.stringify(ended)} ends as ${expected}`, () => {
+		assert.equal(endOf(ended), expected);
+	});
+}
+
 function recorded(startedAt: number, ends: readonly RequestEnd[], latencyMilliseconds = 20): BurnInterval {
 	const recorder = new BurnRecorder();
 	for (const end of ends) {
@@ -91,6 +112,12 @@
 	});
 }
 
+test('burn: a journal that is cut short loses its last interval alone', () => {
+	const text = encodeJournal([interval, recorded(intervalMilliseconds, ['unknown'])]);
+	assert.deepEqual(decodeJournal(text.slice(0, -9)), {intervals: [interval], damagedLines: 1});
+	assert.equal(decodeJournal(text).intervals.length, 2);
+});
+
 const at = Date.UTC(2026, 11, 4, 10);
 const minute = 60_000;
 const input: BurnInput = {
--- a/packages/configuration/src/apply.ts
+++ b/packages/configuration/src/apply.ts
@@ -24,7 +24,7 @@
 /** How many accepted changes stand in a team's history. */
 export const keptHistory = 256;
 
-/** The name under which the answers of the whole deployment are kept; no team can have it. */
+/** Stands for the team in the answer to a founding; no team can have it. */
 export const deploymentTeam: TeamName = '*';
 
 /** A state in which a command's answer is not yet recorded. */
@@ -158,14 +158,12 @@
 
 function applyFounding(command: Founded, state: ConfigurationState, index: LogIndex): ConfigurationApplied {
 	const {operation, operatorTokenHash} = command;
-	const standing = state.operatorTokenHash;
-	const applied = once(state, {team: deploymentTeam, operation, content: {operatorTokenHash}}, subtree => ({
-		subtree,
-		answer: standing === undefined
-			? ok({team: deploymentTeam, operation, revision: index})
-			: err(failure(FailureKind.conflict, 'the deployment is founded already')),
-	}));
-	return standing === undefined ? {...applied, state: {...applied.state, operatorTokenHash}} : applied;
+	const standing = state.founding ?? {operation, revision: index};
+	const repeats = state.operatorTokenHash === undefined
+		|| (standing.operation === operation && state.operatorTokenHash === operatorTokenHash);
+	return repeats
+		? {state: {...state, operatorTokenHash, founding: standing}, answer: ok({team: deploymentTeam, ...standing})}
+		: {state, answer: err(failure(FailureKind.conflict, 'the deployment is founded already'))};
 }
 
 const handlers: HandlerTable<ConfigurationCommand, [ConfigurationState, LogIndex], ConfigurationApplied> = {
--- a/packages/configuration/src/tree.ts
+++ b/packages/configuration/src/tree.ts
@@ -66,6 +66,8 @@
 	readonly teams: readonly TeamSubtree[];
 	/** The hash of the token that gives every right. Absent before the deployment is founded. */
 	readonly operatorTokenHash?: string;
+	/** The change that founded the deployment, for when it is sent again. */
+	readonly founding?: {readonly operation: OperationIdentifier; readonly revision: Revision};
 };
 
 /** The kinds of command. */
--- a/packages/configuration/test/test-apply.ts
+++ b/packages/configuration/test/test-apply.ts
@@ -13,6 +13,12 @@
 const schedule = contract('bermrand/schedule');
 const booking = contract('bermrand/booking');
 
+function founded(operation: string, operatorTokenHash: string): ConfigurationCommand {
+	return {
+		kind: 'founded', operation, operatorTokenHash, at: 0,
+	};
+}
+
 const cases: ReadonlyArray<{
 	readonly name: string;
 	readonly commands: readonly ConfigurationCommand[];
@@ -51,6 +57,12 @@
 		expected: [1, ...Array.from({length: 600}, (_unused, number) => number + 2), 1],
 		services: ['bermrand/booking'],
 	},
+	{
+		name: 'a founding that is sent again gets the first answer, another one is a conflict',
+		commands: [founded('founding-1', 'hash'), founded('founding-1', 'hash'), founded('founding-1', 'other'), founded('founding-2', 'hash')],
+		expected: [1, 1, `${FailureKind.conflict} none`, `${FailureKind.conflict} none`],
+		services: [],
+	},
 	{
 		name: 'an operation with other content is a conflict',
 		commands: [applied('operation-1', 0, [schedule]), applied('operation-1', 1, [booking])],
--- a/packages/control-tool/src/command/apply.ts
+++ b/packages/control-tool/src/command/apply.ts
@@ -81,12 +81,25 @@
 }
 
 /** How many of the instances that were heard from of late have a revision in force. */
-type InForce = {readonly inForce: number; readonly instances: number; readonly lacking: readonly string[]};
+type InForce = {
+	readonly inForce: number;
+	readonly instances: number;
+	readonly lacking: readonly string[];
+	/** The instances that were not heard from: whether the revision is in force there isn't known. */
+	readonly silent: readonly string[];
+};
 
 function countInForce(members: MembersAnswer, revision: number): InForce {
 	const alive = members.instances.filter(member => member.alive);
 	const lacking = alive.filter(member => member.applied < revision).map(member => member.name);
-	return {inForce: alive.length - lacking.length, instances: alive.length, lacking};
+	const silent = members.instances.filter(member => !member.alive).map(member => member.name);
+	return {
+		inForce: alive.length - lacking.length, instances: alive.length, lacking, silent,
+	};
+}
+
+function silentPart({silent}: InForce): string {
+	return silent.length === 0 ? '' : `; not heard from: ${silent.join(', ')}`;
 }
 
 async function waitInForce(connection: Connection, revision: number, limit: Milliseconds): Promise<Result<InForce, Failure>> {
@@ -99,7 +112,7 @@
 		}
 
 		const count = countInForce(members.value, revision);
-		const line = `revision ${revision} in force on ${count.inForce} of ${count.instances} instances\n`;
+		const line = `revision ${revision} in force on ${count.inForce} of ${count.instances} instances${silentPart(count)}\n`;
 		process.stderr.write(line === shown ? '' : line);
 		shown = line;
 		if (count.instances > 0 && count.lacking.length === 0) {
@@ -127,7 +140,7 @@
 	const count = await waitInForce(connection, accepted.revision, limit);
 	return count.map(inForce => ({
 		data: {...accepted, ...inForce},
-		lines: [`${accepted.team}: revision ${accepted.revision} is in force on all ${inForce.instances} instances`],
+		lines: [`${accepted.team}: revision ${accepted.revision} is in force on all ${inForce.instances} instances${silentPart(inForce)}`],
 	}));
 }
 
--- a/packages/control-tool/test/fake-operator.ts
+++ b/packages/control-tool/test/fake-operator.ts
@@ -52,7 +52,8 @@
 function members(deployment: FakeDeployment) {
 	deployment.lag = Math.max(0, deployment.lag - 1);
 	const applied = [deployment.index, deployment.lag > 0 ? 0 : deployment.index];
-	return ok({instances: applied.map((value, position) => ({name: `entry-${position}`, alive: true, applied: value})), upstreams: []});
+	const alive = applied.map((value, position) => ({name: `entry-${position}`, alive: true, applied: value}));
+	return ok({instances: [...alive, {name: 'entry-2', alive: false, applied: 0}], upstreams: []});
 }
 
 const handlers: Readonly<Record<string, Handler>> = {
--- a/packages/control-tool/test/test-session.ts
+++ b/packages/control-tool/test/test-session.ts
@@ -40,8 +40,13 @@
 			{
 				parameters: `${apply} --wait`,
 				code: 0,
-				stdout: ['bermrand: revision 4 is in force on all 2 instances'],
-				stderr: [announced, 'bermrand: accepted as revision 4', 'revision 4 in force on 1 of 2 instances', 'revision 4 in force on 2 of 2 instances'],
+				stdout: ['bermrand: revision 4 is in force on all 2 instances; not heard from: entry-2'],
+				stderr: [
+					announced,
+					'bermrand: accepted as revision 4',
+					'revision 4 in force on 1 of 2 instances; not heard from: entry-2',
+					'revision 4 in force on 2 of 2 instances; not heard from: entry-2',
+				],
 			},
 			{parameters: 'plan examples/bermrand --server SERVER', code: 0, stdout: ['bermrand at revision 4: nothing would change']},
 			{
