Hold contracted limits over all instances by shares that control divides

Cause: the limits' decisions stood alone; the daemon admitted everything. Ruled out: two levels of division (control to zone, steward to instance): each change of a steward would have blocked new shares for a share and a window, more than a minute with windows of one minute. Stewards pass demands and shares on; control alone divides. Change: limits/sharing, demands in lease and delegation requests, a limiter on the request path; a request that meets a limit for the first time waits for the first share. In a cut an instance goes on for 15 s, then refuses: to be weighed against a static reserve.

--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -3,12 +3,17 @@
  * tick proposes the commands that the state of the world asks for. Its own
  * state is volatile: the next leader begins anew.
  */
-import {contractsOf} from '@dogwooddeck/configuration/tree';
+import {contractOf, contractsOf} from '@dogwooddeck/configuration/tree';
+import {
+	createSharing, shareOut, type SharingState, sweepSharing,
+} from '@dogwooddeck/limits/sharing';
+import {effectiveLimit, type EffectiveLimit} from '@dogwooddeck/limits/unit';
 import {advanceWatch, createWatch, type WatchState} from '@dogwooddeck/membership/watch';
 import {
-	type InstanceIdentity, type InstanceName, type LogIndex, type MonotonicTime, type ServiceName, type UpstreamIdentity,
+	type InstanceIdentity, type InstanceName, type MonotonicTime, type ServiceName, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
+import {type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
 import {createGrantor, type GrantorState, stepGrantor} from '@dogwooddeck/ownership/grantor';
 import {type LeaseTerms} from '@dogwooddeck/ownership/terms';
@@ -32,6 +37,7 @@
 	readonly seats: Readonly<Record<InstanceName, SeatRequest>>;
 	/** When each instance was last heard of. */
 	readonly heard: Readonly<Record<InstanceName, MonotonicTime>>;
+	readonly sharing: SharingState;
 	/** Since when a proposal is under way. Absent: none is. */
 	readonly proposedAt?: MonotonicTime;
 };
@@ -61,17 +67,18 @@
 /** The smoothing of reported loads. */
 const loadTimeConstantMilliseconds = 10_000;
 
-/** A leader that was elected now, with a log that ends at `startIndex`. */
-export function createLeader(now: MonotonicTime, startIndex: LogIndex, terms: LeaseTerms, hash: SlotHash): LeaderState {
+/** A leader that was elected now, and has applied its whole log. */
+export function createLeader(now: MonotonicTime, control: ControlState, terms: LeaseTerms, hash: SlotHash): LeaderState {
 	return {
 		hash,
 		watch: createWatch(now),
-		grantor: createGrantor(now, startIndex, terms),
+		grantor: createGrantor(now, control.applied, terms),
 		loads: {},
 		placements: {},
 		targets: {},
 		seats: {},
 		heard: {},
+		sharing: createSharing(now, contractsOf(control.configuration).map(({name}) => name)),
 	};
 }
 
@@ -91,6 +98,27 @@
 	return Object.fromEntries(loads);
 }
 
+function limitOf({configuration}: ControlState, demand: LimitDemand): EffectiveLimit | undefined {
+	const contract = contractOf(configuration, demand.service);
+	const limit = contract?.limits.find(({name}) => name === demand.limit);
+	return contract === undefined || limit === undefined ? undefined : effectiveLimit(limit, contract.units).unwrapOr(undefined);
+}
+
+function answerDemands(state: LeaderState, {now, control, request}: EventOf<'delegationRequested'>) {
+	let sharing = sweepSharing(state.sharing, now);
+	const shares: LimitShare[] = [];
+	for (const demand of request.report.demands) {
+		const limit = limitOf(control, demand);
+		const answered = limit === undefined ? undefined : shareOut(sharing, demand, limit, now);
+		sharing = answered?.state ?? sharing;
+		if (answered?.share !== undefined) {
+			shares.push(answered.share);
+		}
+	}
+
+	return {sharing, shares};
+}
+
 function hearAll(state: LeaderState, instances: readonly InstanceIdentity[], now: MonotonicTime): LeaderState['heard'] {
 	return {...state.heard, ...Object.fromEntries(instances.map(({name}) => [name, now]))};
 }
@@ -103,11 +131,12 @@
 	const watch = advanceWatch(state.watch, {
 		kind: 'reportReceived', now, report: request.report, reporter: {zone: request.zone, instance: request.steward.name},
 	}).state;
+	const {sharing, shares} = answerDemands(state, event);
 	return {
 		state: {
-			...state, grantor: granted.state, watch, loads: takeLoads(state, event), heard: hearAll(state, request.holders ?? [], now),
+			...state, sharing, grantor: granted.state, watch, loads: takeLoads(state, event), heard: hearAll(state, request.holders ?? [], now),
 		},
-		effects: granted.effects,
+		effects: granted.effects.map(effect => ({...effect, answer: {...effect.answer, shares}})),
 	};
 }
 
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -148,7 +148,7 @@
 		const voter = surroundings.voter()!;
 		const read = await voter.read();
 		if (read.isOk && voter.isLeader() && leading === undefined) {
-			leading = createLeader(monotonicNow(), holder.state().applied, surroundings.terms, surroundings.hash);
+			leading = createLeader(monotonicNow(), holder.state(), surroundings.terms, surroundings.hash);
 		}
 	}
 
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -95,7 +95,8 @@
 	const flights = createFlights(terms);
 	const evidence = createEvidenceRecorder();
 	const measures = createMeasures();
-	const ownReports = createReportCollector(identity, () => evidence.take(), () => []);
+	const limiter = createLimiter(identity);
+	const ownReports = createReportCollector(identity, () => evidence.take(), () => limiter.takeDemands());
 	const zoneReports = createReportCollector(identity, () => [], () => []);
 	const claims = startClaims(identity, holder, clients, textHash);
 	let voter: VoterRunner | undefined;
@@ -114,13 +115,10 @@
 		flights,
 		ownReports,
 		zoneReports,
-		takeShares() {
-			// Shares are taken by the limiter once it has any.
+		takeShares(shares) {
+			limiter.takeShares(shares);
 		},
-		zoneShares() {
-			// The same.
-		},
-		divideShares: () => [],
+		lacksShares: () => limiter.lacksShares(),
 		log,
 	});
 
@@ -215,7 +213,7 @@
 		evidence,
 		reports: ownReports,
 		claims,
-		limiter: createLimiter(),
+		limiter,
 		hash,
 		requestEnded(service, _opened, report) {
 			measures.add(MeasureName.requests, {service, outcome: report.outcome, status: String(report.status ?? 0)});
--- a/packages/daemon/src/report-collector.ts
+++ b/packages/daemon/src/report-collector.ts
@@ -45,8 +45,8 @@
 		.map(([key, requests]) => ({service, key, requests}));
 }
 
-function demandKey({service, limit, caller}: LimitDemand): string {
-	return JSON.stringify([service, limit, caller]);
+function demandKey({service, limit, caller, holder}: LimitDemand): string {
+	return JSON.stringify([service, limit, caller, holder]);
 }
 
 /** Makes an empty collector. `takeEvidence` gives the evidence of this instance's own requests. */
@@ -86,9 +86,7 @@
 	}
 
 	function demanded(demand: LimitDemand): void {
-		const key = demandKey(demand);
-		const wanted = (demands.get(key)?.wanted ?? 0) + demand.wanted;
-		demands.set(key, {...demand, wanted});
+		demands.set(demandKey(demand), demand);
 	}
 
 	function mergeLoads(report: Report): void {
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -46,6 +46,8 @@
 	readonly hashSlot: Slot;
 	readonly operationKey: string;
 	readonly head: RequestHead;
+	/** Whether the contracted limits have admitted it. */
+	isWithinLimits: boolean;
 };
 
 /** The owner of a request's key. */
@@ -171,6 +173,7 @@
 			hashSlot: hash(key, contract.slots),
 			operationKey,
 			head,
+			isWithinLimits: false,
 			deadline: Math.min(deadlineOf(contract, head, now), now + longest),
 			idempotent: treatment.idempotent,
 			importance: treatment.importance,
@@ -197,11 +200,23 @@
 		}
 
 		return operationKeyOf(head)
-			.map(operationKey => opened(target, head, key.value, operationKey))
-			.andThen(request => limiter.admit(request, head).map(() => request));
+			.map(operationKey => opened(target, head, key.value, operationKey));
 	}
 
 	function locate(request: Opened): Result<Owner, Failure> {
+		if (!request.isWithinLimits) {
+			const admitted = limiter.admit(request.target.contract, request.head, request.idempotent);
+			if (admitted.isErr) {
+				return err(admitted.error);
+			}
+
+			request.isWithinLimits = true;
+		}
+
+		return findOwner(request);
+	}
+
+	function findOwner(request: Opened): Result<Owner, Failure> {
 		const state = holder.state();
 		const {contract} = request.target;
 		const assignments = state.ownership.services[contract.name];
--- a/packages/daemon/src/zone-runner.ts
+++ b/packages/daemon/src/zone-runner.ts
@@ -28,6 +28,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
+import {shareHolder} from './limiter.js';
 import {type ReportCollector} from './report-collector.js';
 
 /** This instance's part in its zone. */
@@ -59,10 +60,9 @@
 	readonly ownReports: ReportCollector;
 	/** What this instance passes on as steward. */
 	readonly zoneReports: ReportCollector;
-	readonly takeShares: (shares: readonly LimitShare[], sentAt: MonotonicTime) => void;
-	readonly zoneShares: (shares: readonly LimitShare[], sentAt: MonotonicTime) => void;
-	/** The shares that the steward gives an instance with its lease. */
-	readonly divideShares: (request: LeaseRequest) => readonly LimitShare[];
+	readonly takeShares: (shares: readonly LimitShare[]) => void;
+	/** Whether a request waits for the share of a limit. */
+	readonly lacksShares: () => boolean;
 	readonly log: Log;
 };
 
@@ -73,6 +73,9 @@
 /** The pause before a lease is asked for again that wasn't given. */
 const lackingMilliseconds: Milliseconds = 60;
 
+/** The shares that wait for an instance's next request. */
+const sharesAtMost = 4096;
+
 /** Starts the runner. */
 export function startZone(surroundings: ZoneSurroundings): ZoneRunner {
 	const {self, terms, holder, control, clients, flights, log} = surroundings;
@@ -87,6 +90,7 @@
 	let hadLease = false;
 	let leaving = false;
 	const notified = new Map<InstanceName, number>();
+	const sharesToPass = new Map<string, readonly LimitShare[]>();
 	const leaseAskers = new Map<InstanceName, {readonly instance: InstanceRecord; readonly at: MonotonicTime}>();
 
 	function zoneMembers(): readonly InstanceRecord[] {
@@ -109,6 +113,20 @@
 		}
 	}
 
+	function passOnShares(shares: readonly LimitShare[]): void {
+		for (const share of shares) {
+			const waiting = sharesToPass.get(share.holder) ?? [];
+			sharesToPass.set(share.holder, [...waiting, share].slice(-sharesAtMost));
+		}
+	}
+
+	function sharesFor(instance: InstanceRecord): readonly LimitShare[] {
+		const holderName = shareHolder(instance);
+		const shares = sharesToPass.get(holderName) ?? [];
+		sharesToPass.delete(holderName);
+		return shares;
+	}
+
 	function recentHolders(now: MonotonicTime): readonly InstanceIdentity[] {
 		const recent = [...leaseAskers.values()].filter(({at}) => now - at < holderMilliseconds);
 		return recent.map(({instance}) => ({name: instance.name, incarnation: instance.incarnation}));
@@ -122,7 +140,7 @@
 		}
 
 		holder.catchUp(answer.value.catchUp);
-		surroundings.zoneShares(answer.value.answer.shares, sentAt);
+		passOnShares(answer.value.answer.shares);
 		step({
 			kind: 'delegationAnswered', now: monotonicNow(), sentAt, applied: request.applied, answer: answer.value.answer,
 		});
@@ -183,7 +201,7 @@
 			return err(failure(FailureKind.notReady, `${self.name} gives no lease now`));
 		}
 
-		return ok({answer: {...answer, shares: surroundings.divideShares(request)}, catchUp: holder.after(request.applied)});
+		return ok({answer: {...answer, shares: sharesFor(request.instance)}, catchUp: holder.after(request.applied)});
 	}
 
 	async function askSteward(request: LeaseRequest): Promise<Result<WithCatchUp<LeaseAnswer>, Failure>> {
@@ -209,7 +227,7 @@
 	async function renew(now: MonotonicTime): Promise<void> {
 		const table = holder.state();
 		const drained = flights.drained(table.ownership, table.applied, now);
-		const due = requestDue(lease, now, table.applied, drained) || (lacking && now >= lease.sentAt + lackingMilliseconds);
+		const due = requestDue(lease, now, table.applied, drained) || ((lacking || surroundings.lacksShares()) && now >= lease.sentAt + lackingMilliseconds);
 		if (asking || !due) {
 			return;
 		}
@@ -224,7 +242,7 @@
 		if (answer.isOk) {
 			holder.catchUp(answer.value.catchUp);
 			lease = answered(lease, {sentAt: now, answer: answer.value.answer});
-			surroundings.takeShares(answer.value.answer.shares, now);
+			surroundings.takeShares(answer.value.answer.shares);
 			steward = memberNamed(answer.value.answer.steward.name) ?? steward;
 		}
 	}
--- a/packages/stand-in/test/test-failures.ts
+++ b/packages/stand-in/test/test-failures.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import {rm} from 'node:fs/promises';
+import path from 'node:path';
 import {test} from 'node:test';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {eventually} from '@dogwooddeck/stand-in/child';
-import {type Deployment, startDeployment, type TrialInstance} from '@dogwooddeck/stand-in/deployment';
+import {
+	type Deployment, repository, startDeployment, type TrialInstance,
+} from '@dogwooddeck/stand-in/deployment';
 import {
 	doubleOwners, outages, startWatcher, type Watcher,
 } from '@dogwooddeck/stand-in/watcher';
@@ -54,10 +57,10 @@
 	}
 }
 
-async function begin(instances: typeof plans): Promise<Deployment> {
+async function begin(instances: typeof plans, folder: string): Promise<Deployment> {
 	const deployment = await startDeployment(instances);
 	await deployment.ready();
-	const applied = await deployment.control('apply', 'examples/bermrand', '--wait');
+	const applied = await deployment.control('apply', path.join(repository, 'packages/stand-in/trial', folder), '--wait');
 	assert.equal(applied.code, 0, applied.output);
 	for (const [position, {region, zone}] of zones.entries()) {
 		deployment.startUpstream({
@@ -243,6 +246,44 @@
 	assert.deepEqual(doubleOwners(sightings), []);
 }
 
+const limit = 200;
+const windowMilliseconds = 10_000;
+
+function mostInWindow(times: readonly number[]): number {
+	const sorted = [...times].sort((one, other) => one - other);
+	let first = 0;
+	let most = 0;
+	for (const [position, time] of sorted.entries()) {
+		while (time - sorted[first]! >= windowMilliseconds) {
+			first++;
+		}
+
+		most = Math.max(most, position - first + 1);
+	}
+
+	return most;
+}
+
+async function spendsLimit(deployment: Deployment): Promise<void> {
+	const [lost, ...others] = deployment.instances as [TrialInstance, ...TrialInstance[]];
+	const watcher = startWatcher(deployment.instances, keys.slice(0, 4));
+	await pause(15_000);
+	await lost.child.kill();
+	await pause(8000);
+	for (const instance of others.slice(0, 1)) {
+		watcher.avoid(instance);
+	}
+
+	await pause(22_000);
+	const sightings = await watcher.stop();
+	const admitted = sightings.filter(({status}) => status === 200).map(({endedAt}) => endedAt);
+	const last = Math.max(...admitted);
+	const used = admitted.filter(time => time > last - windowMilliseconds).length;
+	console.log(`limit of ${limit} in 10 s: at most ${mostInWindow(admitted)} admitted in any 10 s, ${used} in the last 10 s, of ${sightings.length} requests`);
+	assert.ok(mostInWindow(admitted) <= limit);
+	assert.ok(used >= limit / 2, 'the capacity of the lost instance comes back');
+}
+
 async function drainsUpstream(deployment: Deployment): Promise<void> {
 	const leaving = 'viewer-zuid-a';
 	const watcher = startWatcher(deployment.instances, keys);
@@ -260,7 +301,7 @@
 	assert.deepEqual(doubleOwners(sightings), []);
 }
 
-const cases: ReadonlyArray<{readonly name: string; readonly instances?: typeof plans; readonly run: (deployment: Deployment) => Promise<void>}> = [
+const cases: ReadonlyArray<{readonly name: string; readonly instances?: typeof plans; readonly folder?: string; readonly run: (deployment: Deployment) => Promise<void>}> = [
 	{name: 'one of a zone\'s two instances is killed, and returns', instances: nine, run: losesMember},
 	{name: 'every one of nine instances is stopped in turn under load', instances: nine, run: stopsInstances},
 	{name: 'an upstream is killed', run: async deployment => losesUpstream(deployment, 'SIGKILL')},
@@ -271,11 +312,12 @@
 	{name: 'an availability zone is cut off and healed', run: cutsZone},
 	{name: 'every instance is stopped in turn under load', run: stopsInstances},
 	{name: 'an upstream leaves under load', run: drainsUpstream},
+	{name: 'a contracted limit is spent through all instances, and the leader is lost', folder: 'limited', run: spendsLimit},
 ];
 
-for (const {name, run, instances = plans} of cases) {
+for (const {name, run, instances = plans, folder = 'bermrand'} of cases) {
 	test(`failures: ${name}`, {timeout: 180_000}, async () => {
-		const deployment = await begin(instances);
+		const deployment = await begin(instances, folder);
 		try {
 			await run(deployment);
 		} catch (error) {
