Ownership: an earlier release is no evidence for a roster that emptied later; cuts and time to serve again

Change: a release counts for an empty roster only if it is what emptied it; only the next life (by incarnation) of a last member takes its seat at once; a roster that emptied otherwise is released once its last members are known to be over. Conclusion: the counterexample is closed and is a case of test-grantor.

--- a/packages/ownership/src/grantor.ts
+++ b/packages/ownership/src/grantor.ts
@@ -128,6 +128,11 @@
 	return dispatch(handlers, event, grantor);
 }
 
+/** Whether a zone was released and nobody was seated since. A roster that lost its last member otherwise is not released. */
+export function isReleased(roster: ZoneRoster): boolean {
+	return roster.releasedAt === roster.changedAt;
+}
+
 /** Whether all that an emptied roster allowed is over: a steward's term and the longest deadline have passed. */
 export function releaseWaited(grantor: GrantorState, roster: ZoneRoster, longestDeadline: Milliseconds, now: MonotonicTime): boolean {
 	const seen = grantor.releases[roster.zone];
@@ -155,7 +160,7 @@
 };
 
 function clearedByRelease(grantor: GrantorState, roster: ZoneRoster, {policy, revokedAt, now}: Case): boolean {
-	const covers = roster.members.length === 0 || revokedAt <= (roster.releasedAt ?? 0);
+	const covers = isReleased(roster) || revokedAt <= (roster.releasedAt ?? 0);
 	return covers && releaseWaited(grantor, roster, waitedDeadline(policy), now);
 }
 
--- a/packages/ownership/src/seat.ts
+++ b/packages/ownership/src/seat.ts
@@ -5,10 +5,12 @@
  * The next change therefore waits until the zone's steward has reported the
  * last one: from then on no steward can be elected on the roster before it.
  */
-import {type Milliseconds, type MonotonicTime, type ZoneName} from '@dogwooddeck/model/identifiers';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type OwnershipCommand, ReleaseReason} from './command.js';
-import {type GrantorState, releaseWaited, zoneOf} from './grantor.js';
+import {
+	type GrantorState, isReleased, releaseWaited, zoneOf,
+} from './grantor.js';
 import {waitedDeadline} from './policy.js';
 import {withheldEvidence} from './sighting.js';
 import {type OwnershipState, type ZoneRoster} from './state.js';
@@ -26,13 +28,19 @@
 }
 
 /**
- * Whether an instance may take the first seat of a roster. The only member's
- * next life may at once, as it stays silent for as long as the earlier one's
- * leases can last. Everyone else waits after a release.
+ * Whether an instance is the next life of a roster's last member. It may take
+ * the first seat at once, as it stays silent for as long as the leases of the
+ * earlier life can last.
  */
-function mayBeFirst(grantor: GrantorState, table: OwnershipState, roster: ZoneRoster, instance: InstanceRecord, now: MonotonicTime): boolean {
-	const heir = roster.previousMembers.length === 1 && roster.previousMembers[0]?.name === instance.name;
-	return heir || releaseWaited(grantor, roster, longestDeadline(table), now);
+function isHeir({members, previousMembers}: ZoneRoster, instance: InstanceRecord): boolean {
+	const [last] = previousMembers;
+	return members.length === 0 && previousMembers.length === 1
+		&& last?.name === instance.name && instance.incarnation > last.incarnation;
+}
+
+/** Whether anyone may take the first seat: all that earlier members allowed is over. */
+function isOpen(grantor: GrantorState, table: OwnershipState, roster: ZoneRoster, now: MonotonicTime): boolean {
+	return isReleased(roster) && releaseWaited(grantor, roster, longestDeadline(table), now);
 }
 
 /** Whether the only member of a roster stands in every majority of the one before it too. */
@@ -42,7 +50,7 @@
 }
 
 function seatNew(grantor: GrantorState, roster: ZoneRoster, record: InstanceRecord): OwnershipCommand | undefined {
-	const free = roster.members.length < seatsPerZone;
+	const free = roster.members.length > 0 && roster.members.length < seatsPerZone;
 	return free && mayChangeRoster(grantor, roster) ? {kind: 'instanceSeated', record} : undefined;
 }
 
@@ -57,13 +65,11 @@
 }
 
 /** Proposes the release of a zone whose old majorities are all over. */
-function proposeRelease(grantor: GrantorState, table: OwnershipState, zone: ZoneName): OwnershipCommand | undefined {
-	const roster = table.rosters[zone];
-	if (roster === undefined || mayChangeRoster(grantor, roster) || standsAlone(roster)) {
-		return undefined;
-	}
-
-	return withheldEvidence(roster, grantor.sightings) ? {kind: 'zoneReleased', zone, reason: ReleaseReason.withheld} : undefined;
+function proposeRelease(grantor: GrantorState, roster: ZoneRoster): OwnershipCommand | undefined {
+	const canGoOn = mayChangeRoster(grantor, roster) || standsAlone(roster);
+	return !canGoOn && withheldEvidence(roster, grantor.sightings)
+		? {kind: 'zoneReleased', zone: roster.zone, reason: ReleaseReason.withheld}
+		: undefined;
 }
 
 /**
@@ -71,20 +77,12 @@
  * `stepGrantor` first. Undefined: nothing now; the instance asks again.
  */
 export function proposeSeat(grantor: GrantorState, table: OwnershipState, record: InstanceRecord, now: MonotonicTime): OwnershipCommand | undefined {
-	const release = proposeRelease(grantor, table, record.zone);
 	const roster = table.rosters[record.zone];
-	if (release !== undefined) {
-		return release;
-	}
-
-	if (roster === undefined) {
+	if (roster === undefined || isHeir(roster, record) || isOpen(grantor, table, roster, now)) {
 		return {kind: 'instanceSeated', record};
 	}
 
-	if (roster.members.length === 0) {
-		return mayBeFirst(grantor, table, roster, record, now) ? {kind: 'instanceSeated', record} : undefined;
-	}
-
 	const member = roster.members.find(other => other.name === record.name);
-	return member === undefined ? seatNew(grantor, roster, record) : replace(grantor, roster, member, record);
+	return proposeRelease(grantor, roster)
+		?? (member === undefined ? seatNew(grantor, roster, record) : replace(grantor, roster, member, record));
 }
--- a/packages/ownership/src/sighting.ts
+++ b/packages/ownership/src/sighting.ts
@@ -44,7 +44,7 @@
  * steward any more, neither of the roster as it stands nor of the one before it.
  */
 export function withheldEvidence(roster: ZoneRoster, sightings: SeatSightings): boolean {
-	return roster.members.length > 0
+	return roster.members.length + roster.previousMembers.length > 0
 		&& meetsEveryMajority(roster.members, sightings)
 		&& meetsEveryMajority(roster.previousMembers, sightings);
 }
--- a/packages/ownership/test/leadership.ts
+++ b/packages/ownership/test/leadership.ts
@@ -5,7 +5,7 @@
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
 import {
-	services, slotCount, type Instance, type Schedule,
+	services, slotCount, type Instance, type Schedule, type Upstream,
 } from './schedule.js';
 import {Process} from './world.js';
 import {
@@ -59,8 +59,8 @@
 	}
 
 	/** Elects another leader; the old one doesn't know. Entries on their way may still be accepted. */
-	depose(): void {
-		const others = this.voters.filter(voter => voter !== this.#leader && this.#hasQuorum(voter));
+	depose(suits: (voter: Process) => boolean = () => true): void {
+		const others = this.voters.filter(voter => voter !== this.#leader && suits(voter) && this.#hasQuorum(voter));
 		const next = this.schedule.world.pick(others);
 		if (next !== undefined) {
 			this.#elect(next);
@@ -204,7 +204,7 @@
 					? clear(leading.grantor, table, {service, slot, ownerZone}, now)
 					: {grantor: leading.grantor, cleared: phase === 'vacant' && pinned};
 				leading.grantor = result.grantor;
-				const next = this.schedule.world.pick(this.schedule.upstreams.filter(upstream => !this.lost.has(upstream.name)));
+				const next = this.#nextOwner(phase === 'vacant' ? 2 * slot : Math.floor(this.schedule.world.random() * 100));
 				if (result.cleared && next !== undefined) {
 					const owner = {service, name: next.name, incarnation: 1};
 					const grant = phase === 'revoking' ? {slot, owner, revokedAt: assignment.revokedAt} : {slot, owner};
@@ -216,6 +216,11 @@
 		return commands;
 	}
 
+	#nextOwner(number: number): Upstream | undefined {
+		const upstreams = this.schedule.upstreams.filter(upstream => !this.lost.has(upstream.name));
+		return upstreams[number % upstreams.length];
+	}
+
 	#revocations(table: OwnershipState): readonly OwnershipCommand[] {
 		const {random} = this.schedule.world;
 		const commands: OwnershipCommand[] = [];
--- a/packages/ownership/test/schedule.ts
+++ b/packages/ownership/test/schedule.ts
@@ -4,6 +4,7 @@
  */
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {WhenCut} from '@dogwooddeck/model/contract';
+import {FailureKind} from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {emptyReport} from '@dogwooddeck/model/lease';
 import {Leadership} from './leadership.js';
@@ -30,9 +31,6 @@
 /** The slots of each service. Each has two keys. */
 export const slotCount = 4;
 
-/** The longest deadline of each service, in milliseconds. */
-export const longestDeadline = 800;
-
 /** What a schedule is made of. */
 export type Plan = {
 	readonly seed: number;
@@ -42,6 +40,16 @@
 	/** Moves and pins a second that nothing calls for. */
 	readonly moves: number;
 	readonly driftRatio: number;
+	readonly longestDeadlineMilliseconds: number;
+};
+
+/** A request that an instance refused. */
+export type Refusal = {
+	readonly at: number;
+	readonly zone: string;
+	readonly service: string;
+	readonly ownerZone: string;
+	readonly kind: FailureKind;
 };
 
 /** One request that was sent upstream. */
@@ -83,8 +91,7 @@
 	readonly leadership: Leadership;
 	readonly violations: string[] = [];
 	readonly works: Work[] = [];
-	/** Requests that an instance refused for want of a lease or an owner. */
-	readonly refused: Array<{readonly at: number; readonly zone: string; readonly service: string; readonly ownerZone: string}> = [];
+	readonly refused: Refusal[] = [];
 	readonly #active = new Map<string, Work[]>();
 
 	constructor(readonly plan: Plan) {
@@ -100,7 +107,7 @@
 		this.leadership = new Leadership(this);
 		for (const {service, whenCut} of services) {
 			this.append({
-				kind: 'serviceOpened', service, slots: slotCount, policy: {whenCut, longestDeadlineMilliseconds: longestDeadline},
+				kind: 'serviceOpened', service, slots: slotCount, policy: {whenCut, longestDeadlineMilliseconds: plan.longestDeadlineMilliseconds},
 			});
 		}
 
@@ -275,7 +282,7 @@
 			this.#start(instance, key, {service, slot: assignment.slot, fence: assignment.fence}, upstream);
 		} else {
 			this.refused.push({
-				at: this.world.time, zone: instance.zone, service, ownerZone: upstream.zone,
+				at: this.world.time, zone: instance.zone, service, ownerZone: upstream.zone, kind: assignment.phase === 'granted' ? FailureKind.noLease : FailureKind.noOwner,
 			});
 		}
 	}
@@ -283,7 +290,7 @@
 	#start(instance: Instance, key: string, {service, slot, fence}: {service: string; slot: number; fence: number}, upstream: Upstream): void {
 		const {world} = this;
 		const now = world.now(instance);
-		const deadline = longestDeadline * (0.2 + (0.8 * world.random()));
+		const deadline = this.plan.longestDeadlineMilliseconds * (0.2 + (0.8 * world.random()));
 		const flight = instance.flights.started(service, slot, fence, now, now + deadline);
 		const work = {
 			key, service, from: instance.zone, upstream, startedAt: world.time, until: world.time + (deadline / instance.clock.rate),
--- /dev/null
+++ b/packages/ownership/test/test-cut.ts
@@ -0,0 +1,132 @@
+/**
+ * What is served and what is refused on each side while zones are cut off, for
+ * both policies, and how it heals. The service `held` holds, `taken` is taken
+ * over. Upstreams beyond the cut are judged lost after 1 s.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Schedule} from './schedule.js';
+
+const cutAt = 9000;
+const healAt = 20_000;
+/** From the cut on until control's leases are over and its side has moved what it may. */
+const settlingMilliseconds = 4500;
+
+type Expected = Readonly<Record<string, string>>;
+
+const cutOff: Expected = {
+	'inside: held of the same zone': 'served',
+	'inside: held of another zone': 'no-lease',
+	'inside: taken of the same zone': 'no-lease',
+	'inside: taken of another zone': 'no-lease',
+	'outside: held of a zone inside': 'no-owner',
+	'outside: held of a zone outside': 'served',
+	'outside: taken of a zone outside': 'served',
+};
+
+const allServed = 'every request is served';
+
+const cases: ReadonlyArray<{
+	readonly name: string;
+	readonly zones: readonly string[];
+	readonly cut: readonly string[];
+	readonly leaderIn?: string;
+	readonly restartInside?: boolean;
+	readonly expected: Expected;
+	/** From the heal on until every request is served. */
+	readonly healedWithin: number;
+}> = [
+	{
+		name: 'a zone without the leader', zones: ['n1', 'n2', 'z1'], cut: ['z1'], expected: cutOff, healedWithin: 3000,
+	},
+	{
+		name: 'the zone with the leader', zones: ['n1', 'n2', 'z1'], cut: ['n1'], expected: cutOff, healedWithin: 3000,
+	},
+	{
+		name: 'the region with the smaller part of the voters', zones: ['n1', 'n2', 'z1', 'z2'], cut: ['z1', 'z2'], expected: cutOff, healedWithin: 3000,
+	},
+	{
+		name: 'the region with the leader, but the smaller part of the voters',
+		zones: ['n1', 'n2', 'z1', 'z2'],
+		cut: ['z1', 'z2'],
+		leaderIn: 'z1',
+		expected: cutOff,
+		healedWithin: 3000,
+	},
+	{
+		name: 'a zone that restarts while it is cut off', zones: ['n1', 'n2', 'z1'], cut: ['z1'], restartInside: true,
+		expected: {
+			'outside: held of a zone inside': 'no-owner',
+			'outside: held of a zone outside': 'served',
+			'outside: taken of a zone outside': 'served',
+		},
+		healedWithin: 12_000,
+	},
+];
+
+type Cell = {served: boolean; readonly refused: Set<string>};
+
+function cellName(cut: readonly string[], zone: string, service: string, ownerZone: string): string {
+	if (cut.includes(zone)) {
+		return `inside: ${service} of ${zone === ownerZone ? 'the same zone' : 'another zone'}`;
+	}
+
+	return `outside: ${service} of a zone ${cut.includes(ownerZone) ? 'inside' : 'outside'}`;
+}
+
+/** What happened to the requests of a window, by who asked for what. */
+function observe(schedule: Schedule, cut: readonly string[], from: number, until: number): Expected {
+	const cells = new Map<string, Cell>();
+	const cellOf = (zone: string, service: string, ownerZone: string) => {
+		const name = cellName(cut, zone, service, ownerZone);
+		const cell = cells.get(name) ?? {served: false, refused: new Set<string>()};
+		cells.set(name, cell);
+		return cell;
+	};
+
+	for (const work of schedule.works.filter(({startedAt}) => startedAt >= from && startedAt < until)) {
+		cellOf(work.from, work.service, work.upstream.zone).served = true;
+	}
+
+	for (const {zone, service, ownerZone, kind} of schedule.refused.filter(({at}) => at >= from && at < until)) {
+		cellOf(zone, service, ownerZone).refused.add(kind);
+	}
+
+	return Object.fromEntries([...cells].map(([name, {served, refused}]) => {
+		const text = served ? ['served'] : [];
+		return [name, [...text, ...refused].join(' ')];
+	}));
+}
+
+for (const {name, zones, cut, leaderIn = 'n1', restartInside = false, expected, healedWithin} of cases) {
+	test(`cut: ${name}`, () => {
+		const schedule = new Schedule({
+			seed: 7, zones, perZone: 3, loss: 0, moves: 0, driftRatio: 0.01, longestDeadlineMilliseconds: 800,
+		});
+		const {world, leadership} = schedule;
+		leadership.depose(voter => voter.zone === leaderIn);
+		const beyond = schedule.upstreams.filter(upstream => cut.includes(upstream.zone)).map(upstream => upstream.name);
+		world.after(cutAt, () => {
+			world.cut(cut, healAt - cutAt);
+		});
+		world.after(cutAt + 1000, () => {
+			for (const upstream of beyond) {
+				leadership.lost.add(upstream);
+			}
+
+			for (const instance of restartInside ? schedule.instances.filter(({zone}) => cut.includes(zone)) : []) {
+				instance.restart();
+				schedule.boot(instance);
+			}
+		});
+		world.after(healAt, () => {
+			leadership.lost.clear();
+		});
+		schedule.run(healAt + healedWithin + 2000);
+		const during = observe(schedule, cut, cutAt + settlingMilliseconds, healAt);
+		const after = observe(schedule, cut, healAt + healedWithin, healAt + healedWithin + 2000);
+		assert.deepEqual(schedule.violations, []);
+		assert.deepEqual({...during}, expected);
+		assert.deepEqual([...new Set(Object.values(after))], ['served'], allServed);
+	});
+}
--- a/packages/ownership/test/test-grantor.ts
+++ b/packages/ownership/test/test-grantor.ts
@@ -54,6 +54,7 @@
 const released = tableOf(rosterOf('n1', [], {releasedAt: 30, changedAt: 30}));
 const reseated = tableOf(rosterOf('n1', [a], {releasedAt: 30, changedAt: 31}));
 const releasedBefore = tableOf(rosterOf('n1', [a], {releasedAt: 10, changedAt: 15}));
+const emptiedLater = tableOf(rosterOf('n1', [], {previousMembers: [a], releasedAt: 10, changedAt: 25}));
 
 type Step = (grantor: GrantorState, table: OwnershipState) => {readonly grantor: GrantorState; readonly shown?: string};
 
@@ -149,6 +150,10 @@
 		name: 'a release covers no revocation after the zone is back', table: releasedBefore,
 		steps: [asks(10, 'n2', 25, 20), sees(0), clears(99_999, 'held')], expected: ['1500', 'n1'],
 	},
+	{
+		name: 'an earlier release says nothing about a roster that emptied later', table: emptiedLater,
+		steps: [asks(10, 'n2', 25, 20), sees(0), clears(99_999, 'held'), seat(99_999, record('d'))], expected: ['1500', 'n1', 'nothing'],
+	},
 	{
 		name: 'the first instance of a zone is seated at once', table: usual,
 		steps: [seat(10, record('q', 1, 'n9'))], expected: ['instanceSeated'],
@@ -181,7 +186,11 @@
 	},
 	{
 		name: 'only the next life takes the seat of an only member', table: tableOf(rosterOf('n1', [], {previousMembers: [a]})),
-		steps: [seat(99_999, record('d')), seat(20, record('a', 2))], expected: ['nothing', 'instanceSeated'],
+		steps: [seat(99_999, record('d')), seat(20, record('a', 1)), seat(20, record('a', 2))], expected: ['nothing', 'nothing', 'instanceSeated'],
+	},
+	{
+		name: 'a roster that lost its last member is released once that is known to be over', table: tableOf(rosterOf('n1', [], {previousMembers: [a, b]})),
+		steps: [seat(10, record('d')), seat(20, record('b', 2)), seat(30, record('d'))], expected: ['nothing', 'zoneReleased', 'zoneReleased'],
 	},
 	{
 		name: 'anyone takes the first seat a term and a deadline after a release', table: released,
--- a/packages/ownership/test/test-schedule.ts
+++ b/packages/ownership/test/test-schedule.ts
@@ -12,18 +12,6 @@
 
 type Fault = {readonly kind: keyof typeof faultTable; readonly at: number; readonly milliseconds: number; readonly target: number};
 
-function cut(schedule: Schedule, names: readonly string[], milliseconds: number): void {
-	for (const name of names) {
-		schedule.world.sides.set(name, 1);
-	}
-
-	schedule.world.after(milliseconds, () => {
-		for (const name of names) {
-			schedule.world.sides.delete(name);
-		}
-	});
-}
-
 function pause(schedule: Schedule, target: {paused: boolean; proceed: () => void}, milliseconds: number): void {
 	target.paused = true;
 	schedule.world.after(milliseconds, () => {
@@ -69,14 +57,14 @@
 		});
 	},
 	cutZone(schedule: Schedule, fault: Fault) {
-		cut(schedule, [member(schedule.plan.zones, fault.target)], fault.milliseconds);
+		schedule.world.cut([member(schedule.plan.zones, fault.target)], fault.milliseconds);
 	},
 	cutRegion(schedule: Schedule, fault: Fault) {
 		const region = member(schedule.plan.zones, fault.target)[0];
-		cut(schedule, schedule.plan.zones.filter(zone => zone.startsWith(region!)), fault.milliseconds);
+		schedule.world.cut(schedule.plan.zones.filter(zone => zone.startsWith(region!)), fault.milliseconds);
 	},
 	cutInstance(schedule: Schedule, fault: Fault) {
-		cut(schedule, [member(schedule.instances, fault.target).name], fault.milliseconds);
+		schedule.world.cut([member(schedule.instances, fault.target).name], fault.milliseconds);
 	},
 	pauseSteward(schedule: Schedule, fault: Fault) {
 		const stewards = schedule.instances.filter(instance => instance.steward.electedAt !== undefined);
@@ -101,19 +89,19 @@
 	{
 		name: 'three zones of three instances in two regions',
 		plan: {
-			zones: ['n1', 'n2', 'z1'], perZone: 3, loss: 0.02, moves: 2, driftRatio: 0.01,
+			zones: ['n1', 'n2', 'z1'], perZone: 3, loss: 0.02, moves: 2, driftRatio: 0.01, longestDeadlineMilliseconds: 800,
 		},
 	},
 	{
 		name: 'zones of two instances, a lossy network',
 		plan: {
-			zones: ['n1', 'z1'], perZone: 2, loss: 0.15, moves: 2, driftRatio: 0.01,
+			zones: ['n1', 'z1'], perZone: 2, loss: 0.15, moves: 2, driftRatio: 0.01, longestDeadlineMilliseconds: 800,
 		},
 	},
 	{
 		name: 'one instance alone',
 		plan: {
-			zones: ['n1'], perZone: 1, loss: 0.01, moves: 2, driftRatio: 0.01,
+			zones: ['n1'], perZone: 1, loss: 0.01, moves: 2, driftRatio: 0.01, longestDeadlineMilliseconds: 800,
 		},
 	},
 ];
--- a/packages/ownership/test/world.ts
+++ b/packages/ownership/test/world.ts
@@ -121,6 +121,19 @@
 		});
 	}
 
+	/** Cuts zones and processes off from everyone else for a time. */
+	cut(names: readonly string[], milliseconds: number): void {
+		for (const name of names) {
+			this.sides.set(name, 1);
+		}
+
+		this.after(milliseconds, () => {
+			for (const name of names) {
+				this.sides.delete(name);
+			}
+		});
+	}
+
 	runUntil(end: number): void {
 		while (this.time < end) {
 			this.#tick += 1;
