Ownership: roster commands name the roster they were decided on; policies settle

Change: instanceSeated, instanceUnseated and a withheld zoneReleased carry changedAt and are refused on any other roster (zoneReleased by an operator may leave it out). New: settlePolicies, which proposes policySettled a longest deadline after every zone has applied the change; schedules change policies too. Signatures: commands gained changedAt; proposeSeat fills it in.

--- a/packages/ownership/src/command.ts
+++ b/packages/ownership/src/command.ts
@@ -51,14 +51,27 @@
 /** Puts a key back into its slot. */
 export type KeyUnpinned = {readonly kind: 'keyUnpinned'; readonly service: ServiceName; readonly key: string};
 
-/** Takes an instance into its zone's roster. */
-export type InstanceSeated = {readonly kind: 'instanceSeated'; readonly record: InstanceRecord};
+/** Takes an instance into its zone's roster, if that last changed at `changedAt`. 0: the zone is new. */
+export type InstanceSeated = {readonly kind: 'instanceSeated'; readonly record: InstanceRecord; readonly changedAt: LogIndex};
 
-/** Takes an instance out of its zone's roster. */
-export type InstanceUnseated = {readonly kind: 'instanceUnseated'; readonly zone: ZoneName; readonly instance: InstanceIdentity};
+/** Takes an instance out of its zone's roster, if that last changed at `changedAt`. */
+export type InstanceUnseated = {
+	readonly kind: 'instanceUnseated';
+	readonly zone: ZoneName;
+	readonly instance: InstanceIdentity;
+	readonly changedAt: LogIndex;
+};
 
-/** Ends a zone's hold and empties its roster. */
-export type ZoneReleased = {readonly kind: 'zoneReleased'; readonly zone: ZoneName; readonly reason: ReleaseReason};
+/**
+ * Ends a zone's hold and empties its roster. `changedAt` names the roster that
+ * the evidence is about; absent: whatever the roster is (an operator's word).
+ */
+export type ZoneReleased = {
+	readonly kind: 'zoneReleased';
+	readonly zone: ZoneName;
+	readonly reason: ReleaseReason;
+	readonly changedAt?: LogIndex;
+};
 
 /** Any command to the ownership table. */
 export type OwnershipCommand =
--- a/packages/ownership/src/grantor.ts
+++ b/packages/ownership/src/grantor.ts
@@ -27,6 +27,9 @@
 /** When the leader learned of a zone's release. */
 export type ReleaseSighting = {readonly releasedAt: LogIndex; readonly seenAt: MonotonicTime};
 
+/** A change of policy that every zone has applied. */
+export type SettlingPolicy = {readonly changedAt: LogIndex; readonly since: MonotonicTime};
+
 /** What a leader knows. */
 export type GrantorState = {
 	readonly terms: LeaseTerms;
@@ -36,6 +39,8 @@
 	readonly zones: Readonly<Record<ZoneName, ZoneDelegation>>;
 	readonly releases: Readonly<Record<ZoneName, ReleaseSighting>>;
 	readonly sightings: SeatSightings;
+	/** Since when every zone is known to have applied a change of policy, by service. */
+	readonly settling: Readonly<Record<ServiceName, SettlingPolicy>>;
 };
 
 /** What happens to a grantor. `table` is the leader's own table with every committed entry applied. */
@@ -60,7 +65,7 @@
 /** A leader that was elected now, with a log that ends at `startIndex`. */
 export function createGrantor(now: MonotonicTime, startIndex: LogIndex, terms: LeaseTerms): GrantorState {
 	return {
-		terms, startedAt: now, startIndex, zones: {}, releases: {}, sightings: {},
+		terms, startedAt: now, startIndex, zones: {}, releases: {}, sightings: {}, settling: {},
 	};
 }
 
--- a/packages/ownership/src/roster.ts
+++ b/packages/ownership/src/roster.ts
@@ -1,6 +1,8 @@
 /**
  * Handlers for the rosters of zones. One entry changes one member, so that the
  * majorities before and after it meet; `seat` decides when the next may follow.
+ * Each command names the roster that it was decided on, so that of two that were
+ * proposed side by side, perhaps by two leaders, only the first is applied.
  */
 import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type LogIndex, sameInstance} from '@dogwooddeck/model/identifiers';
@@ -25,6 +27,10 @@
 	};
 }
 
+function outdated(roster: ZoneRoster): Failure {
+	return failure(FailureKind.conflict, `the roster of zone ${roster.zone} changed at ${roster.changedAt}`);
+}
+
 /** Adds a member. A name has one seat in the whole deployment. */
 export function seatInstance(command: InstanceSeated, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
 	const {record} = command;
@@ -34,6 +40,10 @@
 	}
 
 	const roster = state.rosters[record.zone] ?? firstRoster(record);
+	if (roster.changedAt !== command.changedAt) {
+		return err(outdated(roster));
+	}
+
 	return ok(withRoster(state, changed(roster, [...roster.members, record], index)));
 }
 
@@ -45,6 +55,10 @@
 		return err(failure(FailureKind.notFound, `instance ${command.instance.name} has no such seat`));
 	}
 
+	if (roster.changedAt !== command.changedAt) {
+		return err(outdated(roster));
+	}
+
 	return ok(withRoster(state, changed(roster, roster.members.filter(other => other !== member), index)));
 }
 
@@ -55,6 +69,10 @@
 		return err(failure(FailureKind.notFound, `zone ${command.zone} is unknown`));
 	}
 
+	if (roster.changedAt !== (command.changedAt ?? roster.changedAt)) {
+		return err(outdated(roster));
+	}
+
 	return ok(withRoster(state, {
 		...roster, members: [], previousMembers: [], changedAt: index, releasedAt: index, releaseReason: command.reason,
 	}));
--- a/packages/ownership/src/seat.ts
+++ b/packages/ownership/src/seat.ts
@@ -51,7 +51,7 @@
 
 function seatNew(grantor: GrantorState, roster: ZoneRoster, record: InstanceRecord): OwnershipCommand | undefined {
 	const free = roster.members.length > 0 && roster.members.length < seatsPerZone;
-	return free && mayChangeRoster(grantor, roster) ? {kind: 'instanceSeated', record} : undefined;
+	return free && mayChangeRoster(grantor, roster) ? {kind: 'instanceSeated', record, changedAt: roster.changedAt} : undefined;
 }
 
 function replace(grantor: GrantorState, roster: ZoneRoster, member: InstanceRecord, record: InstanceRecord): OwnershipCommand | undefined {
@@ -61,14 +61,20 @@
 
 	const {name, incarnation} = member;
 	const may = mayChangeRoster(grantor, roster) || standsAlone(roster);
-	return may ? {kind: 'instanceUnseated', zone: roster.zone, instance: {name, incarnation}} : undefined;
+	return may
+		? {
+			kind: 'instanceUnseated', zone: roster.zone, instance: {name, incarnation}, changedAt: roster.changedAt,
+		}
+		: undefined;
 }
 
 /** Proposes the release of a zone whose old majorities are all over. */
 function proposeRelease(grantor: GrantorState, roster: ZoneRoster): OwnershipCommand | undefined {
 	const canGoOn = mayChangeRoster(grantor, roster) || standsAlone(roster);
 	return !canGoOn && withheldEvidence(roster, grantor.sightings)
-		? {kind: 'zoneReleased', zone: roster.zone, reason: ReleaseReason.withheld}
+		? {
+			kind: 'zoneReleased', zone: roster.zone, reason: ReleaseReason.withheld, changedAt: roster.changedAt,
+		}
 		: undefined;
 }
 
@@ -78,8 +84,12 @@
  */
 export function proposeSeat(grantor: GrantorState, table: OwnershipState, record: InstanceRecord, now: MonotonicTime): OwnershipCommand | undefined {
 	const roster = table.rosters[record.zone];
-	if (roster === undefined || isHeir(roster, record) || isOpen(grantor, table, roster, now)) {
-		return {kind: 'instanceSeated', record};
+	if (roster === undefined) {
+		return {kind: 'instanceSeated', record, changedAt: 0};
+	}
+
+	if (isHeir(roster, record) || isOpen(grantor, table, roster, now)) {
+		return {kind: 'instanceSeated', record, changedAt: roster.changedAt};
 	}
 
 	const member = roster.members.find(other => other.name === record.name);
--- /dev/null
+++ b/packages/ownership/src/settling.ts
@@ -0,0 +1,38 @@
+/**
+ * When a change of policy is settled: every zone has applied it, and what was
+ * started under the former longest deadline is over.
+ */
+import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type PolicySettled} from './command.js';
+import {
+	type GrantorState, isReleased, releaseWaited, type SettlingPolicy, zoneOf,
+} from './grantor.js';
+import {type ServicePolicy, waitedDeadline} from './policy.js';
+import {type OwnershipState} from './state.js';
+import {grantorWait} from './terms.js';
+
+function everyZoneKnows(grantor: GrantorState, table: OwnershipState, policy: ServicePolicy, now: MonotonicTime): boolean {
+	return Object.values(table.rosters).every(roster =>
+		zoneOf(grantor, roster.zone).drained >= policy.changedAt
+		|| (isReleased(roster) && releaseWaited(grantor, roster, waitedDeadline(policy), now)));
+}
+
+function settlingSince(grantor: GrantorState, policy: ServicePolicy, now: MonotonicTime): SettlingPolicy {
+	const known = grantor.settling[policy.service];
+	return known?.changedAt === policy.changedAt ? known : {changedAt: policy.changedAt, since: now};
+}
+
+/** The changes of policy to settle now. Keep the state that is returned. */
+export function settlePolicies(
+	grantor: GrantorState,
+	table: OwnershipState,
+	now: MonotonicTime,
+): {readonly grantor: GrantorState; readonly commands: readonly PolicySettled[]} {
+	const unsettled = Object.values(table.policies).filter(policy => policy.former !== undefined);
+	const known = unsettled.filter(policy => everyZoneKnows(grantor, table, policy, now));
+	const entries = known.map(policy => [policy, settlingSince(grantor, policy, now)] as const);
+	const over = entries.filter(([policy, {since}]) => now >= since + grantorWait(waitedDeadline(policy), grantor.terms));
+	const commands = over.map(([{service, changedAt}]): PolicySettled => ({kind: 'policySettled', service, changedAt}));
+	const settling = Object.fromEntries(entries.map(([{service}, since]) => [service, since]));
+	return {grantor: {...grantor, settling}, commands};
+}
--- a/packages/ownership/test/leadership.ts
+++ b/packages/ownership/test/leadership.ts
@@ -2,6 +2,7 @@
  * Control, as the schedules need it: voters of which one at a time can have
  * entries accepted, while others may still believe that they lead.
  */
+import {WhenCut} from '@dogwooddeck/model/contract';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
 import {
@@ -11,7 +12,9 @@
 import {
 	clear, createGrantor, type GrantorState, stepGrantor,
 } from '@dogwooddeck/ownership/grantor';
+import {type PolicyTerms} from '@dogwooddeck/ownership/policy';
 import {proposeSeat} from '@dogwooddeck/ownership/seat';
+import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {type OwnershipCommand, type OwnershipState} from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
@@ -167,7 +170,9 @@
 		const table = this.#tableOf(leading);
 		leading.grantor = stepGrantor(leading.grantor, {kind: 'tableChanged', now, table}).state;
 		if (!leading.busy) {
-			this.#propose(voter, leading, [...this.#grants(leading, table, now), ...this.#revocations(table)].slice(0, 4));
+			const {grantor, commands} = settlePolicies(leading.grantor, table, now);
+			leading.grantor = grantor;
+			this.#propose(voter, leading, [...commands, ...this.#grants(leading, table, now), ...this.#changes(table)].slice(0, 4));
 		}
 	}
 
@@ -221,7 +226,7 @@
 		return upstreams[number % upstreams.length];
 	}
 
-	#revocations(table: OwnershipState): readonly OwnershipCommand[] {
+	#changes(table: OwnershipState): readonly OwnershipCommand[] {
 		const {random} = this.schedule.world;
 		const commands: OwnershipCommand[] = [];
 		for (const {service} of services) {
@@ -232,6 +237,10 @@
 				commands.push({kind: 'assignmentsRevoked', service, slots});
 			}
 
+			if (random() < this.schedule.plan.moves / 400) {
+				commands.push({kind: 'policyChanged', service, policy: this.#policy()});
+			}
+
 			if (random() < this.schedule.plan.moves / 40) {
 				commands.push(this.#pinning(table, service));
 			}
@@ -240,6 +249,12 @@
 		return commands;
 	}
 
+	#policy(): PolicyTerms {
+		const {world, plan} = this.schedule;
+		const whenCut = world.random() < 0.5 ? WhenCut.hold : WhenCut.takeOver;
+		return {whenCut, longestDeadlineMilliseconds: plan.longestDeadlineMilliseconds * (0.2 + world.random())};
+	}
+
 	#pinning(table: OwnershipState, service: string): OwnershipCommand {
 		const {world} = this.schedule;
 		const pinned = world.pick(table.services[service]?.pinned ?? []);
--- a/packages/ownership/test/schedule.ts
+++ b/packages/ownership/test/schedule.ts
@@ -13,6 +13,7 @@
 import {
 	answered, createLease, isHeld, type LeaseState, mayStart, requestDue, requestSent,
 } from '@dogwooddeck/ownership/lease';
+import {routedDeadline} from '@dogwooddeck/ownership/policy';
 import {
 	createSteward, type StewardEffect, type StewardEvent, type StewardState, stepSteward,
 } from '@dogwooddeck/ownership/steward';
@@ -290,7 +291,7 @@
 	#start(instance: Instance, key: string, {service, slot, fence}: {service: string; slot: number; fence: number}, upstream: Upstream): void {
 		const {world} = this;
 		const now = world.now(instance);
-		const deadline = this.plan.longestDeadlineMilliseconds * (0.2 + (0.8 * world.random()));
+		const deadline = routedDeadline(this.states[instance.applied]!.policies[service]!) * (0.2 + (0.8 * world.random()));
 		const flight = instance.flights.started(service, slot, fence, now, now + deadline);
 		const work = {
 			key, service, from: instance.zone, upstream, startedAt: world.time, until: world.time + (deadline / instance.clock.rate),
--- a/packages/ownership/test/test-grantor.ts
+++ b/packages/ownership/test/test-grantor.ts
@@ -15,6 +15,7 @@
 	clear, createGrantor, type GrantorEvent, type GrantorState, stepGrantor, zonesInTheWay,
 } from '@dogwooddeck/ownership/grantor';
 import {proposeSeat} from '@dogwooddeck/ownership/seat';
+import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {emptyOwnership, type OwnershipState, type ZoneRoster} from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
@@ -87,6 +88,13 @@
 	};
 }
 
+function settles(now: number): Step {
+	return (grantor, table) => {
+		const result = settlePolicies(grantor, table, now);
+		return {grantor: result.grantor, shown: `settles ${result.commands.map(command => command.service).join(' ')}`};
+	};
+}
+
 function clears(now: number, service: string): Step {
 	return (grantor, table) => {
 		const revocation = {service, slot: 0, ownerZone: 'n1'};
@@ -138,6 +146,11 @@
 		name: 'a policy that some zone may not know yet still holds', table: unsettled,
 		steps: [clears(99_999, 'taken')], expected: ['n1'],
 	},
+	{
+		name: 'a policy is settled a longest deadline after every zone has applied it', table: unsettled,
+		steps: [asks(10, 'n1', 9, 9), settles(20), asks(30, 'n2', 9, 1), settles(1000), settles(1816), settles(1817)],
+		expected: ['1500', 'settles ', '1500', 'settles ', 'settles ', 'settles held taken'],
+	},
 	{
 		name: 'a release is evidence a term and a deadline after it was seen', table: released,
 		steps: [asks(10, 'n2', 25, 20), sees(1000), clears(3346, 'held'), clears(3347, 'held')], expected: ['1500', 'n1', 'cleared'],
--- a/packages/ownership/test/test-table.ts
+++ b/packages/ownership/test/test-table.ts
@@ -20,10 +20,13 @@
 	kind: 'keyPinned', service, key: 'A2', home: 0,
 };
 const moved: OwnershipCommand = {kind: 'assignmentsGranted', service, grants: [{slot: 0, owner: second, revokedAt: 3}]};
-const laterUnseated: OwnershipCommand = {kind: 'instanceUnseated', zone: 'a', instance: {name: 'a1', incarnation: 2}};
+const laterUnseated: OwnershipCommand = {
+	kind: 'instanceUnseated', zone: 'a', instance: {name: 'a1', incarnation: 2}, changedAt: 1,
+};
 const record: InstanceRecord = {
 	name: 'a1', incarnation: 1, region: 'noord', zone: 'a', peerAddress: '', callerAddress: '', operatorAddress: '',
 };
+const seated: OwnershipCommand = {kind: 'instanceSeated', record, changedAt: 0};
 
 function released(revokedAt: number): OwnershipCommand {
 	return {kind: 'assignmentsReleased', service, releases: [{slot: 0, revokedAt}]};
@@ -78,8 +81,15 @@
 	{name: 'a key is not pinned out of a pinned slot', commands: [opened, granted, pinned, {...pinned, key: 'B', home: 4}], refused: ['4 conflict']},
 	{name: 'a key goes back under a new fence', commands: [opened, granted, pinned, {kind: 'keyUnpinned', service, key: 'A2'}], slots: {0: 'first@4', 4: 'vacant'}},
 	{name: 'a key with another owner does not go back', commands: [opened, granted, pinned, revoked, {kind: 'keyUnpinned', service, key: 'A2'}], refused: ['5 conflict']},
-	{name: 'an instance has one seat', commands: [{kind: 'instanceSeated', record}, {kind: 'instanceSeated', record: {...record, zone: 'b'}}], refused: ['2 conflict']},
-	{name: 'only the life that is seated is unseated', commands: [{kind: 'instanceSeated', record}, laterUnseated], refused: ['2 not-found']},
+	{name: 'an instance has one seat', commands: [seated, {...seated, record: {...record, zone: 'b'}}], refused: ['2 conflict']},
+	{name: 'of two changes to one roster the first stands', commands: [seated, {...seated, record: {...record, name: 'a2'}}], refused: ['2 conflict']},
+	{
+		name: 'a release is about the roster that it names', commands: [seated, {
+			kind: 'zoneReleased', zone: 'a', reason: 'withheld', changedAt: 0,
+		}], refused: ['2 conflict'],
+	},
+	{name: 'an operator releases whatever the roster is', commands: [seated, {kind: 'zoneReleased', zone: 'a', reason: 'declared-lost'}]},
+	{name: 'only the life that is seated is unseated', commands: [seated, laterUnseated], refused: ['2 not-found']},
 	{name: 'only a known zone is released', commands: [{kind: 'zoneReleased', zone: 'a', reason: 'declared-lost'}], refused: ['1 not-found']},
 	{name: 'a settled policy names its change', commands: [opened, {kind: 'policyChanged', service, policy}, {kind: 'policySettled', service, changedAt: 1}], refused: ['3 conflict']},
 ];
