--- a/packages/ownership/test/leadership.ts
+++ b/packages/ownership/test/leadership.ts
@@ -2,16 +2,19 @@
  * Control, as the schedules need it: voters of which one at a time can have
  * entries accepted, while others may still believe that they lead.
  */
+import {WhenCut} from '@dogwooddeck/model/contract';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
 import {
-	services, slotCount, type Instance, type Schedule,
+	services, slotCount, type Instance, type Schedule, type Upstream,
 } from './schedule.js';
 import {Process} from './world.js';
 import {
 	clear, createGrantor, type GrantorState, stepGrantor,
 } from '@dogwooddeck/ownership/grantor';
+import {type PolicyTerms} from '@dogwooddeck/ownership/policy';
 import {proposeSeat} from '@dogwooddeck/ownership/seat';
+import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {type OwnershipCommand, type OwnershipState} from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
@@ -59,8 +62,8 @@
 	}
 
 	/** Elects another leader; the old one doesn't know. Entries on their way may still be accepted. */
-	depose(): void {
-		const others = this.voters.filter(voter => voter !== this.#leader && this.#hasQuorum(voter));
+	depose(suits: (voter: Process) => boolean = () => true): void {
+		const others = this.voters.filter(voter => voter !== this.#leader && suits(voter) && this.#hasQuorum(voter));
 		const next = this.schedule.world.pick(others);
 		if (next !== undefined) {
 			this.#elect(next);
@@ -167,7 +170,9 @@
 		const table = this.#tableOf(leading);
 		leading.grantor = stepGrantor(leading.grantor, {kind: 'tableChanged', now, table}).state;
 		if (!leading.busy) {
-			this.#propose(voter, leading, [...this.#grants(leading, table, now), ...this.#revocations(table)].slice(0, 4));
+			const {grantor, commands} = settlePolicies(leading.grantor, table, now);
+			leading.grantor = grantor;
+			this.#propose(voter, leading, [...commands, ...this.#grants(leading, table, now), ...this.#changes(table)].slice(0, 4));
 		}
 	}
 
@@ -204,7 +209,7 @@
 					? clear(leading.grantor, table, {service, slot, ownerZone}, now)
 					: {grantor: leading.grantor, cleared: phase === 'vacant' && pinned};
 				leading.grantor = result.grantor;
-				const next = this.schedule.world.pick(this.schedule.upstreams.filter(upstream => !this.lost.has(upstream.name)));
+				const next = this.#nextOwner(phase === 'vacant' ? 2 * slot : Math.floor(this.schedule.world.random() * 100));
 				if (result.cleared && next !== undefined) {
 					const owner = {service, name: next.name, incarnation: 1};
 					const grant = phase === 'revoking' ? {slot, owner, revokedAt: assignment.revokedAt} : {slot, owner};
@@ -216,7 +221,12 @@
 		return commands;
 	}
 
-	#revocations(table: OwnershipState): readonly OwnershipCommand[] {
+	#nextOwner(number: number): Upstream | undefined {
+		const upstreams = this.schedule.upstreams.filter(upstream => !this.lost.has(upstream.name));
+		return upstreams[number % upstreams.length];
+	}
+
+	#changes(table: OwnershipState): readonly OwnershipCommand[] {
 		const {random} = this.schedule.world;
 		const commands: OwnershipCommand[] = [];
 		for (const {service} of services) {
@@ -227,6 +237,10 @@
 				commands.push({kind: 'assignmentsRevoked', service, slots});
 			}
 
+			if (random() < this.schedule.plan.moves / 400) {
+				commands.push({kind: 'policyChanged', service, policy: this.#policy()});
+			}
+
 			if (random() < this.schedule.plan.moves / 40) {
 				commands.push(this.#pinning(table, service));
 			}
@@ -235,6 +249,12 @@
 		return commands;
 	}
 
+	#policy(): PolicyTerms {
+		const {world, plan} = this.schedule;
+		const whenCut = world.random() < 0.5 ? WhenCut.hold : WhenCut.takeOver;
+		return {whenCut, longestDeadlineMilliseconds: plan.longestDeadlineMilliseconds * (0.2 + world.random())};
+	}
+
 	#pinning(table: OwnershipState, service: string): OwnershipCommand {
 		const {world} = this.schedule;
 		const pinned = world.pick(table.services[service]?.pinned ?? []);
--- a/packages/ownership/test/test-grantor.ts
+++ b/packages/ownership/test/test-grantor.ts
@@ -15,6 +15,7 @@
 	clear, createGrantor, type GrantorEvent, type GrantorState, stepGrantor, zonesInTheWay,
 } from '@dogwooddeck/ownership/grantor';
 import {proposeSeat} from '@dogwooddeck/ownership/seat';
+import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {emptyOwnership, type OwnershipState, type ZoneRoster} from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
@@ -54,6 +55,7 @@
 const released = tableOf(rosterOf('n1', [], {releasedAt: 30, changedAt: 30}));
 const reseated = tableOf(rosterOf('n1', [a], {releasedAt: 30, changedAt: 31}));
 const releasedBefore = tableOf(rosterOf('n1', [a], {releasedAt: 10, changedAt: 15}));
+const emptiedLater = tableOf(rosterOf('n1', [], {previousMembers: [a], releasedAt: 10, changedAt: 25}));
 
 type Step = (grantor: GrantorState, table: OwnershipState) => {readonly grantor: GrantorState; readonly shown?: string};
 
@@ -86,6 +88,13 @@
 	};
 }
 
+function settles(now: number): Step {
+	return (grantor, table) => {
+		const result = settlePolicies(grantor, table, now);
+		return {grantor: result.grantor, shown: `settles ${result.commands.map(command => command.service).join(' ')}`};
+	};
+}
+
 function clears(now: number, service: string): Step {
 	return (grantor, table) => {
 		const revocation = {service, slot: 0, ownerZone: 'n1'};
@@ -137,6 +146,11 @@
 		name: 'a policy that some zone may not know yet still holds', table: unsettled,
 		steps: [clears(99_999, 'taken')], expected: ['n1'],
 	},
+	{
+		name: 'a policy is settled a longest deadline after every zone has applied it', table: unsettled,
+		steps: [asks(10, 'n1', 9, 9), settles(20), asks(30, 'n2', 9, 1), settles(1000), settles(1816), settles(1817)],
+		expected: ['1500', 'settles ', '1500', 'settles ', 'settles ', 'settles held taken'],
+	},
 	{
 		name: 'a release is evidence a term and a deadline after it was seen', table: released,
 		steps: [asks(10, 'n2', 25, 20), sees(1000), clears(3346, 'held'), clears(3347, 'held')], expected: ['1500', 'n1', 'cleared'],
@@ -149,6 +163,10 @@
 		name: 'a release covers no revocation after the zone is back', table: releasedBefore,
 		steps: [asks(10, 'n2', 25, 20), sees(0), clears(99_999, 'held')], expected: ['1500', 'n1'],
 	},
+	{
+		name: 'an earlier release says nothing about a roster that emptied later', table: emptiedLater,
+		steps: [asks(10, 'n2', 25, 20), sees(0), clears(99_999, 'held'), seat(99_999, record('d'))], expected: ['1500', 'n1', 'nothing'],
+	},
 	{
 		name: 'the first instance of a zone is seated at once', table: usual,
 		steps: [seat(10, record('q', 1, 'n9'))], expected: ['instanceSeated'],
@@ -181,7 +199,11 @@
 	},
 	{
 		name: 'only the next life takes the seat of an only member', table: tableOf(rosterOf('n1', [], {previousMembers: [a]})),
-		steps: [seat(99_999, record('d')), seat(20, record('a', 2))], expected: ['nothing', 'instanceSeated'],
+		steps: [seat(99_999, record('d')), seat(20, record('a', 1)), seat(20, record('a', 2))], expected: ['nothing', 'nothing', 'instanceSeated'],
+	},
+	{
+		name: 'a roster that lost its last member is released once that is known to be over', table: tableOf(rosterOf('n1', [], {previousMembers: [a, b]})),
+		steps: [seat(10, record('d')), seat(20, record('b', 2)), seat(30, record('d'))], expected: ['nothing', 'zoneReleased', 'zoneReleased'],
 	},
 	{
 		name: 'anyone takes the first seat a term and a deadline after a release', table: released,
