Say not-run of a claimed operation only once its claim was held

Cause: a resend that was refused before its claim could be checked (claim-unavailable, body too large, deadline, a refused head) was told not-run, though an earlier send of the same operation may have run. Change: until the claim is held such a refusal is told unknown; a head refused with an Idempotency-Key too. The typed failure is the same. Conclusion: the table of what a caller is told holds over resends.

--- a/packages/routing/src/claimant.ts
+++ b/packages/routing/src/claimant.ts
@@ -112,8 +112,9 @@
 	};
 }
 
+/** Nothing is sent now, but an earlier send of the operation may have run. */
 function unavailable(state: ClaimantState, detail: string): Step {
-	return endedUnsent(state, {kind: 'refuse', failure: failure(FailureKind.claimUnavailable, detail), outcome: Outcome.notRun});
+	return endedUnsent(state, {kind: 'refuse', failure: failure(FailureKind.claimUnavailable, detail), outcome: Outcome.unknown});
 }
 
 /** Begins a claim: asks every holder. Fails at once where there are not two holders in different zones. */
--- a/packages/routing/src/claims.ts
+++ b/packages/routing/src/claims.ts
@@ -166,7 +166,7 @@
 	const state = {...before, sequence};
 	if (event.now < state.claimsFrom) {
 		const decision: ClaimDecision = {
-			kind: 'refuse', failure: failure(FailureKind.claimUnavailable, 'this instance does not know all holders of earlier claims yet'), outcome: Outcome.notRun,
+			kind: 'refuse', failure: failure(FailureKind.claimUnavailable, 'this instance does not know all holders of earlier claims yet'), outcome: Outcome.unknown,
 		};
 		return {state, effects: [{kind: 'decide', sequence, decision}]};
 	}
--- a/packages/routing/test/test-claims.ts
+++ b/packages/routing/test/test-claims.ts
@@ -90,6 +90,13 @@
 	}
 }
 
+/** Not-run is said only of an operation that no send may have run. */
+function assertToldRightly(network: FakeClaimNetwork): void {
+	const newest = network.decisions.at(-1);
+	const isToldNotRun = newest?.decision.kind === 'refuse' && newest.decision.outcome === Outcome.notRun;
+	assert.ok(!isToldNotRun || network.runs.every(run => run.operation !== newest.operation || run.outcome === Outcome.notRun), 'told not-run');
+}
+
 test('claims: over any schedule of losses, returns and late rosters nothing runs twice', () => {
 	let ran = 0;
 	let refused = 0;
@@ -98,6 +105,7 @@
 		for (const next of schedule) {
 			actions[next.kind](network, next);
 			assertNothingRanTwice(network.runs);
+			assertToldRightly(network);
 		}
 
 		ran += network.runs.length;
--- a/packages/stand-in/src/cost.ts
+++ b/packages/stand-in/src/cost.ts
@@ -62,7 +62,7 @@
 }
 
 function figuresOf(report: CallerReport, processorTime: number | undefined): Figures {
-	const bad = report.broken + report.foreign + report.sent - report.broken - (report.statuses['200'] ?? 0);
+	const bad = report.sent - (report.statuses['200'] ?? 0) + report.foreign;
 	return {
 		requestsPerSecond: report.latencies.length / report.elapsedMilliseconds * millisecondsPerSecond,
 		median: percentile(report.latencies, 0.5),
--- a/packages/stand-in/test/test-requests-under-faults.ts
+++ b/packages/stand-in/test/test-requests-under-faults.ts
@@ -50,6 +50,18 @@
 	}
 }
 
+/** Resends one after the other: what is told not-run has not run by then. */
+async function callInTurn(pools: readonly Pool[], operation: string, upstream: StandInUpstream): Promise<Answer[]> {
+	const answers: Answer[] = [];
+	for (const pool of pools) {
+		const answer = await call(pool, operation, {'idempotency-key': operation});
+		assert.ok(answer.outcome !== Outcome.notRun || !upstream.ran.has(operation), `${operation} was told not-run`);
+		answers.push(answer);
+	}
+
+	return answers;
+}
+
 async function runSchedule(schedule: readonly FaultOrder[], idempotent: boolean): Promise<{readonly answers: readonly Answer[]; readonly upstream: StandInUpstream}> {
 	const upstream = await startUpstream({answerBytes: 200});
 	const entry = await new Entry({
@@ -107,7 +119,7 @@
 
 			const others = [...live].map(async position => call(pools[position]!, operation, headers));
 			const answers = await Promise.all([first, ...others]);
-			const again = await Promise.all([...live].map(async position => call(pools[position]!, operation, headers)));
+			const again = await callInTurn([...live].map(position => pools[position]!), operation, upstream);
 			for (const answer of [...answers, ...again].filter(come => come.status === 200)) {
 				assert.equal((JSON.parse(answer.body) as {readonly operation: string}).operation, operation);
 				tally.replayed++;
--- a/packages/upstream-client/src/client.ts
+++ b/packages/upstream-client/src/client.ts
@@ -5,7 +5,6 @@
 import {Pool, type Dispatcher} from 'undici';
 import {HeaderName} from '@dogwooddeck/model/headers';
 import {type FenceNumber, type Milliseconds, type Slot} from '@dogwooddeck/model/identifiers';
-import {Seen} from '@dogwooddeck/routing/outcome';
 import {type Abandoned, type AnswerSink, Exchange} from './exchange.js';
 import {type RawHeaders} from './headers.js';
 
@@ -134,8 +133,3 @@
 export function createUpstreamClient(options: UpstreamClientOptions): UpstreamClient {
 	return new PooledClient(options);
 }
-
-/** Whether the end of an attempt says that the upstream is in trouble. */
-export function isTrouble(seen: Seen): boolean {
-	return seen === Seen.refusedConnection || seen === Seen.closedAfterFirstByte || seen === Seen.cutAnswer || seen === Seen.unboundedAnswer;
-}
--- a/packages/upstream-client/src/forward.ts
+++ b/packages/upstream-client/src/forward.ts
@@ -4,6 +4,7 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
+import {HeaderName} from '@dogwooddeck/model/headers';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {statusOf} from '@dogwooddeck/routing/outcome';
 import {type Forwarder} from './forwarder.js';
@@ -14,11 +15,13 @@
 /** Nobody can tell a cut answer from a whole one of no length in HTTP/1.0. */
 const oldVersion = failure(FailureKind.malformed, 'HTTP/1.1 is needed');
 
+/** With an operation key nobody has asked yet whether an earlier send of the operation ran. */
 function refuseHead<Opened extends OpenedRequest, Owner extends RequestOwner>(path: RequestPath<Opened, Owner>, response: ServerResponse, why: Failure): void {
 	const status = statusOf(why.kind);
-	writeProblem(response, why, status, Outcome.notRun);
+	const outcome = response.req.headers[HeaderName.idempotencyKey] === undefined ? Outcome.notRun : Outcome.unknown;
+	writeProblem(response, why, status, outcome);
 	path.requestEnded(undefined, {
-		outcome: Outcome.notRun, status, failure: why, latencyMilliseconds: 0, attempts: 0, bodyBytes: 0,
+		outcome, status, failure: why, latencyMilliseconds: 0, attempts: 0, bodyBytes: 0,
 	});
 }
 
--- a/packages/upstream-client/src/forwarding.ts
+++ b/packages/upstream-client/src/forwarding.ts
@@ -20,16 +20,12 @@
 import {Abandoned, type AnswerSink} from './exchange.js';
 import {type RawHeaders, requestHeaders} from './headers.js';
 import {type KeptAnswer, keepAnswer} from './kept-answer.js';
+import {nextSeed} from './jitter-seed.js';
 import {announcesBody, readBody} from './request-body.js';
 import {
 	type OpenClaim, type OpenedRequest, type RequestOwner, type RequestPath,
 } from './request-path.js';
 
-/** Jitter has to differ between requests, not to be hard to guess. */
-function nextSeed(): number {
-	return Math.floor(Math.random() * (2 ** 31));
-}
-
 type EffectTable = HandlerTable<RequestEffect, [Forwarding<any, any>], void>;
 
 /** One request from its head to its end. It is mutable: a copy for each step of the edge would cost more than the step. */
@@ -105,7 +101,7 @@
 		this.#armDeadline();
 		readBody(this.#request, this.#opened.largestBodyBytes, body => {
 			if (body.isErr) {
-				this.refuse(body.error, Outcome.notRun);
+				this.refuse(body.error, this.#unsentOutcome);
 			} else {
 				this.#body = body.value;
 				this.#whenBodyRead();
@@ -161,15 +157,6 @@
 		}
 	}
 
-	/** Runs when the deadline passes while nothing is sent. */
-	whenDeadlinePassed(): void {
-		if (this.#state === undefined) {
-			this.refuse(failure(FailureKind.deadlineExceeded, 'the deadline passed before the request was sent'), Outcome.notRun);
-		} else {
-			this.step({kind: 'deadline-passed', now: this.#path.now()});
-		}
-	}
-
 	/** The claim is held: the request may be sent. */
 	runClaimed(): void {
 		this.#claimed = true;
@@ -190,6 +177,11 @@
 		}
 	}
 
+	/** Before its claim is held nobody knows whether an earlier send of the operation ran. */
+	get #unsentOutcome(): Outcome {
+		return this.#opened.claims && !this.#claimed ? Outcome.unknown : Outcome.notRun;
+	}
+
 	#carryOut(step: Transition<RequestState, RequestEffect>): void {
 		this.#state = step.state;
 		for (const effect of step.effects) {
@@ -198,7 +190,18 @@
 	}
 
 	#armDeadline(): void {
-		this.#timer ??= setTimeout(whenDeadlinePassed, Math.max(0, this.deadline - this.#path.now()), this);
+		this.#timer ??= setTimeout(() => {
+			this.#whenDeadlinePassed();
+		}, Math.max(0, this.deadline - this.#path.now()));
+	}
+
+	/** Runs when the deadline passes while nothing is sent. */
+	#whenDeadlinePassed(): void {
+		if (this.#state === undefined) {
+			this.refuse(failure(FailureKind.deadlineExceeded, 'the deadline passed before the request was sent'), this.#unsentOutcome);
+		} else {
+			this.step({kind: 'deadline-passed', now: this.#path.now()});
+		}
 	}
 
 	#disarm(): void {
@@ -307,7 +310,7 @@
 		}
 
 		this.step({kind: 'caller-gone', now: this.#path.now()});
-		this.#finish(this.#mayHaveRun ? Outcome.unknown : Outcome.notRun);
+		this.#finish(this.#mayHaveRun ? Outcome.unknown : this.#unsentOutcome);
 	}
 
 	#finish(outcome: Outcome, why?: Failure): void {
@@ -342,7 +345,3 @@
 		forwarding.refuse(decision.failure, decision.outcome);
 	},
 };
-
-function whenDeadlinePassed(forwarding: Forwarding<any, any>): void {
-	forwarding.whenDeadlinePassed();
-}
