--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -76,7 +76,9 @@
 		?? members.find(member => !isHeard(state, member, now));
 	const another = members.some(member => member !== gone && state.heard[member.name] !== undefined && isHeard(state, member, now));
 	return gone !== undefined && another
-		? {kind: 'instanceUnseated', zone, instance: {name: gone.name, incarnation: gone.incarnation}}
+		? {
+			kind: 'instanceUnseated', zone, changedAt: roster.changedAt, instance: {name: gone.name, incarnation: gone.incarnation},
+		}
 		: undefined;
 }
 
--- /dev/null
+++ b/packages/daemon/src/burn-runner.ts
@@ -0,0 +1,164 @@
+/**
+ * Counts requests for the service-level objectives, keeps the intervals on disk
+ * where there is one, and answers the report's input over all instances.
+ */
+import {
+	appendFile, mkdir, readFile, rename, writeFile,
+} from 'node:fs/promises';
+import path from 'node:path';
+import {wallNow} from '@dogwooddeck/clock/monotonic';
+import {
+	decodeJournal, encodeInterval, encodeJournal, isInstanceBurn,
+} from '@dogwooddeck/burn/encoding';
+import {endOf} from '@dogwooddeck/burn/judgement';
+import {BurnRecorder} from '@dogwooddeck/burn/recorder';
+import {type BurnInput} from '@dogwooddeck/burn/report';
+import {
+	type BurnInterval, foldIntervals, type InstanceBurn, intervalMilliseconds, intervalStart,
+} from '@dogwooddeck/burn/window';
+import {contractOf, contractsOf} from '@dogwooddeck/configuration/tree';
+import {FailureKind} from '@dogwooddeck/model/failure';
+import {type InstanceName, type ServiceName, type WallTime} from '@dogwooddeck/model/identifiers';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {type RequestReport} from '@dogwooddeck/upstream-client/request-path';
+import {type ControlHolder} from './control-holder.js';
+import {createOwnershipFigures} from './ownership-figures.js';
+
+/** The counts of this instance. */
+export type BurnRunner = {
+	/** Counts a request that ended. */
+	readonly record: (service: ServiceName, idempotent: boolean, report: RequestReport) => void;
+	/** What this instance counted. */
+	readonly own: () => InstanceBurn;
+	/** The report's input, with what the other instances counted as far as they answer. */
+	readonly input: () => Promise<BurnInput>;
+	/** Writes what is counted and ends. */
+	readonly stop: () => Promise<void>;
+};
+
+/** What the runner needs. */
+export type BurnSurroundings = {
+	readonly name: InstanceName;
+	readonly holder: ControlHolder;
+	/** Where the journal lives. Absent: counts are lost with the process. */
+	readonly folder?: string;
+	/** What another instance counted, as JSON; undefined if it can't be reached. */
+	readonly ask: (member: InstanceRecord) => Promise<string | undefined>;
+};
+
+/** Intervals that are appended before the journal is written anew. */
+const appendsBeforeFold = 360;
+
+async function readJournal(file: string | undefined): Promise<readonly BurnInterval[]> {
+	if (file === undefined) {
+		return [];
+	}
+
+	try {
+		return decodeJournal(await readFile(file, 'utf8')).intervals;
+	} catch {
+		return [];
+	}
+}
+
+function readInstance(text: string | undefined): readonly InstanceBurn[] {
+	try {
+		const value: unknown = JSON.parse(text ?? '');
+		return isInstanceBurn(value) ? [value] : [];
+	} catch {
+		return [];
+	}
+}
+
+/** Starts to count. */
+export async function startBurn(surroundings: BurnSurroundings): Promise<BurnRunner> {
+	const {name, holder} = surroundings;
+	const file = surroundings.folder === undefined ? undefined : path.join(surroundings.folder, 'burn.jsonl');
+	const recorder = new BurnRecorder();
+	const figures = createOwnershipFigures(holder);
+	if (surroundings.folder !== undefined) {
+		await mkdir(surroundings.folder, {recursive: true});
+	}
+
+	let intervals = await readJournal(file);
+	let startedAt = wallNow();
+	let appends = 0;
+	let writing: Promise<void> = Promise.resolve();
+
+	async function write(interval: BurnInterval): Promise<void> {
+		if (file === undefined) {
+			return;
+		}
+
+		appends += 1;
+		if (appends < appendsBeforeFold) {
+			await appendFile(file, `${encodeInterval(interval)}\n`);
+			return;
+		}
+
+		appends = 0;
+		await writeFile(`${file}.new`, encodeJournal(intervals));
+		await rename(`${file}.new`, file);
+	}
+
+	async function writeAfter(earlier: Promise<void>, interval: BurnInterval): Promise<void> {
+		await earlier;
+		try {
+			await write(interval);
+		} catch {
+			// A journal that can't be written costs the report intervals, and requests nothing.
+		}
+	}
+
+	function take(): void {
+		const now: WallTime = wallNow();
+		const interval = recorder.take(intervalStart(startedAt));
+		startedAt = now;
+		if (interval.objectives.length > 0) {
+			intervals = foldIntervals([...intervals, interval], now);
+			writing = writeAfter(writing, interval);
+		}
+	}
+
+	const taking = setInterval(take, intervalMilliseconds);
+
+	function own(): InstanceBurn {
+		take();
+		return {instance: name, intervals};
+	}
+
+	return {
+		record(service, idempotent, report) {
+			const contract = contractOf(holder.state().configuration, service);
+			if (contract === undefined || contract.objectives.length === 0) {
+				return;
+			}
+
+			const end = endOf({
+				outcome: report.outcome,
+				limited: report.failure?.kind === FailureKind.limitReached,
+				...(report.status === undefined ? {} : {status: report.status}),
+			});
+			recorder.record(contract, {end, idempotent, latencyMilliseconds: report.latencyMilliseconds});
+		},
+		own,
+		async input() {
+			const members = Object.values(holder.state().ownership.rosters).flatMap(roster => roster.members);
+			const others = members.filter(member => member.name !== name);
+			const answers = await Promise.all(others.map(async member => surroundings.ask(member)));
+			return {
+				at: wallNow(),
+				objectives: contractsOf(holder.state().configuration).flatMap(({name: service, objectives}) =>
+					objectives.map(objective => ({...objective, service}))),
+				expected: [...new Set([name, ...members.map(member => member.name)])],
+				instances: [own(), ...answers.flatMap(answer => readInstance(answer))],
+				figures: figures.take(),
+			};
+		},
+		async stop() {
+			clearInterval(taking);
+			take();
+			await writing;
+		},
+	};
+}
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -25,6 +25,7 @@
 import {ok, type Result} from 'true-myth/result';
 import {createCallerHandler} from './caller-handler.js';
 import {createAnnouncements} from './announcements.js';
+import {startBurn} from './burn-runner.js';
 import {startClaims} from './claim-runner.js';
 import {createControlHolder} from './control-holder.js';
 import {startControl} from './control-runner.js';
@@ -199,9 +200,18 @@
 			measures.add(MeasureName.announcements, {service: announcement.service});
 			ownReports.announced(announcement);
 		}),
-		burn: async () => ok([]),
+		burn: async () => ok(await burn.input()),
 	});
 
+	const burn = await startBurn({
+		name: settings.name,
+		holder,
+		...(settings.control.dataFolder === undefined ? {} : {folder: settings.control.dataFolder}),
+		async ask(record) {
+			const answer = await clients.call(record.peerAddress, 'collect', 'burn', memberMilliseconds);
+			return answer.isOk ? answer.value : undefined;
+		},
+	});
 	const client = createUpstreamClient({connectTimeoutMilliseconds, idleMilliseconds});
 	const path = createRequestPath({
 		name: settings.name,
@@ -215,7 +225,8 @@
 		claims,
 		limiter,
 		hash,
-		requestEnded(service, _opened, report) {
+		requestEnded(service, opened, report) {
+			burn.record(service, opened?.idempotent ?? false, report);
 			measures.add(MeasureName.requests, {service, outcome: report.outcome, status: String(report.status ?? 0)});
 			measures.record(MeasureName.latency, {service}, report.latencyMilliseconds);
 			if (report.failure !== undefined) {
@@ -241,7 +252,7 @@
 		zone: () => zone,
 		claims,
 		voter: () => voter,
-		collectors: {member: () => JSON.stringify(member())},
+		collectors: {member: () => JSON.stringify(member()), burn: () => JSON.stringify(burn.own())},
 	})));
 	const operators: FrontServer = taken(await startOperatorServer(settings.addresses.operators, surface, {readiness, metrics}));
 	const callers: FrontServer = taken(await startCallerServer(settings.addresses.callers, createCallerHandler(client, path)));
@@ -269,6 +280,7 @@
 		zone.stop();
 		control.stop();
 		claims.stop();
+		await burn.stop();
 		await client.close();
 		await peers.close();
 		await voter?.stop();
--- a/packages/limits/src/sharing.ts
+++ b/packages/limits/src/sharing.ts
@@ -48,7 +48,7 @@
 
 function divisionOf(state: SharingState, demand: LimitDemand, limit: EffectiveLimit, now: MonotonicTime): DivisionState {
 	const known = state.divisions[sharingKey(demand)];
-	if (known !== undefined && known.options.windowMilliseconds === windowMilliseconds(limit)) {
+	if (known?.options.windowMilliseconds === windowMilliseconds(limit)) {
 		return known.amount === limit.amount
 			? known
 			: stepDivision(known, {
