Ownership: one place for majorities, longest deadlines and revocations; parties of a schedule apart

Change: quorum.ts, longestDeadlineOf and revokedAtOf in state.ts, isSeated in tenure.ts, test/actors.ts. No behaviour changes; exported names stay. Conclusion: same decisions, less of them written twice.

--- a/packages/ownership/src/assigning.ts
+++ b/packages/ownership/src/assigning.ts
@@ -10,7 +10,7 @@
 	type AssignmentsGranted, type AssignmentsReleased, type AssignmentsRevoked, type Grant,
 } from './command.js';
 import {unknownService, withService} from './services.js';
-import {type OwnershipState} from './state.js';
+import {type OwnershipState, revokedAtOf} from './state.js';
 
 type Change = (assignment: Assignment) => Assignment | undefined;
 
@@ -43,10 +43,6 @@
 	return ok(withService(state, {...before, assignments}));
 }
 
-function revokedAtOf(assignment: Assignment): LogIndex | undefined {
-	return assignment.phase === AssignmentPhase.revoking ? assignment.revokedAt : undefined;
-}
-
 function grantChange(grant: Grant, index: LogIndex): Change {
 	return assignment => {
 		const grantable = assignment.phase !== AssignmentPhase.granted && revokedAtOf(assignment) === grant.revokedAt;
--- a/packages/ownership/src/grantor.ts
+++ b/packages/ownership/src/grantor.ts
@@ -6,12 +6,13 @@
 import {
 	type LogIndex, type Milliseconds, type MonotonicTime, type ServiceName, type Slot, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
-import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
 import {type ServicePolicy, someMayHold, waitedDeadline} from './policy.js';
 import {noteSeatRequest, type SeatSightings} from './sighting.js';
-import {assignmentOf, type OwnershipState, type ZoneRoster} from './state.js';
+import {
+	assignmentOf, type OwnershipState, revokedAtOf, type ZoneRoster,
+} from './state.js';
 import {grantorWait, type LeaseTerms} from './terms.js';
 
 /** What the leader knows of one zone. */
@@ -175,10 +176,6 @@
 	return !holds && now >= zoneOf(grantor, roster.zone).delegatedUntil + wait;
 }
 
-function revokedAtOf(assignment: Assignment | undefined): LogIndex | undefined {
-	return assignment?.phase === AssignmentPhase.revoking ? assignment.revokedAt : undefined;
-}
-
 /** The zones that stand in the way of a move: some instance there may still send work to the old owner. */
 export function zonesInTheWay(grantor: GrantorState, table: OwnershipState, revocation: Revocation, now: MonotonicTime): readonly ZoneName[] {
 	const policy = table.policies[revocation.service];
--- a/packages/ownership/src/seat.ts
+++ b/packages/ownership/src/seat.ts
@@ -5,23 +5,18 @@
  * The next change therefore waits until the zone's steward has reported the
  * last one: from then on no steward can be elected on the roster before it.
  */
-import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type OwnershipCommand, ReleaseReason} from './command.js';
 import {
 	type GrantorState, isReleased, releaseWaited, zoneOf,
 } from './grantor.js';
-import {waitedDeadline} from './policy.js';
 import {withheldEvidence} from './sighting.js';
-import {type OwnershipState, type ZoneRoster} from './state.js';
+import {longestDeadlineOf, type OwnershipState, type ZoneRoster} from './state.js';
 
 /** The seats of a zone. Its other instances get leases, but support no steward. */
 export const seatsPerZone = 9;
 
-function longestDeadline(table: OwnershipState): Milliseconds {
-	return Object.values(table.policies).reduce((longest, policy) => Math.max(longest, waitedDeadline(policy)), 0);
-}
-
 /** Whether the zone's steward has reported the last change of its roster. */
 export function mayChangeRoster(grantor: GrantorState, roster: ZoneRoster): boolean {
 	return zoneOf(grantor, roster.zone).drained >= roster.changedAt;
@@ -40,7 +35,7 @@
 
 /** Whether anyone may take the first seat: all that earlier members allowed is over. */
 function isOpen(grantor: GrantorState, table: OwnershipState, roster: ZoneRoster, now: MonotonicTime): boolean {
-	return isReleased(roster) && releaseWaited(grantor, roster, longestDeadline(table), now);
+	return isReleased(roster) && releaseWaited(grantor, roster, longestDeadlineOf(table), now);
 }
 
 /** Whether the only member of a roster stands in every majority of the one before it too. */
--- a/packages/ownership/src/sighting.ts
+++ b/packages/ownership/src/sighting.ts
@@ -7,8 +7,8 @@
 } from '@dogwooddeck/model/identifiers';
 import {type SeatRequest} from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {majorityOf} from './quorum.js';
 import {type OwnershipState, type ZoneRoster} from './state.js';
-import {majorityOf} from './terms.js';
 
 /** The first sign of a later life of an instance. */
 export type SeatSighting = {readonly incarnation: Incarnation; readonly heardAt: MonotonicTime};
--- a/packages/ownership/src/standing.ts
+++ b/packages/ownership/src/standing.ts
@@ -6,15 +6,14 @@
 } from '@dogwooddeck/model/identifiers';
 import {type SupportAnswer} from '@dogwooddeck/model/lease';
 import {delegationRequest} from './leasing.js';
-import {waitedDeadline} from './policy.js';
-import {type OwnershipState} from './state.js';
+import {longestDeadlineOf} from './state.js';
 import {
 	type StewardEffect, type StewardEvent, type StewardState, type StewardTransition,
 } from './steward.js';
 import {
 	freeFrom, support, supportedNow, withdrawn, withSupport,
 } from './support.js';
-import {elected, settled} from './tenure.js';
+import {elected, isSeated, settled} from './tenure.js';
 import {holderTerm} from './terms.js';
 
 type EventOf<Kind extends StewardEvent['kind']> = Extract<StewardEvent, {readonly kind: Kind}>;
@@ -32,10 +31,6 @@
 	return (names.indexOf(state.self.name) % distinctRanks) * 2 * state.terms.urgentMilliseconds;
 }
 
-function isMember(state: StewardState): boolean {
-	return state.members.some(member => sameInstance(member, state.self));
-}
-
 function withOwnSupport(state: StewardState, now: MonotonicTime): StewardState {
 	const question = {
 		now, candidate: state.self, candidateApplied: state.applied, ownApplied: state.applied,
@@ -77,7 +72,7 @@
 
 function mayStand(state: StewardState, now: MonotonicTime): boolean {
 	const from = Math.max(freeFrom(state.supporter), state.standsFrom);
-	return isMember(state) && now >= from + turn(state);
+	return isSeated(state) && now >= from + turn(state);
 }
 
 function stand(state: StewardState, now: MonotonicTime): StewardTransition {
@@ -100,10 +95,6 @@
 	return {state: asking.state, effects: [...standing.effects, ...asking.effects]};
 }
 
-function longestDeadline(table: OwnershipState): Milliseconds {
-	return Object.values(table.policies).reduce((longest, policy) => Math.max(longest, waitedDeadline(policy)), 0);
-}
-
 /** Takes over the roster and the deadlines of a newer table. */
 export function tableChanged(event: EventOf<'tableChanged'>, before: StewardState): StewardTransition {
 	const state = settled(before, event.now);
@@ -115,7 +106,7 @@
 		...state,
 		applied: event.applied,
 		members: event.table.rosters[state.self.zone]?.members ?? [],
-		longestDeadlineMilliseconds: longestDeadline(event.table),
+		longestDeadlineMilliseconds: longestDeadlineOf(event.table),
 	};
 	return {state: settled(changed, event.now), effects: []};
 }
--- a/packages/ownership/src/state.ts
+++ b/packages/ownership/src/state.ts
@@ -2,13 +2,13 @@
  * The replicated ownership table: assignments, policies and rosters. It is
  * plain JSON, and a change shares with the state before it all that it leaves alone.
  */
-import {type Assignment, type ServiceAssignments} from '@dogwooddeck/model/assignment';
+import {type Assignment, AssignmentPhase, type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {
-	type LogIndex, type RegionName, type ServiceName, type Slot, type ZoneName,
+	type LogIndex, type Milliseconds, type RegionName, type ServiceName, type Slot, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type ReleaseReason} from './command.js';
-import {type ServicePolicy} from './policy.js';
+import {type ServicePolicy, waitedDeadline} from './policy.js';
 
 /** The instances of a zone that support its steward. */
 export type ZoneRoster = {
@@ -48,3 +48,13 @@
 
 	return hashSlot;
 }
+
+/** The entry that began an assignment's revocation. Undefined: it is not being revoked. */
+export function revokedAtOf(assignment: Assignment | undefined): LogIndex | undefined {
+	return assignment?.phase === AssignmentPhase.revoking ? assignment.revokedAt : undefined;
+}
+
+/** The longest deadline that a request of any service may have. */
+export function longestDeadlineOf(state: OwnershipState): Milliseconds {
+	return Object.values(state.policies).reduce((longest, policy) => Math.max(longest, waitedDeadline(policy)), 0);
+}
--- a/packages/ownership/src/steward.ts
+++ b/packages/ownership/src/steward.ts
@@ -10,7 +10,7 @@
  * far its zone is drained.
  */
 import {
-	type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+	type LogIndex, type Milliseconds, type MonotonicTime,
 } from '@dogwooddeck/model/identifiers';
 import {
 	type DelegationAnswer, type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
@@ -123,10 +123,4 @@
 	return dispatch(handlers, event, state);
 }
 
-/** Whether the instance is its zone's steward now. */
-export {isSteward} from './tenure.js';
-
-/** Whether an instance belongs to the roster in the table that it has applied. */
-export function isSeated(state: StewardState): boolean {
-	return state.members.some(member => sameInstance(member, state.self));
-}
+export {isSeated, isSteward} from './tenure.js';
--- a/packages/ownership/src/support.ts
+++ b/packages/ownership/src/support.ts
@@ -11,7 +11,8 @@
 import {
 	type InstanceIdentity, type LogIndex, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
-import {grantorWait, type LeaseTerms, majorityOf} from './terms.js';
+import {majorityOf} from './quorum.js';
+import {grantorWait, type LeaseTerms} from './terms.js';
 
 /** What a member promises. */
 export type Supporter = {
--- a/packages/ownership/src/terms.ts
+++ b/packages/ownership/src/terms.ts
@@ -42,11 +42,6 @@
 	return duration * (1 + terms.driftRatio) / (1 - terms.driftRatio);
 }
 
-/** The number of members that make a majority. */
-export function majorityOf(members: number): number {
-	return Math.floor(members / 2) + 1;
-}
-
 /** The parts of the time from the loss of an upstream until its keys are served again. */
 export type TimeToServeAgain = {
 	readonly detectionMilliseconds: Milliseconds;
--- /dev/null
+++ b/packages/ownership/test/actors.ts
@@ -0,0 +1,71 @@
+/**
+ * The parties of a schedule, and what is noted of them.
+ */
+import {WhenCut} from '@dogwooddeck/model/contract';
+import {type FailureKind} from '@dogwooddeck/model/failure';
+import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {Process} from './world.js';
+import {type Flights} from '@dogwooddeck/ownership/drain';
+import {type LeaseState} from '@dogwooddeck/ownership/lease';
+import {type StewardState} from '@dogwooddeck/ownership/steward';
+
+/** The services: one of each policy. */
+export const services = [
+	{service: 'held', whenCut: WhenCut.hold},
+	{service: 'taken', whenCut: WhenCut.takeOver},
+];
+
+/** The slots of each service. Each has two keys. */
+export const slotCount = 4;
+
+/** What a schedule is made of. */
+export type Plan = {
+	readonly seed: number;
+	readonly zones: readonly string[];
+	readonly perZone: number;
+	readonly loss: number;
+	/** Moves and pins a second that nothing calls for. */
+	readonly moves: number;
+	readonly driftRatio: number;
+	readonly longestDeadlineMilliseconds: number;
+};
+
+/** A request that an instance refused. */
+export type Refusal = {
+	readonly at: number;
+	readonly zone: string;
+	readonly service: string;
+	readonly ownerZone: string;
+	readonly kind: FailureKind;
+};
+
+/** One request that was sent upstream. */
+export type Work = {
+	readonly key: string;
+	readonly service: string;
+	readonly from: string;
+	readonly upstream: Upstream;
+	readonly startedAt: number;
+	/** In true time: when it is over at the latest, or when the upstream ended it. */
+	until: number;
+};
+
+/** An upstream of both services. */
+export class Upstream extends Process {
+	highestFence = new Map<string, number>();
+
+	constructor(name: string, zone: string, readonly checksFence: boolean) {
+		super(name, zone, {offset: 0, rate: 1});
+	}
+}
+
+/** One entry instance with all that it decides. */
+export class Instance extends Process {
+	record!: InstanceRecord;
+	steward!: StewardState;
+	lease!: LeaseState;
+	flights!: Flights;
+	applied: LogIndex = 0;
+	seatAskedAt = -Infinity;
+}
--- a/packages/ownership/test/leadership.ts
+++ b/packages/ownership/test/leadership.ts
@@ -6,8 +6,9 @@
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
 import {
-	services, slotCount, type Instance, type Schedule, type Upstream,
-} from './schedule.js';
+	type Instance, services, slotCount, type Upstream,
+} from './actors.js';
+import {type Schedule} from './schedule.js';
 import {Process} from './world.js';
 import {
 	clear, createGrantor, type GrantorState, stepGrantor,
--- a/packages/ownership/test/schedule.ts
+++ b/packages/ownership/test/schedule.ts
@@ -2,20 +2,21 @@
  * Runs leaders, stewards, routers and upstreams through a seeded schedule of
  * faults and watches that no key is sent to two upstreams at one moment.
  */
-import {type InstanceRecord} from '@dogwooddeck/model/registry';
-import {WhenCut} from '@dogwooddeck/model/contract';
 import {FailureKind} from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {emptyReport} from '@dogwooddeck/model/lease';
 import {Leadership} from './leadership.js';
-import {Process, World} from './world.js';
-import {createFlights, type Flights} from '@dogwooddeck/ownership/drain';
+import {World} from './world.js';
 import {
-	answered, createLease, isHeld, type LeaseState, mayStart, requestDue, requestSent,
+	Instance, type Plan, type Refusal, services, slotCount, Upstream, type Work,
+} from './actors.js';
+import {createFlights} from '@dogwooddeck/ownership/drain';
+import {
+	answered, createLease, isHeld, mayStart, requestDue, requestSent,
 } from '@dogwooddeck/ownership/lease';
 import {routedDeadline} from '@dogwooddeck/ownership/policy';
 import {
-	createSteward, type StewardEffect, type StewardEvent, type StewardState, stepSteward,
+	createSteward, type StewardEffect, type StewardEvent, stepSteward,
 } from '@dogwooddeck/ownership/steward';
 import {supportedNow} from '@dogwooddeck/ownership/support';
 import {
@@ -23,66 +24,6 @@
 } from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
-/** The services: one of each policy. */
-export const services = [
-	{service: 'held', whenCut: WhenCut.hold},
-	{service: 'taken', whenCut: WhenCut.takeOver},
-];
-
-/** The slots of each service. Each has two keys. */
-export const slotCount = 4;
-
-/** What a schedule is made of. */
-export type Plan = {
-	readonly seed: number;
-	readonly zones: readonly string[];
-	readonly perZone: number;
-	readonly loss: number;
-	/** Moves and pins a second that nothing calls for. */
-	readonly moves: number;
-	readonly driftRatio: number;
-	readonly longestDeadlineMilliseconds: number;
-};
-
-/** A request that an instance refused. */
-export type Refusal = {
-	readonly at: number;
-	readonly zone: string;
-	readonly service: string;
-	readonly ownerZone: string;
-	readonly kind: FailureKind;
-};
-
-/** One request that was sent upstream. */
-export type Work = {
-	readonly key: string;
-	readonly service: string;
-	readonly from: string;
-	readonly upstream: Upstream;
-	readonly startedAt: number;
-	/** In true time: when it is over at the latest, or when the upstream ended it. */
-	until: number;
-};
-
-/** An upstream of both services. */
-export class Upstream extends Process {
-	highestFence = new Map<string, number>();
-
-	constructor(name: string, zone: string, readonly checksFence: boolean) {
-		super(name, zone, {offset: 0, rate: 1});
-	}
-}
-
-/** One entry instance with all that it decides. */
-export class Instance extends Process {
-	record!: InstanceRecord;
-	steward!: StewardState;
-	lease!: LeaseState;
-	flights!: Flights;
-	applied: LogIndex = 0;
-	seatAskedAt = -Infinity;
-}
-
 /** A whole deployment under a schedule. */
 export class Schedule {
 	readonly world: World;
--- a/packages/ownership/test/test-schedule.ts
+++ b/packages/ownership/test/test-schedule.ts
@@ -5,7 +5,8 @@
 import process from 'node:process';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {type Plan, Schedule} from './schedule.js';
+import {type Plan} from './actors.js';
+import {Schedule} from './schedule.js';
 
 const seed = Number(process.env.SEED ?? 20_261_204);
 const runs = Number(process.env.RUNS ?? 25);
