--- a/packages/stand-in/src/connect-proxy.ts
+++ b/packages/stand-in/src/connect-proxy.ts
@@ -14,6 +14,8 @@
 	readonly cut: (addresses: Iterable<string>) => void;
 	/** Heals all cuts. Connections that were cut are closed. */
 	readonly heal: () => void;
+	/** The bytes that have passed, both ways. */
+	readonly passed: () => number;
 	readonly close: () => void;
 };
 
@@ -44,6 +46,10 @@
 export async function startConnectProxy(): Promise<ConnectProxy> {
 	const tunnels = new Set<Tunnel>();
 	let cutAddresses = new Set<string>();
+	let passed = 0;
+	const count = (chunk: Uint8Array) => {
+		passed += chunk.length;
+	};
 
 	function open(target: string, near: Socket): void {
 		const [host, port] = target.split(':');
@@ -61,8 +67,8 @@
 		far.on('error', end).on('close', end);
 		far.once('connect', () => {
 			near.write('HTTP/1.1 200 Connection established\r\n\r\n');
-			near.pipe(far);
-			far.pipe(near);
+			near.on('data', count).pipe(far);
+			far.on('data', count).pipe(near);
 		});
 	}
 
@@ -93,6 +99,7 @@
 				closeTunnel(tunnel);
 			}
 		},
+		passed: () => passed,
 		close() {
 			server.close();
 			server.closeAllConnections();
