Check answers' forms, and refuse routes that are never reached

Cause: an answer of another form ended in an internal error of the tool, and a route behind a wider one (the first that matches counts) was taken silently. Conclusion: no answer of a server ends in a crash of the tool.

--- a/packages/configuration/src/contract-check.ts
+++ b/packages/configuration/src/contract-check.ts
@@ -55,6 +55,25 @@
 		: [{file, path: `routes.${index}.path`, reason: `has no segment ${key.segment}, where the key stands`}]);
 }
 
+function covers(one: RouteContract, other: RouteContract): boolean {
+	const segments = one.path.split('/');
+	const others = other.path.split('/');
+	return one.method === other.method
+		&& one.path !== other.path
+		&& segments.length === others.length
+		&& segments.every((segment, index) => segment === '*' || segment === others[index]);
+}
+
+/** Routes are tried in their order, so one after a wider one is never reached. */
+function hiddenRoutes(contract: ServiceContract, file: string): readonly SettingsProblem[] {
+	return contract.routes.flatMap((route, index) => {
+		const hiding = contract.routes.findIndex((other, position) => position < index && covers(other, route));
+		return hiding === -1
+			? []
+			: [{file, path: `routes.${index}.path`, reason: `is never reached: routes.${hiding}, "${contract.routes[hiding]!.path}", comes first`}];
+	});
+}
+
 function slowObjectives(contract: ServiceContract, file: string): readonly SettingsProblem[] {
 	const longest = contract.longestDeadlineMilliseconds;
 	return contract.objectives.flatMap((objective, index) => (objective.withinMilliseconds ?? 0) <= longest
@@ -71,6 +90,7 @@
 		...duplicates(file, 'objectives', contract.objectives.map(objective => objective.name)),
 		...undeclaredUnits(contract, file),
 		...routesWithoutKey(contract, file),
+		...hiddenRoutes(contract, file),
 		...slowObjectives(contract, file),
 	];
 }
--- a/packages/configuration/test/test-surface.ts
+++ b/packages/configuration/test/test-surface.ts
@@ -3,13 +3,14 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {type ServiceContract} from '@dogwooddeck/model/contract';
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {type Result} from 'true-myth/result';
 import {applyConfiguration} from '../src/apply.js';
 import {
 	authorityOf, hashToken, requireOperator, requireTeam,
 } from '../src/authority.js';
-import {checkContract} from '../src/contract-check.js';
+import {checkContract, contractProblems} from '../src/contract-check.js';
 import {
 	parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest,
 } from '../src/messages.js';
@@ -152,6 +153,50 @@
 	});
 }
 
+const route = {method: 'GET', idempotent: true, importance: 'high'} as const;
+
+const contracts: ReadonlyArray<{readonly name: string; readonly more: Partial<ServiceContract>; readonly expected: readonly string[]}> = [
+	{
+		name: 'a route that stands twice',
+		more: {routes: [{...route, path: '/*'}, {...route, path: '/*', idempotent: false}]},
+		expected: ['routes.1: "GET /*" stands twice'],
+	},
+	{
+		name: 'a route behind a wider one',
+		more: {routes: [{...route, path: '/*/*'}, {...route, path: '/*/orders'}, {...route, method: 'POST', path: '/*/orders'}]},
+		expected: ['routes.1.path: is never reached: routes.0, "/*/*", comes first'],
+	},
+	{
+		name: 'a wider route behind a route', more: {routes: [{...route, path: '/*/orders'}, {...route, path: '/*/*'}]}, expected: [],
+	},
+	{
+		name: 'a route without the key\'s segment',
+		more: {key: {place: 'path', segment: 1}, routes: [{...route, path: '/*'}]},
+		expected: ['routes.0.path: has no segment 1, where the key stands'],
+	},
+	{
+		name: 'an objective past the longest deadline',
+		more: {
+			objectives: [{
+				name: 'fast', target: 0.9, withinMilliseconds: 1501, periodDays: 28,
+			}],
+		},
+		expected: ['objectives.0.within: is longer than the longest deadline, 1500 ms'],
+	},
+	{
+		name: 'a limit in an undeclared unit',
+		more: {limits: [{name: 'reads', amount: 1, unit: 'leafing'}]},
+		expected: ['limits.0.unit: the unit "leafing" is not declared under units'],
+	},
+];
+
+for (const {name, more, expected} of contracts) {
+	test(`contract: ${name}`, () => {
+		const problems = contractProblems(contract('bermrand/schedule', more), 'schedule.toml');
+		assert.deepEqual(problems.map(problem => `${problem.path}: ${problem.reason}`), expected);
+	});
+}
+
 test('contract: a check that the caller adds is asked too', () => {
 	const content = {prefix: '/schedule', key: {place: 'path', segment: 0}};
 	const checked = checkContract({file: 'schedule.toml', service: 'bermrand/schedule', content}, [
--- a/packages/control-tool/src/client.ts
+++ b/packages/control-tool/src/client.ts
@@ -8,6 +8,8 @@
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {err, ok, type Result} from 'true-myth/result';
 import {Agent, request} from 'undici';
+import type * as v from 'valibot';
+import {checkAnswer} from './answer-schema.js';
 import {
 	type Attempt, AttemptKind, conclude, settles,
 } from './attempt.js';
@@ -44,7 +46,7 @@
 	try {
 		return ok(JSON.parse(text));
 	} catch {
-		return err(failure(FailureKind.malformed, 'the answer is not JSON'));
+		return err(failure(FailureKind.internal, 'the server\'s answer is not JSON'));
 	}
 }
 
@@ -94,8 +96,16 @@
 	return attempts;
 }
 
-/** Sends a request and gives the body of its answer. Fails with the server's failure, `unreachable` or `outcomeUnknown`. */
-export async function send<Answer>(connection: Connection, sent: OperatorRequest): Promise<Result<Answer, Failure>> {
+/**
+ * Sends a request and gives the checked body of its answer. Fails with the
+ * server's failure, `unreachable`, `outcomeUnknown`, or `internal` for an
+ * answer of another form.
+ */
+export async function send<Answer>(
+	connection: Connection,
+	sent: OperatorRequest,
+	schema: v.GenericSchema<unknown, Answer>,
+): Promise<Result<Answer, Failure>> {
 	const {timeoutMilliseconds} = connection;
 	const agent = new Agent({
 		connect: {timeout: timeoutMilliseconds},
@@ -105,5 +115,5 @@
 	});
 	const attempts = await attemptAll(agent, connection, sent);
 	await agent.destroy();
-	return conclude(attempts, sent.body !== undefined) as Result<Answer, Failure>;
+	return conclude(attempts, sent.body !== undefined).andThen(body => checkAnswer(schema, body));
 }
--- a/packages/control-tool/src/command/apply.ts
+++ b/packages/control-tool/src/command/apply.ts
@@ -14,6 +14,7 @@
 	command, flag, option, positional, string,
 } from 'cmd-ts';
 import {err, ok, type Result} from 'true-myth/result';
+import {acceptedSchema, configurationSchema, membersSchema} from '../answer-schema.js';
 import {send} from '../client.js';
 import {type CommandOutput} from '../output.js';
 import {type Connection} from '../profile.js';
@@ -36,7 +37,7 @@
 
 /** The subtree of a team that stands. */
 export async function fetchConfiguration(connection: Connection, team: TeamName): Promise<Result<ConfigurationAnswer, Failure>> {
-	return send<ConfigurationAnswer>(connection, {path: OperatorPath.configuration, query: {team}});
+	return send(connection, {path: OperatorPath.configuration, query: {team}}, configurationSchema);
 }
 
 function planOutput(folder: TeamFolder, standing: ConfigurationAnswer): CommandOutput {
@@ -106,7 +107,7 @@
 	const rounds = Math.max(1, Math.ceil(limit / pollMilliseconds));
 	let shown = '';
 	for (let round = 0; round < rounds; round += 1) {
-		const members = await send<MembersAnswer>(connection, {path: OperatorPath.members});
+		const members = await send(connection, {path: OperatorPath.members}, membersSchema);
 		if (members.isErr) {
 			return err(members.error);
 		}
@@ -153,7 +154,7 @@
 
 	const {operation, base} = wanted.value;
 	announceOperation(operation, ` base ${base}; to send it again: --operation ${operation} --base ${base}`);
-	const answer = await send<ApplyAnswer>(connection, {path: OperatorPath.apply, body: wanted.value, author: flags.author});
+	const answer = await send(connection, {path: OperatorPath.apply, body: wanted.value, author: flags.author}, acceptedSchema);
 	return answer.isErr ? err(answer.error) : waitIfAsked(connection, answer.value, flags);
 }
 
--- a/packages/control-tool/src/command/read.ts
+++ b/packages/control-tool/src/command/read.ts
@@ -7,6 +7,10 @@
 import {type Failure} from '@dogwooddeck/model/failure';
 import {command, positional, string} from 'cmd-ts';
 import {type Result} from 'true-myth/result';
+import type * as v from 'valibot';
+import {
+	historySchema, membersSchema, ownersSchema, statusSchema,
+} from '../answer-schema.js';
 import {send} from '../client.js';
 import {table, type CommandOutput} from '../output.js';
 import {type Connection} from '../profile.js';
@@ -70,10 +74,10 @@
 	connection: Connection,
 	path: OperatorPath,
 	query: Readonly<Record<string, string>>,
-	describe: (answer: Answer) => readonly string[],
+	form: {readonly schema: v.GenericSchema<unknown, Answer>; readonly describe: (answer: Answer) => readonly string[]},
 ): Promise<Result<CommandOutput, Failure>> {
-	const answer = await send<Answer>(connection, {path, query});
-	return answer.map(data => ({data, lines: describe(data)}));
+	const answer = await send(connection, {path, query}, form.schema);
+	return answer.map(data => ({data, lines: form.describe(data)}));
 }
 
 /** The command `get`. */
@@ -97,7 +101,7 @@
 		const chosen = chosenTeam(team, connection);
 		return chosen.isErr
 			? chosen.cast<CommandOutput>()
-			: readAnswer(connection, OperatorPath.history, {team: chosen.value}, describeHistory);
+			: readAnswer(connection, OperatorPath.history, {team: chosen.value}, {schema: historySchema, describe: describeHistory});
 	}),
 });
 
@@ -107,7 +111,7 @@
 	description: 'Show which upstream owns each slot of a service',
 	args: {...connectionArguments, service: positional({type: string, displayName: 'service', description: 'such as bermrand/schedule'})},
 	handler: async ({service, ...flags}): Promise<CommandRun> =>
-		withConnection(flags, async connection => readAnswer(connection, OperatorPath.owners, {service}, describeOwners)),
+		withConnection(flags, async connection => readAnswer(connection, OperatorPath.owners, {service}, {schema: ownersSchema, describe: describeOwners})),
 });
 
 /** The command `status`. */
@@ -116,7 +120,7 @@
 	description: 'Show what the first server that answers knows of itself',
 	args: connectionArguments,
 	handler: async (flags): Promise<CommandRun> =>
-		withConnection(flags, async connection => readAnswer(connection, OperatorPath.status, {}, describeStatus)),
+		withConnection(flags, async connection => readAnswer(connection, OperatorPath.status, {}, {schema: statusSchema, describe: describeStatus})),
 });
 
 /** The command `members`. */
@@ -125,5 +129,5 @@
 	description: 'Show the instances and the upstreams',
 	args: connectionArguments,
 	handler: async (flags): Promise<CommandRun> =>
-		withConnection(flags, async connection => readAnswer(connection, OperatorPath.members, {}, describeMembers)),
+		withConnection(flags, async connection => readAnswer(connection, OperatorPath.members, {}, {schema: membersSchema, describe: describeMembers})),
 });
--- a/packages/control-tool/src/command/report.ts
+++ b/packages/control-tool/src/command/report.ts
@@ -11,6 +11,7 @@
 	command, oneOf, option, string, subcommands,
 } from 'cmd-ts';
 import {err, ok, type Result} from 'true-myth/result';
+import * as v from 'valibot';
 import {send} from '../client.js';
 import {OutputFormat, type CommandOutput} from '../output.js';
 import {type Connection} from '../profile.js';
@@ -38,8 +39,10 @@
 }
 
 async function report(connection: Connection, format: ReportFormat, out: string): Promise<Result<CommandOutput, Failure>> {
-	const answer = await send<unknown>(connection, {path: OperatorPath.burn});
-	const made = answer.andThen(input => checkInput(input)).map(input => printers[format](makeReport(input)));
+	const answer = await send(connection, {path: OperatorPath.burn}, v.unknown());
+	const made = answer.andThen(input => checkInput(input))
+		.mapErr(reason => reason.kind === FailureKind.malformed ? failure(FailureKind.internal, reason.detail) : reason)
+		.map(input => printers[format](makeReport(input)));
 	if (made.isErr) {
 		return err(made.error);
 	}
--- a/packages/control-tool/src/command/write.ts
+++ b/packages/control-tool/src/command/write.ts
@@ -3,7 +3,7 @@
  * `zone declare-lost`, `token`. Each is an operation that can be sent again.
  */
 import {
-	declareLostConfirmation, OperatorPath, type DrainRequest, type MoveRequest, type TokenRequest, type WriteAnswer, type ZoneDeclareLostRequest,
+	declareLostConfirmation, OperatorPath, type DrainRequest, type MoveRequest, type TokenRequest, type ZoneDeclareLostRequest,
 } from '@dogwooddeck/configuration/messages';
 import {type Failure} from '@dogwooddeck/model/failure';
 import {type OperationIdentifier} from '@dogwooddeck/model/identifiers';
@@ -11,6 +11,7 @@
 	command, number, option, positional, string, subcommands,
 } from 'cmd-ts';
 import {err, type Result} from 'true-myth/result';
+import {writeSchema} from '../answer-schema.js';
 import {send} from '../client.js';
 import {type CommandOutput} from '../output.js';
 import {type Connection} from '../profile.js';
@@ -36,8 +37,8 @@
 	}
 
 	announceOperation(operation.value);
-	const answer = await send<WriteAnswer>(connection, {path, body: bodyOf(operation.value), author: flags.author});
-	return answer.map(data => ({data, lines: [`accepted: ${JSON.stringify(data)}`]}));
+	const answer = await send(connection, {path, body: bodyOf(operation.value), author: flags.author}, writeSchema);
+	return answer.map(data => ({data, lines: [`accepted: operation ${data.operation}`]}));
 }
 
 /** The command `move`. */
