--- a/packages/ownership/src/grantor.ts
+++ b/packages/ownership/src/grantor.ts
@@ -27,6 +27,9 @@
 /** When the leader learned of a zone's release. */
 export type ReleaseSighting = {readonly releasedAt: LogIndex; readonly seenAt: MonotonicTime};
 
+/** A change of policy that every zone has applied. */
+export type SettlingPolicy = {readonly changedAt: LogIndex; readonly since: MonotonicTime};
+
 /** What a leader knows. */
 export type GrantorState = {
 	readonly terms: LeaseTerms;
@@ -36,6 +39,8 @@
 	readonly zones: Readonly<Record<ZoneName, ZoneDelegation>>;
 	readonly releases: Readonly<Record<ZoneName, ReleaseSighting>>;
 	readonly sightings: SeatSightings;
+	/** Since when every zone is known to have applied a change of policy, by service. */
+	readonly settling: Readonly<Record<ServiceName, SettlingPolicy>>;
 };
 
 /** What happens to a grantor. `table` is the leader's own table with every committed entry applied. */
@@ -60,7 +65,7 @@
 /** A leader that was elected now, with a log that ends at `startIndex`. */
 export function createGrantor(now: MonotonicTime, startIndex: LogIndex, terms: LeaseTerms): GrantorState {
 	return {
-		terms, startedAt: now, startIndex, zones: {}, releases: {}, sightings: {},
+		terms, startedAt: now, startIndex, zones: {}, releases: {}, sightings: {}, settling: {},
 	};
 }
 
@@ -128,6 +133,11 @@
 	return dispatch(handlers, event, grantor);
 }
 
+/** Whether a zone was released and nobody was seated since. A roster that lost its last member otherwise is not released. */
+export function isReleased(roster: ZoneRoster): boolean {
+	return roster.releasedAt === roster.changedAt;
+}
+
 /** Whether all that an emptied roster allowed is over: a steward's term and the longest deadline have passed. */
 export function releaseWaited(grantor: GrantorState, roster: ZoneRoster, longestDeadline: Milliseconds, now: MonotonicTime): boolean {
 	const seen = grantor.releases[roster.zone];
@@ -155,7 +165,7 @@
 };
 
 function clearedByRelease(grantor: GrantorState, roster: ZoneRoster, {policy, revokedAt, now}: Case): boolean {
-	const covers = roster.members.length === 0 || revokedAt <= (roster.releasedAt ?? 0);
+	const covers = isReleased(roster) || revokedAt <= (roster.releasedAt ?? 0);
 	return covers && releaseWaited(grantor, roster, waitedDeadline(policy), now);
 }
 
--- a/packages/ownership/src/seat.ts
+++ b/packages/ownership/src/seat.ts
@@ -8,7 +8,9 @@
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type OwnershipCommand, ReleaseReason} from './command.js';
-import {type GrantorState, releaseWaited, zoneOf} from './grantor.js';
+import {
+	type GrantorState, isReleased, releaseWaited, zoneOf,
+} from './grantor.js';
 import {waitedDeadline} from './policy.js';
 import {withheldEvidence} from './sighting.js';
 import {type OwnershipState, type ZoneRoster} from './state.js';
@@ -26,25 +28,30 @@
 }
 
 /**
- * Whether an instance may take the first seat of a roster. The only member's
- * next life may at once, as it stays silent for as long as the earlier one's
- * leases can last. Everyone else waits after a release.
+ * Whether an instance is the next life of a roster's last member. It may take
+ * the first seat at once, as it stays silent for as long as the leases of the
+ * earlier life can last.
  */
-function mayBeFirst(grantor: GrantorState, table: OwnershipState, roster: ZoneRoster, instance: InstanceRecord, now: MonotonicTime): boolean {
-	const heir = roster.previousMembers.length === 1 && roster.previousMembers[0]?.name === instance.name;
-	return heir || releaseWaited(grantor, roster, longestDeadline(table), now);
+function isHeir({members, previousMembers}: ZoneRoster, instance: InstanceRecord): boolean {
+	const [last] = previousMembers;
+	return members.length === 0 && previousMembers.length === 1
+		&& last?.name === instance.name && instance.incarnation > last.incarnation;
 }
 
-/** Whether an earlier life stands in every majority of the roster and of the one before it. */
-function stoodAlone(roster: ZoneRoster, member: InstanceRecord): boolean {
-	const inPrevious = roster.previousMembers.length === 0
-		|| (roster.previousMembers.length <= 2 && roster.previousMembers.some(other => other.name === member.name));
-	return roster.members.length === 1 && inPrevious;
+/** Whether anyone may take the first seat: all that earlier members allowed is over. */
+function isOpen(grantor: GrantorState, table: OwnershipState, roster: ZoneRoster, now: MonotonicTime): boolean {
+	return isReleased(roster) && releaseWaited(grantor, roster, longestDeadline(table), now);
+}
+
+/** Whether the only member of a roster stands in every majority of the one before it too. */
+function standsAlone({members, previousMembers}: ZoneRoster): boolean {
+	const inPrevious = previousMembers.some(other => other.name === members[0]?.name);
+	return members.length === 1 && (previousMembers.length === 0 || (previousMembers.length <= 2 && inPrevious));
 }
 
 function seatNew(grantor: GrantorState, roster: ZoneRoster, record: InstanceRecord): OwnershipCommand | undefined {
-	const free = roster.members.length < seatsPerZone;
-	return free && mayChangeRoster(grantor, roster) ? {kind: 'instanceSeated', record} : undefined;
+	const free = roster.members.length > 0 && roster.members.length < seatsPerZone;
+	return free && mayChangeRoster(grantor, roster) ? {kind: 'instanceSeated', record, changedAt: roster.changedAt} : undefined;
 }
 
 function replace(grantor: GrantorState, roster: ZoneRoster, member: InstanceRecord, record: InstanceRecord): OwnershipCommand | undefined {
@@ -53,31 +60,39 @@
 	}
 
 	const {name, incarnation} = member;
-	const may = mayChangeRoster(grantor, roster) || stoodAlone(roster, member);
-	return may ? {kind: 'instanceUnseated', zone: roster.zone, instance: {name, incarnation}} : undefined;
+	const may = mayChangeRoster(grantor, roster) || standsAlone(roster);
+	return may
+		? {
+			kind: 'instanceUnseated', zone: roster.zone, instance: {name, incarnation}, changedAt: roster.changedAt,
+		}
+		: undefined;
+}
+
+/** Proposes the release of a zone whose old majorities are all over. */
+function proposeRelease(grantor: GrantorState, roster: ZoneRoster): OwnershipCommand | undefined {
+	const canGoOn = mayChangeRoster(grantor, roster) || standsAlone(roster);
+	return !canGoOn && withheldEvidence(roster, grantor.sightings)
+		? {
+			kind: 'zoneReleased', zone: roster.zone, reason: ReleaseReason.withheld, changedAt: roster.changedAt,
+		}
+		: undefined;
 }
 
 /**
- * What to propose for an instance that asks for a seat. Undefined: nothing now;
- * it asks again.
+ * What to propose for an instance that asks for a seat. Give the request to
+ * `stepGrantor` first. Undefined: nothing now; the instance asks again.
  */
 export function proposeSeat(grantor: GrantorState, table: OwnershipState, record: InstanceRecord, now: MonotonicTime): OwnershipCommand | undefined {
 	const roster = table.rosters[record.zone];
 	if (roster === undefined) {
-		return {kind: 'instanceSeated', record};
+		return {kind: 'instanceSeated', record, changedAt: 0};
 	}
 
-	if (roster.members.length === 0) {
-		return mayBeFirst(grantor, table, roster, record, now) ? {kind: 'instanceSeated', record} : undefined;
+	if (isHeir(roster, record) || isOpen(grantor, table, roster, now)) {
+		return {kind: 'instanceSeated', record, changedAt: roster.changedAt};
 	}
 
 	const member = roster.members.find(other => other.name === record.name);
-	return member === undefined ? seatNew(grantor, roster, record) : replace(grantor, roster, member, record);
-}
-
-/** Proposes the release of a zone whose old majorities are all over. */
-export function proposeRelease(grantor: GrantorState, table: OwnershipState, zone: string): OwnershipCommand | undefined {
-	const roster = table.rosters[zone];
-	const over = roster !== undefined && !mayChangeRoster(grantor, roster) && withheldEvidence(roster, grantor.sightings);
-	return over ? {kind: 'zoneReleased', zone, reason: ReleaseReason.withheld} : undefined;
+	return proposeRelease(grantor, roster)
+		?? (member === undefined ? seatNew(grantor, roster, record) : replace(grantor, roster, member, record));
 }
