Test the leader's proposals, and keep seats when a whole zone falls silent

Cause: the cases found that a member heard a little earlier than another lost its seat when the whole zone fell silent: the other still counted as heard for up to 3 s. Before: 'nobody loses a seat in a zone of which nothing is heard' fails with [entry-1#1]. Conclusion: safe in either case, but in a cut a zone of two would have lost its steward on healing.

--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -30,6 +30,9 @@
 /** A member of a roster that isn't heard of for this long loses its seat, where another member of its zone is heard of. */
 export const silentInstanceMilliseconds: Milliseconds = 3000;
 
+/** A member counts as there if it was heard of within this time: in a cut, all of a zone fall silent together. */
+const presentMilliseconds: Milliseconds = 1000;
+
 function ownsSlots(control: ControlState, upstream: UpstreamIdentity): boolean {
 	const assignments = control.ownership.services[upstream.service]?.assignments ?? [];
 	return assignments.some(assignment => assignment.phase !== AssignmentPhase.vacant && sameUpstream(assignment.owner, upstream));
@@ -61,6 +64,10 @@
 	return now - (state.heard[name] ?? state.grantor.startedAt) < silentInstanceMilliseconds;
 }
 
+function isPresent(state: LeaderState, {name}: InstanceRecord, now: MonotonicTime): boolean {
+	return now - (state.heard[name] ?? -Infinity) < presentMilliseconds;
+}
+
 /**
  * Takes the seat of a member that leaves, or that is silent while another is
  * heard. Majorities of the rosters before and after meet, so this is safe
@@ -74,7 +81,7 @@
 
 	const gone = members.find(member => state.seats[member.name]?.leaving === true && sameInstance(member, state.seats[member.name]!.instance))
 		?? members.find(member => !isHeard(state, member, now));
-	const another = members.some(member => member !== gone && state.heard[member.name] !== undefined && isHeard(state, member, now));
+	const another = members.some(member => member !== gone && isPresent(state, member, now));
 	return gone !== undefined && another
 		? {
 			kind: 'instanceUnseated', zone, changedAt: roster.changedAt, instance: {name: gone.name, incarnation: gone.incarnation},
--- /dev/null
+++ b/packages/control/test/test-apply.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {defaultContract, type ServiceContract} from '@dogwooddeck/model/contract';
+import {FailureKind} from '@dogwooddeck/model/failure';
+import {UpstreamPhase} from '@dogwooddeck/model/registry';
+import {applyEntry} from '@dogwooddeck/control/apply';
+import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
+import {
+	type ControlState, decodeControl, emptyControl, encodeControl,
+} from '@dogwooddeck/control/state';
+
+const contract: ServiceContract = {
+	...defaultContract, name: 'team/service', prefix: '/service', key: {place: 'path', segment: 0}, slots: 4,
+};
+
+const subtree: ControlCommand = {
+	kind: 'subtreeApplied', team: 'team', operation: 'operation-1', base: 0, services: [contract], author: '', at: 0,
+};
+
+const joined: ControlCommand = {
+	kind: 'upstreamJoined',
+	record: {
+		service: contract.name, name: 'one', incarnation: 1, region: 'noord', zone: 'noord-a', address: '127.0.0.1:4', phase: UpstreamPhase.serving,
+	},
+};
+
+const drain: ControlCommand = {kind: 'operatorAsked', operation: 'drain-0001', command: {kind: 'drainAsked', service: contract.name, upstream: 'one'}};
+
+function applied(payloads: readonly string[]): {readonly state: ControlState; readonly last: readonly string[]} {
+	let state = emptyControl;
+	let last: readonly string[] = [];
+	for (const payload of payloads) {
+		const next = applyEntry(state, payload, state.applied + 1);
+		const restored = decodeControl(encodeControl(next.state));
+		state = restored.unwrapOr(emptyControl);
+		last = next.answers.map(answer => answer.isOk ? `ok ${answer.value.index}` : answer.error.kind);
+	}
+
+	return {state, last};
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly payloads: readonly string[]; readonly last: readonly string[]}> = [
+	{name: 'an entry of several commands answers each', payloads: [encodeCommands([subtree, joined])], last: ['ok 1', 'ok 1']},
+	{name: 'a payload that is no JSON moves the index alone', payloads: ['{'], last: [FailureKind.malformed]},
+	{name: 'a command of an unknown kind is refused', payloads: ['[{"kind":"constructor"}]'], last: [FailureKind.malformed]},
+	{
+		name: 'an operator\'s command that is sent again gets its first answer, through snapshots',
+		payloads: [encodeCommands([subtree, joined]), encodeCommands([drain]), encodeCommands([drain])],
+		last: ['ok 2'],
+	},
+	{
+		name: 'an operation that stands for another command is a conflict',
+		payloads: [encodeCommands([subtree, joined]), encodeCommands([drain]), encodeCommands([{
+			kind: 'operatorAsked', operation: 'drain-0001', command: {kind: 'drainAsked', service: contract.name, upstream: 'two'},
+		}])],
+		last: [FailureKind.conflict],
+	},
+	{
+		name: 'a move to an upstream that isn\'t there is refused',
+		payloads: [encodeCommands([subtree]), encodeCommands([{
+			kind: 'moveWished', service: contract.name, slot: 0, upstream: 'one',
+		}])],
+		last: [FailureKind.notFound],
+	},
+];
+
+for (const {name, payloads, last} of cases) {
+	test(`apply: ${name}`, () => {
+		const result = applied(payloads);
+		assert.deepEqual(result.last, last);
+		assert.equal(result.state.applied, payloads.length);
+	});
+}
--- /dev/null
+++ b/packages/control/test/test-leader.ts
@@ -0,0 +1,208 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {defaultContract, type ServiceContract, WhenCut} from '@dogwooddeck/model/contract';
+import {type Announcement, type InstanceRecord} from '@dogwooddeck/model/registry';
+import {emptyReport} from '@dogwooddeck/model/lease';
+import {defaultLeaseTerms} from '@dogwooddeck/ownership/terms';
+import {applyEntry} from '@dogwooddeck/control/apply';
+import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
+import {
+	createLeader, type LeaderEvent, type LeaderState, stepLeader,
+} from '@dogwooddeck/control/leader';
+import {silentInstanceMilliseconds} from '@dogwooddeck/control/proposals';
+import {formationMilliseconds} from '@dogwooddeck/control/service-proposals';
+import {type ControlState, emptyControl} from '@dogwooddeck/control/state';
+
+const contract: ServiceContract = {
+	...defaultContract, name: 'team/service', prefix: '/service', key: {place: 'path', segment: 0}, slots: 8, whenCut: WhenCut.hold,
+};
+
+function instance(name: string, incarnation = 1, zone = 'noord-a'): InstanceRecord {
+	return {
+		name, incarnation, zone, region: 'noord', peerAddress: '127.0.0.1:1', callerAddress: '127.0.0.1:2', operatorAddress: '127.0.0.1:3',
+	};
+}
+
+function announcement(name: string, incarnation = 1): Announcement {
+	return {
+		service: contract.name, name, incarnation, region: 'noord', zone: 'noord-a', address: `127.0.0.1:4${incarnation}`, leaving: false, load: 0,
+	};
+}
+
+/** A leader whose proposals are all accepted at once. */
+class World {
+	control: ControlState = emptyControl;
+	leader: LeaderState = createLeader(0, emptyControl, defaultLeaseTerms, (key, slots) => key.length % slots);
+	now = 0;
+	readonly proposed: ControlCommand[] = [];
+
+	apply(...commands: ControlCommand[]): void {
+		this.control = applyEntry(this.control, encodeCommands(commands), this.control.applied + 1).state;
+	}
+
+	step(event: LeaderEvent): void {
+		const next = stepLeader(this.leader, event);
+		this.leader = next.state;
+		for (const effect of next.effects) {
+			if (effect.kind === 'propose') {
+				this.proposed.push(...effect.commands);
+				this.apply(...effect.commands);
+				this.step({kind: 'proposalEnded', now: this.now, control: this.control});
+			}
+		}
+	}
+
+	report(zone: string, announcements: readonly Announcement[], holders: readonly string[]): void {
+		this.step({
+			kind: 'delegationRequested',
+			now: this.now,
+			quorumHeardAt: this.now,
+			control: this.control,
+			request: {
+				zone,
+				steward: {name: holders[0]!, incarnation: 1},
+				applied: this.control.applied,
+				drained: this.control.applied,
+				report: {...emptyReport, announcements},
+				holders: holders.map(name => ({name, incarnation: 1})),
+			},
+		});
+	}
+
+	/** Lets time pass in ticks of 100 ms; the zone's steward reports at each. */
+	pass(duration: number, announcements: readonly Announcement[], holders: readonly string[]): void {
+		for (const end = this.now + duration; this.now < end;) {
+			this.now += 100;
+			if (holders.length > 0) {
+				this.report('noord-a', announcements, holders);
+			}
+
+			this.step({kind: 'ticked', now: this.now, control: this.control});
+		}
+	}
+
+	seat(record: InstanceRecord, leaving = false): void {
+		this.step({
+			kind: 'seatRequested', now: this.now, control: this.control, request: {instance: record, applied: 0, leaving},
+		});
+	}
+
+	members(): readonly string[] {
+		return (this.control.ownership.rosters['noord-a']?.members ?? []).map(({name, incarnation}) => `${name}#${incarnation}`);
+	}
+
+	owners(): readonly string[] {
+		const {assignments} = this.control.ownership.services[contract.name]!;
+		return assignments.map(assignment => assignment.phase === 'vacant' ? '' : assignment.owner.name);
+	}
+}
+
+function begun(...names: readonly string[]): World {
+	const world = new World();
+	world.apply({
+		kind: 'subtreeApplied', team: 'team', operation: 'operation-1', base: 0, services: [contract], author: '', at: 0,
+	});
+	for (const name of names) {
+		world.seat(instance(name));
+		world.pass(2500, [], world.members().map(member => member.split('#', 1)[0]!));
+	}
+
+	return world;
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly run: () => void}> = [
+	{
+		name: 'a service\'s first keys are divided over the upstreams that come together',
+		run() {
+			const world = begun('entry-1');
+			world.pass(200, [announcement('one')], ['entry-1']);
+			assert.deepEqual(new Set(world.owners()), new Set(['']));
+			world.pass(formationMilliseconds + 500, [announcement('one'), announcement('two')], ['entry-1']);
+			assert.equal(world.owners().filter(owner => owner === 'one').length, 4);
+			assert.equal(world.owners().filter(owner => owner === 'two').length, 4);
+		},
+	},
+	{
+		name: 'a silent member loses its seat while another of its zone is heard',
+		run() {
+			const world = begun('entry-1', 'entry-2');
+			assert.deepEqual(world.members(), ['entry-1#1', 'entry-2#1']);
+			world.pass(silentInstanceMilliseconds + 500, [], ['entry-1']);
+			assert.deepEqual(world.members(), ['entry-1#1']);
+		},
+	},
+	{
+		name: 'nobody loses a seat in a zone of which nothing is heard',
+		run() {
+			const world = begun('entry-1', 'entry-2');
+			world.pass(500, [], ['entry-1', 'entry-2']);
+			world.pass(10 * silentInstanceMilliseconds, [], []);
+			assert.deepEqual(world.members(), ['entry-1#1', 'entry-2#1']);
+		},
+	},
+	{
+		name: 'a leaving member gives its seat up at once',
+		run() {
+			const world = begun('entry-1', 'entry-2');
+			world.seat(instance('entry-2'), true);
+			world.pass(200, [], ['entry-1', 'entry-2']);
+			assert.deepEqual(world.members(), ['entry-1#1']);
+		},
+	},
+	{
+		name: 'the only member keeps its seat when it leaves',
+		run() {
+			const world = begun('entry-1');
+			world.seat(instance('entry-1'), true);
+			world.pass(500, [], ['entry-1']);
+			assert.deepEqual(world.members(), ['entry-1#1']);
+		},
+	},
+	{
+		name: 'a restarted member gives its earlier life\'s seat up at once and is seated when its silence is over',
+		run() {
+			const world = begun('entry-1', 'entry-2');
+			const later = instance('entry-2', 2);
+			world.seat(later);
+			world.pass(300, [], ['entry-1']);
+			assert.deepEqual(world.members(), ['entry-1#1']);
+			for (let count = 0; count < 6; count++) {
+				world.seat(later);
+				world.pass(300, [], ['entry-1']);
+			}
+
+			assert.deepEqual(world.members(), ['entry-1#1', 'entry-2#2']);
+		},
+	},
+	{
+		name: 'a wished move is made, and the wish is met',
+		run() {
+			const world = begun('entry-1');
+			const both = [announcement('one'), announcement('two')];
+			world.pass(3000, both, ['entry-1']);
+			const slot = world.owners().indexOf('one');
+			world.apply({
+				kind: 'operatorAsked', operation: 'move-0001', command: {
+					kind: 'moveWished', service: contract.name, slot, upstream: 'two',
+				},
+			});
+			world.pass(1000, both, ['entry-1']);
+			assert.equal(world.owners()[slot], 'two');
+			assert.deepEqual(world.control.wishes, []);
+		},
+	},
+	{
+		name: 'the keys of an upstream that falls silent go to the others',
+		run() {
+			const world = begun('entry-1');
+			world.pass(3000, [announcement('one'), announcement('two'), announcement('three')], ['entry-1']);
+			world.pass(4000, [announcement('one'), announcement('two')], ['entry-1']);
+			assert.equal(world.owners().includes('three'), false);
+			assert.equal(world.owners().includes(''), false);
+		},
+	},
+];
+
+for (const {name, run} of cases) {
+	test(`leader: ${name}`, run);
+}
--- /dev/null
+++ b/packages/limits/test/test-sharing.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Counted, LimitScope, WindowForm} from '@dogwooddeck/model/contract';
+import {type LimitDemand} from '@dogwooddeck/model/share';
+import {
+	createSharing, shareMilliseconds, shareOut, type SharingState,
+} from '@dogwooddeck/limits/sharing';
+import {type EffectiveLimit} from '@dogwooddeck/limits/unit';
+
+const limit: EffectiveLimit = {
+	amount: 100, intervalMilliseconds: 10_000, window: WindowForm.sliding, burst: 1, counts: Counted.requests, scope: LimitScope.deployment,
+};
+
+const memoryMilliseconds = shareMilliseconds + limit.intervalMilliseconds + 1000;
+
+function demand(holder: string, sequence: number, wanted: number, held = 0): LimitDemand {
+	return {
+		service: 'team/service', limit: 'limit', caller: '', holder, sequence, wanted, held, usable: held,
+	};
+}
+
+type Asked = {readonly at: number; readonly demand: LimitDemand};
+
+function amounts(state: SharingState, asked: readonly Asked[]): readonly number[] {
+	let next = state;
+	return asked.map(({at, demand: one}) => {
+		const answered = shareOut(next, one, limit, at);
+		next = answered.state;
+		return answered.share?.amount ?? -1;
+	});
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly state: SharingState; readonly asked: readonly Asked[]; readonly expected: readonly number[]}> = [
+	{
+		name: 'the limit of a new service is free at once',
+		state: createSharing(0, []),
+		asked: [{at: 1, demand: demand('one', 1, 40)}],
+		expected: [80],
+	},
+	{
+		name: 'the first holder leaves the rest to the next',
+		state: createSharing(0, []),
+		asked: [{at: 1, demand: demand('one', 1, 40)}, {at: 2, demand: demand('two', 1, 40)}],
+		expected: [80, 20],
+	},
+	{
+		name: 'a new leader gives nothing new of a service that an earlier one divided',
+		state: createSharing(0, ['team/service']),
+		asked: [{at: 1, demand: demand('one', 1, 40)}, {at: 2, demand: demand('two', 1, 40, 30)}],
+		expected: [0, 30],
+	},
+	{
+		name: 'a new leader divides once all earlier shares are forgotten',
+		state: createSharing(0, ['team/service']),
+		asked: [{at: memoryMilliseconds, demand: demand('one', 1, 40)}],
+		expected: [80],
+	},
+	{
+		name: 'a demand that comes late gets no share',
+		state: createSharing(0, []),
+		asked: [{at: 1, demand: demand('one', 2, 40)}, {at: 2, demand: demand('one', 1, 40)}],
+		expected: [80, -1],
+	},
+];
+
+for (const {name, state, asked, expected} of cases) {
+	test(`sharing: ${name}`, () => {
+		assert.deepEqual(amounts(state, asked), expected);
+	});
+}
