Look measures up once for each series

Cause: each request built the names of two series with JSON.stringify. Change: counters and histograms are kept by the caller. Conclusion: behaviour is the same.

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -33,6 +33,7 @@
 import {createOperatorSurface, type MemberReport} from './operator-surface.js';
 import {createPeerHandlers} from './peer-service.js';
 import {createReportCollector} from './report-collector.js';
+import {createRequestMeasures} from './request-measures.js';
 import {createRequestPath} from './request-path.js';
 import {type InstanceSettings, isVoter} from './settings.js';
 import {startVoter, type VoterRunner} from './voter-runner.js';
@@ -96,6 +97,7 @@
 	const flights = createFlights(terms);
 	const evidence = createEvidenceRecorder();
 	const measures = createMeasures();
+	const requestMeasures = createRequestMeasures(measures);
 	const limiter = createLimiter(identity);
 	const ownReports = createReportCollector(identity, () => evidence.take(), () => limiter.takeDemands());
 	const zoneReports = createReportCollector(identity, () => [], () => []);
@@ -197,7 +199,7 @@
 			return answer.isOk ? JSON.parse(answer.value) as MemberReport : undefined;
 		},
 		announce: createAnnouncements(holder, settings.keys.announce, announcement => {
-			measures.add(MeasureName.announcements, {service: announcement.service});
+			measures.counter(MeasureName.announcements, {service: announcement.service}).value += 1;
 			ownReports.announced(announcement);
 		}),
 		burn: async () => ok(await burn.input()),
@@ -227,8 +229,7 @@
 		hash,
 		requestEnded(service, opened, report) {
 			burn.record(service, opened?.idempotent ?? false, report);
-			measures.add(MeasureName.requests, {service, outcome: report.outcome, status: String(report.status ?? 0)});
-			measures.record(MeasureName.latency, {service}, report.latencyMilliseconds);
+			requestMeasures.note(service, report);
 			if (report.failure !== undefined) {
 				log.event(EventName.requestFailed, {service, failure: report.failure.kind, outcome: report.outcome});
 			}
--- /dev/null
+++ b/packages/daemon/src/request-measures.ts
@@ -0,0 +1,50 @@
+/**
+ * Counts requests and their latencies. Series are looked up once for each
+ * service, outcome and status.
+ */
+import {type ServiceName} from '@dogwooddeck/model/identifiers';
+import {
+	type Counter, MeasureName, type Measures, recordDuration,
+} from '@dogwooddeck/telemetry/measure';
+import {type RequestReport} from '@dogwooddeck/upstream-client/request-path';
+
+/** Counts requests. */
+export type RequestMeasures = {
+	readonly note: (service: ServiceName, report: RequestReport) => void;
+};
+
+type Series = {
+	readonly latencies: ReturnType<Measures['histogram']>;
+	/** By outcome and status. */
+	readonly counters: Map<string, Counter>;
+};
+
+/** Makes the counts of an instance's requests. */
+export function createRequestMeasures(measures: Measures): RequestMeasures {
+	const services = new Map<ServiceName, Series>();
+
+	function seriesOf(service: ServiceName): Series {
+		let series = services.get(service);
+		if (series === undefined) {
+			series = {latencies: measures.histogram(MeasureName.latency, {service}), counters: new Map()};
+			services.set(service, series);
+		}
+
+		return series;
+	}
+
+	return {
+		note(service, {outcome, status = 0, latencyMilliseconds}) {
+			const {latencies, counters} = seriesOf(service);
+			const key = `${outcome}${status}`;
+			let counter = counters.get(key);
+			if (counter === undefined) {
+				counter = measures.counter(MeasureName.requests, {service, outcome, status: String(status)});
+				counters.set(key, counter);
+			}
+
+			counter.value += 1;
+			recordDuration(latencies, latencyMilliseconds);
+		},
+	};
+}
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -37,14 +37,17 @@
 /** Tells one series of a measure from another. */
 export type Labels = Readonly<Record<string, string>>;
 
+/** One series that counts. Keep it: finding it costs more than counting. */
+export type Counter = {value: number};
+
 /** The measures of one instance. The structures are mutable: they are on the request path. */
 export type Measures = {
-	/** Adds to a counter. */
-	readonly add: (name: MeasureName, labels: Labels, amount?: number) => void;
+	/** The counter of a series. */
+	readonly counter: (name: MeasureName, labels: Labels) => Counter;
 	/** Sets a gauge. */
 	readonly set: (name: MeasureName, value: number) => void;
-	/** Records a duration. */
-	readonly record: (name: MeasureName, labels: Labels, duration: Milliseconds) => void;
+	/** The histogram of a series of durations. Record with `recordDuration`. */
+	readonly histogram: (name: MeasureName, labels: Labels) => Histogram;
 	/** All measures as text, one series a line. */
 	readonly expose: () => string;
 };
@@ -78,9 +81,15 @@
 	return made;
 }
 
+/** Records a duration in a histogram that `histogram` gave. */
+export function recordDuration(histogram: Histogram, duration: Milliseconds): void {
+	const capped = Math.min(longestRecordedMilliseconds, Math.max(0, duration));
+	histogram.recordValue(Math.round(capped * unitsPerMillisecond));
+}
+
 /** Makes an empty set of measures. */
 export function createMeasures(): Measures {
-	const values = new Map<string, number>();
+	const counters = new Map<string, Counter>();
 	const histograms = new Map<string, {name: MeasureName; labels: Labels; histogram: Histogram}>();
 
 	function histogramLines(): string[] {
@@ -94,20 +103,13 @@
 	}
 
 	return {
-		add(name, labels, amount = 1) {
-			const series = seriesOf(name, labels);
-			values.set(series, (values.get(series) ?? 0) + amount);
-		},
+		counter: (name, labels) => found(counters, seriesOf(name, labels), () => ({value: 0})),
 		set(name, value) {
-			values.set(name, value);
-		},
-		record(name, labels, duration) {
-			const {histogram} = found(histograms, seriesOf(name, labels), () => ({name, labels, histogram: createHistogram()}));
-			const capped = Math.min(longestRecordedMilliseconds, Math.max(0, duration));
-			histogram.recordValue(Math.round(capped * unitsPerMillisecond));
+			found(counters, name, () => ({value: 0})).value = value;
 		},
+		histogram: (name, labels) => found(histograms, seriesOf(name, labels), () => ({name, labels, histogram: createHistogram()})).histogram,
 		expose() {
-			const lines = [...values].map(([series, value]) => `${series} ${value}`);
+			const lines = [...counters].map(([series, {value}]) => `${series} ${value}`);
 			return [...lines, ...histogramLines()].sort().join('\n') + '\n';
 		},
 	};
