--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -31,6 +31,8 @@
 	readonly zone: ZoneName;
 	readonly checksFence: boolean;
 	readonly workMilliseconds?: number;
+	/** Requests that it runs at one time. */
+	readonly slots?: number;
 };
 
 /** The addresses of an instance, each as `IP:port`. */
@@ -209,6 +211,8 @@
 				nearestFirst(instances, plan.zone).join(','),
 				'--token',
 				announceKey,
+				'--slots',
+				String(plan.slots ?? 3),
 				'--work-milliseconds',
 				String(plan.workMilliseconds ?? 1),
 				...(plan.checksFence ? ['--checks-fence'] : []),
--- a/packages/stand-in/test/test-failures.ts
+++ b/packages/stand-in/test/test-failures.ts
@@ -26,6 +26,7 @@
 const keys = Array.from({length: 24}, (_, number) => `verge-${number}`);
 const serveAgainMilliseconds = 4000;
 const patience = 20_000;
+const movedSlots = 24;
 
 type Owner = {readonly slot: number; readonly phase: string; readonly upstream?: string; readonly zone?: string};
 
@@ -126,23 +127,25 @@
 
 async function freezesRouter(deployment: Deployment): Promise<void> {
 	const frozen = deployment.instances[3]!;
-	const watcher = startWatcher([frozen], keys);
+	const watcher = startWatcher(deployment.instances, keys);
 	await pause(500);
 	const before = await owned(deployment, deployment.instances[0]!, 'viewer-noord-a');
 	frozen.child.signal('SIGSTOP');
 	const stopped = monotonicNow();
-	for (const {slot} of before.slice(0, 6)) {
+	for (const {slot} of before.slice(0, movedSlots)) {
 		const moved = await deployment.control('move', 'bermrand/schedule', String(slot), 'viewer-zuid-a');
 		assert.equal(moved.code, 0, moved.output);
 	}
 
 	await eventually('the slots are moved', patience, async () => {
 		const all = await owners(deployment, deployment.instances[0]!);
-		return before.slice(0, 6).every(({slot}) => all[slot]?.phase === 'granted' && all[slot].upstream === 'viewer-zuid-a');
+		return before.slice(0, movedSlots).every(({slot}) => all[slot]?.phase === 'granted' && all[slot].upstream === 'viewer-zuid-a');
 	});
 	const movedAt = monotonicNow();
-	frozen.child.signal('SIGCONT');
 	await served(watcher, movedAt);
+	frozen.child.signal('SIGCONT');
+	await eventually('the frozen instance serves again', patience, () =>
+		watcher.sightings.filter(({instance, sentAt, status}) => instance === frozen.name && sentAt > movedAt && status === 200).length > keys.length);
 	await pause(1000);
 	const sightings = await watcher.stop();
 	console.log(`frozen for ${Math.round(movedAt - stopped)} ms; ${sightings.length} requests`);
