Compare subtrees without looking at every pair

Cause: applying a subtree of 256 services took 36.15 ms of the one loop, most of it in comparing prefixes pair by pair (profile: 4,098 of about 10,800 ms). Change: prefixes are compared without new texts, services are found by a map.

--- a/packages/configuration/src/comparison.ts
+++ b/packages/configuration/src/comparison.ts
@@ -55,11 +55,10 @@
 
 /** Each service that differs between the old and the new subtree, by name. */
 export function compareSubtrees(before: readonly ServiceContract[], after: readonly ServiceContract[]): readonly Change[] {
-	const names = [...new Set([...before, ...after].map(contract => contract.name))].sort();
-	return names.flatMap(name => compareService(
-		before.find(contract => contract.name === name),
-		after.find(contract => contract.name === name),
-	));
+	const former = new Map(before.map(contract => [contract.name, contract]));
+	const wanted = new Map(after.map(contract => [contract.name, contract]));
+	const names = [...new Set([...former.keys(), ...wanted.keys()])].sort();
+	return names.flatMap(name => compareService(former.get(name), wanted.get(name)));
 }
 
 function shown(value: unknown): string {
--- a/packages/configuration/src/contract-check.ts
+++ b/packages/configuration/src/contract-check.ts
@@ -118,22 +118,23 @@
 
 /** Whether a path that starts with one prefix may start with the other too. */
 export function prefixesOverlap(one: string, other: string): boolean {
-	return `${one}/`.startsWith(`${other}/`) || `${other}/`.startsWith(`${one}/`);
+	const [short, long] = one.length <= other.length ? [one, other] : [other, one];
+	return long.startsWith(short) && (long.length === short.length || long[short.length] === '/');
 }
 
 function sameKey(one: KeySource, other: KeySource): boolean {
 	return JSON.stringify(one) === JSON.stringify(other);
 }
 
-function conflictReason(contract: ServiceContract, other: ServiceContract): string | undefined {
+function conflict(contract: ServiceContract, other: ServiceContract): boolean {
+	return contract.name === other.name || prefixesOverlap(contract.prefix, other.prefix);
+}
+
+function conflictReason(contract: ServiceContract, other: ServiceContract): string {
 	if (contract.name === other.name) {
 		return `the service "${other.name}" stands twice`;
 	}
 
-	if (!prefixesOverlap(contract.prefix, other.prefix)) {
-		return undefined;
-	}
-
 	const keys = sameKey(contract.key, other.key) ? '' : ', and reads its key from another place';
 	return `"${contract.prefix}" overlaps "${other.prefix}" of ${other.name}${keys}`;
 }
@@ -147,10 +148,11 @@
 	others: readonly ServiceContract[],
 	fileOf: (contract: ServiceContract) => string = contract => contract.name,
 ): readonly SettingsProblem[] {
-	return wanted.flatMap((contract, index) => [...wanted.slice(0, index), ...others].flatMap(other => {
-		const reason = conflictReason(contract, other);
-		return reason === undefined ? [] : [{file: fileOf(contract), path: 'prefix', reason}];
-	}));
+	return wanted.flatMap((contract, index) => {
+		const earlier = wanted.slice(0, index).filter(other => conflict(contract, other));
+		const foreign = others.filter(other => conflict(contract, other));
+		return [...earlier, ...foreign].map(other => ({file: fileOf(contract), path: 'prefix', reason: conflictReason(contract, other)}));
+	});
 }
 
 /** What may not change for a service that stands already: its number of slots. */
@@ -159,10 +161,11 @@
 	wanted: readonly ServiceContract[],
 	fileOf: (contract: ServiceContract) => string = contract => contract.name,
 ): readonly SettingsProblem[] {
+	const slotsOf = new Map(standing.map(contract => [contract.name, contract.slots]));
 	return wanted.flatMap(contract => {
-		const former = standing.find(other => other.name === contract.name);
-		return former === undefined || former.slots === contract.slots
+		const former = slotsOf.get(contract.name);
+		return former === undefined || former === contract.slots
 			? []
-			: [{file: fileOf(contract), path: 'slots', reason: `is ${former.slots} and never changes for a service, found ${contract.slots}`}];
+			: [{file: fileOf(contract), path: 'slots', reason: `is ${former} and never changes for a service, found ${contract.slots}`}];
 	});
 }
