Tell latency of whole answers alone, and an overspent budget in words

Cause: run against the real daemon without upstreams, the report told the latency of refusals (5 requests, 50th 1111 ms) and a budget left of -99900 %. Change: only whole answers count for latency; LatencySummary.requests is now answers; a budget below 0 reads 'overspent N times'. The page was not rendered: no browser here.

--- a/packages/burn/src/encoding.ts
+++ b/packages/burn/src/encoding.ts
@@ -36,7 +36,7 @@
 
 function isHistogram(latency: ServiceLatency): boolean {
 	try {
-		return isCount(summariseLatency(latency).requests);
+		return isCount(summariseLatency(latency).answers);
 	} catch {
 		return false;
 	}
--- a/packages/burn/src/latency.ts
+++ b/packages/burn/src/latency.ts
@@ -6,7 +6,7 @@
 	build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram,
 } from 'hdr-histogram-js';
 
-/** The latencies of a service's requests; the histogram is in compressed base64. */
+/** The latencies of a service's whole answers; the histogram is in compressed base64. */
 export type ServiceLatency = {
 	readonly service: ServiceName;
 	readonly histogram: string;
@@ -15,7 +15,7 @@
 /** Latencies at some points of their distribution. */
 export type LatencySummary = {
 	readonly service: ServiceName;
-	readonly requests: number;
+	readonly answers: number;
 	readonly medianMilliseconds: Milliseconds;
 	readonly percentile99Milliseconds: Milliseconds;
 	readonly longestMilliseconds: Milliseconds;
@@ -62,7 +62,7 @@
 	const decoded = decodeFromCompressedBase64(histogram);
 	return {
 		service,
-		requests: decoded.totalCount,
+		answers: decoded.totalCount,
 		medianMilliseconds: decoded.getValueAtPercentile(50),
 		percentile99Milliseconds: decoded.getValueAtPercentile(99),
 		longestMilliseconds: decoded.maxValue,
--- a/packages/burn/src/recorder.ts
+++ b/packages/burn/src/recorder.ts
@@ -5,10 +5,15 @@
 import {type Objective, type ServiceContract} from '@dogwooddeck/model/contract';
 import {type ServiceName, type WallTime} from '@dogwooddeck/model/identifiers';
 import {type Histogram} from 'hdr-histogram-js';
-import {Judgement, judge, type RequestSample} from './judgement.js';
+import {
+	Judgement, judge, RequestEnd, type RequestSample,
+} from './judgement.js';
 import {emptyHistogram, encodeHistogram, recordLatency} from './latency.js';
 import {intervalMilliseconds, type BurnInterval, type ObjectiveCounts} from './window.js';
 
+/** The ends with a whole answer, whose latency means something. */
+const answeredEnds: ReadonlySet<RequestEnd> = new Set([RequestEnd.answered, RequestEnd.failed]);
+
 type MutableCounts = {
 	total: number;
 	slow: number;
@@ -61,7 +66,10 @@
 	/** Counts one request for each objective of its service. */
 	record(contract: Pick<ServiceContract, 'name' | 'objectives'>, sample: RequestSample): void {
 		const record = this.#recordOf(contract.name);
-		recordLatency(record.latencies, sample.latencyMilliseconds);
+		if (answeredEnds.has(sample.end)) {
+			recordLatency(record.latencies, sample.latencyMilliseconds);
+		}
+
 		for (const objective of contract.objectives) {
 			counters[judge(sample, objective)](this.#countsOf(record, objective.name));
 		}
--- a/packages/burn/src/report-page.ts
+++ b/packages/burn/src/report-page.ts
@@ -3,7 +3,7 @@
  */
 import {plotPoints} from './plot.js';
 import {
-	coverageLine, showBad, showObjective, showRate, showShare,
+	coverageLine, showBad, showBudget, showObjective, showRate,
 } from './report-text.js';
 import {type BurnReport, type ObjectiveBurn} from './report.js';
 
@@ -46,7 +46,7 @@
 		cell(burn.objective.name),
 		cell(showObjective(burn)),
 		...burn.windows.map(window => cell(showRate(window.burnRate), (window.burnRate ?? 0) > 1)),
-		cell(showShare(burn.budgetLeft), burn.budgetLeft < 0),
+		cell(showBudget(burn.budgetLeft), burn.budgetLeft < 0),
 		cell(showBad(burn.windows.at(-1)!)),
 	].join('');
 }
@@ -58,9 +58,9 @@
 }
 
 function latencyTable(report: BurnReport): string {
-	return tableOf(['service', 'requests', '50th', '99th', 'longest'], report.latencies.map(latency => [
+	return tableOf(['service', 'answers', '50th', '99th', 'longest'], report.latencies.map(latency => [
 		cell(latency.service),
-		cell(String(latency.requests)),
+		cell(String(latency.answers)),
 		cell(`${latency.medianMilliseconds} ms`),
 		cell(`${latency.percentile99Milliseconds} ms`),
 		cell(`${latency.longestMilliseconds} ms`),
--- a/packages/burn/src/report-text.ts
+++ b/packages/burn/src/report-text.ts
@@ -9,11 +9,15 @@
 	return rate === undefined ? '-' : rate.toFixed(2);
 }
 
-/** A share for a person. */
-export function showShare(share: number): string {
+function showShare(share: number): string {
 	return `${(share * 100).toFixed(1)} %`;
 }
 
+/** What is left of a budget, for a person. */
+export function showBudget(left: number): string {
+	return left < 0 ? `overspent ${(1 - left).toFixed(1)} times` : showShare(left);
+}
+
 /** What an objective asks for, for a person. */
 export function showObjective({objective}: ObjectiveBurn): string {
 	const within = objective.withinMilliseconds === undefined ? '' : ` within ${objective.withinMilliseconds} ms`;
@@ -33,7 +37,7 @@
 
 function objectiveRows(report: BurnReport): ReadonlyArray<readonly string[]> {
 	return report.objectives.map(burn => [
-		burn.objective.service, burn.objective.name, showObjective(burn), ...burn.windows.map(window => showRate(window.burnRate)), showShare(burn.budgetLeft), showBad(burn.windows.at(-1)!),
+		burn.objective.service, burn.objective.name, showObjective(burn), ...burn.windows.map(window => showRate(window.burnRate)), showBudget(burn.budgetLeft), showBad(burn.windows.at(-1)!),
 	]);
 }
 
@@ -44,9 +48,9 @@
 
 function latencyLines(report: BurnReport): readonly string[] {
 	const rows = report.latencies.map(latency => [
-		latency.service, String(latency.requests), `${latency.medianMilliseconds} ms`, `${latency.percentile99Milliseconds} ms`, `${latency.longestMilliseconds} ms`,
+		latency.service, String(latency.answers), `${latency.medianMilliseconds} ms`, `${latency.percentile99Milliseconds} ms`, `${latency.longestMilliseconds} ms`,
 	]);
-	return aligned([['service', 'requests 1 h', '50th', '99th', 'longest'], ...rows]);
+	return aligned([['service', 'answers 1 h', '50th', '99th', 'longest'], ...rows]);
 }
 
 function figureLines(report: BurnReport): readonly string[] {
