--- a/packages/consensus/test/test-schedules.ts
+++ b/packages/consensus/test/test-schedules.ts
@@ -592,6 +592,19 @@
 			schedule.settle();
 		},
 	},
+	{
+		name: 'a hand-over that does not come about ends leadership all the same',
+		play(seed) {
+			const schedule = started(seed, names3);
+			schedule.settle();
+			const old = schedule.leader()!;
+			schedule.handle(old, {kind: 'handOverRequested', now: schedule.now});
+			schedule.cut.add(old.voter!.leadership!.handOver!.successor.name);
+			schedule.run(options.electionMilliseconds + 50);
+			assert.notEqual(roleOf(old.voter!), Role.leader);
+			schedule.settle();
+		},
+	},
 	{
 		name: 'envelopes that are foreign or malformed change nothing',
 		play(seed) {
--- a/packages/limits/test/test-division.ts
+++ b/packages/limits/test/test-division.ts
@@ -18,7 +18,7 @@
 const stepMilliseconds = 20;
 const renewMilliseconds = 500;
 /** By how much the wall clocks of instances may differ. */
-const skewMilliseconds = 50;
+const skewMilliseconds = 200;
 const zones = 3;
 const instancesInZone = 3;
 const instances = zones * instancesInZone;
@@ -26,7 +26,7 @@
 type Share = {readonly amount: number; readonly until: number};
 type Use = {readonly at: number; readonly wall: number; readonly cost: number};
 
-type Faults = {readonly loss: number; readonly lostHolder: number; readonly newDivider: number; readonly delay: number};
+type Faults = {readonly loss: number; readonly lostHolder: number; readonly newDivider: number; readonly cutZone: number; readonly delay: number};
 
 const noShare: Share = {amount: 0, until: 0};
 
@@ -67,6 +67,7 @@
 	readonly #skews: readonly number[];
 	readonly #downUntil: number[] = Array.from({length: instances}, () => 0);
 	readonly #sequences = new Map<string, number>();
+	readonly #cutUntil: number[] = Array.from({length: zones}, () => 0);
 	readonly #lives: number[] = Array.from({length: instances}, () => 0);
 	readonly #answers: Array<{readonly at: number; readonly take: () => unknown}> = [];
 
@@ -162,7 +163,7 @@
 	}
 
 	#renewZone(zone: number): void {
-		if ((this.now + (zone * 100)) % renewMilliseconds >= stepMilliseconds) {
+		if (this.now < this.#cutUntil[zone]! || (this.now + (zone * 100)) % renewMilliseconds >= stepMilliseconds) {
 			return;
 		}
 
@@ -193,6 +194,10 @@
 			this.#buckets[instance] = createBucket(this.#limit);
 		}
 
+		if (this.#random() < this.#faults.cutZone) {
+			this.#cutUntil[Math.floor(this.#random() * zones)] = this.now + (this.#random() * 10_000);
+		}
+
 		if (this.#random() < this.#faults.newDivider) {
 			this.#control = createDivision(options, this.#limit.amount, Infinity, this.now);
 		}
@@ -245,7 +250,7 @@
 const runs = Number(process.env.RUNS ?? 25);
 
 const hard: Faults = {
-	loss: 0.2, lostHolder: 0.005, newDivider: 0.002, delay: 300,
+	loss: 0.2, lostHolder: 0.005, newDivider: 0.002, cutZone: 0.003, delay: 300,
 };
 
 const contracts: ReadonlyArray<{readonly name: string; readonly limit: EffectiveLimit}> = [
@@ -276,10 +281,22 @@
 	});
 }
 
+test('division: an outdated request changes nothing', () => {
+	const first = createFirstDivision(optionsFor(limitOf(WindowForm.fixed, 1000, 1, 10)), 10, Infinity, 0);
+	const request = {
+		kind: 'shareRequested', now: 1, holder: 'a', sequence: 2, wanted: 8, held: 0, usable: 0,
+	} as const;
+	const {state, effects} = stepDivision(first, request);
+	assert.equal(effects[0]?.amount, 10);
+	for (const sequence of [1, 2]) {
+		assert.deepEqual(stepDivision(state, {...request, sequence}), {state, effects: []});
+	}
+});
+
 /** Shares of the load that could have been admitted and was, over 2 minutes whose busiest instance changes each 30 s. */
 function usable(limit: EffectiveLimit, load: number): {readonly divided: number; readonly equal: number} {
 	const deployment = new Deployment(limit, 7, {
-		loss: 0, lostHolder: 0, newDivider: 0, delay: 5,
+		loss: 0, lostHolder: 0, newDivider: 0, cutZone: 0, delay: 5,
 	});
 	let equal = 0;
 	const duration = 120_000;
--- a/packages/limits/test/test-unit.ts
+++ b/packages/limits/test/test-unit.ts
@@ -3,7 +3,7 @@
 import {
 	Counted, LimitScope, Rounding, WindowForm, type LegacyUnit,
 } from '@dogwooddeck/model/contract';
-import {admit, createBucket} from '@dogwooddeck/limits/bucket';
+import {admit, createBucket, usedShare} from '@dogwooddeck/limits/bucket';
 import {effectiveLimit, type EffectiveLimit} from '@dogwooddeck/limits/unit';
 
 const unit: LegacyUnit = {
@@ -78,3 +78,29 @@
 		}
 	});
 }
+
+const reports: ReadonlyArray<{readonly name: string; readonly window: WindowForm; readonly now: number; readonly skew: number; readonly expected: number}> = [
+	{
+		name: 'the window that goes on', window: WindowForm.fixed, now: 950, skew: 0, expected: 3,
+	},
+	{
+		name: 'a window that may go on elsewhere', window: WindowForm.fixed, now: 1050, skew: 100, expected: 3,
+	},
+	{
+		name: 'a window that has ended everywhere', window: WindowForm.fixed, now: 1200, skew: 100, expected: 1,
+	},
+	{
+		name: 'a sliding window', window: WindowForm.sliding, now: 1050, skew: 0, expected: 4,
+	},
+	{
+		name: 'a sliding window that has ended', window: WindowForm.sliding, now: 2100, skew: 0, expected: 0,
+	},
+];
+
+for (const {name, window, now, skew, expected} of reports) {
+	test(`bucket: what was used is reported for ${name}`, () => {
+		const used = admit(createBucket({...limit, window, amount: 9}), 900, 900, 3, 9).state;
+		const later = now < 1000 ? used : admit(used, 1020, 1020, 1, 9).state;
+		assert.equal(usedShare(later, now, now, skew), expected);
+	});
+}
