--- a/packages/control-tool/src/command/apply.ts
+++ b/packages/control-tool/src/command/apply.ts
@@ -14,6 +14,7 @@
 	command, flag, option, positional, string,
 } from 'cmd-ts';
 import {err, ok, type Result} from 'true-myth/result';
+import {acceptedSchema, configurationSchema, membersSchema} from '../answer-schema.js';
 import {send} from '../client.js';
 import {type CommandOutput} from '../output.js';
 import {type Connection} from '../profile.js';
@@ -36,7 +37,7 @@
 
 /** The subtree of a team that stands. */
 export async function fetchConfiguration(connection: Connection, team: TeamName): Promise<Result<ConfigurationAnswer, Failure>> {
-	return send<ConfigurationAnswer>(connection, {path: OperatorPath.configuration, query: {team}});
+	return send(connection, {path: OperatorPath.configuration, query: {team}}, configurationSchema);
 }
 
 function planOutput(folder: TeamFolder, standing: ConfigurationAnswer): CommandOutput {
@@ -81,25 +82,38 @@
 }
 
 /** How many of the instances that were heard from of late have a revision in force. */
-type InForce = {readonly inForce: number; readonly instances: number; readonly lacking: readonly string[]};
+type InForce = {
+	readonly inForce: number;
+	readonly instances: number;
+	readonly lacking: readonly string[];
+	/** The instances that were not heard from: whether the revision is in force there isn't known. */
+	readonly silent: readonly string[];
+};
 
 function countInForce(members: MembersAnswer, revision: number): InForce {
 	const alive = members.instances.filter(member => member.alive);
 	const lacking = alive.filter(member => member.applied < revision).map(member => member.name);
-	return {inForce: alive.length - lacking.length, instances: alive.length, lacking};
+	const silent = members.instances.filter(member => !member.alive).map(member => member.name);
+	return {
+		inForce: alive.length - lacking.length, instances: alive.length, lacking, silent,
+	};
+}
+
+function silentPart({silent}: InForce): string {
+	return silent.length === 0 ? '' : `; not heard from: ${silent.join(', ')}`;
 }
 
 async function waitInForce(connection: Connection, revision: number, limit: Milliseconds): Promise<Result<InForce, Failure>> {
 	const rounds = Math.max(1, Math.ceil(limit / pollMilliseconds));
 	let shown = '';
 	for (let round = 0; round < rounds; round += 1) {
-		const members = await send<MembersAnswer>(connection, {path: OperatorPath.members});
+		const members = await send(connection, {path: OperatorPath.members}, membersSchema);
 		if (members.isErr) {
 			return err(members.error);
 		}
 
 		const count = countInForce(members.value, revision);
-		const line = `revision ${revision} in force on ${count.inForce} of ${count.instances} instances\n`;
+		const line = `revision ${revision} in force on ${count.inForce} of ${count.instances} instances${silentPart(count)}\n`;
 		process.stderr.write(line === shown ? '' : line);
 		shown = line;
 		if (count.instances > 0 && count.lacking.length === 0) {
@@ -127,7 +141,7 @@
 	const count = await waitInForce(connection, accepted.revision, limit);
 	return count.map(inForce => ({
 		data: {...accepted, ...inForce},
-		lines: [`${accepted.team}: revision ${accepted.revision} is in force on all ${inForce.instances} instances`],
+		lines: [`${accepted.team}: revision ${accepted.revision} is in force on all ${inForce.instances} instances${silentPart(inForce)}`],
 	}));
 }
 
@@ -140,7 +154,7 @@
 
 	const {operation, base} = wanted.value;
 	announceOperation(operation, ` base ${base}; to send it again: --operation ${operation} --base ${base}`);
-	const answer = await send<ApplyAnswer>(connection, {path: OperatorPath.apply, body: wanted.value, author: flags.author});
+	const answer = await send(connection, {path: OperatorPath.apply, body: wanted.value, author: flags.author}, acceptedSchema);
 	return answer.isErr ? err(answer.error) : waitIfAsked(connection, answer.value, flags);
 }
 
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -20,7 +20,9 @@
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {type PeerClients} from '@dogwooddeck/wire/client';
-import {type CatchUp, type PeerCall, type PeerCalls, type WithCatchUp} from '@dogwooddeck/wire/methods';
+import {
+	type CatchUp, type PeerCalls, type WithCatchUp,
+} from '@dogwooddeck/wire/methods';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ControlHolder} from './control-holder.js';
 import {type InstanceSettings} from './settings.js';
@@ -58,6 +60,8 @@
 };
 
 const tickMilliseconds: Milliseconds = 50;
+/** The pause after a refused proposal. */
+const refusedMilliseconds: Milliseconds = 50;
 const callMilliseconds: Milliseconds = 1000;
 const proposeMilliseconds: Milliseconds = 5000;
 
@@ -107,7 +111,15 @@
 			log.warning(EventName.commandRefused, {failure: refusal.isErr ? refusal.error.kind : '', detail: refusal.isErr ? refusal.error.detail : ''});
 		}
 
-		step({kind: 'proposalEnded', now: monotonicNow(), control: holder.state()});
+		const ended = () => {
+			step({kind: 'proposalEnded', now: monotonicNow(), control: holder.state()});
+		};
+
+		if (proposed.isOk) {
+			ended();
+		} else {
+			setTimeout(ended, refusedMilliseconds);
+		}
 	}
 
 	let delegationAnswer: DelegationAnswer | undefined;
@@ -136,7 +148,7 @@
 		const voter = surroundings.voter()!;
 		const read = await voter.read();
 		if (read.isOk && voter.isLeader() && leading === undefined) {
-			leading = createLeader(monotonicNow(), holder.state().applied, surroundings.terms, surroundings.hash);
+			leading = createLeader(monotonicNow(), holder.state(), surroundings.terms, surroundings.hash);
 		}
 	}
 
@@ -169,7 +181,7 @@
 
 	async function takeProposal(payload: string): Promise<Result<PeerCalls['propose']['answer'], Failure>> {
 		const voter = surroundings.voter();
-		if (voter === undefined || !voter.isLeader()) {
+		if (!voter?.isLeader()) {
 			return err(notLeader());
 		}
 
@@ -180,7 +192,7 @@
 
 	async function takeVoter(joining: VoterIdentity): Promise<Result<undefined, Failure>> {
 		const voter = surroundings.voter();
-		if (voter === undefined || !voter.isLeader()) {
+		if (!voter?.isLeader()) {
 			return err(notLeader());
 		}
 
@@ -216,7 +228,7 @@
 			return local[call](request);
 		}
 
-		return clients.call(addresses.get(name)!, call as PeerCall, request, timeouts[call]) as Promise<Result<PeerCalls[Call]['answer'], Failure>>;
+		return clients.call<Call>(addresses.get(name)!, call, request, timeouts[call]);
 	}
 
 	const passedOn: ReadonlySet<FailureKind> = new Set([FailureKind.notLeader, FailureKind.unreachable, FailureKind.notReady]);
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -24,12 +24,15 @@
 import {
 	allowsRetry, bookAttempt, createRetryBudget, type RetryBudget,
 } from '@dogwooddeck/routing/budget';
+import {fingerprintOf} from '@dogwooddeck/routing/claim-fingerprint';
 import {deadlineOf} from '@dogwooddeck/routing/deadline';
 import {Seen, seenRules} from '@dogwooddeck/routing/outcome';
 import {
 	createTargetIndex, matchService, readKey, type RequestHead, routeOf, type ServiceTarget, type TargetIndex,
 } from '@dogwooddeck/routing/target';
-import {type OpenedRequest, type RequestOwner, type RequestPath, type RequestReport} from '@dogwooddeck/upstream-client/request-path';
+import {
+	type OpenedRequest, type RequestOwner, type RequestPath, type RequestReport,
+} from '@dogwooddeck/upstream-client/request-path';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClaimRunner} from './claim-runner.js';
 import {type ControlHolder} from './control-holder.js';
@@ -42,8 +45,9 @@
 	readonly key: string;
 	readonly hashSlot: Slot;
 	readonly operationKey: string;
-	readonly method: string;
-	readonly path: string;
+	readonly head: RequestHead;
+	/** Whether the contracted limits have admitted it. */
+	isWithinLimits: boolean;
 };
 
 /** The owner of a request's key. */
@@ -168,8 +172,8 @@
 			key,
 			hashSlot: hash(key, contract.slots),
 			operationKey,
-			method: head.method,
-			path: head.path,
+			head,
+			isWithinLimits: false,
 			deadline: Math.min(deadlineOf(contract, head, now), now + longest),
 			idempotent: treatment.idempotent,
 			importance: treatment.importance,
@@ -196,11 +200,23 @@
 		}
 
 		return operationKeyOf(head)
-			.map(operationKey => opened(target, head, key.value, operationKey))
-			.andThen(request => limiter.admit(request, head).map(() => request));
+			.map(operationKey => opened(target, head, key.value, operationKey));
 	}
 
 	function locate(request: Opened): Result<Owner, Failure> {
+		if (!request.isWithinLimits) {
+			const admitted = limiter.admit(request.target.contract, request.head, request.idempotent);
+			if (admitted.isErr) {
+				return err(admitted.error);
+			}
+
+			request.isWithinLimits = true;
+		}
+
+		return findOwner(request);
+	}
+
+	function findOwner(request: Opened): Result<Owner, Failure> {
 		const state = holder.state();
 		const {contract} = request.target;
 		const assignments = state.ownership.services[contract.name];
@@ -271,12 +287,11 @@
 			}
 		},
 		claim(request, body, decided) {
-			const fingerprint = [request.method, request.path, body === undefined ? '' : hash(new TextDecoder('latin1').decode(body), 2 ** 32)].join(' ');
 			return claims.claim({
 				service: request.target.contract.name,
 				key: request.key,
 				operationKey: request.operationKey,
-				fingerprint,
+				fingerprint: fingerprintOf(request.head, body),
 				runsForMilliseconds: request.deadline - monotonicNow() + claimMarginMilliseconds,
 			}, decided);
 		},
--- a/packages/daemon/src/voter-runner.ts
+++ b/packages/daemon/src/voter-runner.ts
@@ -76,7 +76,7 @@
 	const reads: Array<{readonly index: LogIndex; readonly settle: Settle}> = [];
 
 	function settleReads(): void {
-		const applied = holder.state().applied;
+		const {applied} = holder.state();
 		const ready = reads.filter(({index}) => index <= applied);
 		for (const read of ready) {
 			reads.splice(reads.indexOf(read), 1);
@@ -109,9 +109,14 @@
 		step({kind: 'persisted', now: monotonicNow(), ticket: effect.ticket});
 	}
 
+	async function writeAfter(earlier: Promise<void>, later: Promise<void>): Promise<void> {
+		await earlier;
+		await later;
+	}
+
 	const effects: HandlerTable<ConsensusEffect, [], void> = {
 		persist(effect) {
-			writing = Promise.all([writing, write(effect)]).then(() => undefined);
+			writing = writeAfter(writing, write(effect));
 		},
 		send({envelope}) {
 			surroundings.send(envelope);
--- a/packages/daemon/src/zone-runner.ts
+++ b/packages/daemon/src/zone-runner.ts
@@ -4,7 +4,9 @@
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {type InstanceName, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {
+	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime,
+} from '@dogwooddeck/model/identifiers';
 import {
 	type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
 } from '@dogwooddeck/model/lease';
@@ -26,6 +28,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
+import {shareHolder} from './limiter.js';
 import {type ReportCollector} from './report-collector.js';
 
 /** This instance's part in its zone. */
@@ -40,8 +43,8 @@
 	readonly takeSupportRequest: (request: SupportRequest) => Promise<Result<SupportAnswer, Failure>>;
 	/** Another instance has applied this much: fetch what is new. */
 	readonly takeNotice: (applied: number) => void;
-	/** A planned stop: stand and renew no more. */
-	readonly resign: () => void;
+	/** A planned stop: stand no more, and give the seat up unless it is the zone's only one. */
+	readonly leave: () => void;
 	readonly stop: () => void;
 };
 
@@ -57,16 +60,21 @@
 	readonly ownReports: ReportCollector;
 	/** What this instance passes on as steward. */
 	readonly zoneReports: ReportCollector;
-	readonly takeShares: (shares: readonly LimitShare[], sentAt: MonotonicTime) => void;
-	readonly zoneShares: (shares: readonly LimitShare[], sentAt: MonotonicTime) => void;
-	/** The shares that the steward gives an instance with its lease. */
-	readonly divideShares: (request: LeaseRequest) => readonly LimitShare[];
+	readonly takeShares: (shares: readonly LimitShare[]) => void;
+	/** Whether a request waits for the share of a limit. */
+	readonly lacksShares: () => boolean;
 	readonly log: Log;
 };
 
 const tickMilliseconds: Milliseconds = 20;
 const peerMilliseconds: Milliseconds = 500;
 const seatMilliseconds: Milliseconds = 300;
+const holderMilliseconds: Milliseconds = 2000;
+/** The pause before a lease is asked for again that wasn't given. */
+const lackingMilliseconds: Milliseconds = 60;
+
+/** The shares that wait for an instance's next request. */
+const sharesAtMost = 4096;
 
 /** Starts the runner. */
 export function startZone(surroundings: ZoneSurroundings): ZoneRunner {
@@ -76,10 +84,14 @@
 	let steward: InstanceRecord | undefined;
 	let seatAskedAt = -Infinity;
 	let asking = false;
+	let lacking = false;
 	let fetching = false;
 	let wasSteward = false;
 	let hadLease = false;
+	let leaving = false;
 	const notified = new Map<InstanceName, number>();
+	const sharesToPass = new Map<string, readonly LimitShare[]>();
+	const leaseAskers = new Map<InstanceName, {readonly instance: InstanceRecord; readonly at: MonotonicTime}>();
 
 	function zoneMembers(): readonly InstanceRecord[] {
 		return holder.state().ownership.rosters[self.zone]?.members ?? [];
@@ -101,15 +113,34 @@
 		}
 	}
 
+	function passOnShares(shares: readonly LimitShare[]): void {
+		for (const share of shares) {
+			const waiting = sharesToPass.get(share.holder) ?? [];
+			sharesToPass.set(share.holder, [...waiting, share].slice(-sharesAtMost));
+		}
+	}
+
+	function sharesFor(instance: InstanceRecord): readonly LimitShare[] {
+		const holderName = shareHolder(instance);
+		const shares = sharesToPass.get(holderName) ?? [];
+		sharesToPass.delete(holderName);
+		return shares;
+	}
+
+	function recentHolders(now: MonotonicTime): readonly InstanceIdentity[] {
+		const recent = [...leaseAskers.values()].filter(({at}) => now - at < holderMilliseconds);
+		return recent.map(({instance}) => ({name: instance.name, incarnation: instance.incarnation}));
+	}
+
 	async function askDelegation(sentAt: MonotonicTime, request: DelegationRequest): Promise<void> {
 		const report = surroundings.zoneReports.take();
-		const answer = await control.callLeader('delegate', {...request, report});
+		const answer = await control.callLeader('delegate', {...request, report, holders: recentHolders(sentAt)});
 		if (answer.isErr) {
 			return;
 		}
 
 		holder.catchUp(answer.value.catchUp);
-		surroundings.zoneShares(answer.value.answer.shares, sentAt);
+		passOnShares(answer.value.answer.shares);
 		step({
 			kind: 'delegationAnswered', now: monotonicNow(), sentAt, applied: request.applied, answer: answer.value.answer,
 		});
@@ -162,6 +193,7 @@
 		}
 
 		surroundings.zoneReports.merge(request.report);
+		leaseAskers.set(request.instance.name, {instance: request.instance, at: now});
 		leaseAnswer = undefined;
 		step({kind: 'leaseRequested', now, request});
 		const answer = leaseAnswer as LeaseAnswer | undefined;
@@ -169,7 +201,7 @@
 			return err(failure(FailureKind.notReady, `${self.name} gives no lease now`));
 		}
 
-		return ok({answer: {...answer, shares: surroundings.divideShares(request)}, catchUp: holder.after(request.applied)});
+		return ok({answer: {...answer, shares: sharesFor(request.instance)}, catchUp: holder.after(request.applied)});
 	}
 
 	async function askSteward(request: LeaseRequest): Promise<Result<WithCatchUp<LeaseAnswer>, Failure>> {
@@ -195,7 +227,8 @@
 	async function renew(now: MonotonicTime): Promise<void> {
 		const table = holder.state();
 		const drained = flights.drained(table.ownership, table.applied, now);
-		if (asking || !requestDue(lease, now, table.applied, drained)) {
+		const due = requestDue(lease, now, table.applied, drained) || ((lacking || surroundings.lacksShares()) && now >= lease.sentAt + lackingMilliseconds);
+		if (asking || !due) {
 			return;
 		}
 
@@ -205,21 +238,23 @@
 			instance: self, applied: table.applied, drained, report: surroundings.ownReports.take(),
 		});
 		asking = false;
+		lacking = answer.isErr || answer.value.answer.controlMilliseconds === 0;
 		if (answer.isOk) {
 			holder.catchUp(answer.value.catchUp);
 			lease = answered(lease, {sentAt: now, answer: answer.value.answer});
-			surroundings.takeShares(answer.value.answer.shares, now);
+			surroundings.takeShares(answer.value.answer.shares);
 			steward = memberNamed(answer.value.answer.steward.name) ?? steward;
 		}
 	}
 
 	async function askSeat(now: MonotonicTime): Promise<void> {
-		if (isSeated(state) || now < seatAskedAt + seatMilliseconds) {
+		const content = isSeated(state) ? holdsLease(lease, now) && !leaving : leaving;
+		if (content || now < seatAskedAt + seatMilliseconds) {
 			return;
 		}
 
 		seatAskedAt = now;
-		const answer = await control.callLeader('seat', {instance: self, applied: holder.state().applied});
+		const answer = await control.callLeader('seat', {instance: self, applied: holder.state().applied, leaving});
 		if (answer.isOk) {
 			holder.catchUp(answer.value);
 			return;
@@ -298,8 +333,9 @@
 				void fetchFrom(isSteward(state, monotonicNow()) ? leaderRecord?.peerAddress : steward?.peerAddress);
 			}
 		},
-		resign() {
+		leave() {
 			step({kind: 'resigned', now: monotonicNow()});
+			leaving = zoneMembers().length > 1;
 		},
 		stop() {
 			clearInterval(ticking);
--- a/packages/membership/src/watch.ts
+++ b/packages/membership/src/watch.ts
@@ -26,6 +26,8 @@
 export const announcementTimeoutMilliseconds: Milliseconds = 1000;
 /** A zone that sends no report for this long can't be reached: what isn't heard of its upstreams says nothing. */
 export const zoneTimeoutMilliseconds: Milliseconds = 1000;
+/** A zone must have sent this many reports without an upstream before its silence counts. */
+export const silentReportsForVerdict = 2;
 /** When a large part of a service's upstreams in a zone goes silent at once, the verdict waits for this much more silence. */
 export const stormConfirmationMilliseconds: Milliseconds = 500;
 /** Silence of more than this share of a service's upstreams in a zone looks like a cut, not like deaths. */
@@ -42,6 +44,8 @@
 	/** The latest announcement. */
 	readonly announcement?: Announcement;
 	readonly heardAt: MonotonicTime;
+	/** The number of reports of the upstream's zone when it was heard. */
+	readonly heardInReport: number;
 	/** When the incarnation was first heard by this leader. Absent: it was in the registry before. */
 	readonly joinedAt?: MonotonicTime;
 	/** When the record was first seen as lost. */
@@ -56,6 +60,8 @@
 	readonly reportedAt: MonotonicTime;
 	/** The start of the present run of reports without a long gap. */
 	readonly reachableSince: MonotonicTime;
+	/** The number of reports that this leader had from the zone. */
+	readonly reports: number;
 };
 
 /** The leader's view. */
@@ -63,7 +69,7 @@
 	readonly startedAt: MonotonicTime;
 	readonly zones: Readonly<Record<ZoneName, ZoneWatch>>;
 	/** By service and name, joined as `upstreamKey` says. */
-	readonly upstreams: Readonly<Record<string, UpstreamWatch>>;
+	readonly upstreams: ReadonlyMap<string, UpstreamWatch>;
 };
 
 /** What the watch is fed with. */
@@ -96,11 +102,17 @@
 
 /** The view of a leader that begins now. */
 export function createWatch(now: MonotonicTime): WatchState {
-	return {startedAt: now, zones: {}, upstreams: {}};
+	return {startedAt: now, zones: {}, upstreams: new Map()};
+}
+
+function unheard(state: WatchState): UpstreamWatch {
+	return {
+		heardAt: state.startedAt, heardInReport: 0, witnesses: {}, flaps: {lives: []},
+	};
 }
 
 function watchOf(state: WatchState, service: ServiceName, name: string): UpstreamWatch {
-	return state.upstreams[upstreamKey(service, name)] ?? {heardAt: state.startedAt, witnesses: {}, flaps: {lives: []}};
+	return state.upstreams.get(upstreamKey(service, name)) ?? unheard(state);
 }
 
 /** When this leader first heard the incarnation. Absent: before this leader's time. */
@@ -118,46 +130,50 @@
 /** How many of a service's upstreams changed lives several times in a short while. */
 export function flappingCount(state: WatchState, service: ServiceName, now: MonotonicTime): number {
 	const prefix = upstreamKey(service, '');
-	const histories = Object.entries(state.upstreams).filter(([key]) => key.startsWith(prefix)).map(([, watch]) => watch.flaps);
+	const histories = [...state.upstreams].filter(([key]) => key.startsWith(prefix)).map(([, watch]) => watch.flaps);
 	return flappingUpstreams(histories, now);
 }
 
-function hearAnnouncement(watch: UpstreamWatch, announcement: Announcement, now: MonotonicTime): UpstreamWatch {
+function hearAnnouncement(watch: UpstreamWatch, announcement: Announcement, heardInReport: number, now: MonotonicTime): UpstreamWatch {
 	const known = watch.announcement;
 	if (known !== undefined && known.incarnation > announcement.incarnation) {
 		return watch;
 	}
 
 	if (known?.incarnation === announcement.incarnation) {
-		return {...watch, announcement, heardAt: now};
+		return {
+			...watch, announcement, heardAt: now, heardInReport,
+		};
 	}
 
 	const {lostAt: _lostAt, proposedAt: _proposedAt, ...kept} = watch;
 	return {
-		...kept, announcement, heardAt: now, joinedAt: now, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
+		...kept, announcement, heardAt: now, heardInReport, joinedAt: now, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
 	};
 }
 
 function hearZone(zone: ZoneWatch | undefined, now: MonotonicTime): ZoneWatch {
 	const isContinuous = zone !== undefined && now - zone.reportedAt <= zoneTimeoutMilliseconds;
-	return {reportedAt: now, reachableSince: isContinuous ? zone.reachableSince : now};
+	return {reportedAt: now, reachableSince: isContinuous ? zone.reachableSince : now, reports: (zone?.reports ?? 0) + 1};
 }
 
 function receive(event: Extract<WatchEvent, {readonly kind: 'reportReceived'}>, state: WatchState): Transition<WatchState, WatchEffect> {
 	const {now, report, reporter} = event;
-	const upstreams: Record<string, UpstreamWatch> = {...state.upstreams};
+	const zones = {...state.zones, [reporter.zone]: hearZone(state.zones[reporter.zone], now)};
+	const upstreams = new Map(state.upstreams);
 	for (const announcement of report.announcements) {
-		const key = upstreamKey(announcement.service, announcement.name);
-		upstreams[key] = hearAnnouncement(watchOf({...state, upstreams}, announcement.service, announcement.name), announcement, now);
+		const {service, name, zone} = announcement;
+		const key = upstreamKey(service, name);
+		upstreams.set(key, hearAnnouncement(upstreams.get(key) ?? unheard(state), announcement, zones[zone]?.reports ?? 0, now));
 	}
 
 	for (const evidence of report.evidence) {
 		const {service, name} = evidence.upstream;
-		const watch = watchOf({...state, upstreams}, service, name);
-		upstreams[upstreamKey(service, name)] = {...watch, witnesses: noteEvidence(watch.witnesses, evidence, reporter.zone, now)};
+		const key = upstreamKey(service, name);
+		const watch = upstreams.get(key) ?? unheard(state);
+		upstreams.set(key, {...watch, witnesses: noteEvidence(watch.witnesses, evidence, reporter.zone, now)});
 	}
 
-	const zones = {...state.zones, [reporter.zone]: hearZone(state.zones[reporter.zone], now)};
 	return {state: {...state, zones, upstreams}, effects: []};
 }
 
@@ -174,6 +190,20 @@
 	return tick.now - Math.max(heardAt, reachableSince);
 }
 
+/** Whether the upstream's zone had its chance to tell of it. A zone out of reach is judged by the contract. */
+function isMissedByZone(state: WatchState, tick: Tick, record: UpstreamRecord): boolean {
+	const isWatched = (tick.rosterSizes[record.zone] ?? 0) > 0;
+	const reports = state.zones[record.zone]?.reports ?? 0;
+	const {heardInReport} = watchOf(state, record.service, record.name);
+	return !isWatched || !isZoneReachable(state, tick, record.zone) || reports - heardInReport >= silentReportsForVerdict;
+}
+
+/** A later life that announces itself ends the earlier, also while it is held back itself. */
+function isOver(state: WatchState, record: UpstreamRecord): boolean {
+	const {announcement} = watchOf(state, record.service, record.name);
+	return announcement !== undefined && announcement.incarnation > record.incarnation;
+}
+
 type ZoneView = {
 	readonly isReachable: boolean;
 	readonly isStorm: boolean;
@@ -212,7 +242,9 @@
 	const zones = new Map([...new Set(records.map(record => record.zone))].map(zone => [zone, viewZone(state, tick, records, zone)]));
 	return records
 		.filter(record => record.phase !== UpstreamPhase.lost)
-		.filter(record => condemned.has(record) || silenceSaysLost(silenceOf(state, tick, record), contract, zones.get(record.zone)!))
+		.filter(record => condemned.has(record)
+			|| isOver(state, record)
+			|| (isMissedByZone(state, tick, record) && silenceSaysLost(silenceOf(state, tick, record), contract, zones.get(record.zone)!)))
 		.map(record => ({kind: 'upstreamPhaseChanged', upstream: identityOf(record), phase: UpstreamPhase.lost}));
 }
 
@@ -247,7 +279,7 @@
 
 function joinCommands(state: WatchState, tick: Tick): MembershipCommand[] {
 	const services = new Set(tick.contracts.map(contract => contract.name));
-	return Object.values(state.upstreams).flatMap(watch => {
+	return [...state.upstreams.values()].flatMap(watch => {
 		const {announcement, heardAt, flaps} = watch;
 		const isDue = announcement !== undefined
 			&& services.has(announcement.service)
@@ -263,31 +295,35 @@
 }
 
 function noteProposals(state: WatchState, commands: readonly MembershipCommand[], now: MonotonicTime): WatchState {
-	const upstreams: Record<string, UpstreamWatch> = {...state.upstreams};
+	if (commands.length === 0) {
+		return state;
+	}
+
+	const upstreams = new Map(state.upstreams);
 	for (const {service, name} of commands.map(command => targetOf(command))) {
-		upstreams[upstreamKey(service, name)] = {...watchOf(state, service, name), proposedAt: now};
+		upstreams.set(upstreamKey(service, name), {...watchOf(state, service, name), proposedAt: now});
 	}
 
 	return {...state, upstreams};
 }
 
 function noteLosses(state: WatchState, tick: Tick): WatchState {
-	const upstreams: Record<string, UpstreamWatch> = {...state.upstreams};
-	for (const record of tick.contracts.flatMap(contract => upstreamsOf(tick.registry, contract.name))) {
-		const watch = watchOf(state, record.service, record.name);
-		if (record.phase === UpstreamPhase.lost && watch.lostAt === undefined) {
-			upstreams[upstreamKey(record.service, record.name)] = {...watch, lostAt: tick.now};
-		}
+	const lost = tick.contracts
+		.flatMap(contract => upstreamsOf(tick.registry, contract.name))
+		.filter(({service, name, phase}) => phase === UpstreamPhase.lost && watchOf(state, service, name).lostAt === undefined);
+	if (lost.length === 0) {
+		return state;
 	}
 
-	return {...state, upstreams};
+	const noted = lost.map(({service, name}) => [upstreamKey(service, name), {...watchOf(state, service, name), lostAt: tick.now}] as const);
+	return {...state, upstreams: new Map([...state.upstreams, ...noted])};
 }
 
 /** Drops what is known of upstreams that are silent for long and have no record. */
 function dropForgotten(state: WatchState, tick: Tick): WatchState {
-	const kept = Object.entries(state.upstreams).filter(([, {announcement, heardAt}]) => tick.now - heardAt <= forgetAfterMilliseconds
+	const kept = [...state.upstreams].filter(([, {announcement, heardAt}]) => tick.now - heardAt <= forgetAfterMilliseconds
 		|| (announcement !== undefined && upstreamOf(tick.registry, announcement) !== undefined));
-	return kept.length === Object.keys(state.upstreams).length ? state : {...state, upstreams: Object.fromEntries(kept)};
+	return kept.length === state.upstreams.size ? state : {...state, upstreams: new Map(kept)};
 }
 
 function isUnproposed(state: WatchState, now: MonotonicTime): (command: MembershipCommand) => boolean {
--- a/packages/ownership/src/sighting.ts
+++ b/packages/ownership/src/sighting.ts
@@ -7,8 +7,8 @@
 } from '@dogwooddeck/model/identifiers';
 import {type SeatRequest} from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {majorityOf} from './quorum.js';
 import {type OwnershipState, type ZoneRoster} from './state.js';
-import {majorityOf} from './terms.js';
 
 /** The first sign of a later life of an instance. */
 export type SeatSighting = {readonly incarnation: Incarnation; readonly heardAt: MonotonicTime};
@@ -44,7 +44,7 @@
  * steward any more, neither of the roster as it stands nor of the one before it.
  */
 export function withheldEvidence(roster: ZoneRoster, sightings: SeatSightings): boolean {
-	return roster.members.length > 0
+	return roster.members.length + roster.previousMembers.length > 0
 		&& meetsEveryMajority(roster.members, sightings)
 		&& meetsEveryMajority(roster.previousMembers, sightings);
 }
--- a/packages/ownership/src/standing.ts
+++ b/packages/ownership/src/standing.ts
@@ -6,15 +6,16 @@
 } from '@dogwooddeck/model/identifiers';
 import {type SupportAnswer} from '@dogwooddeck/model/lease';
 import {delegationRequest} from './leasing.js';
-import {waitedDeadline} from './policy.js';
-import {type OwnershipState} from './state.js';
+import {longestDeadlineOf} from './state.js';
 import {
 	type StewardEffect, type StewardEvent, type StewardState, type StewardTransition,
 } from './steward.js';
 import {
 	freeFrom, support, supportedNow, withdrawn, withSupport,
 } from './support.js';
-import {elected, settled} from './tenure.js';
+import {
+	elected, isSeated, isSteward, settled,
+} from './tenure.js';
 import {holderTerm} from './terms.js';
 
 type EventOf<Kind extends StewardEvent['kind']> = Extract<StewardEvent, {readonly kind: Kind}>;
@@ -32,10 +33,6 @@
 	return (names.indexOf(state.self.name) % distinctRanks) * 2 * state.terms.urgentMilliseconds;
 }
 
-function isMember(state: StewardState): boolean {
-	return state.members.some(member => sameInstance(member, state.self));
-}
-
 function withOwnSupport(state: StewardState, now: MonotonicTime): StewardState {
 	const question = {
 		now, candidate: state.self, candidateApplied: state.applied, ownApplied: state.applied,
@@ -51,7 +48,8 @@
 
 function askOthers(state: StewardState, now: MonotonicTime): readonly StewardEffect[] {
 	const request = {zone: state.self.zone, candidate: identityOf(state), applied: state.applied};
-	return state.members
+	const newcomers = isSteward(state, now) ? state.newcomers : [];
+	return [...state.members, ...newcomers]
 		.filter(member => member.name !== state.self.name)
 		.map(to => ({
 			kind: 'askSupport', to, sentAt: now, request,
@@ -77,7 +75,7 @@
 
 function mayStand(state: StewardState, now: MonotonicTime): boolean {
 	const from = Math.max(freeFrom(state.supporter), state.standsFrom);
-	return isMember(state) && now >= from + turn(state);
+	return isSeated(state) && now >= from + turn(state);
 }
 
 function stand(state: StewardState, now: MonotonicTime): StewardTransition {
@@ -89,7 +87,7 @@
 		return {state: withdraw(state, now), effects: []};
 	}
 
-	const due = now >= state.supportAskedAt + state.terms.renewMilliseconds;
+	const due = now >= Math.max(state.supportAskedAt + state.terms.renewMilliseconds, state.standsFrom);
 	return due ? asked(state, now) : {state, effects: []};
 }
 
@@ -100,10 +98,6 @@
 	return {state: asking.state, effects: [...standing.effects, ...asking.effects]};
 }
 
-function longestDeadline(table: OwnershipState): Milliseconds {
-	return Object.values(table.policies).reduce((longest, policy) => Math.max(longest, waitedDeadline(policy)), 0);
-}
-
 /** Takes over the roster and the deadlines of a newer table. */
 export function tableChanged(event: EventOf<'tableChanged'>, before: StewardState): StewardTransition {
 	const state = settled(before, event.now);
@@ -111,11 +105,13 @@
 		return {state, effects: []};
 	}
 
+	const members = event.table.rosters[state.self.zone]?.members ?? [];
 	const changed = {
 		...state,
 		applied: event.applied,
-		members: event.table.rosters[state.self.zone]?.members ?? [],
-		longestDeadlineMilliseconds: longestDeadline(event.table),
+		members,
+		newcomers: state.newcomers.filter(newcomer => !members.some(member => member.name === newcomer.name)),
+		longestDeadlineMilliseconds: longestDeadlineOf(event.table),
 	};
 	return {state: settled(changed, event.now), effects: []};
 }
--- a/packages/ownership/src/steward.ts
+++ b/packages/ownership/src/steward.ts
@@ -10,7 +10,7 @@
  * far its zone is drained.
  */
 import {
-	type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+	type LogIndex, type Milliseconds, type MonotonicTime,
 } from '@dogwooddeck/model/identifiers';
 import {
 	type DelegationAnswer, type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
@@ -50,6 +50,8 @@
 	/** Instances that applied less get no lease. */
 	readonly floor: LogIndex;
 	readonly holders: LeaseHolders;
+	/** Instances of the zone that asked for a lease and have no seat. A steward asks for their support ahead of their seat. */
+	readonly newcomers: readonly InstanceRecord[];
 	/** The end of the zone's delegation, as far as this steward knows. */
 	readonly delegatedUntil: MonotonicTime;
 	readonly delegationAskedAt: MonotonicTime;
@@ -101,6 +103,7 @@
 		supportAskedAt: -Infinity,
 		floor: 0,
 		holders: {},
+		newcomers: [],
 		delegatedUntil: -Infinity,
 		delegationAskedAt: -Infinity,
 		askedDrained: 0,
@@ -123,10 +126,4 @@
 	return dispatch(handlers, event, state);
 }
 
-/** Whether the instance is its zone's steward now. */
-export {isSteward} from './tenure.js';
-
-/** Whether an instance belongs to the roster in the table that it has applied. */
-export function isSeated(state: StewardState): boolean {
-	return state.members.some(member => sameInstance(member, state.self));
-}
+export {isSeated, isSteward} from './tenure.js';
--- a/packages/upstream-client/src/forwarding.ts
+++ b/packages/upstream-client/src/forwarding.ts
@@ -2,48 +2,30 @@
  * One caller's request on its way: the state machine of `routing` decides what
  * to do, and this module carries it out on the raw messages of Node.js.
  */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Importance} from '@dogwooddeck/model/contract';
 import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
-import {HeaderName} from '@dogwooddeck/model/headers';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
-import {Entered, Finished, type Ticket} from '@dogwooddeck/routing/admission';
+import {Entered, finishedBy, type Ticket} from '@dogwooddeck/routing/admission';
 import {
 	beginRequest, type RequestEffect, type RequestEvent, RequestPhase, type RequestState, stepRequest,
 } from '@dogwooddeck/routing/attempt';
 import {type ClaimDecision, type StoredAnswer} from '@dogwooddeck/routing/claim';
-import {Seen, seenRules, statusOf} from '@dogwooddeck/routing/outcome';
+import {type Seen, seenRules, statusOf} from '@dogwooddeck/routing/outcome';
+import {CallerAnswer} from './caller-answer.js';
 import {type SentRequest, type UpstreamClient} from './client.js';
+import {type Forwarder} from './forwarder.js';
 import {Abandoned, type AnswerSink} from './exchange.js';
 import {type RawHeaders, requestHeaders} from './headers.js';
 import {type KeptAnswer, keepAnswer} from './kept-answer.js';
-import {writeProblem} from './problem.js';
+import {nextSeed} from './jitter-seed.js';
 import {announcesBody, readBody} from './request-body.js';
 import {
 	type OpenClaim, type OpenedRequest, type RequestOwner, type RequestPath,
 } from './request-path.js';
 
-const finishedBySeen: Partial<Record<Seen, Finished>> = {
-	[Seen.wholeAnswer]: Finished.answered,
-	[Seen.shed]: Finished.strained,
-	[Seen.deadlinePassedAfterFirstByte]: Finished.strained,
-	[Seen.closedAfterFirstByte]: Finished.strained,
-};
-
-/** Jitter has to differ between requests, not to be hard to guess. */
-function nextSeed(): number {
-	return Math.floor(Math.random() * (2 ** 31));
-}
-
-/** What forwards requests: the client of the upstreams and the decisions around a request. */
-export type Forwarder<Opened extends OpenedRequest, Owner extends RequestOwner> = {
-	readonly client: UpstreamClient;
-	readonly path: RequestPath<Opened, Owner>;
-};
-
 type EffectTable = HandlerTable<RequestEffect, [Forwarding<any, any>], void>;
 
 /** One request from its head to its end. It is mutable: a copy for each step of the edge would cost more than the step. */
@@ -56,7 +38,9 @@
 			forwarding.#send(effect.retry);
 		},
 		pause(effect, forwarding) {
-			forwarding.#timer = setTimeout(whenPauseOver, effect.milliseconds, forwarding);
+			forwarding.#timer = setTimeout(() => {
+				forwarding.step({kind: 'pause-over', now: forwarding.#path.now()});
+			}, effect.milliseconds);
 		},
 		cancel(_effect, forwarding) {
 			forwarding.#cancel();
@@ -68,7 +52,7 @@
 			forwarding.#break();
 		},
 		refuse(effect, forwarding) {
-			forwarding.#refuse(effect.failure, effect.status, effect.outcome);
+			forwarding.refuse(effect.failure, effect.outcome, effect.status);
 		},
 	};
 
@@ -78,7 +62,7 @@
 	readonly #path: RequestPath<Opened, Owner>;
 	readonly #opened: Opened;
 	readonly #request: IncomingMessage;
-	readonly #response: ServerResponse;
+	readonly #answer: CallerAnswer;
 	readonly #beganAt: MonotonicTime;
 	#state: RequestState | undefined;
 	#body: Uint8Array | undefined;
@@ -90,9 +74,7 @@
 	#claim: OpenClaim | undefined;
 	#claimed = false;
 	#kept: KeptAnswer | undefined;
-	#status: number | undefined;
 	#mayHaveRun = false;
-	#callerGone = false;
 	#over = false;
 
 	constructor(forwarder: Forwarder<Opened, Owner>, opened: Opened, request: IncomingMessage, response: ServerResponse) {
@@ -100,7 +82,7 @@
 		this.#path = forwarder.path;
 		this.#opened = opened;
 		this.#request = request;
-		this.#response = response;
+		this.#answer = new CallerAnswer(response);
 		this.#beganAt = forwarder.path.now();
 		this.importance = opened.importance;
 		this.deadline = opened.deadline;
@@ -108,7 +90,7 @@
 
 	/** Begins: reads the body, claims the operation where that is asked for, and goes through the attempts. */
 	begin(): void {
-		this.#response.once('close', () => {
+		this.#answer.watch(() => {
 			this.#whenClosed();
 		});
 		if (!announcesBody(this.#request)) {
@@ -118,15 +100,12 @@
 
 		this.#armDeadline();
 		readBody(this.#request, this.#opened.largestBodyBytes, body => {
-			body.match({
-				Ok: bytes => {
-					this.#body = bytes;
-					this.#whenBodyRead();
-				},
-				Err: why => {
-					this.#refuse(why, statusOf(why.kind), Outcome.notRun);
-				},
-			});
+			if (body.isErr) {
+				this.refuse(body.error, this.#unsentOutcome);
+			} else {
+				this.#body = body.value;
+				this.#whenBodyRead();
+			}
 		});
 	}
 
@@ -143,25 +122,15 @@
 	}
 
 	onHead(status: number, headers: RawHeaders): void {
-		this.#status = status;
 		this.#kept = this.#claimed ? keepAnswer(status, headers) : undefined;
-
-		if (!this.#callerGone) {
-			this.#response.sendDate = false;
-			this.#response.writeHead(status, [...headers, HeaderName.outcome, Outcome.ran]);
-		}
+		this.#answer.head(status, headers);
 	}
 
 	onChunk(chunk: Uint8Array): boolean {
 		this.#kept?.add(chunk);
-		if (this.#callerGone || this.#response.write(chunk)) {
-			return true;
-		}
-
-		this.#response.once('drain', () => {
+		return this.#answer.chunk(chunk, () => {
 			this.#sent?.resume();
 		});
-		return false;
 	}
 
 	onEnd(seen: Seen, retryAfterMilliseconds?: Milliseconds): void {
@@ -174,11 +143,11 @@
 			kind: 'seen',
 			now,
 			seen,
-			headPassed: this.#status !== undefined,
+			headPassed: this.#answer.begun,
 			budgetAllows: this.#path.allowsRetry(this.#opened),
 			...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
 		});
-		owner.admission.finish(finishedBySeen[seen] ?? Finished.neutral, latencyMilliseconds);
+		owner.admission.finish(finishedBy(seen), latencyMilliseconds);
 	}
 
 	/** Feeds the state machine and carries its effects out. */
@@ -188,15 +157,6 @@
 		}
 	}
 
-	/** Runs when the deadline passes while nothing is sent. */
-	whenDeadlinePassed(): void {
-		if (this.#state === undefined) {
-			this.#refuse(failure(FailureKind.deadlineExceeded, 'the deadline passed before the request was sent'), statusOf(FailureKind.deadlineExceeded), Outcome.notRun);
-		} else {
-			this.step({kind: 'deadline-passed', now: this.#path.now()});
-		}
-	}
-
 	/** The claim is held: the request may be sent. */
 	runClaimed(): void {
 		this.#claimed = true;
@@ -205,15 +165,21 @@
 
 	/** The operation ended before: its answer is sent again. */
 	replay(answer: StoredAnswer): void {
-		this.#status = answer.status;
-		this.#response.sendDate = false;
-		this.#response.writeHead(answer.status, [...answer.headers, HeaderName.outcome, Outcome.ran]).end(Buffer.from(answer.body, 'base64'));
+		this.#answer.replay(answer);
 		this.#finish(Outcome.ran);
 	}
 
-	/** Nothing is sent: the claim was refused. */
-	refuseClaim(why: Failure, outcome: Outcome): void {
-		this.#refuse(why, statusOf(why.kind), outcome);
+	/** Tells the caller why there is no answer. */
+	refuse(why: Failure, outcome: Outcome, status = statusOf(why.kind)): void {
+		if (!this.#over) {
+			this.#answer.refuse(why, status, outcome);
+			this.#finish(outcome, why);
+		}
+	}
+
+	/** Before its claim is held nobody knows whether an earlier send of the operation ran. */
+	get #unsentOutcome(): Outcome {
+		return this.#opened.claims && !this.#claimed ? Outcome.unknown : Outcome.notRun;
 	}
 
 	#carryOut(step: Transition<RequestState, RequestEffect>): void {
@@ -224,7 +190,18 @@
 	}
 
 	#armDeadline(): void {
-		this.#timer ??= setTimeout(whenDeadlinePassed, Math.max(0, this.deadline - this.#path.now()), this);
+		this.#timer ??= setTimeout(() => {
+			this.#whenDeadlinePassed();
+		}, Math.max(0, this.deadline - this.#path.now()));
+	}
+
+	/** Runs when the deadline passes while nothing is sent. */
+	#whenDeadlinePassed(): void {
+		if (this.#state === undefined) {
+			this.refuse(failure(FailureKind.deadlineExceeded, 'the deadline passed before the request was sent'), this.#unsentOutcome);
+		} else {
+			this.step({kind: 'deadline-passed', now: this.#path.now()});
+		}
 	}
 
 	#disarm(): void {
@@ -312,46 +289,28 @@
 	}
 
 	#complete(): void {
-		if (!this.#callerGone) {
-			this.#response.end();
-		}
-
+		this.#answer.end();
 		this.#finish(Outcome.ran);
 	}
 
-	/** The caller has part of an answer, so it must not see an end. */
 	#break(): void {
-		this.#status = undefined;
-		this.#response.destroy();
+		this.#answer.break();
 		this.#finish(Outcome.unknown);
 	}
 
-	#refuse(why: Failure, status: number, outcome: Outcome): void {
-		if (this.#over) {
-			return;
-		}
-
-		if (!this.#callerGone) {
-			this.#status = status;
-			writeProblem(this.#response, why, status, outcome);
-		}
-
-		this.#finish(outcome, why);
-	}
-
 	/** A claimed operation that was sent goes on without its caller, so that a resend gets the answer. */
 	#whenClosed(): void {
 		if (this.#over) {
 			return;
 		}
 
-		this.#callerGone = true;
+		this.#answer.gone = true;
 		if (this.#claimed && this.#state?.phase === RequestPhase.sending) {
 			return;
 		}
 
 		this.step({kind: 'caller-gone', now: this.#path.now()});
-		this.#finish(this.#mayHaveRun ? Outcome.unknown : Outcome.notRun);
+		this.#finish(this.#mayHaveRun ? Outcome.unknown : this.#unsentOutcome);
 	}
 
 	#finish(outcome: Outcome, why?: Failure): void {
@@ -363,12 +322,13 @@
 			this.#claim?.giveUp();
 		}
 
+		const {status} = this.#answer;
 		this.#path.requestEnded(this.#opened, {
 			outcome,
 			latencyMilliseconds: this.#path.now() - this.#beganAt,
 			attempts: this.#state?.attempts ?? 0,
 			bodyBytes: this.#body?.length ?? 0,
-			...(this.#status === undefined || this.#callerGone ? {} : {status: this.#status}),
+			...(status === undefined ? {} : {status}),
 			...(why === undefined ? {} : {failure: why}),
 		});
 	}
@@ -382,14 +342,6 @@
 		forwarding.replay(decision.answer);
 	},
 	refuse(decision, forwarding) {
-		forwarding.refuseClaim(decision.failure, decision.outcome);
+		forwarding.refuse(decision.failure, decision.outcome);
 	},
 };
-
-function whenPauseOver(forwarding: Forwarding<any, any>): void {
-	forwarding.step({kind: 'pause-over', now: 0});
-}
-
-function whenDeadlinePassed(forwarding: Forwarding<any, any>): void {
-	forwarding.whenDeadlinePassed();
-}
