Ownership: schedules also take seats of instances that are alive

Cause: the leader unseats silent members; no schedule met one that lives on. Change: at random moments the schedules' leader takes a live member's seat.

--- a/packages/ownership/test/leadership.ts
+++ b/packages/ownership/test/leadership.ts
@@ -14,7 +14,7 @@
 	clear, createGrantor, type GrantorState, stepGrantor,
 } from '@dogwooddeck/ownership/grantor';
 import {type PolicyTerms} from '@dogwooddeck/ownership/policy';
-import {proposeSeat} from '@dogwooddeck/ownership/seat';
+import {mayChangeRoster, proposeSeat} from '@dogwooddeck/ownership/seat';
 import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {type OwnershipCommand, type OwnershipState} from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
@@ -173,7 +173,7 @@
 		if (!leading.busy) {
 			const {grantor, commands} = settlePolicies(leading.grantor, table, now);
 			leading.grantor = grantor;
-			this.#propose(voter, leading, [...commands, ...this.#grants(leading, table, now), ...this.#changes(table)].slice(0, 4));
+			this.#propose(voter, leading, [...commands, ...this.#grants(leading, table, now), ...this.#changes(table), ...this.#unseatings(leading, table)].slice(0, 4));
 		}
 	}
 
@@ -250,6 +250,19 @@
 		return commands;
 	}
 
+	/** Takes seats of instances that may well be alive, and then ask again. */
+	#unseatings(leading: Leading, table: OwnershipState): readonly OwnershipCommand[] {
+		const {world, plan} = this.schedule;
+		return Object.values(table.rosters)
+			.filter(roster => roster.members.length > 1 && mayChangeRoster(leading.grantor, roster) && world.random() < plan.moves / 400)
+			.map(({zone, members, changedAt}) => {
+				const {name, incarnation} = world.pick(members)!;
+				return {
+					kind: 'instanceUnseated', zone, instance: {name, incarnation}, changedAt,
+				};
+			});
+	}
+
 	#policy(): PolicyTerms {
 		const {world, plan} = this.schedule;
 		const whenCut = world.random() < 0.5 ? WhenCut.hold : WhenCut.takeOver;
