Weigh slots more and let cold upstreams take half a share

Change: loadWeight 0.8 -> 0.65 for both weights, coldShare 0.2 -> 0.5, and for availability balanceTrigger 1.6 -> 1.4, balanceTarget 1.4 -> 1.25. A pinned key that is moved by need is not moved home in the same plan (found by a property when the storm guard was taken out).

--- a/packages/bench/src/detection.ts
+++ b/packages/bench/src/detection.ts
@@ -41,7 +41,7 @@
 /** How often zones report, in milliseconds. */
 export const reportMilliseconds = 500;
 /** How often control judges, in milliseconds. */
-export const tickMilliseconds = 250;
+export const tickMilliseconds = 500;
 /** How long an upstream that returns from a freeze takes to restart, in seconds. */
 const restartSeconds = 5;
 const instancesPerZone = 2;
--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -2,7 +2,6 @@
  * The second half of a replay: what one policy makes of a trace. Ownership is
  * a small fake that takes stated times to revoke and to grant.
  */
-import {AssignmentPhase} from '@dogwooddeck/model/assignment';
 import {type SlotHash} from '@dogwooddeck/placement/hash';
 import {type PlacementInput, type PlacementState} from '@dogwooddeck/placement/input';
 import {
@@ -160,6 +159,3 @@
 	replay.ownership.close(end, replay.measures);
 	return replay.measures;
 }
-
-/** The phases in which a slot can't be served. */
-export const unservedPhases: ReadonlySet<AssignmentPhase> = new Set([AssignmentPhase.vacant, AssignmentPhase.revoking]);
--- a/packages/bench/src/sample.ts
+++ b/packages/bench/src/sample.ts
@@ -2,7 +2,6 @@
  * One sample of a replay: imbalance, latency, bytes over the link, and what a
  * cut makes unavailable.
  */
-import {WhenCut} from '@dogwooddeck/model/contract';
 import {type UpstreamIdentity} from '@dogwooddeck/model/identifiers';
 import {UpstreamPhase} from '@dogwooddeck/model/registry';
 import {cutZonesAt, lifeKey} from './detection.js';
@@ -102,11 +101,6 @@
 	}
 }
 
-/** Whether a zone is cut off while its service holds. */
-export function isHeld(replay: ServiceReplay): boolean {
-	return replay.trace.whenCut === WhenCut.hold;
-}
-
 /** Takes a sample for the step that begins now. */
 export function sample(replay: ServiceReplay, now: number): void {
 	const {measures, service, traffic, ownership, trace} = replay;
--- a/packages/membership/test/test-watch.ts
+++ b/packages/membership/test/test-watch.ts
@@ -30,6 +30,8 @@
 	readonly restartsAt?: Readonly<Record<string, readonly number[]>>;
 	/** From when these instances of zone `n-1` fail at an upstream, by the upstream's name. */
 	readonly failingFrom?: Readonly<Record<string, {readonly at: number; readonly instances: readonly string[]}>>;
+	/** The only instances that send any requests. Absent: all. */
+	readonly busyInstances?: readonly string[];
 	/** The time in which no report of a zone comes through, by the zone. */
 	readonly cut?: Readonly<Record<string, readonly [from: number, until: number]>>;
 	/** When another leader begins with an empty view. */
@@ -73,7 +75,7 @@
 function evidenceOf(scene: Scene, zone: string, now: number): Report['evidence'] {
 	return Object.entries(scene.failingFrom ?? {})
 		.filter(([name]) => name.startsWith(zone))
-		.flatMap(([name, {at, instances: failing}]) => instances.slice(0, scene.rosterSize ?? 3).map(instance => {
+		.flatMap(([name, {at, instances: failing}]) => (scene.busyInstances ?? instances.slice(0, scene.rosterSize ?? 3)).map(instance => {
 			const isFailing = now >= at && failing.includes(instance);
 			return {
 				upstream: {service, name, incarnation: 1},
@@ -156,6 +158,11 @@
 		within: [2250, 2600],
 	},
 	{name: 'one instance fails, two get answers', scene: {failingFrom: {'n-1/u1': {at: 2000, instances: ['i1']}}, untilMilliseconds: 9000}, lost: []},
+	{
+		name: 'one instance fails, and no other has traffic',
+		scene: {busyInstances: ['i1'], failingFrom: {'n-1/u1': {at: 2000, instances: ['i1']}}, untilMilliseconds: 9000},
+		lost: [],
+	},
 	{
 		name: 'two instances of three fail',
 		scene: {failingFrom: {'n-1/u1': {at: 2000, instances: ['i1', 'i2']}}, untilMilliseconds: 4000},
@@ -191,6 +198,12 @@
 		lost: ['n-1/u1'],
 		within: [10_000, 10_100],
 	},
+	{
+		name: 'a gap just under the zone\'s timeout is not counted as silence',
+		scene: {cut: {'n-1': [2001, 3000]}, silentFrom: {'n-1/u1': 2600}, untilMilliseconds: 6000},
+		lost: ['n-1/u1'],
+		within: [3250, 3400],
+	},
 	{
 		name: 'a new leader gives a full grace period',
 		scene: {silentFrom: {'n-1/u1': 2000}, newLeaderAt: 2500, untilMilliseconds: 6000},
--- a/packages/placement/src/pins.ts
+++ b/packages/placement/src/pins.ts
@@ -65,11 +65,11 @@
 }
 
 /** Plans pins, and the way back for pinned keys that are no longer hot: first to their slot's owner, then into the slot. */
-export function planPins(input: PlacementInput, book: Book, policy: PlacementPolicy): PinPlan {
+export function planPins(input: PlacementInput, book: Book, policy: PlacementPolicy, taken: ReadonlySet<Slot>): PinPlan {
 	const owners = ownersBySlot(input);
 	const unpins: PlannedUnpin[] = [];
 	const moves: PlannedMove[] = [];
-	for (const pin of input.assignments.pinned.filter(pin => isCool(book, pin))) {
+	for (const pin of input.assignments.pinned.filter(pin => isCool(book, pin) && !taken.has(pin.slot) && !taken.has(pin.home))) {
 		const owner = owners.get(pin.slot);
 		const homeOwner = owners.get(pin.home);
 		if (owner === undefined || homeOwner === undefined) {
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -44,8 +44,8 @@
 		};
 	}
 
-	const {pins, unpins, moves: homing} = planPins(input, book, policy);
-	const balance = planBalance(input, book, state, new Set([...homing, ...unpins].map(({slot}) => slot)));
+	const {pins, unpins, moves: homing} = planPins(input, book, policy, new Set(forced.map(({slot}) => slot)));
+	const balance = planBalance(input, book, state, new Set([...forced, ...homing, ...unpins].map(({slot}) => slot)));
 	return {
 		grants, moves: [...forced, ...homing, ...balance.moves], pins, unpins, state: balance.state,
 	};
--- a/packages/placement/src/policy.ts
+++ b/packages/placement/src/policy.ts
@@ -46,10 +46,10 @@
 export const placementPolicies: Readonly<Record<Weigh, PlacementPolicy>> = {
 	[Weigh.availability]: {
 		pinTrigger: 1.1,
-		balanceTrigger: 1.6,
-		balanceTarget: 1.4,
+		balanceTrigger: 1.4,
+		balanceTarget: 1.25,
 		leastGain: 0.03,
-		loadWeight: 0.8,
+		loadWeight: 0.65,
 		remoteWeight: 0.1,
 		movesPerMinute: 12,
 		movesAtOnce: 4,
@@ -60,7 +60,7 @@
 		unpinShare: 0.03,
 		mostPinned: 32,
 		smoothingMilliseconds: 15_000,
-		coldShare: 0.2,
+		coldShare: 0.5,
 		coldGrowth: 2,
 	},
 	[Weigh.churn]: {
@@ -68,7 +68,7 @@
 		balanceTrigger: 2,
 		balanceTarget: 1.7,
 		leastGain: 0.05,
-		loadWeight: 0.8,
+		loadWeight: 0.65,
 		remoteWeight: 0.3,
 		movesPerMinute: 4,
 		movesAtOnce: 2,
@@ -79,7 +79,7 @@
 		unpinShare: 0.03,
 		mostPinned: 32,
 		smoothingMilliseconds: 30_000,
-		coldShare: 0.2,
+		coldShare: 0.5,
 		coldGrowth: 2,
 	},
 };
--- a/packages/placement/test/test-invariants.ts
+++ b/packages/placement/test/test-invariants.ts
@@ -70,6 +70,33 @@
 	state: {...createPlacement(100_000), tokens: given.tokens},
 }));
 
+/** The same, but nobody goes away, so that optional moves are planned. */
+const calmInput: fc.Arbitrary<PlacementInput> = fc.record({
+	input: someInput,
+	owners: fc.array(fc.integer({min: 0, max: 3}), {minLength: slots + 2, maxLength: slots + 2}),
+	rates: fc.array(fc.oneof(fc.integer({min: 1, max: 20}), fc.integer({min: 50, max: 300})), {minLength: slots + 2, maxLength: slots + 2}),
+	regions: fc.array(fc.constantFrom('lombardia', 'veneto'), {minLength: 2, maxLength: 4}),
+}).map(({input, owners, rates, regions}) => ({
+	...input,
+	contract: {...input.contract, upstream: defaultContract.upstream},
+	assignments: {
+		service,
+		assignments: owners.map((owner, slot) => toAssignment({phase: AssignmentPhase.granted, owner: owner % regions.length, incarnation: 1}, slot)),
+		pinned: [0, 1].map(number => ({key: `key ${number}`, home: number, slot: slots + number})),
+	},
+	upstreams: regions.map((region, number) => ({
+		record: {
+			service, name: `u${number}`, incarnation: 1, region, zone: zones[0]!, address: '127.0.0.1:1', phase: UpstreamPhase.serving,
+		},
+	})),
+	loads: {...noRates, slots: Object.fromEntries(rates.entries()), origins: {lombardia: rates, veneto: rates.toReversed()}},
+	flapping: 0,
+	unreachableZones: [],
+}));
+
+/** The same, and one upstream of several is lost. */
+const lossInput: fc.Arbitrary<PlacementInput> = calmInput.map(input => ({...input, upstreams: input.upstreams.slice(1)}));
+
 function mayBeGranted(input: PlacementInput, owner: {readonly service: string; readonly name: string; readonly incarnation: number}): boolean {
 	const record = input.upstreams.map(upstream => upstream.record).find(candidate => sameUpstream(identityOf(candidate), owner));
 	const {zones: allowed} = input.contract.upstream;
@@ -95,17 +122,23 @@
 	return {...input, assignments: {...input.assignments, assignments}};
 }
 
-function heaviest(input: PlacementInput, moves: PlacementPlan['moves']): number {
+/** The greatest score once moves are done: what the policy weighs load and slots to, as a multiple of the mean. */
+function greatestScore(input: PlacementInput, moves: PlacementPlan['moves']): number {
 	const to = new Map(moves.map(move => [move.slot, move.to]));
-	const loads = new Map<string, number>();
+	const {loadWeight} = policyOf(input);
+	const owners = input.upstreams.filter(({record}) => mayBeGranted(input, record));
+	const total = Math.max(1, Object.values(input.loads.slots).reduce((sum, rate) => sum + rate, 0));
+	const scores = new Map(owners.map(({record}) => [record.name, 0]));
 	for (const assignment of input.assignments.assignments) {
 		const owner = to.get(assignment.slot) ?? (assignment.phase === AssignmentPhase.granted ? assignment.owner : undefined);
-		if (owner !== undefined) {
-			loads.set(owner.name, (loads.get(owner.name) ?? 0) + (input.loads.slots[assignment.slot] ?? 0) + 1);
+		const load = loadWeight * (input.loads.slots[assignment.slot] ?? 0) / total;
+		const count = assignment.slot < slots ? (1 - loadWeight) / slots : 0;
+		if (owner !== undefined && scores.has(owner.name)) {
+			scores.set(owner.name, scores.get(owner.name)! + ((load + count) * owners.length));
 		}
 	}
 
-	return Math.max(0, ...loads.values());
+	return Math.max(0, ...scores.values());
 }
 
 type Invariant = {readonly name: string; readonly check: (input: PlacementInput, plan: PlacementPlan) => void};
@@ -156,13 +189,14 @@
 		},
 	},
 	{
-		name: 'optional moves make no upstream the most loaded',
+		name: 'moves for balance bring the greatest score down',
 		check(input, plan) {
 			const settled = grantAll(input, plan);
-			const forced = plan.moves.filter(({reason}) => forcedReasons.has(reason));
+			const others = plan.moves.filter(({reason}) => reason !== MoveReason.balance && reason !== MoveReason.locality);
 			const balancing = plan.moves.filter(({reason}) => reason === MoveReason.balance);
-			const before = heaviest(settled, forced);
-			assert.ok(balancing.length === 0 || heaviest(settled, [...forced, ...balancing]) <= before + slots, 'the heaviest load grew');
+			const before = greatestScore(settled, others);
+			const after = greatestScore(settled, [...others, ...balancing]);
+			assert.ok(balancing.length === 0 || after < before, `from ${before} to ${after}`);
 		},
 	},
 	{
@@ -191,8 +225,8 @@
 
 for (const {name, check} of invariants) {
 	test(`${name} (seed ${seed})`, () => {
-		fc.assert(fc.property(someInput, input => {
+		fc.assert(fc.property(fc.oneof(someInput, calmInput, lossInput), input => {
 			check(input, planPlacement(input));
-		}), {seed, numRuns: 400});
+		}), {seed, numRuns: 600});
 	});
 }
--- a/packages/placement/test/test-plan.ts
+++ b/packages/placement/test/test-plan.ts
@@ -56,6 +56,8 @@
 
 const busyA = {...noRates, slots: Object.fromEntries([60, 40, 30, 10, 2, 2, 2, 2].entries())};
 
+const evenLoads = {...noRates, slots: Object.fromEntries([10, 10, 10, 10, 10, 10, 10, 10].entries())};
+
 type PlanCase = {
 	readonly name: string;
 	readonly given: PlacementInput;
@@ -99,6 +101,19 @@
 		given: input(granted(split), [upstream('a'), upstream('b')], {loads: busyA}),
 		moves: [[0, 'b', MoveReason.balance]],
 	},
+	{
+		name: 'no more than four slots are moved at once',
+		given: input(granted(Array.from({length: 8}, () => 'a')), ['a', 'b', 'c', 'd'].map(name => upstream(name)), {loads: evenLoads}),
+		moves: [[0, 'b', MoveReason.balance], [1, 'c', MoveReason.balance], [2, 'd', MoveReason.balance], [3, 'b', MoveReason.balance]],
+	},
+	{
+		name: 'a cool pinned key of a lost owner is moved once, to its slot\'s owner',
+		given: input([], [upstream('a', {phase: UpstreamPhase.lost}), upstream('b'), upstream('c')], {
+			assignments: {service, assignments: granted(['b', 'c', 'b', 'c', 'b', 'c', 'b', 'c', 'a']), pinned: [{key: 'verge-1', home: 1, slot: 8}]},
+			loads: evenLoads,
+		}),
+		moves: [[8, 'c', MoveReason.lost]],
+	},
 	{name: 'nothing optional without budget', given: input(granted(split), [upstream('a'), upstream('b')], {loads: busyA, state: createPlacement(60_000)})},
 	{name: 'nothing optional in a storm', given: input(granted(split), [upstream('a'), upstream('b')], {loads: busyA, flapping: 1})},
 	{
