Split the watch into view, verdict and watch; count as new only lives that this leader let in

Under a new leader every upstream counted as just joined, since the time of joining was that of the first announcement it heard; all would have been placed as cold. Change: view.ts (what was heard), verdict.ts (who is gone), watch.ts (events and proposals; it still exports the same names). joinedAt is the time at which this leader proposed the join. The test for it became a table of three cases, one of them the life that was there before this leader.

--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -53,6 +53,7 @@
 	{title: 'least/event', cell: ({measures}) => mean(measures.forcedMoves, measures.events).toFixed(2)},
 	{title: 'keys moved', cell: ({measures}) => String(measures.keysMoved)},
 	{title: 'unavailable key-s', cell: ({measures}) => String(Math.round(measures.unavailableKeySeconds))},
+	{title: 'but for cuts', cell: ({measures}) => String(Math.round(measures.unavailableKeySeconds - measures.cutKeySeconds))},
 	{title: 'link MB', cell: ({measures}) => (measures.linkBytes / bytesPerMegabyte).toFixed(1)},
 	{title: 'refused ppm', cell: ({measures}) => (1e6 * mean(measures.refused, measures.requests)).toFixed(0)},
 	{title: 'mean ms', cell: ({measures}) => mean(measures.latencySum, measures.samples).toFixed(2)},
--- /dev/null
+++ b/packages/membership/src/verdict.ts
@@ -0,0 +1,101 @@
+/**
+ * Which upstreams are judged to be gone: by silence, by what instances saw, or
+ * because a later life of theirs announced itself.
+ */
+import {type ServiceContract, WhenCut} from '@dogwooddeck/model/contract';
+import {type Milliseconds, type MonotonicTime, type ZoneName} from '@dogwooddeck/model/identifiers';
+import {identityOf, UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
+import {type MembershipCommand, type MembershipState, upstreamsOf} from './registry.js';
+import {
+	announcementTimeoutMilliseconds, watchOf, type WatchState, zoneTimeoutMilliseconds,
+} from './view.js';
+import {evidenceSaysLost} from './witness.js';
+
+/** A zone must have sent this many reports without an upstream before its silence counts. */
+export const silentReportsForVerdict = 2;
+/** When a large part of a service's upstreams in a zone goes silent at once, the verdict waits for this much more silence. */
+export const stormConfirmationMilliseconds: Milliseconds = 500;
+/** Silence of more than this share of a service's upstreams in a zone looks like a cut, not like deaths. */
+export const stormShare = 0.5;
+/** Evidence alone, against announcements that still come, condemns at most this share of a service's upstreams. */
+export const evidenceVerdictShare = 0.34;
+
+/** What is judged by. */
+export type Judgement = {
+	readonly now: MonotonicTime;
+	readonly registry: MembershipState;
+	/** The number of instances in each zone's roster. */
+	readonly rosterSizes: Readonly<Record<ZoneName, number>>;
+};
+
+function isZoneReachable(state: WatchState, tick: Judgement, zone: ZoneName): boolean {
+	const isWatched = (tick.rosterSizes[zone] ?? 0) > 0;
+	const reportedAt = state.zones[zone]?.reportedAt;
+	return !isWatched || (reportedAt !== undefined && tick.now - reportedAt <= zoneTimeoutMilliseconds);
+}
+
+function silenceOf(state: WatchState, tick: Judgement, record: UpstreamRecord): Milliseconds {
+	const watch = watchOf(state, record.service, record.name);
+	const heardAt = watch.announcement?.incarnation === record.incarnation ? watch.heardAt : state.startedAt;
+	const reachableSince = isZoneReachable(state, tick, record.zone) ? state.zones[record.zone]?.reachableSince ?? state.startedAt : state.startedAt;
+	return tick.now - Math.max(heardAt, reachableSince);
+}
+
+/** Whether the upstream's zone had its chance to tell of it. A zone out of reach is judged by the contract. */
+function isMissedByZone(state: WatchState, tick: Judgement, record: UpstreamRecord): boolean {
+	const isWatched = (tick.rosterSizes[record.zone] ?? 0) > 0;
+	const reports = state.zones[record.zone]?.reports ?? 0;
+	const {heardInReport} = watchOf(state, record.service, record.name);
+	return !isWatched || !isZoneReachable(state, tick, record.zone) || reports - heardInReport >= silentReportsForVerdict;
+}
+
+/** A later life that announces itself ends the earlier, also while it is held back itself. */
+function isOver(state: WatchState, record: UpstreamRecord): boolean {
+	const {announcement} = watchOf(state, record.service, record.name);
+	return announcement !== undefined && announcement.incarnation > record.incarnation;
+}
+
+type ZoneView = {
+	readonly isReachable: boolean;
+	readonly isStorm: boolean;
+};
+
+function viewZone(state: WatchState, tick: Judgement, records: readonly UpstreamRecord[], zone: ZoneName): ZoneView {
+	const inZone = records.filter(record => record.zone === zone && record.phase !== UpstreamPhase.lost);
+	const silent = inZone.filter(record => silenceOf(state, tick, record) > announcementTimeoutMilliseconds);
+	return {
+		isReachable: isZoneReachable(state, tick, zone),
+		isStorm: silent.length > 1 && silent.length > inZone.length * stormShare,
+	};
+}
+
+function silenceSaysLost(silence: Milliseconds, contract: ServiceContract, zone: ZoneView): boolean {
+	const confirmation = zone.isStorm ? stormConfirmationMilliseconds : 0;
+	const mayJudge = zone.isReachable || contract.whenCut === WhenCut.takeOver;
+	return mayJudge && silence > announcementTimeoutMilliseconds + confirmation;
+}
+
+function condemnedByEvidence(state: WatchState, tick: Judgement, records: readonly UpstreamRecord[]): ReadonlySet<UpstreamRecord> {
+	const alive = records.filter(record => record.phase !== UpstreamPhase.lost);
+	const condemned = alive.filter(record => {
+		const {witnesses} = watchOf(state, record.service, record.name);
+		return evidenceSaysLost({
+			witnesses, upstream: identityOf(record), zone: record.zone, rosterSize: tick.rosterSizes[record.zone] ?? 0, now: tick.now,
+		});
+	});
+	const allowed = Math.max(1, Math.floor(alive.length * evidenceVerdictShare));
+	return new Set(condemned.length <= allowed ? condemned : []);
+}
+
+/** The commands for upstreams of a service that are judged to be gone. */
+export function lostCommands(state: WatchState, tick: Judgement, contract: ServiceContract): MembershipCommand[] {
+	const records = upstreamsOf(tick.registry, contract.name);
+	const condemned = condemnedByEvidence(state, tick, records);
+	const zones = new Map([...new Set(records.map(record => record.zone))].map(zone => [zone, viewZone(state, tick, records, zone)]));
+	return records
+		.filter(record => record.phase !== UpstreamPhase.lost)
+		.filter(record => condemned.has(record)
+			|| isOver(state, record)
+			|| (isMissedByZone(state, tick, record) && silenceSaysLost(silenceOf(state, tick, record), contract, zones.get(record.zone)!)))
+		.map(record => ({kind: 'upstreamPhaseChanged', upstream: identityOf(record), phase: UpstreamPhase.lost}));
+}
--- a/packages/membership/test/test-watch.ts
+++ b/packages/membership/test/test-watch.ts
@@ -268,14 +268,32 @@
 	});
 }
 
-test('the time of joining is known for lives that began under this leader', () => {
-	const [announcement] = announcementsOf({untilMilliseconds: 0}, 'n-1', 0);
-	const {state} = advanceWatch(createWatch(0), {
-		kind: 'reportReceived', now: 70, report: {...emptyReport, announcements: [announcement!]}, reporter: {zone: 'n-1', instance: 'i1'},
+const joinCases: ReadonlyArray<{readonly name: string; readonly isInRegistry: boolean; readonly incarnation: number; readonly expected: number | undefined}> = [
+	{
+		name: 'a life that this leader let in', isInRegistry: false, incarnation: 1, expected: 100,
+	},
+	{
+		name: 'a life that was there before this leader', isInRegistry: true, incarnation: 1, expected: undefined,
+	},
+	{
+		name: 'a life that nobody heard', isInRegistry: false, incarnation: 2, expected: undefined,
+	},
+];
+
+for (const {name, isInRegistry, incarnation, expected} of joinCases) {
+	test(`time of joining: ${name}`, () => {
+		const [announcement] = announcementsOf({untilMilliseconds: 0}, 'n-1', 0);
+		const {leaving: _leaving, load: _load, ...fields} = announcement!;
+		const joining = applyMembership(emptyMembership, {kind: 'upstreamJoined', record: {...fields, phase: UpstreamPhase.serving}}, 1);
+		const {state} = advanceWatch(createWatch(0), {
+			kind: 'reportReceived', now: 70, report: {...emptyReport, announcements: [announcement!]}, reporter: {zone: 'n-1', instance: 'i1'},
+		});
+		const judged = advanceWatch(state, {
+			kind: 'ticked', now: 100, registry: isInRegistry ? joining.unwrapOr(emptyMembership) : emptyMembership, contracts: [contractOf({untilMilliseconds: 0})], rosterSizes: {},
+		});
+		assert.equal(joinedAt(judged.state, {service, name: 'n-1/u0', incarnation}), expected);
 	});
-	assert.equal(joinedAt(state, {service, name: 'n-1/u0', incarnation: 1}), 70);
-	assert.equal(joinedAt(state, {service, name: 'n-1/u0', incarnation: 2}), undefined);
-});
+}
 
 const randomScene: fc.Arbitrary<Scene> = fc.record({
 	whenCut: fc.constantFrom(WhenCut.hold, WhenCut.takeOver),
