--- /dev/null
+++ b/packages/control/src/proposals.ts
@@ -0,0 +1,142 @@
+/**
+ * The commands that a leader proposes at one moment: verdicts on upstreams,
+ * seats of instances, and for each service grants, revocations and pins.
+ */
+import {contractsOf} from '@dogwooddeck/configuration/tree';
+import {type MembershipCommand} from '@dogwooddeck/membership/registry';
+import {advanceWatch} from '@dogwooddeck/membership/watch';
+import {AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {
+	type Milliseconds, type MonotonicTime, sameInstance, sameUpstream, type UpstreamIdentity, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
+import {type SeatRequest} from '@dogwooddeck/model/lease';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {mayChangeRoster, proposeSeat} from '@dogwooddeck/ownership/seat';
+import {type OwnershipCommand, type ZoneRoster} from '@dogwooddeck/ownership/table';
+import {grantorWait} from '@dogwooddeck/ownership/terms';
+import {type ControlCommand} from './command.js';
+import {type LeaderState} from './leader.js';
+import {closingProposals, serviceProposals} from './service-proposals.js';
+import {type ControlState} from './state.js';
+
+/** Commands and the state that remembers having proposed them. */
+export type Proposals = {
+	readonly state: LeaderState;
+	readonly commands: readonly ControlCommand[];
+};
+
+const commandsAtMost = 512;
+
+/** A member of a roster that isn't heard of for this long loses its seat, where another member of its zone is heard of. */
+export const silentInstanceMilliseconds: Milliseconds = 3000;
+
+/** A member counts as there if it was heard of within this time: in a cut, all of a zone fall silent together. */
+const presentMilliseconds: Milliseconds = 1000;
+
+function ownsSlots(control: ControlState, upstream: UpstreamIdentity): boolean {
+	const assignments = control.ownership.services[upstream.service]?.assignments ?? [];
+	return assignments.some(assignment => assignment.phase !== AssignmentPhase.vacant && sameUpstream(assignment.owner, upstream));
+}
+
+function isTimely(command: MembershipCommand, control: ControlState): boolean {
+	return command.kind !== 'upstreamForgotten' || !ownsSlots(control, command.upstream);
+}
+
+function membershipProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
+	const rosters = Object.values(control.ownership.rosters);
+	const judged = advanceWatch(state.watch, {
+		kind: 'ticked',
+		now,
+		registry: control.membership,
+		contracts: contractsOf(control.configuration),
+		rosterSizes: Object.fromEntries(rosters.map(({zone, members}) => [zone, members.length])),
+	});
+	const commands = judged.effects.map(effect => effect.command).filter(command => isTimely(command, control));
+	return {state: {...state, watch: judged.state}, commands};
+}
+
+function isMember(control: ControlState, {instance}: SeatRequest): boolean {
+	const members = control.ownership.rosters[instance.zone]?.members ?? [];
+	return members.some(member => sameInstance(member, instance));
+}
+
+function isHeard(state: LeaderState, {name}: InstanceRecord, now: MonotonicTime): boolean {
+	return now - (state.heard[name] ?? state.grantor.startedAt) < silentInstanceMilliseconds;
+}
+
+function isPresent(state: LeaderState, {name}: InstanceRecord, now: MonotonicTime): boolean {
+	return now - (state.heard[name] ?? -Infinity) < presentMilliseconds;
+}
+
+/**
+ * Takes the seat of a member that leaves, or that is silent while another is
+ * heard. Majorities of the rosters before and after meet, so this is safe
+ * whether the silent one is gone or not.
+ */
+function proposeUnseat(state: LeaderState, roster: ZoneRoster, now: MonotonicTime): OwnershipCommand | undefined {
+	const {zone, members} = roster;
+	if (members.length < 2 || !mayChangeRoster(state.grantor, roster)) {
+		return undefined;
+	}
+
+	const gone = members.find(member => state.seats[member.name]?.leaving === true && sameInstance(member, state.seats[member.name]!.instance))
+		?? members.find(member => !isHeard(state, member, now));
+	const another = members.some(member => member !== gone && isPresent(state, member, now));
+	return gone !== undefined && another
+		? {
+			kind: 'instanceUnseated', zone, changedAt: roster.changedAt, instance: {name: gone.name, incarnation: gone.incarnation},
+		}
+		: undefined;
+}
+
+/** A process that still keeps silent would only take the zone's steward its majority. */
+function isTooEarly(state: LeaderState, control: ControlState, command: OwnershipCommand, now: MonotonicTime): boolean {
+	if (command.kind !== 'instanceSeated' || (control.ownership.rosters[command.record.zone]?.members.length ?? 0) === 0) {
+		return false;
+	}
+
+	const heardAt = state.grantor.sightings[command.record.name]?.heardAt ?? now;
+	const {terms} = state.grantor;
+	return now < heardAt + grantorWait(terms.stewardTermMilliseconds, terms) + terms.renewMilliseconds;
+}
+
+function zoneProposal(state: LeaderState, control: ControlState, zone: ZoneName, now: MonotonicTime): OwnershipCommand | undefined {
+	const asking = Object.values(state.seats).filter(({instance, leaving}) => instance.zone === zone && leaving !== true);
+	for (const request of asking) {
+		const command = isMember(control, request) ? undefined : proposeSeat(state.grantor, control.ownership, request.instance, now);
+		if (command !== undefined && !isTooEarly(state, control, command, now)) {
+			return command;
+		}
+	}
+
+	const roster = control.ownership.rosters[zone];
+	return roster === undefined ? undefined : proposeUnseat(state, roster, now);
+}
+
+function seatProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
+	const seats = Object.fromEntries(Object.entries(state.seats).filter(([name]) => now - (state.heard[name] ?? 0) < silentInstanceMilliseconds));
+	const zones = new Set([...Object.keys(control.ownership.rosters), ...Object.values(seats).map(({instance}) => instance.zone)]);
+	const next = {...state, seats};
+	const commands = [...zones].map(zone => zoneProposal(next, control, zone, now)).filter(command => command !== undefined);
+	return {state: next, commands};
+}
+
+/** What to propose now, as one entry. */
+export function proposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
+	const commands: ControlCommand[] = [];
+	let next = state;
+	const steps = [
+		membershipProposals,
+		seatProposals,
+		closingProposals,
+		...contractsOf(control.configuration).map(contract =>
+			(current: LeaderState) => serviceProposals(current, control, contract, now)),
+	];
+	for (const step of steps) {
+		const made = step(next, control, now);
+		next = made.state;
+		commands.push(...made.commands);
+	}
+
+	return {state: next, commands: commands.slice(0, commandsAtMost)};
+}
--- /dev/null
+++ b/packages/ownership/src/seat.ts
@@ -0,0 +1,93 @@
+/**
+ * What the leader proposes so that an instance gets a seat in its zone's roster.
+ *
+ * Majorities of two rosters meet if one follows the other by a single change.
+ * The next change therefore waits until the zone's steward has reported the
+ * last one: from then on no steward can be elected on the roster before it.
+ */
+import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {type OwnershipCommand, ReleaseReason} from './command.js';
+import {
+	type GrantorState, isReleased, releaseWaited, zoneOf,
+} from './grantor.js';
+import {withheldEvidence} from './sighting.js';
+import {longestDeadlineOf, type OwnershipState, type ZoneRoster} from './state.js';
+
+/** The seats of a zone. Its other instances get leases, but support no steward. */
+export const seatsPerZone = 9;
+
+/** Whether the zone's steward has reported the last change of its roster. */
+export function mayChangeRoster(grantor: GrantorState, roster: ZoneRoster): boolean {
+	return zoneOf(grantor, roster.zone).drained >= roster.changedAt;
+}
+
+/**
+ * Whether an instance is the next life of a roster's last member. It may take
+ * the first seat at once, as it stays silent for as long as the leases of the
+ * earlier life can last.
+ */
+function isHeir({members, previousMembers}: ZoneRoster, instance: InstanceRecord): boolean {
+	const [last] = previousMembers;
+	return members.length === 0 && previousMembers.length === 1
+		&& last?.name === instance.name && instance.incarnation > last.incarnation;
+}
+
+/** Whether anyone may take the first seat: all that earlier members allowed is over. */
+function isOpen(grantor: GrantorState, table: OwnershipState, roster: ZoneRoster, now: MonotonicTime): boolean {
+	return isReleased(roster) && releaseWaited(grantor, roster, longestDeadlineOf(table), now);
+}
+
+/** Whether the only member of a roster stands in every majority of the one before it too. */
+function standsAlone({members, previousMembers}: ZoneRoster): boolean {
+	const inPrevious = previousMembers.some(other => other.name === members[0]?.name);
+	return members.length === 1 && (previousMembers.length === 0 || (previousMembers.length <= 2 && inPrevious));
+}
+
+function seatNew(grantor: GrantorState, roster: ZoneRoster, record: InstanceRecord): OwnershipCommand | undefined {
+	const free = roster.members.length > 0 && roster.members.length < seatsPerZone;
+	return free && mayChangeRoster(grantor, roster) ? {kind: 'instanceSeated', record, changedAt: roster.changedAt} : undefined;
+}
+
+function replace(grantor: GrantorState, roster: ZoneRoster, member: InstanceRecord, record: InstanceRecord): OwnershipCommand | undefined {
+	if (record.incarnation <= member.incarnation) {
+		return undefined;
+	}
+
+	const {name, incarnation} = member;
+	const may = mayChangeRoster(grantor, roster) || standsAlone(roster);
+	return may
+		? {
+			kind: 'instanceUnseated', zone: roster.zone, instance: {name, incarnation}, changedAt: roster.changedAt,
+		}
+		: undefined;
+}
+
+/** Proposes the release of a zone whose old majorities are all over. */
+function proposeRelease(grantor: GrantorState, roster: ZoneRoster): OwnershipCommand | undefined {
+	const canGoOn = mayChangeRoster(grantor, roster) || standsAlone(roster);
+	return !canGoOn && withheldEvidence(roster, grantor.sightings)
+		? {
+			kind: 'zoneReleased', zone: roster.zone, reason: ReleaseReason.withheld, changedAt: roster.changedAt,
+		}
+		: undefined;
+}
+
+/**
+ * What to propose for an instance that asks for a seat. Give the request to
+ * `stepGrantor` first. Undefined: nothing now; the instance asks again.
+ */
+export function proposeSeat(grantor: GrantorState, table: OwnershipState, record: InstanceRecord, now: MonotonicTime): OwnershipCommand | undefined {
+	const roster = table.rosters[record.zone];
+	if (roster === undefined) {
+		return {kind: 'instanceSeated', record, changedAt: 0};
+	}
+
+	if (isHeir(roster, record) || isOpen(grantor, table, roster, now)) {
+		return {kind: 'instanceSeated', record, changedAt: roster.changedAt};
+	}
+
+	const member = roster.members.find(other => other.name === record.name);
+	return proposeRelease(grantor, roster)
+		?? (member === undefined ? seatNew(grantor, roster, record) : replace(grantor, roster, member, record));
+}
--- /dev/null
+++ b/packages/stand-in/bin/control-cost.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {main} from '../dist/src/control-cost.js';
+
+await main();
--- /dev/null
+++ b/packages/stand-in/src/control-cost.ts
@@ -0,0 +1,183 @@
+/**
+ * Measures what control costs an idle instance, by its role, as slots,
+ * services, upstreams and instances grow. Prints a table.
+ */
+import {mkdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {request} from 'undici';
+import {type Deployment, startDeployment, type TrialInstance} from './deployment.js';
+
+/** One size that is measured. */
+type Size = {
+	readonly instances: number;
+	readonly services: number;
+	readonly slots: number;
+	readonly upstreams: number;
+};
+
+type Figures = {
+	readonly processorMilliseconds: number;
+	readonly peerBytes: number;
+	readonly residentBytes: number;
+	readonly leader: boolean;
+	readonly steward: boolean;
+};
+
+const zones = [
+	{region: 'noord', zone: 'noord-a'},
+	{region: 'noord', zone: 'noord-b'},
+	{region: 'zuid', zone: 'zuid-a'},
+	{region: 'zuid', zone: 'zuid-b'},
+];
+
+const sizes: readonly Size[] = [
+	{
+		instances: 4, services: 0, slots: 0, upstreams: 0,
+	},
+	{
+		instances: 4, services: 1, slots: 256, upstreams: 4,
+	},
+	{
+		instances: 4, services: 1, slots: 4096, upstreams: 4,
+	},
+	{
+		instances: 4, services: 1, slots: 16_384, upstreams: 4,
+	},
+	{
+		instances: 4, services: 8, slots: 256, upstreams: 8,
+	},
+	{
+		instances: 4, services: 1, slots: 256, upstreams: 16,
+	},
+	{
+		instances: 8, services: 1, slots: 256, upstreams: 4,
+	},
+	{
+		instances: 16, services: 1, slots: 256, upstreams: 4,
+	},
+];
+
+const settleMilliseconds = 12_000;
+const measureMilliseconds = 10_000;
+const bytesPerMebibyte = 1_048_576;
+
+async function pause(duration: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, duration);
+	});
+}
+
+function measureIn(text: string, name: string): number {
+	return Number(new RegExp(`^${name} (\\S+)$`, 'mv').exec(text)?.[1] ?? 0);
+}
+
+async function figuresOf(instance: TrialInstance): Promise<Figures> {
+	const {body} = await request(`http://${instance.addresses.operators}/metrics`);
+	const text = await body.text();
+	return {
+		processorMilliseconds: measureIn(text, 'dogwooddeck_processor_milliseconds_total'),
+		peerBytes: instance.proxy.passed(),
+		residentBytes: measureIn(text, 'dogwooddeck_resident_bytes'),
+		leader: measureIn(text, 'dogwooddeck_leader') === 1,
+		steward: measureIn(text, 'dogwooddeck_steward') === 1,
+	};
+}
+
+async function writeTeam(deployment: Deployment, size: Size): Promise<string> {
+	const folder = path.join(deployment.folder, 'sized');
+	await mkdir(folder, {recursive: true});
+	await writeFile(path.join(folder, 'team.toml'), 'team = "sized"\n');
+	for (let number = 0; number < size.services; number++) {
+		await writeFile(path.join(folder, `service-${number}.toml`), [
+			`prefix = "/service-${number}"`,
+			`slots = ${size.slots}`,
+			'[key]',
+			'place = "path"',
+			'segment = 0',
+			'',
+		].join('\n'));
+	}
+
+	return folder;
+}
+
+async function fill(deployment: Deployment, size: Size): Promise<void> {
+	if (size.services === 0) {
+		return;
+	}
+
+	const applied = await deployment.control('apply', await writeTeam(deployment, size), '--wait');
+	if (applied.code !== 0) {
+		process.stdout.write(applied.output);
+	}
+
+	for (let number = 0; number < size.upstreams; number++) {
+		deployment.startUpstream({
+			service: `sized/service-${number % size.services}`, name: `upstream-${number}`, ...zones[number % zones.length]!, checksFence: false,
+		});
+	}
+}
+
+function roleOf({leader, steward}: Figures): string {
+	const roles = [...(leader ? ['leader'] : []), ...(steward ? ['steward'] : [])];
+	return roles.length === 0 ? 'entry' : roles.join('+');
+}
+
+function line(cells: ReadonlyArray<string | number>): string {
+	return `| ${cells.join(' | ')} |\n`;
+}
+
+function report(size: Size, before: readonly Figures[], after: readonly Figures[]): void {
+	const seconds = measureMilliseconds / 1000;
+	const roles = new Map<string, Array<{readonly processor: number; readonly bytes: number; readonly resident: number}>>();
+	for (const [position, last] of after.entries()) {
+		const first = before[position]!;
+		const row = {
+			processor: (last.processorMilliseconds - first.processorMilliseconds) / seconds,
+			bytes: (last.peerBytes - first.peerBytes) / seconds,
+			resident: last.residentBytes,
+		};
+		roles.set(roleOf(last), [...roles.get(roleOf(last)) ?? [], row]);
+	}
+
+	for (const [role, rows] of roles) {
+		const mean = (pick: (row: typeof rows[number]) => number) => rows.reduce((sum, row) => sum + pick(row), 0) / rows.length;
+		process.stdout.write(line([
+			size.instances,
+			size.services,
+			size.slots,
+			size.upstreams,
+			`${role} (${rows.length})`,
+			mean(row => row.processor).toFixed(1),
+			Math.round(mean(row => row.bytes)),
+			Math.round(mean(row => row.resident) / bytesPerMebibyte),
+		]));
+	}
+}
+
+async function measure(size: Size): Promise<void> {
+	const deployment = await startDeployment(Array.from({length: size.instances}, (_, number) => ({
+		...zones[number % zones.length]!, name: `entry-${number}`, voter: number < 3,
+	})));
+	try {
+		await deployment.ready();
+		await fill(deployment, size);
+		await pause(settleMilliseconds);
+		const before = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
+		await pause(measureMilliseconds);
+		const after = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
+		report(size, before, after);
+	} finally {
+		await deployment.close();
+	}
+}
+
+/** Measures all sizes in turn. */
+export async function main(): Promise<void> {
+	process.stdout.write(line(['instances', 'services', 'slots each', 'upstreams', 'role', 'processor ms/s', 'peer bytes/s', 'resident MiB']));
+	process.stdout.write(line(Array.from({length: 8}, () => '---')));
+	for (const size of sizes) {
+		await measure(size);
+	}
+}
--- /dev/null
+++ b/packages/stand-in/src/watcher.ts
@@ -0,0 +1,137 @@
+/**
+ * Asks for the same keys again and again through several instances, as many
+ * callers would, and remembers how each request went.
+ */
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {Pool} from 'undici';
+import {type TrialInstance} from './deployment.js';
+
+/** One request and how it went. */
+export type Sighting = {
+	readonly key: string;
+	readonly instance: string;
+	readonly sentAt: MonotonicTime;
+	readonly endedAt: MonotonicTime;
+	/** 0: the connection was refused or broken. */
+	readonly status: number;
+	/** Empty: none, or it is not known. */
+	readonly upstream: string;
+	/** The fence number that the upstream was sent; 0: none is known. */
+	readonly fence: number;
+	/** Whether the connection broke after it stood: the answer was cut off. */
+	readonly broken: boolean;
+};
+
+/** Callers that go on until they are stopped. */
+export type Watcher = {
+	readonly sightings: readonly Sighting[];
+	/** Sends no more to an instance, as a balancer does. */
+	readonly avoid: (instance: TrialInstance) => void;
+	readonly include: (instance: TrialInstance) => void;
+	/** Ends once all requests are over. */
+	readonly stop: () => Promise<readonly Sighting[]>;
+};
+
+const pauseMilliseconds: Milliseconds = 20;
+const refused: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+type Served = Pick<Sighting, 'upstream' | 'fence'>;
+
+const notServed: Served = {upstream: '', fence: 0};
+
+async function ask(pool: Pool, instance: string, key: string): Promise<Sighting> {
+	const sentAt = monotonicNow();
+	const seen = {key, instance, sentAt};
+	try {
+		const {statusCode, body} = await pool.request({method: 'GET', path: `/schedule/${key}`});
+		const text = await body.text();
+		const {upstream, fence} = statusCode === 200 ? JSON.parse(text) as Served : notServed;
+		return {
+			...seen, endedAt: monotonicNow(), status: statusCode, upstream, fence, broken: false,
+		};
+	} catch (error) {
+		const code = (error as {readonly code?: string}).code ?? '';
+		return {
+			...seen, endedAt: monotonicNow(), status: 0, ...notServed, broken: !refused.has(code),
+		};
+	}
+}
+
+/** Starts to watch: one caller for each key and instance. */
+export function startWatcher(instances: readonly TrialInstance[], keys: readonly string[]): Watcher {
+	const sightings: Sighting[] = [];
+	const avoided = new Set<string>();
+	const state = {stopped: false};
+	const pools = instances.map(({addresses}) => new Pool(`http://${addresses.callers}`, {connections: keys.length, pipelining: 1}));
+
+	async function repeat(pool: Pool, name: string, key: string): Promise<void> {
+		while (!state.stopped) {
+			if (!avoided.has(name)) {
+				sightings.push(await ask(pool, name, key));
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, pauseMilliseconds);
+			});
+		}
+	}
+
+	const callers = instances.flatMap((instance, position) => keys.map(async key => repeat(pools[position]!, instance.name, key)));
+	return {
+		sightings,
+		avoid(instance) {
+			avoided.add(instance.name);
+		},
+		include(instance) {
+			avoided.delete(instance.name);
+		},
+		async stop() {
+			state.stopped = true;
+			await Promise.all(callers);
+			await Promise.all(pools.map(async pool => pool.destroy()));
+			return sightings;
+		},
+	};
+}
+
+/** For each key, the time from a moment until it was served well again by an upstream other than the lost one. */
+export function outages(sightings: readonly Sighting[], lost: string, since: MonotonicTime): ReadonlyMap<string, Milliseconds> {
+	const keys = new Set(sightings.filter(({upstream, endedAt}) => upstream === lost && endedAt <= since).map(({key}) => key));
+	return new Map([...keys].map(key => {
+		const again = sightings.find(sighting => sighting.key === key && sighting.endedAt > since && sighting.status === 200 && sighting.upstream !== lost);
+		return [key, (again?.endedAt ?? Infinity) - since] as const;
+	}));
+}
+
+function isDouble(served: readonly Sighting[]): boolean {
+	const byEnd = [...served].sort((one, other) => one.endedAt - other.endedAt);
+	const owners = new Map<number, string>();
+	let ended = 0;
+	let greatest = 0;
+	for (const sighting of [...served].sort((one, other) => one.sentAt - other.sentAt)) {
+		while (ended < byEnd.length && byEnd[ended]!.endedAt < sighting.sentAt) {
+			greatest = Math.max(greatest, byEnd[ended]!.fence);
+			ended++;
+		}
+
+		if (sighting.fence < greatest || (owners.get(sighting.fence) ?? sighting.upstream) !== sighting.upstream) {
+			return true;
+		}
+
+		owners.set(sighting.fence, sighting.upstream);
+	}
+
+	return false;
+}
+
+/**
+ * The keys that had more than one owner: a fence number was served by two
+ * upstreams, or a request that was sent after another had ended went under a
+ * smaller fence number than that one.
+ */
+export function doubleOwners(sightings: readonly Sighting[]): readonly string[] {
+	const served = sightings.filter(({upstream}) => upstream !== '');
+	const keys = [...new Set(served.map(({key}) => key))];
+	return keys.filter(key => isDouble(served.filter(sighting => sighting.key === key)));
+}
