--- a/packages/membership/test/test-watch.ts
+++ b/packages/membership/test/test-watch.ts
@@ -30,6 +30,8 @@
 	readonly restartsAt?: Readonly<Record<string, readonly number[]>>;
 	/** From when these instances of zone `n-1` fail at an upstream, by the upstream's name. */
 	readonly failingFrom?: Readonly<Record<string, {readonly at: number; readonly instances: readonly string[]}>>;
+	/** The only instances that send any requests. Absent: all. */
+	readonly busyInstances?: readonly string[];
 	/** The time in which no report of a zone comes through, by the zone. */
 	readonly cut?: Readonly<Record<string, readonly [from: number, until: number]>>;
 	/** When another leader begins with an empty view. */
@@ -73,7 +75,7 @@
 function evidenceOf(scene: Scene, zone: string, now: number): Report['evidence'] {
 	return Object.entries(scene.failingFrom ?? {})
 		.filter(([name]) => name.startsWith(zone))
-		.flatMap(([name, {at, instances: failing}]) => instances.slice(0, scene.rosterSize ?? 3).map(instance => {
+		.flatMap(([name, {at, instances: failing}]) => (scene.busyInstances ?? instances.slice(0, scene.rosterSize ?? 3)).map(instance => {
 			const isFailing = now >= at && failing.includes(instance);
 			return {
 				upstream: {service, name, incarnation: 1},
@@ -156,6 +158,11 @@
 		within: [2250, 2600],
 	},
 	{name: 'one instance fails, two get answers', scene: {failingFrom: {'n-1/u1': {at: 2000, instances: ['i1']}}, untilMilliseconds: 9000}, lost: []},
+	{
+		name: 'one instance fails, and no other has traffic',
+		scene: {busyInstances: ['i1'], failingFrom: {'n-1/u1': {at: 2000, instances: ['i1']}}, untilMilliseconds: 9000},
+		lost: [],
+	},
 	{
 		name: 'two instances of three fail',
 		scene: {failingFrom: {'n-1/u1': {at: 2000, instances: ['i1', 'i2']}}, untilMilliseconds: 4000},
@@ -191,6 +198,12 @@
 		lost: ['n-1/u1'],
 		within: [10_000, 10_100],
 	},
+	{
+		name: 'a gap just under the zone\'s timeout is not counted as silence',
+		scene: {cut: {'n-1': [2001, 3000]}, silentFrom: {'n-1/u1': 2600}, untilMilliseconds: 6000},
+		lost: ['n-1/u1'],
+		within: [3250, 3400],
+	},
 	{
 		name: 'a new leader gives a full grace period',
 		scene: {silentFrom: {'n-1/u1': 2000}, newLeaderAt: 2500, untilMilliseconds: 6000},
@@ -255,14 +268,32 @@
 	});
 }
 
-test('the time of joining is known for lives that began under this leader', () => {
-	const [announcement] = announcementsOf({untilMilliseconds: 0}, 'n-1', 0);
-	const {state} = advanceWatch(createWatch(0), {
-		kind: 'reportReceived', now: 70, report: {...emptyReport, announcements: [announcement!]}, reporter: {zone: 'n-1', instance: 'i1'},
+const joinCases: ReadonlyArray<{readonly name: string; readonly isInRegistry: boolean; readonly incarnation: number; readonly expected: number | undefined}> = [
+	{
+		name: 'a life that this leader let in', isInRegistry: false, incarnation: 1, expected: 100,
+	},
+	{
+		name: 'a life that was there before this leader', isInRegistry: true, incarnation: 1, expected: undefined,
+	},
+	{
+		name: 'a life that nobody heard', isInRegistry: false, incarnation: 2, expected: undefined,
+	},
+];
+
+for (const {name, isInRegistry, incarnation, expected} of joinCases) {
+	test(`time of joining: ${name}`, () => {
+		const [announcement] = announcementsOf({untilMilliseconds: 0}, 'n-1', 0);
+		const {leaving: _leaving, load: _load, ...fields} = announcement!;
+		const joining = applyMembership(emptyMembership, {kind: 'upstreamJoined', record: {...fields, phase: UpstreamPhase.serving}}, 1);
+		const {state} = advanceWatch(createWatch(0), {
+			kind: 'reportReceived', now: 70, report: {...emptyReport, announcements: [announcement!]}, reporter: {zone: 'n-1', instance: 'i1'},
+		});
+		const judged = advanceWatch(state, {
+			kind: 'ticked', now: 100, registry: isInRegistry ? joining.unwrapOr(emptyMembership) : emptyMembership, contracts: [contractOf({untilMilliseconds: 0})], rosterSizes: {},
+		});
+		assert.equal(joinedAt(judged.state, {service, name: 'n-1/u0', incarnation}), expected);
 	});
-	assert.equal(joinedAt(state, {service, name: 'n-1/u0', incarnation: 1}), 70);
-	assert.equal(joinedAt(state, {service, name: 'n-1/u0', incarnation: 2}), undefined);
-});
+}
 
 const randomScene: fc.Arbitrary<Scene> = fc.record({
 	whenCut: fc.constantFrom(WhenCut.hold, WhenCut.takeOver),
