--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -12,6 +12,7 @@
 import {type SeatRequest} from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {mayChangeRoster, proposeSeat} from '@dogwooddeck/ownership/seat';
+import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {type OwnershipCommand, type ZoneRoster} from '@dogwooddeck/ownership/table';
 import {grantorWait} from '@dogwooddeck/ownership/terms';
 import {type ControlCommand} from './command.js';
@@ -121,6 +122,11 @@
 	return {state: next, commands};
 }
 
+function settlingProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
+	const {grantor, commands} = settlePolicies(state.grantor, control.ownership, now);
+	return {state: {...state, grantor}, commands};
+}
+
 /** What to propose now, as one entry. */
 export function proposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
 	const commands: ControlCommand[] = [];
@@ -128,6 +134,7 @@
 	const steps = [
 		membershipProposals,
 		seatProposals,
+		settlingProposals,
 		closingProposals,
 		...contractsOf(control.configuration).map(contract =>
 			(current: LeaderState) => serviceProposals(current, control, contract, now)),
--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -148,20 +148,11 @@
 	return {state: withTargets(next, service, [...planned, ...wished]), commands: planCommands(service, plan, revoked)};
 }
 
-/** Every zone has reported the last change of a service's policy. */
-function settlingProposals(state: LeaderState, control: ControlState, service: ServiceName): Proposals {
-	const policy = control.ownership.policies[service];
-	const zones = Object.values(control.ownership.rosters).filter(({members}) => members.length > 0);
-	const settled = policy?.former !== undefined && zones.every(({zone}) => zoneOf(state.grantor, zone).drained >= policy.changedAt);
-	return {state, commands: settled ? [{kind: 'policySettled', service, changedAt: policy.changedAt}] : []};
-}
-
 /** What to propose for a service that has a contract. */
 export function serviceProposals(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Proposals {
-	const settled = settlingProposals(state, control, contract.name);
-	const ended = endRevocations(settled.state, control, contract.name, now);
+	const ended = endRevocations(state, control, contract.name, now);
 	const planned = plannedProposals(ended.state, control, contract, now);
-	return {state: planned.state, commands: [...settled.commands, ...ended.commands, ...planned.commands]};
+	return {state: planned.state, commands: [...ended.commands, ...planned.commands]};
 }
 
 function closingOf(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): Proposals {
--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -102,11 +102,18 @@
 			: {kind: 'answered', now: monotonicNow(), answer: received});
 	}
 
+	function noteCopied(message: Message): void {
+		if (message.kind === 'claim-request') {
+			step({kind: 'copied', now: monotonicNow(), request: message});
+		}
+	}
+
 	/** Ends and copies are sent again until they arrive: later claims rest on them. */
 	async function insist(message: Message): Promise<void> {
 		for (const duration of copyPauses) {
 			await pause(duration);
 			if (await sendOnce(message) !== undefined) {
+				noteCopied(message);
 				return;
 			}
 		}
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -54,7 +54,7 @@
 export type Owner = RequestOwner & {
 	readonly service: ServiceName;
 	readonly upstream: UpstreamIdentity;
-	readonly held: boolean;
+	readonly zone: ZoneName;
 	/** Set when the first byte may go. */
 	flight: Flight | undefined;
 };
@@ -100,6 +100,7 @@
 
 const noOwner = failure(FailureKind.noOwner, 'the key has no owner at this moment', {retryAfterMilliseconds: ownerRetryMilliseconds});
 const noLease = failure(FailureKind.noLease, 'this instance holds no lease over the key at this moment', {retryAfterMilliseconds: ownerRetryMilliseconds});
+const noConnections = failure(FailureKind.overloaded, 'the upstream\'s connections are all divided over other instances');
 const notReady = failure(FailureKind.notReady, 'the instance takes no requests now');
 
 function operationKeyOf(head: RequestHead): Result<string, Failure> {
@@ -237,15 +238,20 @@
 			return err(noLease);
 		}
 
+		const connections = connectionsFor(contract.upstream.connections, sharing.instances, sharing.position);
+		if (connections === 0) {
+			return err(noConnections);
+		}
+
 		return ok({
 			address: upstream.address,
-			connections: connectionsFor(contract.upstream.connections, sharing.instances, sharing.position),
+			connections,
 			slot,
 			fence: assignment.fence,
 			admission: admissionOf(upstream.address, contract.upstream.slots),
 			service: contract.name,
 			upstream: assignment.owner,
-			held,
+			zone: upstream.zone,
 			flight: undefined,
 		});
 	}
@@ -257,7 +263,8 @@
 			return false;
 		}
 
-		if (!mayStart(surroundings.lease(), now, assignment, owner.held)) {
+		const policy = holder.state().ownership.policies[owner.service];
+		if (policy === undefined || !mayStart(surroundings.lease(), now, assignment, isHeld(policy, owner.zone, surroundings.zone))) {
 			return false;
 		}
 
--- a/packages/routing/src/target.ts
+++ b/packages/routing/src/target.ts
@@ -44,6 +44,7 @@
 
 const undeclared: RouteTreatment = {idempotent: false, importance: Importance.high};
 const dotSegment = /^(?:\.|%2e){1,2}$/iv;
+const encodedSlash = /%(?:2f|5c)/iv;
 
 function segmentsOf(path: string): string[] {
 	return path.split('/').filter(segment => segment !== '');
@@ -112,13 +113,13 @@
 }
 
 /**
- * An upstream may resolve dot segments and empty segments in its own way and
- * then read another key than the router did, so neither is taken.
+ * An upstream may resolve dot segments, empty segments and encoded slashes in its
+ * own way and then read another key than the router did, so none is taken.
  */
 function keyInPath(source: KeySource & {readonly place: 'path'}, target: ServiceTarget, head: RequestHead): Result<string, Failure> {
 	const segments = remainder(target, head.path);
-	const ambiguous = segments.some((segment, position) => (segment === '' && position < segments.length - 1) || dotSegment.test(segment));
-	return ambiguous ? malformed('the path holds empty or dot segments') : decoded(segments[source.segment], 'path');
+	const ambiguous = segments.some((segment, position) => (segment === '' && position < segments.length - 1) || dotSegment.test(segment) || encodedSlash.test(segment));
+	return ambiguous ? malformed('the path holds empty segments, dot segments or encoded slashes') : decoded(segments[source.segment], 'path');
 }
 
 function keyInHeader(source: KeySource & {readonly place: 'header'}, _target: ServiceTarget, head: RequestHead): Result<string, Failure> {
--- a/packages/stand-in/src/watcher.ts
+++ b/packages/stand-in/src/watcher.ts
@@ -72,7 +72,7 @@
 			}
 
 			await new Promise(resolve => {
-				setTimeout(resolve, pauseMilliseconds);
+				setTimeout(resolve, pauseMilliseconds).unref();
 			});
 		}
 	}
--- a/packages/wire/src/translate-consensus.ts
+++ b/packages/wire/src/translate-consensus.ts
@@ -60,8 +60,8 @@
 		kind: 'preVoteRequested', term, lastIndex, lastTerm,
 	}),
 	preVoteAnswered: ({term, granted}) => ({kind: 'preVoteAnswered', term, granted}),
-	voteRequested: ({term, lastIndex, lastTerm}) => ({
-		kind: 'voteRequested', term, lastIndex, lastTerm,
+	voteRequested: ({term, lastIndex, lastTerm, invited}) => ({
+		kind: 'voteRequested', term, lastIndex, lastTerm, ...(invited ? {invited: true} : {}),
 	}),
 	voteAnswered: ({term, granted}) => ({kind: 'voteAnswered', term, granted}),
 	appendRequested(wire) {
@@ -109,6 +109,7 @@
 		accepted: false,
 		index: 0,
 		snapshot: undefined,
+		invited: false,
 		...dispatch(messageToWire, envelope.message),
 		kind: envelope.message.kind,
 		from: envelope.from,
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -16,7 +16,7 @@
 		.filter(folder => existsSync(folder))
 		.flatMap(folder => readdirSync(folder).filter(file => /^test-.*\.js$/v.test(file)).map(file => `${folder}/${file}`))
 		.filter(file => existsSync(file.replace('/dist/', '/').replace(/\.js$/v, '.ts')))
-		.filter(file => file.includes(word))
+		.filter(file => file.slice(root.length).includes(word))
 		.sort();
 }
 
@@ -25,6 +25,12 @@
 	return lines.filter(line => line.startsWith('test: ')).map(line => line.slice('test: '.length).trim());
 }
 
+const files = testFiles();
+if (files.length === 0) {
+	console.error(`no test file's path holds ${JSON.stringify(word)}`);
+	process.exit(2); // eslint-disable-line unicorn/no-process-exit
+}
+
 const red = knownRed();
 for (const name of red) {
 	console.log(`known red, passed over: ${name}`);
@@ -34,7 +40,7 @@
 const pattern = red.length === 0 ? [] : [`--test-name-pattern=/^(?!(?:${escaped.join('|')})$)/`];
 const ended = spawnSync(
 	process.execPath,
-	['--enable-source-maps', '--test', `--test-concurrency=${concurrentFiles}`, '--test-reporter=spec', ...pattern, ...testFiles()],
+	['--enable-source-maps', '--test', `--test-concurrency=${concurrentFiles}`, '--test-reporter=spec', ...pattern, ...files],
 	{cwd: root, stdio: 'inherit'},
 );
 process.exitCode = ended.status ?? 1;
