--- a/packages/bench/src/table.ts
+++ b/packages/bench/src/table.ts
@@ -88,7 +88,7 @@
 export async function compareCuts(traces: readonly Trace[]): Promise<readonly Row[]> {
 	const hash = await createSlotHash();
 	const cuts = traces.filter(trace => trace.events.some(event => event.kind === 'zoneCut' || event.kind === 'regionsCut'));
-	const maker = createPolicies(hash).ours!;
+	const maker = createPolicies(hash).ours;
 	return cuts.flatMap(trace => Object.values(WhenCut).map((whenCut): Row => ({
 		trace: trace.name, policy: whenCut, measures: replayTrace({...trace, whenCut}, maker, hash),
 	})));
