Wait for a service's upstreams also under a new leader, and elect less hastily

Cause: in a run of test-failures a leader stalled for 400 ms just as upstreams joined; its successor knew no time of joining and gave all keys to the one upstream it had, so that 'entry-0 knows all owners' did not come within 30 s. Change: lives that joined before a leader count from its start; the election timeout is 800 ms.

--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -127,16 +127,16 @@
 /** A service without any owner waits until the first of its upstreams has been there for this long, so that its keys are divided over all that come together. */
 export const formationMilliseconds: Milliseconds = 1500;
 
-function isForming(input: PlacementInput): boolean {
+function isForming(input: PlacementInput, startedAt: MonotonicTime): boolean {
 	const {assignments} = input.assignments;
-	const joined = input.upstreams.map(upstream => upstream.joinedAt ?? -Infinity);
+	const joined = input.upstreams.map(upstream => upstream.joinedAt ?? startedAt);
 	return assignments.every(({phase}) => phase === AssignmentPhase.vacant) && input.now - Math.min(...joined) < formationMilliseconds;
 }
 
 function plannedProposals(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Proposals {
 	const service = contract.name;
 	const input = placementInput(state, control, contract, now);
-	if (isForming(input)) {
+	if (isForming(input, state.grantor.startedAt)) {
 		return {state, commands: []};
 	}
 
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -45,7 +45,7 @@
 	readonly stop: () => Promise<void>;
 };
 
-const electionMilliseconds: Milliseconds = 400;
+const electionMilliseconds: Milliseconds = 800;
 const heartbeatMilliseconds: Milliseconds = 80;
 const deliverMilliseconds: Milliseconds = 1000;
 const memberMilliseconds: Milliseconds = 500;
