Wait for a proposal's end for a bounded time

Cause: the leader proposes nothing while a proposal is under way; one whose end is never heard of would stop it for good. Change: after 3 s the leader goes on; commands that come twice are refused when applied.

--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -10,7 +10,7 @@
 import {effectiveLimit, type EffectiveLimit} from '@dogwooddeck/limits/unit';
 import {advanceWatch, createWatch, type WatchState} from '@dogwooddeck/membership/watch';
 import {
-	type InstanceIdentity, type InstanceName, type MonotonicTime, type ServiceName, type UpstreamIdentity,
+	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime, type ServiceName, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
 import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
 import {type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
@@ -67,6 +67,9 @@
 /** The smoothing of reported loads. */
 const loadTimeConstantMilliseconds = 10_000;
 
+/** A proposal of which nothing is heard for this long is no longer waited for. Commands that come twice are refused when they are applied. */
+export const proposalMilliseconds: Milliseconds = 3000;
+
 /** A leader that was elected now, and has applied its whole log. */
 export function createLeader(now: MonotonicTime, control: ControlState, terms: LeaseTerms, hash: SlotHash): LeaderState {
 	return {
@@ -154,7 +157,7 @@
 
 function ticked({now, control}: EventOf<'ticked' | 'proposalEnded'>, state: LeaderState): LeaderTransition {
 	const grantor = stepGrantor(state.grantor, {kind: 'tableChanged', now, table: control.ownership}).state;
-	if (state.proposedAt !== undefined) {
+	if (state.proposedAt !== undefined && now - state.proposedAt < proposalMilliseconds) {
 		return {state: {...state, grantor}, effects: []};
 	}
 
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -7,7 +7,7 @@
 import {applyEntry} from '@dogwooddeck/control/apply';
 import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
 import {
-	createLeader, type LeaderEvent, type LeaderState, stepLeader,
+	createLeader, type LeaderEvent, type LeaderState, proposalMilliseconds, stepLeader,
 } from '@dogwooddeck/control/leader';
 import {silentInstanceMilliseconds} from '@dogwooddeck/control/proposals';
 import {formationMilliseconds} from '@dogwooddeck/control/service-proposals';
@@ -191,6 +191,17 @@
 			assert.deepEqual(world.control.wishes, []);
 		},
 	},
+	{
+		name: 'a proposal without an end holds the leader up for a bounded time',
+		run() {
+			const world = begun('entry-1');
+			world.leader = {...world.leader, proposedAt: world.now};
+			world.pass(proposalMilliseconds - 200, [announcement('one')], ['entry-1']);
+			assert.deepEqual(new Set(world.owners()), new Set(['']));
+			world.pass(formationMilliseconds + 1000, [announcement('one')], ['entry-1']);
+			assert.deepEqual(new Set(world.owners()), new Set(['one']));
+		},
+	},
 	{
 		name: 'the keys of an upstream that falls silent go to the others',
 		run() {
