--- a/packages/daemon/src/announcements.ts
+++ b/packages/daemon/src/announcements.ts
@@ -1,7 +1,6 @@
 /**
  * Takes the announcements of upstreams, and answers with their grants.
  */
-import {createHash, timingSafeEqual} from 'node:crypto';
 import {nameField, serviceNameField, upstreamNameField} from '@dogwooddeck/configuration/field';
 import {parseStrictly, strictObject} from '@dogwooddeck/configuration/strict-schema';
 import {contractOf} from '@dogwooddeck/configuration/tree';
@@ -14,6 +13,7 @@
 	type FenceNumber, sameUpstream, type Slot, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
 import {type Announcement} from '@dogwooddeck/model/registry';
+import {sameSecret} from '@dogwooddeck/wire/secret';
 import {err, ok, type Result} from 'true-myth/result';
 import * as v from 'valibot';
 import {type ControlHolder} from './control-holder.js';
@@ -40,11 +40,6 @@
 	load: v.pipe(v.number(), v.minValue(0), v.maxValue(1)),
 });
 
-function sameText(one: string, other: string): boolean {
-	const digest = (text: string) => createHash('sha256').update(text).digest();
-	return timingSafeEqual(digest(one), digest(other));
-}
-
 function grantsOf(control: ControlState, upstream: UpstreamIdentity): readonly SlotGrant[] {
 	return (control.ownership.services[upstream.service]?.assignments ?? []).flatMap(assignment =>
 		assignment.phase === AssignmentPhase.granted && sameUpstream(assignment.owner, upstream)
@@ -66,7 +61,7 @@
 	taken: (announcement: Announcement) => void,
 ): SurfaceHandler {
 	return async ({token, body}) => {
-		if (!sameText(token, key)) {
+		if (!sameSecret(token, key)) {
 			return err(failure(FailureKind.unauthenticated, 'the announcement carries no right token'));
 		}
 
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -3,6 +3,7 @@
  */
 import process from 'node:process';
 import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
+import {pause} from '@dogwooddeck/clock/pause';
 import {type ConsensusEnvelope} from '@dogwooddeck/consensus/message';
 import {startCallerServer} from '@dogwooddeck/front/caller-server';
 import {startOperatorServer} from '@dogwooddeck/front/operator-server';
@@ -71,12 +72,6 @@
 	}
 }
 
-async function pause(duration: Milliseconds): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, duration);
-	});
-}
-
 /** Starts an instance. Throws a `FailureError` when a part of it can't start. */
 export async function startInstance(settings: InstanceSettings, log: Log, failed: (failure: Failure) => void): Promise<Instance> {
 	const terms = defaultLeaseTerms;
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -295,9 +295,7 @@
 		},
 		claim(request, body, decided) {
 			return claims.claim({
-				service: request.target.contract.name,
-				key: request.key,
-				operationKey: request.operationKey,
+				operation: {service: request.target.contract.name, key: request.key, operationKey: request.operationKey},
 				fingerprint: fingerprintOf(request.head, body),
 				runsForMilliseconds: request.deadline - monotonicNow() + claimMarginMilliseconds,
 			}, decided);
--- a/packages/stand-in/src/control-cost.ts
+++ b/packages/stand-in/src/control-cost.ts
@@ -5,6 +5,7 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
+import {pause} from '@dogwooddeck/clock/pause';
 import {request} from 'undici';
 import {type Deployment, startDeployment, type TrialInstance} from './deployment.js';
 
@@ -53,12 +54,6 @@
 const measureMilliseconds = 6000;
 const bytesPerMebibyte = 1_048_576;
 
-async function pause(duration: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, duration);
-	});
-}
-
 function measureIn(text: string, name: string): number {
 	return Number(new RegExp(`^${name} (\\S+)$`, 'mv').exec(text)?.[1] ?? 0);
 }
--- a/packages/stand-in/test/test-failures.ts
+++ b/packages/stand-in/test/test-failures.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {test} from 'node:test';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {pause} from '@dogwooddeck/clock/pause';
 import {eventually} from '@dogwooddeck/stand-in/child';
 import {
 	type Deployment, repository, startDeployment, type TrialInstance,
@@ -71,12 +72,6 @@
 	await settled(deployment, zones.length);
 }
 
-async function pause(milliseconds: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
-
 async function served(watcher: Watcher, since: number, wanted = keys): Promise<void> {
 	await eventually('every key is served again', patience, () => {
 		const again = new Set(watcher.sightings.filter(({sentAt, status}) => sentAt > since && status === 200).map(({key}) => key));
--- a/packages/wire/src/server.ts
+++ b/packages/wire/src/server.ts
@@ -2,7 +2,6 @@
  * The server for calls from other instances. Every call carries the deployment's
  * peer key; one without it is refused before its message is looked at.
  */
-import {createHash, timingSafeEqual} from 'node:crypto';
 import {
 	failure, type Failure, FailureKind, toFailure,
 } from '@dogwooddeck/model/failure';
@@ -15,6 +14,7 @@
 import {
 	methodCodecs, type MethodCodec, type PeerCall, type PeerCalls,
 } from './methods.js';
+import {sameSecret} from './secret.js';
 import {statusOfFailure} from './status.js';
 
 /** What an instance does with each call. */
@@ -30,13 +30,9 @@
 	readonly close: () => Promise<void>;
 };
 
-function digest(text: string): Uint8Array {
-	return createHash('sha256').update(text).digest();
-}
-
-function authenticated(metadata: Metadata, expected: Uint8Array): boolean {
+function authenticated(metadata: Metadata, expected: string): boolean {
 	const [given] = metadata.get('authorization');
-	return typeof given === 'string' && timingSafeEqual(digest(given), expected);
+	return typeof given === 'string' && sameSecret(given, expected);
 }
 
 async function answerCall<Call extends PeerCall>(
@@ -54,7 +50,7 @@
 	return answer.map(value => codec.answerToWire(value));
 }
 
-function implementation(call: PeerCall, handlers: PeerHandlers, expected: Uint8Array) {
+function implementation(call: PeerCall, handlers: PeerHandlers, expected: string) {
 	return async (received: ServerUnaryCall<unknown, unknown>, respond: sendUnaryData<unknown>): Promise<void> => {
 		if (!authenticated(received.metadata, expected)) {
 			respond(statusOfFailure(failure(FailureKind.unauthenticated, 'the peer key is missing or wrong')));
@@ -77,7 +73,7 @@
 /** Starts to listen. Fails with `unreachable` when the address can't be bound. */
 export async function startPeerServer(address: string, key: string, handlers: PeerHandlers): Promise<Result<PeerServer, Failure>> {
 	const server = new Server({'grpc.max_receive_message_length': largestMessageBytes, 'grpc.max_send_message_length': largestMessageBytes});
-	const expected = digest(`Bearer ${key}`);
+	const expected = `Bearer ${key}`;
 	const calls = Object.keys(methodCodecs) as PeerCall[];
 	const table = Object.fromEntries(calls.map(call => [call, implementation(call, handlers, expected)]));
 	server.addService(PeerService, table);
