Take back a move that a cut zone holds up

Cause: an optional move (a pinned hot key, a wish) that began just before the only instance of a 'hold' zone fell silent waits for that zone's evidence, and its key is served by nobody until then. Ruled out: loss of the proposal (the leader kept proposing), a wait for the other zones (all had drained). Change: the leader grants such a slot to the owner that it has, which needs no evidence, and makes no wished move out of a zone that holds and isn't heard. Conclusion: sole ownership rests on the same evidence; an upstream that checks fences refuses the cut zone's older fence only if another zone reaches it.

--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -11,7 +11,9 @@
 	type Milliseconds, type MonotonicTime, sameUpstream, type ServiceName, type Slot, type UpstreamIdentity, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
 import {identityOf, UpstreamPhase} from '@dogwooddeck/model/registry';
+import {type Grant} from '@dogwooddeck/ownership/command';
 import {clear, zoneOf} from '@dogwooddeck/ownership/grantor';
+import {someMayHold} from '@dogwooddeck/ownership/policy';
 import {noRates, ratesOf} from '@dogwooddeck/placement/load';
 import {type PlacementInput} from '@dogwooddeck/placement/input';
 import {createPlacement, planPlacement} from '@dogwooddeck/placement/plan';
@@ -46,7 +48,28 @@
 	return upstreamOf(control.membership, owner)?.zone;
 }
 
-/** Ends the revocations of a service whose evidence is complete: by a grant to the slot's target, or by a release. */
+/** The cut zones that keep the slots of their upstreams. */
+function heldZones(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): ReadonlySet<ZoneName | undefined> {
+	const policy = control.ownership.policies[service];
+	const holds = policy !== undefined && someMayHold(policy);
+	return new Set(holds ? unreachableZones(state, control, now) : []);
+}
+
+/**
+ * Revocations that a cut zone holds up: its instances may go on sending to the
+ * owner, so no other may be granted the slot. The owner itself may: a grant to
+ * the same owner needs no evidence.
+ */
+function heldUp(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): readonly Revoking[] {
+	const held = heldZones(state, control, service, now);
+	const revoking = (control.ownership.services[service]?.assignments ?? []).filter(assignment => isRevoking(assignment));
+	return revoking.filter(({owner}) => mayOwn(control, owner) && held.has(ownerZone(control, owner)));
+}
+
+/**
+ * Ends the revocations of a service whose evidence is complete, by a grant to the
+ * slot's target or by a release, and takes back those that a cut zone holds up.
+ */
 function endRevocations(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): Proposals {
 	const revoking = (control.ownership.services[service]?.assignments ?? []).filter(assignment => isRevoking(assignment));
 	let {grantor} = state;
@@ -63,12 +86,13 @@
 	const targetOf = (slot: Slot) => state.targets[targetKey(service, slot)];
 	const granted = cleared.filter(({slot}) => mayOwn(control, targetOf(slot)));
 	const released = cleared.filter(assignment => !granted.includes(assignment));
+	const takenBack = heldUp(state, control, service, now).filter(assignment => !cleared.includes(assignment));
+	const grants: readonly Grant[] = [
+		...granted.map(({slot, revokedAt}) => ({slot, owner: targetOf(slot)!, revokedAt})),
+		...takenBack.map(({slot, owner, revokedAt}) => ({slot, owner, revokedAt})),
+	];
 	const commands: ControlCommand[] = [
-		...(granted.length === 0
-			? []
-			: [{
-				kind: 'assignmentsGranted' as const, service, grants: granted.map(({slot, revokedAt}) => ({slot, owner: targetOf(slot)!, revokedAt})),
-			}]),
+		...(grants.length === 0 ? [] : [{kind: 'assignmentsGranted' as const, service, grants}]),
 		...(released.length === 0
 			? []
 			: [{
@@ -78,12 +102,14 @@
 	return {state: {...state, grantor}, commands};
 }
 
-function wishedMoves(control: ControlState, assignments: ServiceAssignments): readonly Target[] {
+function wishedMoves(state: LeaderState, control: ControlState, assignments: ServiceAssignments, now: MonotonicTime): readonly Target[] {
+	const held = heldZones(state, control, assignments.service, now);
 	return control.wishes.filter(({service}) => service === assignments.service).flatMap(({slot, upstream}) => {
 		const assignment = assignments.assignments[slot];
 		const target = upstreamsOf(control.membership, assignments.service)
 			.find(({name, phase}) => name === upstream && phase === UpstreamPhase.serving);
-		const moves = assignment?.phase === AssignmentPhase.granted && target !== undefined && !sameUpstream(assignment.owner, identityOf(target));
+		const moves = assignment?.phase === AssignmentPhase.granted && target !== undefined && !sameUpstream(assignment.owner, identityOf(target))
+			&& !held.has(ownerZone(control, assignment.owner));
 		return moves ? [{slot, to: identityOf(target)}] : [];
 	});
 }
@@ -141,7 +167,7 @@
 	}
 
 	const plan = planPlacement(input);
-	const wished = wishedMoves(control, input.assignments);
+	const wished = wishedMoves(state, control, input.assignments, now);
 	const planned = plan.moves.flatMap(({slot, to}) => to === undefined ? [] : [{slot, to}]);
 	const revoked = [...new Set([...plan.moves.map(({slot}) => slot), ...wished.map(({slot}) => slot)])];
 	const next = {...state, placements: {...state.placements, [service]: plan.state}};
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -34,6 +34,8 @@
 	control: ControlState = emptyControl;
 	leader: LeaderState = createLeader(0, emptyControl, defaultLeaseTerms, (key, slots) => key.length % slots);
 	now = 0;
+	/** Whether the zone ends the work that revocations wait for. */
+	drains = true;
 	readonly proposed: ControlCommand[] = [];
 
 	apply(...commands: ControlCommand[]): void {
@@ -62,7 +64,7 @@
 				zone,
 				steward: {name: holders[0]!, incarnation: 1},
 				applied: this.control.applied,
-				drained: this.control.applied,
+				drained: this.drains ? this.control.applied : 0,
 				report: {...emptyReport, announcements},
 				holders: holders.map(name => ({name, incarnation: 1})),
 			},
@@ -91,6 +93,10 @@
 		return (this.control.ownership.rosters['noord-a']?.members ?? []).map(({name, incarnation}) => `${name}#${incarnation}`);
 	}
 
+	phaseOf(slot: number): string {
+		return this.control.ownership.services[contract.name]!.assignments[slot]!.phase;
+	}
+
 	owners(): readonly string[] {
 		const {assignments} = this.control.ownership.services[contract.name]!;
 		return assignments.map(assignment => assignment.phase === 'vacant' ? '' : assignment.owner.name);
@@ -191,6 +197,29 @@
 			assert.deepEqual(world.control.wishes, []);
 		},
 	},
+	{
+		name: 'a move that a cut zone holds up is taken back, and made when the zone is heard again',
+		run() {
+			const world = begun('entry-1');
+			const both = [announcement('one'), announcement('two')];
+			world.pass(3000, both, ['entry-1']);
+			const slot = world.owners().indexOf('one');
+			world.drains = false;
+			world.apply({
+				kind: 'operatorAsked', operation: 'move-0001', command: {
+					kind: 'moveWished', service: contract.name, slot, upstream: 'two',
+				},
+			});
+			world.pass(300, both, ['entry-1']);
+			assert.equal(world.phaseOf(slot), 'revoking');
+			world.pass(10_000, [], []);
+			assert.equal(world.phaseOf(slot), 'granted');
+			assert.equal(world.owners()[slot], 'one');
+			world.drains = true;
+			world.pass(2000, both, ['entry-1']);
+			assert.equal(world.owners()[slot], 'two');
+		},
+	},
 	{
 		name: 'a proposal without an end holds the leader up for a bounded time',
 		run() {
