Keep a share of a limit for each instance, and ask at once for a larger one

Cause: an instance's first share came from a demand of 1 and from what earlier comers had left: of 600 a minute four instances got 300, 150, 100 and 50, and the last refused a burst of 60 with 429 until the next demand, up to 1 s later. Ruled out: miscounting at the instance (its bucket held 50 uses). A truly spent limit is asked for by the logarithm. Figures: shares of the first four 75 each (test-sharing: 13 of 100 for each); one instance alone can use 93% of a limit.

--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -107,12 +107,17 @@
 	return contract === undefined || limit === undefined ? undefined : effectiveLimit(limit, contract.units).unwrapOr(undefined);
 }
 
+function seatedInstances({ownership}: ControlState): number {
+	return Object.values(ownership.rosters).reduce((sum, {members}) => sum + members.length, 0);
+}
+
 function answerDemands(state: LeaderState, {now, control, request}: EventOf<'delegationRequested'>) {
 	let sharing = sweepSharing(state.sharing, now);
+	const instances = seatedInstances(control);
 	const shares: LimitShare[] = [];
 	for (const demand of request.report.demands) {
 		const limit = limitOf(control, demand);
-		const answered = limit === undefined ? undefined : shareOut(sharing, demand, limit, now);
+		const answered = limit === undefined ? undefined : shareOut(sharing, demand, limit, instances, now);
 		sharing = answered?.state ?? sharing;
 		if (answered?.share !== undefined) {
 			shares.push(answered.share);
--- a/packages/daemon/src/limiter.ts
+++ b/packages/daemon/src/limiter.ts
@@ -8,6 +8,7 @@
 import {
 	admit, type BucketState, createBucket, usedShare,
 } from '@dogwooddeck/limits/bucket';
+import {mayGrow} from '@dogwooddeck/limits/growth';
 import {effectiveLimit, type EffectiveLimit} from '@dogwooddeck/limits/unit';
 import {
 	type ContractedLimit, Counted, LimitScope, type ServiceContract,
@@ -24,7 +25,7 @@
 export type Limiter = {
 	/**
 	 * Charges a request. Fails with `limitReached` where a limit is spent, and
-	 * with `noLease`, to be tried again, while a first share is asked for.
+	 * with `noLease`, to be tried again, while a first or a larger share is asked for.
 	 */
 	readonly admit: (contract: ServiceContract, head: RequestHead, idempotent: boolean) => Result<undefined, Failure>;
 	/** What to ask for now. */
@@ -47,14 +48,17 @@
 	bucket: BucketState;
 	share: number;
 	shareUntil: MonotonicTime;
-	/** When the demands that aren't answered yet were made, by sequence. */
-	readonly asked: Map<number, MonotonicTime>;
+	/** The demands that aren't answered yet, by sequence. */
+	readonly asked: Map<number, {readonly at: MonotonicTime; readonly wanted: number}>;
+	/** What was wanted by the demand that the share answers. */
+	answeredFor: number;
 	/** The costs that were asked for in this interval and in the one before. */
 	wanted: number;
 	wantedBefore: number;
 	intervalAt: MonotonicTime;
 	usedAt: MonotonicTime;
 	waits: boolean;
+	waitsSince: MonotonicTime;
 };
 
 const demandMilliseconds: Milliseconds = 1000;
@@ -63,6 +67,8 @@
 const askedAtMost = 32;
 const entriesAtMost = 10_000;
 const waitMilliseconds: Milliseconds = 25;
+/** A spent share is refused when no answer about a larger one came within this, as in a cut. */
+const longestWaitMilliseconds: Milliseconds = 1000;
 const skewMilliseconds: Milliseconds = 1000;
 const longestCaller = 128;
 
@@ -125,11 +131,13 @@
 			share: isOwn ? effective.amount : 0,
 			shareUntil: isOwn ? Infinity : -Infinity,
 			asked: new Map(),
+			answeredFor: 0,
 			wanted: 0,
 			wantedBefore: 0,
 			intervalAt: monotonicNow(),
 			usedAt: monotonicNow(),
 			waits: false,
+			waitsSince: -Infinity,
 		};
 	}
 
@@ -181,9 +189,14 @@
 		}
 	}
 
+	function wantedOf(entry: Entry): number {
+		return Math.max(1, entry.wanted, entry.wantedBefore);
+	}
+
 	function demandOf(entry: Entry, now: MonotonicTime): LimitDemand {
 		sequence += 1;
-		entry.asked.set(sequence, now);
+		const wanted = wantedOf(entry);
+		entry.asked.set(sequence, {at: now, wanted});
 		if (entry.asked.size > askedAtMost) {
 			entry.asked.delete(entry.asked.keys().next().value!);
 		}
@@ -195,18 +208,40 @@
 			caller: entry.caller,
 			holder,
 			sequence,
-			wanted: Math.max(1, entry.wanted, entry.wantedBefore),
+			wanted,
 			held,
 			usable: Math.max(held, usedShare(entry.bucket, wallNow(), now, skewMilliseconds)),
 		};
 	}
 
+	/** Whether a larger share is asked for; until the answer has come, requests wait for it. */
+	function asksForMore(entry: Entry, now: MonotonicTime): boolean {
+		if (entry.waits) {
+			return now < entry.waitsSince + longestWaitMilliseconds;
+		}
+
+		const isShared = entry.effective.scope === LimitScope.deployment;
+		const grows = isShared && mayGrow({
+			share: shareNow(entry, now), amount: entry.effective.amount, answeredFor: entry.answeredFor, wanted: wantedOf(entry),
+		});
+		if (grows) {
+			setWaits(entry, true);
+			entry.waitsSince = now;
+		}
+
+		return grows;
+	}
+
 	function admitAll(charged: ReadonlyArray<{readonly entry: Entry; readonly cost: number}>, now: MonotonicTime): Result<undefined, Failure> {
 		const wall = wallNow();
 		const admissions = charged.map(({entry, cost}) => ({entry, admission: admit(entry.bucket, wall, now, cost, shareNow(entry, now))}));
 		const refusal = admissions.find(({admission}) => !admission.admitted);
 		if (refusal !== undefined) {
 			const {entry, admission} = refusal;
+			if (asksForMore(entry, now)) {
+				return err(shareAwaited);
+			}
+
 			return err(failure(FailureKind.limitReached, `the contracted limit ${entry.limit} of ${entry.service} is spent`, {
 				retryAfterMilliseconds: admission.retryAfterMilliseconds,
 			}));
@@ -268,8 +303,8 @@
 			const now = monotonicNow();
 			for (const share of shares) {
 				const entry = entries.get(`${share.service}\n${share.limit}\n${share.caller}`);
-				const askedAt = entry?.asked.get(share.sequence);
-				if (entry === undefined || askedAt === undefined) {
+				const asked = entry?.asked.get(share.sequence);
+				if (entry === undefined || asked === undefined) {
 					continue;
 				}
 
@@ -279,7 +314,8 @@
 
 				entry.bucket = admit(entry.bucket, wallNow(), now, 0, share.amount).state;
 				entry.share = share.amount;
-				entry.shareUntil = askedAt + share.validMilliseconds;
+				entry.shareUntil = asked.at + share.validMilliseconds;
+				entry.answeredFor = asked.wanted;
 				setWaits(entry, false);
 			}
 		},
--- a/packages/limits/src/division.ts
+++ b/packages/limits/src/division.ts
@@ -20,6 +20,8 @@
 	readonly marginMilliseconds: Milliseconds;
 	/** The part of an equal share that every holder gets, wanted or not. */
 	readonly floorRatio: number;
+	/** The part of an equal share that is kept for each expected holder that didn't ask yet. */
+	readonly reserveRatio: number;
 	/** What a holder gets, as a multiple of what it wanted. */
 	readonly headroomRatio: number;
 };
@@ -62,6 +64,8 @@
 		readonly held: number;
 		/** The greater of `held` and what was used within the last window, as a share; infinite where the holder can't tell. */
 		readonly usable: number;
+		/** How many holders may ask, those that did among them. */
+		readonly expected: number;
 	}
 	/** The amount, or the divider's own share, is another. */
 	| {readonly kind: 'amountChanged'; readonly now: MonotonicTime; readonly amount: number; readonly validUntil: MonotonicTime};
@@ -117,11 +121,18 @@
 	return parts;
 }
 
-/** The max-min fair part of the amount for a holder, and of what nobody wants a part in proportion to it. */
-function fairShare(state: DivisionState, name: string, now: MonotonicTime): number {
+/**
+ * The max-min fair part of the amount for a holder, and of what nobody wants a
+ * part in proportion to it. Holders that are expected and didn't ask yet have a
+ * small part as well, so that those who come first don't take all.
+ */
+function fairShare(state: DivisionState, name: string, expected: number, now: MonotonicTime): number {
 	const {amount, options} = state;
 	const present = state.holders.filter(({heardAt}) => heardAt + options.shareMilliseconds > now);
-	const parts = maxMinParts(amount, present.map(holder => wantedBy(state, holder, present.length)));
+	const count = Math.max(present.length, expected);
+	const wanted = present.map(holder => wantedBy(state, holder, count));
+	const reserved = Array.from({length: count - present.length}, () => options.reserveRatio * amount / count);
+	const parts = maxMinParts(amount, [...wanted, ...reserved]);
 	const sum = parts.reduce((one, other) => one + other, 0);
 	const part = parts[present.findIndex(holder => holder.name === name)] ?? 0;
 	return sum === 0 ? 0 : part * Math.min(options.headroomRatio, amount / sum);
@@ -178,7 +189,7 @@
 
 	const holder = noteRequest(state, request);
 	const noted = replaceHolder(forgetLost(state, now), holder);
-	const asked = now < state.freeAt ? held : Math.ceil(fairShare(noted, holder.name, now));
+	const asked = now < state.freeAt ? held : Math.ceil(fairShare(noted, holder.name, request.expected, now));
 	const amount = Math.floor(Math.min(asked, freeFor(noted, holder.name, now)));
 	const {shareMilliseconds, windowMilliseconds, marginMilliseconds} = state.options;
 	const validMilliseconds = Math.max(0, Math.min(shareMilliseconds, state.validUntil - now));
--- a/packages/limits/src/sharing.ts
+++ b/packages/limits/src/sharing.ts
@@ -15,6 +15,7 @@
 /** Drift of monotonic clocks over a share, and skew of wall clocks for fixed windows. */
 const marginMilliseconds: Milliseconds = 1000;
 const floorRatio = 0.25;
+const reserveRatio = 0.1;
 const headroomRatio = 2;
 
 /** All divisions of one leader. */
@@ -37,7 +38,7 @@
 
 function optionsOf(limit: EffectiveLimit): DivisionOptions {
 	return {
-		shareMilliseconds, windowMilliseconds: windowMilliseconds(limit), marginMilliseconds, floorRatio, headroomRatio,
+		shareMilliseconds, windowMilliseconds: windowMilliseconds(limit), marginMilliseconds, floorRatio, reserveRatio, headroomRatio,
 	};
 }
 
@@ -63,16 +64,17 @@
 		: createDivision(options, limit.amount, Infinity, known === undefined ? state.startedAt : now);
 }
 
-/** Answers one demand. The sum of the shares in force never exceeds the limit. */
+/** Answers one demand. The sum of the shares in force never exceeds the limit; some of it is kept for those of the `instances` that didn't ask yet. */
 export function shareOut(
 	state: SharingState,
 	demand: LimitDemand,
 	limit: EffectiveLimit,
+	instances: number,
 	now: MonotonicTime,
 ): {readonly state: SharingState; readonly share: LimitShare | undefined} {
 	const {service, limit: name, caller, holder, sequence, wanted, held, usable} = demand;
 	const stepped = stepDivision(divisionOf(state, demand, limit, now), {
-		kind: 'shareRequested', now, holder, sequence, wanted, held, usable,
+		kind: 'shareRequested', now, holder, sequence, wanted, held, usable, expected: instances,
 	});
 	const [granted] = stepped.effects;
 	const share = granted === undefined
--- a/packages/limits/test/test-division.ts
+++ b/packages/limits/test/test-division.ts
@@ -38,7 +38,7 @@
 
 function optionsFor(limit: EffectiveLimit): DivisionOptions {
 	return {
-		shareMilliseconds: 2000, windowMilliseconds: windowMilliseconds(limit), marginMilliseconds: skewMilliseconds, floorRatio: 0.2, headroomRatio: 1.5,
+		shareMilliseconds: 2000, windowMilliseconds: windowMilliseconds(limit), marginMilliseconds: skewMilliseconds, floorRatio: 0.2, reserveRatio: 0.1, headroomRatio: 1.5,
 	};
 }
 
@@ -150,7 +150,7 @@
 			const holder = `i${instance}/${this.#lives[instance]}`;
 			const usable = Math.max(held, usedShare(this.#buckets[instance]!, this.now + this.#skews[instance]!, this.now, skewMilliseconds));
 			const {state, effects: [granted]} = stepDivision(this.#stewards[zone]!, {
-				kind: 'shareRequested', now: this.now, holder, sequence: this.#nextSequence(holder), wanted: this.#wanted[instance]!, held, usable,
+				kind: 'shareRequested', now: this.now, holder, sequence: this.#nextSequence(holder), wanted: this.#wanted[instance]!, held, usable, expected: instancesInZone,
 			});
 			this.#stewards[zone] = state;
 			const life = this.#lives[instance];
@@ -172,7 +172,7 @@
 		const holder = `z${zone}`;
 		const wanted = this.#wanted.slice(zone * instancesInZone, (zone + 1) * instancesInZone).reduce((sum, one) => sum + one, 0);
 		const {state, effects: [granted]} = stepDivision(this.#control, {
-			kind: 'shareRequested', now: this.now, holder, sequence: this.#nextSequence(holder), wanted, held, usable: usableUnder(this.#stewards[zone]!, this.now),
+			kind: 'shareRequested', now: this.now, holder, sequence: this.#nextSequence(holder), wanted, held, usable: usableUnder(this.#stewards[zone]!, this.now), expected: zones,
 		});
 		this.#control = state;
 		this.#later(holder, () => {
@@ -284,7 +284,7 @@
 test('division: an outdated request changes nothing', () => {
 	const first = createFirstDivision(optionsFor(limitOf(WindowForm.fixed, 1000, 1, 10)), 10, Infinity, 0);
 	const request = {
-		kind: 'shareRequested', now: 1, holder: 'a', sequence: 2, wanted: 8, held: 0, usable: 0,
+		kind: 'shareRequested', now: 1, holder: 'a', sequence: 2, wanted: 8, held: 0, usable: 0, expected: 1,
 	} as const;
 	const {state, effects} = stepDivision(first, request);
 	assert.equal(effects[0]?.amount, 10);
--- /dev/null
+++ b/packages/limits/test/test-growth.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {mayGrow, type ShareUse} from '@dogwooddeck/limits/growth';
+
+const cases: ReadonlyArray<{readonly name: string; readonly use: ShareUse; readonly expected: boolean}> = [
+	{
+		name: 'a first share, given for one request, is spent by a burst', expected: true, use: {
+			share: 75, amount: 600, answeredFor: 1, wanted: 76,
+		},
+	},
+	{
+		name: 'what is wanted is hardly more than what the share was given for', expected: false, use: {
+			share: 75, amount: 600, answeredFor: 76, wanted: 80,
+		},
+	},
+	{
+		name: 'no share is larger than the whole', expected: false, use: {
+			share: 600, amount: 600, answeredFor: 1, wanted: 601,
+		},
+	},
+	{
+		name: 'twice as much is wanted again', expected: true, use: {
+			share: 75, amount: 600, answeredFor: 76, wanted: 152,
+		},
+	},
+];
+
+for (const {name, use, expected} of cases) {
+	test(`growth of a share: ${name}`, () => {
+		assert.equal(mayGrow(use), expected);
+	});
+}
+
+test('growth of a share: a spent limit is asked for by the logarithm of what is wanted', () => {
+	let answeredFor = 1;
+	let asked = 0;
+	for (let wanted = 1; wanted <= 100_000; wanted++) {
+		if (mayGrow({
+			share: 50, amount: 200, answeredFor, wanted,
+		})) {
+			asked += 1;
+			answeredFor = wanted;
+		}
+	}
+
+	assert.equal(asked, 16);
+});
--- a/packages/limits/test/test-sharing.ts
+++ b/packages/limits/test/test-sharing.ts
@@ -21,16 +21,16 @@
 
 type Asked = {readonly at: number; readonly demand: LimitDemand};
 
-function amounts(state: SharingState, asked: readonly Asked[]): readonly number[] {
+function amounts(state: SharingState, asked: readonly Asked[], instances: number): readonly number[] {
 	let next = state;
 	return asked.map(({at, demand: one}) => {
-		const answered = shareOut(next, one, limit, at);
+		const answered = shareOut(next, one, limit, instances, at);
 		next = answered.state;
 		return answered.share?.amount ?? -1;
 	});
 }
 
-const cases: ReadonlyArray<{readonly name: string; readonly state: SharingState; readonly asked: readonly Asked[]; readonly expected: readonly number[]}> = [
+const cases: ReadonlyArray<{readonly name: string; readonly state: SharingState; readonly asked: readonly Asked[]; readonly instances?: number; readonly expected: readonly number[]}> = [
 	{
 		name: 'the limit of a new service is free at once',
 		state: createSharing(0, []),
@@ -43,6 +43,20 @@
 		asked: [{at: 1, demand: demand('one', 1, 40)}, {at: 2, demand: demand('two', 1, 40)}],
 		expected: [80, 20],
 	},
+	{
+		name: 'those who come first leave a share to every instance that is expected',
+		state: createSharing(0, []),
+		asked: ['one', 'two', 'three', 'four'].map((name, position) => ({at: position, demand: demand(name, 1, 1)})),
+		instances: 4,
+		expected: [13, 13, 13, 13],
+	},
+	{
+		name: 'one instance of four can use nearly all',
+		state: createSharing(0, []),
+		asked: [{at: 1, demand: demand('one', 1, 100)}],
+		instances: 4,
+		expected: [93],
+	},
 	{
 		name: 'a new leader gives nothing new of a service that an earlier one divided',
 		state: createSharing(0, ['team/service']),
@@ -63,8 +77,10 @@
 	},
 ];
 
-for (const {name, state, asked, expected} of cases) {
+for (const {
+	name, state, asked, instances = 1, expected,
+} of cases) {
 	test(`sharing: ${name}`, () => {
-		assert.deepEqual(amounts(state, asked), expected);
+		assert.deepEqual(amounts(state, asked, instances), expected);
 	});
 }
