Leave the places of former pinned keys out of what lacks an owner

The operators' answer about owners listed such places as vacant, so three slots that no key uses looked unowned for 30 s; the burn report counted them as unavailable time, without end. Ruled out: a lost verdict (the frozen upstream owned nothing), a change of leader, refused commands (none logged). Change: one function says which assignments keys use; placement, the owners' answer and the burn figures use it. What follows the table for the report is now a decision in the burn package, with six cases; a failed deployment test prints owners by phase.

--- /dev/null
+++ b/packages/burn/src/following.ts
@@ -0,0 +1,96 @@
+/**
+ * Follows one service's ownership table for the users' measures: time without
+ * an owner, moves, and how evenly keys are divided.
+ */
+import {
+	type Assignment, AssignmentPhase, assignmentsInUse, type ServiceAssignments,
+} from '@dogwooddeck/model/assignment';
+import {type Milliseconds, type MonotonicTime, type Slot} from '@dogwooddeck/model/identifiers';
+import {type ServiceFigures} from './report.js';
+
+type Place = {
+	readonly assignment: Assignment;
+	/** The last owner, while the place is in use. Absent: it had none yet. */
+	readonly lastOwner?: string;
+	/** Since when a place that had an owner has none. */
+	readonly withoutOwnerSince?: MonotonicTime;
+};
+
+/** What was seen of one service. */
+export type Followed = {
+	readonly service: ServiceAssignments['service'];
+	/** The places that keys use, by slot. */
+	readonly places: ReadonlyMap<Slot, Place>;
+	/** The ended times without an owner, summed over slots. */
+	readonly unavailableMilliseconds: Milliseconds;
+	readonly moves: number;
+};
+
+/** A service of which nothing was seen yet. */
+export function createFollowed(service: ServiceAssignments['service']): Followed {
+	return {
+		service, places: new Map(), unavailableMilliseconds: 0, moves: 0,
+	};
+}
+
+function ownerOf(assignment: Assignment): string | undefined {
+	return assignment.phase === AssignmentPhase.granted ? `${assignment.owner.name}#${assignment.owner.incarnation}` : undefined;
+}
+
+function followPlace(before: Place | undefined, assignment: Assignment, now: MonotonicTime): Place {
+	const owner = ownerOf(assignment);
+	const lastOwner = owner ?? before?.lastOwner;
+	if (owner !== undefined || lastOwner === undefined) {
+		return lastOwner === undefined ? {assignment} : {assignment, lastOwner};
+	}
+
+	return {assignment, lastOwner, withoutOwnerSince: before?.withoutOwnerSince ?? now};
+}
+
+function ended(before: Place | undefined, after: Place, now: MonotonicTime): Milliseconds {
+	const since = before?.withoutOwnerSince;
+	return since === undefined || after.withoutOwnerSince !== undefined ? 0 : now - since;
+}
+
+function isMove(before: Place | undefined, after: Place): boolean {
+	return before?.lastOwner !== undefined && before.lastOwner !== after.lastOwner;
+}
+
+/** Takes in the table as it is now. A service has `slots` slots; a place that no key uses any more is forgotten. */
+export function follow(followed: Followed, table: ServiceAssignments, slots: number, now: MonotonicTime): Followed {
+	const places = new Map<Slot, Place>();
+	let {unavailableMilliseconds, moves} = followed;
+	for (const assignment of assignmentsInUse(table, slots)) {
+		const before = followed.places.get(assignment.slot);
+		const after = before?.assignment === assignment ? before : followPlace(before, assignment, now);
+		unavailableMilliseconds += ended(before, after, now);
+		moves += Number(isMove(before, after));
+		places.set(assignment.slot, after);
+	}
+
+	return {
+		...followed, places, unavailableMilliseconds, moves,
+	};
+}
+
+function imbalance(places: Iterable<Place>): number {
+	const counts = new Map<string, number>();
+	for (const {assignment} of places) {
+		const owner = ownerOf(assignment);
+		if (owner !== undefined) {
+			counts.set(owner, (counts.get(owner) ?? 0) + 1);
+		}
+	}
+
+	const sum = [...counts.values()].reduce((one, other) => one + other, 0);
+	return sum === 0 ? 0 : Math.max(...counts.values()) * counts.size / sum;
+}
+
+/** The figures so far; times without an owner that haven't ended count up to now. The imbalance of load is told by that of slots. */
+export function figuresOf({service, places, unavailableMilliseconds, moves}: Followed, now: MonotonicTime): ServiceFigures {
+	const open = [...places.values()].reduce((sum, {withoutOwnerSince}) => sum + now - (withoutOwnerSince ?? now), 0);
+	const slotImbalance = imbalance(places.values());
+	return {
+		service, unavailableSlotMilliseconds: unavailableMilliseconds + open, moves, slotImbalance, loadImbalance: slotImbalance,
+	};
+}
--- /dev/null
+++ b/packages/burn/test/test-following.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type Assignment, type ServiceAssignments} from '@dogwooddeck/model/assignment';
+import {createFollowed, figuresOf, follow} from '@dogwooddeck/burn/following';
+
+const service = 'team/service';
+const slots = 2;
+const endMilliseconds = 1000;
+
+function owned(slot: number, name: string, fence = 1): Assignment {
+	return {
+		phase: 'granted', slot, fence, owner: {service, name, incarnation: 1},
+	};
+}
+
+function free(slot: number): Assignment {
+	return {phase: 'vacant', slot};
+}
+
+function table(assignments: readonly Assignment[], ...pinned: readonly number[]): ServiceAssignments {
+	return {service, assignments, pinned: pinned.map(slot => ({key: `key-${slot}`, home: 0, slot}))};
+}
+
+type Seen = {readonly at: number; readonly table: ServiceAssignments};
+
+const cases: ReadonlyArray<{readonly name: string; readonly seen: readonly Seen[]; readonly unavailable: number; readonly moves: number; readonly imbalance: number}> = [
+	{
+		name: 'a slot that never had an owner is not unavailable',
+		seen: [{at: 0, table: table([free(0), free(1)])}],
+		unavailable: 0, moves: 0, imbalance: 0,
+	},
+	{
+		name: 'a move counts, and the time between',
+		seen: [
+			{at: 0, table: table([owned(0, 'one'), owned(1, 'two')])},
+			{at: 100, table: table([free(0), owned(1, 'two')])},
+			{at: 140, table: table([owned(0, 'two'), owned(1, 'two')])},
+		],
+		unavailable: 40, moves: 1, imbalance: 1,
+	},
+	{
+		name: 'an owner that gets its slot back did not move',
+		seen: [
+			{at: 0, table: table([owned(0, 'one'), owned(1, 'two')])},
+			{at: 100, table: table([free(0), owned(1, 'two')])},
+			{at: 130, table: table([owned(0, 'one', 2), owned(1, 'two')])},
+		],
+		unavailable: 30, moves: 0, imbalance: 1,
+	},
+	{
+		name: 'a time that has not ended counts up to now',
+		seen: [{at: 0, table: table([owned(0, 'one'), owned(1, 'two')])}, {at: 900, table: table([free(0), owned(1, 'two')])}],
+		unavailable: 100, moves: 0, imbalance: 1,
+	},
+	{
+		name: 'the place of a key that is pinned no more is not unavailable',
+		seen: [
+			{at: 0, table: table([owned(0, 'one'), owned(1, 'two'), owned(2, 'one')], 2)},
+			{at: 100, table: table([owned(0, 'one'), owned(1, 'two'), free(2)])},
+		],
+		unavailable: 0, moves: 0, imbalance: 1,
+	},
+	{
+		name: 'another key in a former key\'s place did not move',
+		seen: [
+			{at: 0, table: table([owned(0, 'one'), owned(1, 'two'), owned(2, 'one')], 2)},
+			{at: 100, table: table([owned(0, 'one'), owned(1, 'two'), free(2)])},
+			{at: 200, table: table([owned(0, 'one'), owned(1, 'two'), owned(2, 'two')], 2)},
+		],
+		unavailable: 0, moves: 0, imbalance: 4 / 3,
+	},
+];
+
+for (const {name, seen, unavailable, moves, imbalance} of cases) {
+	test(`following ownership: ${name}`, () => {
+		let followed = createFollowed(service);
+		for (const {at, table: now} of seen) {
+			followed = follow(followed, now, slots, at);
+		}
+
+		assert.deepEqual(figuresOf(followed, endMilliseconds), {
+			service, unavailableSlotMilliseconds: unavailable, moves, slotImbalance: imbalance, loadImbalance: imbalance,
+		});
+	});
+}
--- a/packages/daemon/src/operator-surface.ts
+++ b/packages/daemon/src/operator-surface.ts
@@ -16,7 +16,9 @@
 import {type ControlAccepted, type ControlState} from '@dogwooddeck/control/state';
 import {type OperatorSurface, type SurfaceHandler, type SurfaceRequest} from '@dogwooddeck/front/surface';
 import {upstreamOf, upstreamsOf} from '@dogwooddeck/membership/registry';
-import {type Assignment, AssignmentPhase, type PinnedKey} from '@dogwooddeck/model/assignment';
+import {
+	type Assignment, AssignmentPhase, assignmentsInUse, type PinnedKey,
+} from '@dogwooddeck/model/assignment';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type OperationIdentifier, type TeamName} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
@@ -79,7 +81,7 @@
 		: ok({
 			service,
 			index: state.applied,
-			owners: assignments.assignments.map(assignment => ownerAnswer(state, assignment, assignments.pinned)),
+			owners: assignmentsInUse(assignments, state.ownership.policies[service]?.slots ?? 0).map(assignment => ownerAnswer(state, assignment, assignments.pinned)),
 		});
 }
 
--- a/packages/model/src/assignment.ts
+++ b/packages/model/src/assignment.ts
@@ -50,3 +50,13 @@
 	readonly assignments: readonly Assignment[];
 	readonly pinned: readonly PinnedKey[];
 };
+
+/**
+ * The assignments that keys use: all slots, and the places of pinned keys. The
+ * place of a key that is pinned no more stays in the list, vacant, until
+ * another key takes it; nobody misses an owner there.
+ */
+export function assignmentsInUse({assignments, pinned}: ServiceAssignments, slots: number): readonly Assignment[] {
+	const places = new Set(pinned.map(({slot}) => slot));
+	return assignments.filter(({slot}) => slot < slots || places.has(slot));
+}
--- a/packages/placement/src/book.ts
+++ b/packages/placement/src/book.ts
@@ -2,7 +2,9 @@
  * The working table of one plan: what each upstream owns and would own. It is
  * made for one call of the planner and updated in place, unlike its input.
  */
-import {type Assignment, AssignmentPhase, type PinnedKey} from '@dogwooddeck/model/assignment';
+import {
+	type Assignment, AssignmentPhase, assignmentsInUse, type PinnedKey,
+} from '@dogwooddeck/model/assignment';
 import {
 	type RegionName, sameUpstream, type Slot, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
@@ -51,9 +53,8 @@
 }
 
 /** The assignments that exist: those of the contract's slots and of pinned keys. */
-export function liveAssignments(input: PlacementInput): readonly Assignment[] {
-	const pinned = new Set(input.assignments.pinned.map(pin => pin.slot));
-	return input.assignments.assignments.filter(({slot}) => slot < input.contract.slots || pinned.has(slot));
+export function liveAssignments({assignments, contract}: PlacementInput): readonly Assignment[] {
+	return assignmentsInUse(assignments, contract.slots);
 }
 
 function capacityOf(input: PlacementInput, policy: PlacementPolicy, upstream: PlacementUpstream, fairLoad: number): number {
--- a/packages/stand-in/test/test-failures.ts
+++ b/packages/stand-in/test/test-failures.ts
@@ -41,6 +41,21 @@
 	return all.filter(owner => owner.upstream === upstream);
 }
 
+/** Prints how many slots each upstream has in each phase, as each instance that answers knows it. */
+async function showOwners(deployment: Deployment): Promise<void> {
+	for (const instance of deployment.instances.filter(({child}) => child.running())) {
+		try {
+			const all = await owners(deployment, instance);
+			const names = all.map(({phase, upstream = 'nobody'}) => `${phase} by ${upstream}`);
+			const counts = [...new Set(names)].map(name => `${name}: ${names.filter(other => other === name).length}`);
+			const status = await deployment.read(instance, '/operator/status');
+			console.log(`${instance.name}: ${counts.join(', ')}; ${JSON.stringify(status)}`);
+		} catch {
+			console.log(`${instance.name} does not answer`);
+		}
+	}
+}
+
 async function hasHistory(deployment: Deployment, instance: TrialInstance, team: string): Promise<boolean> {
 	try {
 		const answer = await deployment.read(instance, `/operator/history?team=${team}`) as {readonly entries?: readonly unknown[]};
@@ -319,6 +334,7 @@
 			await begin(deployment, folder);
 			await run(deployment);
 		} catch (error) {
+			await showOwners(deployment);
 			for (const {child} of deployment.instances) {
 				console.log(child.output().split('\n').filter(line => !line.includes('event=request-failed')).slice(-25).join('\n'));
 			}
