Check what instances ask of each other before a handler sees it

Cause: requests between instances were decoded by the gRPC library, before the peer key was looked at, and only some names were checked. Bytes that can't be decoded came back as an untyped internal fault; a consensus message of kind "__proto__" too; a kind of a megabyte stood in the refusal, which then outgrew gRPC's headers, so that the caller heard nothing until its deadline.

Change: the server takes bytes, looks at the key, decodes, and checks every field by a table of checks for each call (request-check.ts), with the bounds of the settings and of the operators' surface. Names that every object has, such as "constructor", are refused. A method that doesn't exist is not-found.

Held before: unauthorised calls, messages over the bound (also unpacked from gzip), missing names.

Conclusion: a refused request reaches no handler. Answers of other instances are still checked only for missing parts. Whoever holds the peer key can still send a well-formed lie, such as a huge term.

--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -72,3 +72,11 @@
 export function sameUpstream(one: UpstreamIdentity, other: UpstreamIdentity): boolean {
 	return one.service === other.service && one.name === other.name && one.incarnation === other.incarnation;
 }
+
+/**
+ * Whether a name may be given to something that is kept in a record by its name:
+ * a name that every object has, such as "constructor", would be found in an empty record.
+ */
+export function isFreeName(name: string): boolean {
+	return !(name in Object.prototype);
+}
--- a/packages/wire/src/server.ts
+++ b/packages/wire/src/server.ts
@@ -2,11 +2,12 @@
  * The server for calls from other instances. Every call carries the deployment's
  * peer key; one without it is refused before its message is looked at.
  */
+import {type Buffer} from 'node:buffer';
 import {
 	failure, type Failure, FailureKind, toFailure,
 } from '@dogwooddeck/model/failure';
 import {
-	type Metadata, Server, ServerCredentials, type sendUnaryData, type ServerUnaryCall, type UntypedServiceImplementation,
+	type Metadata, Server, ServerCredentials, type sendUnaryData, type ServerUnaryCall, type ServiceDefinition,
 } from '@grpc/grpc-js';
 import {err, ok, type Result} from 'true-myth/result';
 import {largestMessageBytes} from './client.js';
@@ -14,6 +15,7 @@
 import {
 	methodCodecs, type MethodCodec, type PeerCall, type PeerCalls,
 } from './methods.js';
+import {checkRequest} from './request-check.js';
 import {sameSecret} from './secret.js';
 import {statusOfFailure} from './status.js';
 
@@ -35,13 +37,21 @@
 	return typeof given === 'string' && sameSecret(given, expected);
 }
 
+function decoded(call: PeerCall, bytes: Buffer): Result<unknown, Failure> {
+	try {
+		return ok(PeerService[call].requestDeserialize(bytes));
+	} catch (error) {
+		return err(failure(FailureKind.malformed, `${call}: the message can't be decoded: ${(error as Error).message}`));
+	}
+}
+
 async function answerCall<Call extends PeerCall>(
 	call: Call,
-	wire: unknown,
+	bytes: Buffer,
 	handlers: PeerHandlers,
 ): Promise<Result<unknown, Failure>> {
 	const codec = methodCodecs[call] as unknown as MethodCodec<Call, unknown, unknown>;
-	const request = codec.requestFromWire(wire);
+	const request = decoded(call, bytes).andThen(wire => checkRequest(call, wire).andThen(() => codec.requestFromWire(wire)));
 	if (request.isErr) {
 		return err(request.error);
 	}
@@ -51,7 +61,7 @@
 }
 
 function implementation(call: PeerCall, handlers: PeerHandlers, expected: string) {
-	return async (received: ServerUnaryCall<unknown, unknown>, respond: sendUnaryData<unknown>): Promise<void> => {
+	return async (received: ServerUnaryCall<Buffer, unknown>, respond: sendUnaryData<unknown>): Promise<void> => {
 		if (!authenticated(received.metadata, expected)) {
 			respond(statusOfFailure(failure(FailureKind.unauthenticated, 'the peer key is missing or wrong')));
 			return;
@@ -70,13 +80,19 @@
 	};
 }
 
+/** The service as the server takes it: a request stays bytes until the peer key was looked at. */
+function undecodedService(): ServiceDefinition {
+	const methods = Object.entries(PeerService).map(([call, method]) => [call, {...method, requestDeserialize: (bytes: Buffer) => bytes}] as const);
+	return Object.fromEntries(methods);
+}
+
 /** Starts to listen. Fails with `unreachable` when the address can't be bound. */
 export async function startPeerServer(address: string, key: string, handlers: PeerHandlers): Promise<Result<PeerServer, Failure>> {
 	const server = new Server({'grpc.max_receive_message_length': largestMessageBytes, 'grpc.max_send_message_length': largestMessageBytes});
 	const expected = `Bearer ${key}`;
 	const calls = Object.keys(methodCodecs) as PeerCall[];
 	const table = Object.fromEntries(calls.map(call => [call, implementation(call, handlers, expected)]));
-	server.addService(PeerService, table);
+	server.addService(undecodedService(), table);
 	return new Promise(resolve => {
 		server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
 			if (error !== null) {
--- a/packages/wire/src/status.ts
+++ b/packages/wire/src/status.ts
@@ -38,6 +38,7 @@
 	[status.DEADLINE_EXCEEDED]: FailureKind.unreachable,
 	[status.UNAVAILABLE]: FailureKind.unreachable,
 	[status.RESOURCE_EXHAUSTED]: FailureKind.tooLarge,
+	[status.UNIMPLEMENTED]: FailureKind.notFound,
 };
 
 /** The failure that a call ended with. A peer that did not answer in time is `unreachable`. */
--- a/packages/wire/src/translate-consensus.ts
+++ b/packages/wire/src/translate-consensus.ts
@@ -34,7 +34,7 @@
 }
 
 function entryFromWire(entry: generated.LogEntry): LogEntry | undefined {
-	const body = bodyFromWire[entry.kind]?.(entry);
+	const body = Object.hasOwn(bodyFromWire, entry.kind) ? bodyFromWire[entry.kind]!(entry) : undefined;
 	return body === undefined ? undefined : {index: entry.index, term: entry.term, body};
 }
 
@@ -125,7 +125,7 @@
 export function envelopeFromWire(wire: generated.ConsensusEnvelope): Result<ConsensusEnvelope, Failure> {
 	const from = identityFrom(wire.from);
 	const to = identityFrom(wire.to);
-	const message = messageFromWire[wire.kind]?.(wire);
+	const message = Object.hasOwn(messageFromWire, wire.kind) ? messageFromWire[wire.kind]!(wire) : undefined;
 	if (from === undefined || to === undefined || message === undefined) {
 		return err(failure(FailureKind.malformed, `a consensus message of kind ${JSON.stringify(wire.kind)} can't be read`));
 	}
