Put paths of fields together only where a check fails

Change: a check gives the path from the value that it was given, and whoever calls it puts its own part before.

--- a/packages/wire/src/field-check.ts
+++ b/packages/wire/src/field-check.ts
@@ -1,66 +1,77 @@
 /**
- * Checks of the fields of a decoded message. A check names the first field that
- * is not what it should be, by its path.
+ * Checks of the fields of a decoded message. They run for every call, so a path
+ * is put together only where something is wrong.
  */
 
-/** Says what is wrong with a value that stands at a path; undefined where nothing is. */
-export type FieldCheck = (value: unknown, path: string) => string | undefined;
+/**
+ * Says what is wrong with a value, as the path to it from the value that was
+ * given and a sentence's end, such as ".zone is not a name"; undefined where
+ * nothing is wrong.
+ */
+export type FieldCheck = (value: unknown) => string | undefined;
 
 /** Texts of a given form. */
 export function formed(pattern: RegExp, form: string): FieldCheck {
-	return (value, path) => typeof value === 'string' && pattern.test(value) ? undefined : `${path} is not ${form}`;
+	return value => typeof value === 'string' && pattern.test(value) ? undefined : ` is not ${form}`;
 }
 
 /** Texts of at most so many characters. */
 export function text(longest: number): FieldCheck {
-	return (value, path) => typeof value === 'string' && value.length <= longest ? undefined : `${path} is not a text of at most ${longest} characters`;
+	return value => typeof value === 'string' && value.length <= longest ? undefined : ` is not a text of at most ${longest} characters`;
 }
 
 /** Whole numbers from 0. */
 export function whole(largest: number = Number.MAX_SAFE_INTEGER): FieldCheck {
-	return (value, path) => Number.isSafeInteger(value) && (value as number) >= 0 && (value as number) <= largest
+	return value => Number.isSafeInteger(value) && (value as number) >= 0 && (value as number) <= largest
 		? undefined
-		: `${path} is not a whole number from 0 to ${largest}`;
+		: ` is not a whole number from 0 to ${largest}`;
 }
 
 /** Finite numbers from 0. */
 export function amount(largest: number = Number.MAX_VALUE): FieldCheck {
-	return (value, path) => typeof value === 'number' && value >= 0 && value <= largest
+	return value => typeof value === 'number' && value >= 0 && value <= largest
 		? undefined
-		: `${path} is not a number from 0 to ${largest}`;
+		: ` is not a number from 0 to ${largest}`;
 }
 
 /** Messages in which every listed field passes its check. */
 export function message(fields: Readonly<Record<string, FieldCheck>>): FieldCheck {
-	return (value, path) => {
+	const checks = Object.entries(fields);
+	return value => {
 		if (typeof value !== 'object' || value === null) {
-			return `${path} is missing`;
+			return ' is missing';
+		}
+
+		for (const [name, check] of checks) {
+			const problem = check((value as Readonly<Record<string, unknown>>)[name]);
+			if (problem !== undefined) {
+				return `.${name}${problem}`;
+			}
 		}
 
-		const parts = value as Readonly<Record<string, unknown>>;
-		return firstProblem(Object.entries(fields).map(([name, check]) => () => check(parts[name], `${path}.${name}`)));
+		return undefined;
 	};
 }
 
 /** Lists in which every item passes a check. */
 export function list(check: FieldCheck): FieldCheck {
-	return (value, path) => Array.isArray(value)
-		? firstProblem(value.map((item, position) => () => check(item, `${path}[${position}]`)))
-		: `${path} is not a list`;
+	return value => {
+		if (!Array.isArray(value)) {
+			return ' is not a list';
+		}
+
+		for (const [position, item] of value.entries()) {
+			const problem = check(item);
+			if (problem !== undefined) {
+				return `[${position}]${problem}`;
+			}
+		}
+
+		return undefined;
+	};
 }
 
 /** Fields that may be missing. */
 export function optional(check: FieldCheck): FieldCheck {
-	return (value, path) => value === undefined ? undefined : check(value, path);
-}
-
-function firstProblem(checks: ReadonlyArray<() => string | undefined>): string | undefined {
-	for (const check of checks) {
-		const problem = check();
-		if (problem !== undefined) {
-			return problem;
-		}
-	}
-
-	return undefined;
+	return value => value === undefined ? undefined : check(value);
 }
--- a/packages/wire/src/request-check.ts
+++ b/packages/wire/src/request-check.ts
@@ -20,7 +20,7 @@
 const largestSlot = 131_072;
 
 const plainName = formed(/^[a-z][a-z\d\-]{0,62}$/v, 'a name');
-const name: FieldCheck = (value, path) => plainName(value, path) ?? (isFreeName(value as string) ? undefined : `${path} is not a free name`);
+const name: FieldCheck = value => plainName(value) ?? (isFreeName(value as string) ? undefined : ' is not a free name');
 const service = formed(/^[a-z][a-z\d\-]{0,62}\/[a-z][a-z\d\-]{0,62}$/v, 'the path of a service');
 const upstreamName = formed(/^[\w.:\-]{1,128}$/v, 'the name of an upstream');
 const address = formed(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'an address');
@@ -96,6 +96,6 @@
 
 /** Checks the fields of a decoded request. Fails with `malformed`, and names the first field that is wrong. */
 export function checkRequest(call: PeerCall, wire: unknown): Result<undefined, Failure> {
-	const problem = checks[call](wire, call);
-	return problem === undefined ? ok(undefined) : err(failure(FailureKind.malformed, problem));
+	const problem = checks[call](wire);
+	return problem === undefined ? ok(undefined) : err(failure(FailureKind.malformed, `${call}${problem}`));
 }
