Refuse what no other instance may ask, before it reaches the log

Cause: an instance with the peer key could have any text proposed to the log. A command that lacks its parts was committed there, and applying it threw in every replica: the in-process trial ended with a leader whose state stood still from then on. A zone named "constructor" was found in an empty record. Consensus messages for another folder were answered as taken. Claims were checked for three of their fields; one that lacked the rest ended as an untyped internal fault. A lease request of another zone, or of a former life, still fed its report to control and stood as a holder. A steward could tell of indexes past the log's end as drained.

Change: the leader takes from others only what operators may ask for (decodePassedOn); a command that lacks its parts is refused when it is applied, by every instance alike, so that a log which holds one can be read again. Names that every object has are no names. Claims have a schema. Calls are checked for zone, life and indexes (peer-check.ts) before anything else happens, with the kinds forbidden, superseded and malformed. A message for another folder is not-found, one to an instance that does not vote not-ready.

Conclusion: what a faulty instance sends no longer stops the others. The body of a change that an instance passes on is checked by that instance alone.

--- a/packages/configuration/src/field.ts
+++ b/packages/configuration/src/field.ts
@@ -2,6 +2,7 @@
  * The schemas of single fields, shared by settings files and by the messages
  * of the operators' surface, so that both take the same values.
  */
+import {isFreeName} from '@dogwooddeck/model/identifiers';
 import * as v from 'valibot';
 import {parseDuration, parseSize} from './quantity.js';
 
@@ -79,8 +80,12 @@
 
 const segmentForm = 'a name of lower-case letters, digits and hyphens that starts with a letter, at most 63 characters';
 
-/** A team, a zone, a limit or an objective. */
-export const nameField = formedText(/^[a-z][a-z\d-]{0,62}$/u, segmentForm);
+function isName(text: string): boolean {
+	return /^[a-z][a-z\d-]{0,62}$/u.test(text) && isFreeName(text);
+}
+
+/** A team, a zone, a limit or an objective. A name that every object has, such as "constructor", is none. */
+export const nameField = v.pipe(v.string(), v.check(isName, `expected ${segmentForm}`));
 
 /** A service's path: its team and its own name. */
 export const serviceNameField = formedText(/^[a-z][a-z\d-]{0,62}\/[a-z][a-z\d-]{0,62}$/u, 'a path "team/service"');
--- a/packages/configuration/test/test-surface.ts
+++ b/packages/configuration/test/test-surface.ts
@@ -119,6 +119,12 @@
 		body: {...wanted, team: '__proto__'},
 		expected: ['team: expected a name of lower-case letters, digits and hyphens that starts with a letter, at most 63 characters'],
 	},
+	{
+		name: 'declare-lost of a zone whose name every object has',
+		parse: parseZoneDeclareLostRequest,
+		body: {zone: 'constructor', operation, confirm: ''},
+		expected: ['zone: expected a name of lower-case letters, digits and hyphens that starts with a letter, at most 63 characters'],
+	},
 	{
 		name: 'move',
 		parse: parseMoveRequest,
--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -7,7 +7,9 @@
 import {applyMembership, type MembershipCommand, upstreamsOf} from '@dogwooddeck/membership/registry';
 import {AssignmentPhase} from '@dogwooddeck/model/assignment';
 import {type ServiceContract} from '@dogwooddeck/model/contract';
-import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {
+	failure, type Failure, FailureKind, toFailure,
+} from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {identityOf, UpstreamPhase} from '@dogwooddeck/model/registry';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
@@ -182,6 +184,15 @@
 		: {state, answer: err(failure(FailureKind.malformed, `there is no command of kind ${JSON.stringify(command.kind)}`))};
 }
 
+/** A command that lacks its parts changes nothing: every instance meets the same fault in it. */
+function applyWhole(command: ControlCommand, state: ControlState, index: LogIndex): CommandApplied {
+	try {
+		return applyCommand(command, state, index);
+	} catch (error) {
+		return {state, answer: err(failure(FailureKind.malformed, `the command ${command.kind} can't be applied: ${toFailure(error).detail}`))};
+	}
+}
+
 /** Applies the entry at an index. A payload that can't be read changes nothing but the index. */
 export function applyEntry(state: ControlState, payload: string, index: LogIndex): EntryApplied {
 	const commands = decodeCommands(payload);
@@ -192,7 +203,7 @@
 	const answers: Array<Result<ControlAccepted, Failure>> = [];
 	let next = state;
 	for (const command of commands.value) {
-		const applied = applyCommand(command, next, index);
+		const applied = applyWhole(command, next, index);
 		next = applied.state;
 		answers.push(applied.answer);
 	}
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -58,3 +58,28 @@
 
 	return err(failure(FailureKind.malformed, 'the entry holds no list of commands'));
 }
+
+/** What an instance may pass on to the leader: what operators ask for. All else is the leader's own decision. */
+const passedOn: ReadonlySet<string> = new Set<ControlCommand['kind']>(['subtreeApplied', 'tokenSet', 'operatorAsked']);
+const asked: ReadonlySet<string> = new Set<OperatorAsked['command']['kind']>(['moveWished', 'drainAsked', 'zoneReleased']);
+
+function isPassedOn(command: ControlCommand): boolean {
+	return passedOn.has(command.kind) && (command.kind !== 'operatorAsked' || asked.has(command.command.kind));
+}
+
+/**
+ * The command of a payload that another instance passes on for an operator.
+ * Fails with `malformed`, and with `forbidden` for a command that no operator may ask for.
+ */
+export function decodePassedOn(payload: string): Result<ControlCommand, Failure> {
+	return decodeCommands(payload).andThen(commands => {
+		const [command] = commands;
+		if (command === undefined || commands.length > 1 || (command.kind === 'operatorAsked' && !isCommand(command.command))) {
+			return err(failure(FailureKind.malformed, 'the proposal is not one whole command'));
+		}
+
+		return isPassedOn(command)
+			? ok(command)
+			: err(failure(FailureKind.forbidden, `only the leader decides on ${command.kind}`));
+	});
+}
--- a/packages/control/test/test-apply.ts
+++ b/packages/control/test/test-apply.ts
@@ -42,6 +42,9 @@
 const cases: ReadonlyArray<{readonly name: string; readonly payloads: readonly string[]; readonly last: readonly string[]}> = [
 	{name: 'an entry of several commands answers each', payloads: [encodeCommands([subtree, joined])], last: ['ok 1', 'ok 1']},
 	{name: 'a payload that is no JSON moves the index alone', payloads: ['{'], last: [FailureKind.malformed]},
+	{name: 'a command that lacks its parts is refused', payloads: ['[{"kind":"instanceSeated"}]'], last: [FailureKind.malformed]},
+	{name: 'a wish that lacks its parts is refused', payloads: ['[{"kind":"operatorAsked","operation":"operation-1"}]'], last: [FailureKind.malformed]},
+	{name: 'no zone has a name that every object has', payloads: ['[{"kind":"zoneReleased","zone":"constructor","reason":"declared-lost"}]'], last: [FailureKind.notFound]},
 	{name: 'a command of an unknown kind is refused', payloads: ['[{"kind":"constructor"}]'], last: [FailureKind.malformed]},
 	{
 		name: 'an operator\'s command that is sent again gets its first answer, through snapshots',
--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -15,6 +15,7 @@
 import {type ClaimDesk, createClaimDesk} from '@dogwooddeck/upstream-client/claim-desk';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {err, ok, type Result} from 'true-myth/result';
+import {type ClaimMessage, readClaimMessage} from './claim-message.js';
 import {type ControlHolder} from './control-holder.js';
 
 /** The claims of this instance. */
@@ -25,8 +26,6 @@
 	readonly stop: () => void;
 };
 
-type Message = ClaimRequest | ClaimEnded;
-
 /** How long a claim is remembered. */
 export const claimLifetimeMilliseconds: Milliseconds = 3_600_000;
 /** How long the holders before the last change of the seats are asked beside the present ones. */
@@ -38,19 +37,6 @@
 const sweepMilliseconds: Milliseconds = 1000;
 const holderBounds = {records: 200_000, answerBytes: 16_777_216};
 
-function readMessage(body: string): Message | undefined {
-	try {
-		const message = JSON.parse(body) as Message;
-		const known = message.kind === 'claim-request' || message.kind === 'claim-ended';
-		return known && typeof message.operation?.operationKey === 'string' && typeof message.holder?.name === 'string'
-			&& typeof message.token?.sequence === 'number'
-			? message
-			: undefined;
-	} catch {
-		return undefined;
-	}
-}
-
 /** Starts the claims. */
 export function startClaims(self: InstanceIdentity, control: ControlHolder, clients: PeerClients, hash: TextHash): ClaimRunner {
 	const seenAt = new Map<LogIndex, MonotonicTime>();
@@ -61,7 +47,7 @@
 			.find(member => sameInstance(member, instance))?.peerAddress;
 	}
 
-	async function send(message: Message): Promise<Result<string, Failure>> {
+	async function send(message: ClaimMessage): Promise<Result<string, Failure>> {
 		const address = addressOf(message.holder);
 		return address === undefined
 			? err(failure(FailureKind.unreachable, `${message.holder.name} is not seated any more`))
@@ -117,13 +103,10 @@
 			return desk.claim(wish, decided);
 		},
 		take(body) {
-			const message = readMessage(body);
-			if (message === undefined) {
-				return err(failure(FailureKind.malformed, 'the claim message can\'t be read'));
-			}
-
-			const answer = desk.receive(message);
-			return ok(answer === undefined ? '' : JSON.stringify(answer));
+			return readClaimMessage(body).map(message => {
+				const answer = desk.receive(message);
+				return answer === undefined ? '' : JSON.stringify(answer);
+			});
 		},
 		stop() {
 			clearInterval(sweeping);
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -4,7 +4,7 @@
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {type VoterIdentity, type VoterSet} from '@dogwooddeck/consensus/message';
-import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
+import {type ControlCommand, decodePassedOn, encodeCommands} from '@dogwooddeck/control/command';
 import {
 	createLeader, type LeaderEffect, type LeaderEvent, type LeaderState, stepLeader,
 } from '@dogwooddeck/control/leader';
@@ -25,6 +25,7 @@
 } from '@dogwooddeck/wire/methods';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ControlHolder} from './control-holder.js';
+import {checkDelegation, checkLife} from './peer-check.js';
 import {type InstanceSettings} from './settings.js';
 import {firstAnswer, type VoterRunner} from './voter-runner.js';
 
@@ -159,6 +160,11 @@
 			return err(notLeader());
 		}
 
+		const checked = checkDelegation(request, holder.state().ownership, holder.state().applied);
+		if (checked.isErr) {
+			return err(checked.error);
+		}
+
 		stewards.set(request.zone, request.steward.name);
 		delegationAnswer = undefined;
 		step({
@@ -173,6 +179,12 @@
 			return err(notLeader());
 		}
 
+		const seated = Object.values(holder.state().ownership.rosters).flatMap(({members}) => members);
+		const checked = checkLife(seated, request.instance);
+		if (checked.isErr) {
+			return err(checked.error);
+		}
+
 		step({
 			kind: 'seatRequested', now: monotonicNow(), control: holder.state(), request,
 		});
@@ -185,6 +197,11 @@
 			return err(notLeader());
 		}
 
+		const command = decodePassedOn(payload);
+		if (command.isErr) {
+			return err(command.error);
+		}
+
 		const proposed = await voter.propose(payload);
 		return proposed.andThen(committed => firstAnswer(committed))
 			.map(accepted => ({index: accepted.index, answer: JSON.stringify(accepted)}));
--- a/packages/daemon/src/peer-service.ts
+++ b/packages/daemon/src/peer-service.ts
@@ -28,8 +28,10 @@
 	const {holder, control, claims, collectors} = parts;
 	return {
 		async deliver(envelope) {
-			parts.voter()?.receive(envelope);
-			return ok(undefined);
+			const voter = parts.voter();
+			return voter === undefined
+				? err(failure(FailureKind.notReady, 'this instance does not vote, or not yet'))
+				: voter.receive(envelope);
 		},
 		renewLease: async request => parts.zone().takeLeaseRequest(request),
 		support: async request => parts.zone().takeSupportRequest(request),
--- a/packages/daemon/src/voter-runner.ts
+++ b/packages/daemon/src/voter-runner.ts
@@ -5,7 +5,11 @@
 import {
 	type ConsensusEffect, type ConsensusEvent, type ConsensusOptions, Role, type SavedState,
 } from '@dogwooddeck/consensus/machine';
-import {type ConsensusEnvelope, type LogEntry, type VoterSet} from '@dogwooddeck/consensus/message';
+import {
+	type ConsensusEnvelope, type LogEntry, type VoterIdentity, type VoterSet,
+} from '@dogwooddeck/consensus/message';
+import {isSound} from '@dogwooddeck/consensus/soundness';
+import {sameVoter} from '@dogwooddeck/consensus/voter-set';
 import {
 	committedIndex, createVoter, leaderOf, quorumHeardAt, roleOf, stepVoter, voterSetOf,
 } from '@dogwooddeck/consensus/voter';
@@ -27,7 +31,8 @@
 
 /** A voter that runs. */
 export type VoterRunner = {
-	readonly receive: (envelope: ConsensusEnvelope) => void;
+	/** Takes a message of another voter. Fails with `notFound` if it is for another folder, and with `malformed`. */
+	readonly receive: (envelope: ConsensusEnvelope) => Result<undefined, Failure>;
 	/** Ends when the payload is committed and applied here, or refused. */
 	readonly propose: (payload: string) => Promise<Result<Committed, Failure>>;
 	/** Ends when all that was accepted before the call is applied here. */
@@ -64,6 +69,16 @@
 
 const unknownOutcome = failure(FailureKind.outcomeUnknown, 'another leader took over before the change was known to be accepted');
 
+function checkEnvelope(envelope: ConsensusEnvelope, self: VoterIdentity): Result<undefined, Failure> {
+	if (!sameVoter(envelope.to, self)) {
+		return err(failure(FailureKind.notFound, `the message is for the folder ${envelope.to.folder} of ${envelope.to.name}, which is not here`));
+	}
+
+	return isSound(envelope, self)
+		? ok(undefined)
+		: err(failure(FailureKind.malformed, `a message of kind ${envelope.message.kind} does not agree with itself`));
+}
+
 /** Starts a voter. */
 export function startVoter(surroundings: VoterSurroundings): VoterRunner {
 	const {holder, log, storage} = surroundings;
@@ -199,7 +214,12 @@
 
 	return {
 		receive(envelope) {
-			step({kind: 'received', now: monotonicNow(), envelope});
+			const checked = checkEnvelope(envelope, surroundings.options.self);
+			if (checked.isOk) {
+				step({kind: 'received', now: monotonicNow(), envelope});
+			}
+
+			return checked;
 		},
 		propose: async payload => ask(request => ({
 			kind: 'proposed', now: monotonicNow(), request, payload,
--- /dev/null
+++ b/packages/daemon/test/one-instance.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {pause} from '@dogwooddeck/clock/pause';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {createPeerClients, type PeerClients} from '@dogwooddeck/wire/client';
+import {found} from '@dogwooddeck/daemon/founding';
+import {startInstance} from '@dogwooddeck/daemon/instance';
+import {type InstanceSettings} from '@dogwooddeck/daemon/settings';
+
+export const keys = {peer: 'peer-key-of-the-test-0123456789', announce: 'announce-key-of-the-test-0123456789'};
+export const operatorToken = 'operator-token-of-the-test-0001';
+
+/** One instance in this process: the only voter and the steward of its zone. */
+export type OneInstance = {
+	readonly addresses: {readonly peers: string; readonly operators: string};
+	readonly peers: PeerClients;
+	readonly failures: string[];
+	readonly send: (method: 'GET' | 'POST', where: string, options: {readonly token?: string; readonly body?: unknown}) => Promise<{readonly status: number; readonly body: unknown}>;
+	readonly ready: () => Promise<boolean>;
+	readonly stop: () => Promise<void>;
+};
+
+const pollMilliseconds = 50;
+const readyMilliseconds = 20_000;
+
+function settingsIn(folder: string): InstanceSettings {
+	const anywhere = '127.0.0.1:0';
+	return {
+		name: 'entry-1',
+		region: 'noord',
+		zone: 'noord-a',
+		addresses: {callers: anywhere, operators: anywhere, peers: anywhere},
+		control: {voters: [{name: 'entry-1', peerAddress: anywhere}], dataFolder: path.join(folder, 'data')},
+		keys,
+		stop: {balancerDelayMilliseconds: 0, longestMilliseconds: 1000},
+	};
+}
+
+async function until(condition: () => Promise<boolean>): Promise<void> {
+	const end = performance.now() + readyMilliseconds;
+	while (!await condition()) {
+		assert.ok(performance.now() < end, 'the instance is not ready in time');
+		await pause(pollMilliseconds);
+	}
+}
+
+export async function startOne(): Promise<OneInstance> {
+	const folder = await mkdtemp(path.join(tmpdir(), 'dogwooddeck-one-'));
+	const settings = settingsIn(folder);
+	const founded = await found(settings, operatorToken);
+	assert.ok(founded.isOk, JSON.stringify(founded));
+	let addresses = {peers: '', operators: ''};
+	const failures: string[] = [];
+	const log: Log = {
+		event(name, fields = {}) {
+			if (name === 'instance-started') {
+				addresses = {peers: String(fields.peers), operators: String(fields.operators)};
+			}
+		},
+		warning() {
+			// Refused commands are what the tests ask for.
+		},
+		error(_name, failed) {
+			failures.push(failed.detail);
+		},
+	};
+	const instance = await startInstance(settings, log, failed => {
+		failures.push(failed.detail);
+	});
+	const peers = createPeerClients(keys.peer);
+	const ready = async () => {
+		const {ok: isOk} = await fetch(`http://${addresses.operators}/ready`);
+		return isOk;
+	};
+
+	await until(ready);
+	return {
+		addresses,
+		peers,
+		failures,
+		async send(method, where, {token, body}) {
+			const answer = await fetch(`http://${addresses.operators}${where}`, {
+				method,
+				headers: {...(token === undefined ? {} : {authorization: `Bearer ${token}`}), ...(body === undefined ? {} : {'content-type': 'application/json'})},
+				...(body === undefined ? {} : {body: JSON.stringify(body)}),
+			});
+			return {status: answer.status, body: await answer.json()};
+		},
+		ready,
+		async stop() {
+			peers.close();
+			await instance.stop();
+			await rm(folder, {recursive: true});
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/test/test-bad-calls.ts
@@ -0,0 +1,114 @@
+/**
+ * What an instance does with well-formed calls that it must not follow: a typed
+ * refusal, nothing changed in the replicated state, and the instance stays ready.
+ */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {FailureKind} from '@dogwooddeck/model/failure';
+import {emptyReport} from '@dogwooddeck/model/lease';
+import {type PeerCall, type PeerCalls} from '@dogwooddeck/wire/methods';
+import {type OneInstance, operatorToken, startOne} from './one-instance.js';
+
+let one: OneInstance;
+
+before(async () => {
+	one = await startOne();
+});
+
+after(async () => {
+	await one.stop();
+	assert.deepEqual(one.failures, []);
+});
+
+const callMilliseconds = 3000;
+const stranger = {
+	name: 'entry-9', incarnation: 1, region: 'noord', zone: 'noord-z', peerAddress: '127.0.0.1:1', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:1',
+};
+const envelope = {
+	from: {name: 'entry-9', folder: 'folder-9'}, to: {name: 'entry-1', folder: 'folder-1'}, message: {
+		kind: 'preVoteRequested', term: 9, lastIndex: 9, lastTerm: 9,
+	},
+} as const;
+
+type State = {readonly applied: number; readonly members: unknown; readonly revisions: unknown};
+
+/** What bad calls must not change. The index goes on by itself. */
+async function standing(): Promise<State & {readonly leader: unknown}> {
+	const status = await one.send('GET', '/operator/status', {token: operatorToken});
+	const members = await one.send('GET', '/operator/members', {token: operatorToken});
+	const {applied, leader, revisions} = status.body as {readonly applied: number; readonly leader: unknown; readonly revisions: unknown};
+	const {instances} = members.body as {readonly instances: ReadonlyArray<{readonly name: string; readonly zone: string; readonly incarnation: number}>};
+	return {
+		applied, leader, revisions, members: instances.map(({name, zone, incarnation}) => [name, zone, incarnation]),
+	};
+}
+
+function command(value: unknown): string {
+	return JSON.stringify([value]);
+}
+
+type Case = {readonly [Call in PeerCall]: readonly [name: string, call: Call, request: PeerCalls[Call]['request'], kind: string]}[PeerCall];
+
+const claim = {
+	kind: 'claim-request', operation: {service: 'a/b', key: 'k', operationKey: 'o'}, holder: {name: 'entry-1', incarnation: 1}, token: {sequence: 1},
+};
+
+const claimEnd = {
+	...claim, kind: 'claim-ended', token: {claimant: stranger, sequence: 1}, outcome: 'constructor',
+};
+
+const cases: readonly Case[] = [
+	['a proposal that is no JSON', 'propose', '{', FailureKind.malformed],
+	['a proposal that is no list', 'propose', '{"kind":"tokenSet"}', FailureKind.malformed],
+	['a proposal of nothing', 'propose', '[]', FailureKind.malformed],
+	['a command of an unknown kind', 'propose', command({kind: 'coronation'}), FailureKind.forbidden],
+	['a command of a kind that every object has', 'propose', command({kind: 'constructor'}), FailureKind.forbidden],
+	['a command that is the leader\'s own decision', 'propose', command({kind: 'instanceSeated', record: stranger, changedAt: 0}), FailureKind.forbidden],
+	['a leader\'s decision as an operator\'s', 'propose', command({kind: 'operatorAsked', operation: 'operation-0', command: {kind: 'assignmentsGranted'}}), FailureKind.forbidden],
+	['a command that lacks its parts', 'propose', command({kind: 'subtreeApplied'}), FailureKind.malformed],
+	['an operator\'s command without the command', 'propose', command({kind: 'operatorAsked', operation: 'operation-1'}), FailureKind.malformed],
+	['a wish for nothing', 'propose', command({kind: 'operatorAsked', operation: 'operation-2', command: {kind: 'moveWished'}}), FailureKind.notFound],
+	['a zone that every object has', 'propose', command({
+		kind: 'operatorAsked', operation: 'operation-3', command: {kind: 'zoneReleased', zone: 'constructor', reason: 'declared-lost'},
+	}), FailureKind.notFound],
+	['a voter that no settings list', 'joinVoters', {name: 'entry-9', folder: 'folder-9'}, FailureKind.forbidden],
+	['a consensus message for another folder', 'deliver', envelope, FailureKind.notFound],
+	['a claim that lacks its parts', 'claim', JSON.stringify(claim), FailureKind.malformed],
+	['a claim that is no JSON', 'claim', 'claim', FailureKind.malformed],
+	['a claim of an unknown kind', 'claim', JSON.stringify({...claim, kind: 'constructor'}), FailureKind.malformed],
+	['a claim\'s end with an unknown outcome', 'claim', JSON.stringify({
+		...claim, kind: 'claim-ended', token: {claimant: stranger, sequence: 1}, outcome: 'constructor',
+	}), FailureKind.malformed],
+	['a subject that nobody collects', 'collect', 'toString', FailureKind.notFound],
+	['a lease for an instance of another zone', 'renewLease', {
+		instance: stranger, applied: 0, drained: 0, report: emptyReport,
+	}, FailureKind.forbidden],
+	['a delegation for a zone without a roster', 'delegate', {
+		zone: 'noord-z', steward: stranger, applied: 0, drained: 0, report: emptyReport,
+	}, FailureKind.forbidden],
+	['a delegation for a former life of the steward', 'delegate', {
+		zone: 'noord-a', steward: {name: 'entry-1', incarnation: 1}, applied: 0, drained: 0, report: emptyReport,
+	}, FailureKind.superseded],
+	['support for a steward of another zone', 'support', {zone: 'noord-z', candidate: stranger, applied: 0}, FailureKind.forbidden],
+	['a delegation with indexes past the log\'s end', 'delegate', {
+		zone: 'noord-a', steward: {name: 'entry-1', incarnation: Number.MAX_SAFE_INTEGER}, applied: 2 ** 40, drained: 2 ** 40, report: emptyReport,
+	}, FailureKind.malformed],
+	['a lease for a former life', 'renewLease', {
+		instance: {...stranger, name: 'entry-1', zone: 'noord-a'}, applied: 0, drained: 0, report: emptyReport,
+	}, FailureKind.superseded],
+	['support for a former life', 'support', {zone: 'noord-a', candidate: {name: 'entry-1', incarnation: 1}, applied: 0}, FailureKind.superseded],
+	['a seat for a former life', 'seat', {instance: {...stranger, name: 'entry-1', zone: 'noord-a'}, applied: 0}, FailureKind.superseded],
+];
+
+async function isRefused([name, call, request, kind]: Case): Promise<void> {
+	const earlier = await standing();
+	const answer = await one.peers.call(one.addresses.peers, call, request, callMilliseconds);
+	assert.equal(answer.match({Ok: value => JSON.stringify(value ?? 'taken'), Err: refusal => refusal.kind}), kind, name);
+	const later = await standing();
+	assert.deepEqual({...later, applied: 0}, {...earlier, applied: 0});
+	assert.equal(await one.ready(), true);
+}
+
+for (const bad of cases) {
+	test(`a bad call is refused: ${bad[0]} (${bad[1]})`, async () => isRefused(bad));
+}
--- a/packages/ownership/src/roster.ts
+++ b/packages/ownership/src/roster.ts
@@ -5,7 +5,7 @@
  * proposed side by side, perhaps by two leaders, only the first is applied.
  */
 import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
-import {type LogIndex, sameInstance} from '@dogwooddeck/model/identifiers';
+import {type LogIndex, sameInstance, type ZoneName} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {err, ok, type Result} from 'true-myth/result';
 import {type InstanceSeated, type InstanceUnseated, type ZoneReleased} from './command.js';
@@ -21,6 +21,11 @@
 	};
 }
 
+/** The roster of a zone. A name that every object has is no zone's. */
+function rosterOf(state: OwnershipState, zone: ZoneName): ZoneRoster | undefined {
+	return Object.hasOwn(state.rosters, zone) ? state.rosters[zone] : undefined;
+}
+
 function changed(roster: ZoneRoster, members: readonly InstanceRecord[], index: LogIndex): ZoneRoster {
 	return {
 		...roster, members, previousMembers: roster.members, changedAt: index,
@@ -39,7 +44,7 @@
 		return err(failure(FailureKind.conflict, `instance ${record.name} has a seat already`));
 	}
 
-	const roster = state.rosters[record.zone] ?? firstRoster(record);
+	const roster = rosterOf(state, record.zone) ?? firstRoster(record);
 	if (roster.changedAt !== command.changedAt) {
 		return err(outdated(roster));
 	}
@@ -49,7 +54,7 @@
 
 /** Removes a member. */
 export function unseatInstance(command: InstanceUnseated, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
-	const roster = state.rosters[command.zone];
+	const roster = rosterOf(state, command.zone);
 	const member = roster?.members.find(other => sameInstance(other, command.instance));
 	if (roster === undefined || member === undefined) {
 		return err(failure(FailureKind.notFound, `instance ${command.instance.name} has no such seat`));
@@ -64,7 +69,7 @@
 
 /** Empties a roster and notes that the zone holds nothing any more. */
 export function releaseZone(command: ZoneReleased, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
-	const roster = state.rosters[command.zone];
+	const roster = rosterOf(state, command.zone);
 	if (roster === undefined) {
 		return err(failure(FailureKind.notFound, `zone ${command.zone} is unknown`));
 	}
