Refuse bad HTTP with a problem body, and bound what operators' requests carry

Cause: requests that Fastify meets before any controller (no HTTP, two lengths, headers or a path too long, a path that can't be decoded) were answered in Fastify's own form. Texts and forms were taken as bodies. The author's label, up to 16 KB, went into the replicated history. An announcement could name port 99999.

Change: unread-request.ts answers such requests with a problem body; the operators' server reads JSON alone; the label has at most 128 characters; addresses of announcements have the form of those in the settings.

Held before: bodies too large, bad JSON, prototypes in JSON, tricks with paths, other teams' tokens, unknown services.

--- a/packages/configuration/src/field.ts
+++ b/packages/configuration/src/field.ts
@@ -116,3 +116,12 @@
 
 /** A revision of a team's subtree: 0 before the first. */
 export const revisionField = wholeNumber(0, Number.MAX_SAFE_INTEGER);
+
+const octet = String.raw`(?:25[0-5]|2[0-4]\d|1?\d?\d)`;
+const largestPort = 65_535;
+
+/** An address as `IP:port`. */
+export const addressField = v.pipe(
+	formedText(new RegExp(String.raw`^${octet}(?:\.${octet}){3}:\d{1,5}$`, 'v'), 'an address such as "127.0.0.1:8080"'),
+	v.check(text => Number(text.split(':')[1]) <= largestPort, `expected a port of at most ${largestPort}`),
+);
--- a/packages/configuration/src/messages.ts
+++ b/packages/configuration/src/messages.ts
@@ -44,6 +44,9 @@
 /** The header field with a label for the history that says who asked for a change. */
 export const authorHeader = 'dogwooddeck-author';
 
+/** The most characters of that label: it stands in the replicated log. */
+export const longestAuthor = 128;
+
 /** What has to be typed to declare a zone lost: it tells the consequence. */
 export function declareLostConfirmation(zone: ZoneName): string {
 	return `the upstreams of ${zone} are stopped`;
--- a/packages/daemon/src/announcements.ts
+++ b/packages/daemon/src/announcements.ts
@@ -1,7 +1,9 @@
 /**
  * Takes the announcements of upstreams, and answers with their grants.
  */
-import {nameField, serviceNameField, upstreamNameField} from '@dogwooddeck/configuration/field';
+import {
+	addressField, nameField, serviceNameField, upstreamNameField,
+} from '@dogwooddeck/configuration/field';
 import {parseStrictly, strictObject} from '@dogwooddeck/configuration/strict-schema';
 import {contractOf} from '@dogwooddeck/configuration/tree';
 import {type ControlState} from '@dogwooddeck/control/state';
@@ -27,15 +29,13 @@
 	readonly grants: readonly SlotGrant[];
 };
 
-const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v;
-
 const schema = strictObject({
 	service: serviceNameField,
 	name: upstreamNameField,
 	incarnation: v.pipe(v.number(), v.safeInteger(), v.minValue(0)),
 	region: nameField,
 	zone: nameField,
-	address: v.pipe(v.string(), v.regex(addressPattern, 'expected an address such as "127.0.0.1:8080"')),
+	address: addressField,
 	leaving: v.boolean(),
 	load: v.pipe(v.number(), v.minValue(0), v.maxValue(1)),
 });
--- a/packages/daemon/src/operator-surface.ts
+++ b/packages/daemon/src/operator-surface.ts
@@ -6,8 +6,8 @@
 	type Authority, authorityOf, hashToken, requireOperator, requireTeam,
 } from '@dogwooddeck/configuration/authority';
 import {
-	declareLostConfirmation, type ConfigurationAnswer, type HistoryAnswer, type MemberAnswer, type MembersAnswer, type OwnerAnswer, type OwnersAnswer,
-	parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest, type StatusAnswer, type WriteAnswer,
+	authorHeader, declareLostConfirmation, type ConfigurationAnswer, type HistoryAnswer, longestAuthor, type MemberAnswer, type MembersAnswer, type OwnerAnswer,
+	type OwnersAnswer, parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest, type StatusAnswer, type WriteAnswer,
 } from '@dogwooddeck/configuration/messages';
 import {
 	contractOf, type ConfigurationAccepted, type ConfigurationCommand, subtreeOf, teamOf,
@@ -154,9 +154,11 @@
 
 	return {
 		announce: surroundings.announce,
-		apply: writing(parseApplyRequest, ({team}) => ofTeam(team), async (read, {author}) => configure({
-			kind: 'subtreeApplied', ...read, author, at: wallNow(),
-		})),
+		apply: writing(parseApplyRequest, ({team}) => ofTeam(team), async (read, {author}) => author.length > longestAuthor
+			? err(failure(FailureKind.malformed, `"${authorHeader}" is longer than ${longestAuthor} characters`))
+			: configure({
+				kind: 'subtreeApplied', ...read, author, at: wallNow(),
+			})),
 		token: writing(parseTokenRequest, () => (_state, authority) => requireOperator(authority), async ({team, operation, token}) => configure({
 			kind: 'tokenSet', team, operation, tokenHash: hashToken(token), at: wallNow(),
 		})),
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -4,7 +4,7 @@
  */
 import {readFile} from 'node:fs/promises';
 import path from 'node:path';
-import {duration, formedText, nameField} from '@dogwooddeck/configuration/field';
+import {addressField, duration, nameField} from '@dogwooddeck/configuration/field';
 import {parseStrictly, problemsFailure, strictObject} from '@dogwooddeck/configuration/strict-schema';
 import {
 	failure, type Failure, FailureKind,
@@ -57,11 +57,6 @@
 };
 
 const longestDelayMilliseconds = 600_000;
-const octet = String.raw`(?:25[0-5]|2[0-4]\d|1?\d?\d)`;
-const addressField = v.pipe(
-	formedText(new RegExp(String.raw`^${octet}(?:\.${octet}){3}:\d{1,5}$`, 'v'), 'an address such as "127.0.0.1:8080"'),
-	v.check(text => Number(text.split(':')[1]) <= 65_535, 'expected a port of at most 65535'),
-);
 const pathField = v.pipe(v.string(), v.nonEmpty('expected the path of a file'), v.maxLength(4096));
 
 const schema = strictObject({
--- a/packages/daemon/test/one-instance.ts
+++ b/packages/daemon/test/one-instance.ts
@@ -2,6 +2,7 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {authorHeader} from '@dogwooddeck/configuration/messages';
 import {pause} from '@dogwooddeck/clock/pause';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {createPeerClients, type PeerClients} from '@dogwooddeck/wire/client';
@@ -12,12 +13,14 @@
 export const keys = {peer: 'peer-key-of-the-test-0123456789', announce: 'announce-key-of-the-test-0123456789'};
 export const operatorToken = 'operator-token-of-the-test-0001';
 
+type Sending = {readonly token?: string; readonly author?: string; readonly body?: unknown};
+
 /** One instance in this process: the only voter and the steward of its zone. */
 export type OneInstance = {
 	readonly addresses: {readonly peers: string; readonly operators: string};
 	readonly peers: PeerClients;
 	readonly failures: string[];
-	readonly send: (method: 'GET' | 'POST', where: string, options: {readonly token?: string; readonly body?: unknown}) => Promise<{readonly status: number; readonly body: unknown}>;
+	readonly send: (method: 'GET' | 'POST', where: string, options: Sending) => Promise<{readonly status: number; readonly body: unknown}>;
 	readonly ready: () => Promise<boolean>;
 	readonly stop: () => Promise<void>;
 };
@@ -80,10 +83,14 @@
 		addresses,
 		peers,
 		failures,
-		async send(method, where, {token, body}) {
+		async send(method, where, {token, author, body}) {
 			const answer = await fetch(`http://${addresses.operators}${where}`, {
 				method,
-				headers: {...(token === undefined ? {} : {authorization: `Bearer ${token}`}), ...(body === undefined ? {} : {'content-type': 'application/json'})},
+				headers: {
+					...(token === undefined ? {} : {authorization: `Bearer ${token}`}),
+					...(author === undefined ? {} : {[authorHeader]: author}),
+					...(body === undefined ? {} : {'content-type': 'application/json'}),
+				},
 				...(body === undefined ? {} : {body: JSON.stringify(body)}),
 			});
 			return {status: answer.status, body: await answer.json()};
--- a/packages/front/src/application.ts
+++ b/packages/front/src/application.ts
@@ -9,6 +9,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {ProblemFilter} from './problem-filter.js';
 import {type FrontServer} from './surface.js';
+import {answerUnread, answerUnreadPath} from './unread-request.js';
 
 /** What an application is made of. */
 export type ApplicationOptions = {
@@ -16,9 +17,7 @@
 	readonly address: string;
 	readonly module: DynamicModule;
 	readonly largestBodyBytes: number;
-	/** Whether JSON bodies are read before a handler runs. */
-	readonly readsBodies: boolean;
-	/** Adds routes beside Nest's own. */
+	/** Says which bodies are read before a handler runs, and adds routes beside Nest's own. */
 	readonly prepare: (adapter: FastifyAdapter) => void;
 };
 
@@ -61,9 +60,11 @@
 
 /** Starts to listen. Fails with `unreachable` when the address can't be bound. */
 export async function startApplication(options: ApplicationOptions): Promise<Result<FrontServer, Failure>> {
-	const adapter = new FastifyAdapter({bodyLimit: options.largestBodyBytes, forceCloseConnections: 'idle'});
+	const adapter = new FastifyAdapter({
+		bodyLimit: options.largestBodyBytes, forceCloseConnections: 'idle', clientErrorHandler: answerUnread, frameworkErrors: answerUnreadPath,
+	});
 	const application = await NestFactory.create<NestFastifyApplication>(options.module, adapter, {
-		logger: false, bodyParser: options.readsBodies, abortOnError: false,
+		logger: false, bodyParser: false, abortOnError: false,
 	});
 	application.useGlobalFilters(new ProblemFilter());
 	options.prepare(adapter);
--- a/packages/front/src/caller-server.ts
+++ b/packages/front/src/caller-server.ts
@@ -21,7 +21,6 @@
 		address,
 		module: {module: CallerModule},
 		largestBodyBytes: noBodyLimitBytes,
-		readsBodies: false,
 		prepare(adapter) {
 			const fastify = adapter.getInstance();
 			fastify.removeAllContentTypeParsers();
--- a/packages/front/src/operator-server.ts
+++ b/packages/front/src/operator-server.ts
@@ -32,9 +32,10 @@
 			],
 		},
 		largestBodyBytes: largestOperatorBody,
-		readsBodies: true,
-		prepare() {
-			// The controllers are all that this server has.
+		prepare(adapter) {
+			const fastify = adapter.getInstance();
+			fastify.removeAllContentTypeParsers();
+			fastify.addContentTypeParser('application/json', {parseAs: 'string'}, fastify.getDefaultJsonParser('error', 'error'));
 		},
 	});
 }
