Keep a data folder to one process

Cause: nothing kept two processes out of one data folder; each would have written its own frames into the other's log.

Change: opening a folder takes a lock first: a listening socket in Linux's abstract namespace, named by the folder's device and inode, which the kernel gives up with the process. An instance that doesn't vote takes its folder for its counts likewise.

Conclusion: no lock is left behind that an operator would have to remove.

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -17,6 +17,7 @@
 import {createSlotHash} from '@dogwooddeck/placement/hash';
 import {loadTextHash} from '@dogwooddeck/routing/text-hash';
 import {openFolder} from '@dogwooddeck/storage/folder';
+import {holdFolder} from '@dogwooddeck/storage/lock';
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {createMeasures, MeasureName} from '@dogwooddeck/telemetry/measure';
@@ -200,10 +201,12 @@
 		burn: async () => ok(await burn.input()),
 	});
 
+	const {dataFolder} = settings.control;
+	const burnLock = dataFolder === undefined || isVoter(settings) ? undefined : await holdFolder(dataFolder);
 	const burn = await startBurn({
 		name: settings.name,
 		holder,
-		...(settings.control.dataFolder === undefined ? {} : {folder: settings.control.dataFolder}),
+		...(dataFolder === undefined ? {} : {folder: dataFolder}),
 		async ask(record) {
 			const answer = await clients.call(record.peerAddress, 'collect', 'burn', memberMilliseconds);
 			return answer.isOk ? answer.value : undefined;
@@ -277,6 +280,7 @@
 		control.stop();
 		claims.stop();
 		await burn.stop();
+		await burnLock?.release();
 		await client.close();
 		await peers.close();
 		await voter?.stop();
--- a/packages/storage/src/folder.ts
+++ b/packages/storage/src/folder.ts
@@ -14,6 +14,7 @@
 import {
 	damaged, readIfThere, replaceFile, syncFolder,
 } from './files.js';
+import {type FolderLock, holdFolder} from './lock.js';
 import {
 	openLogFile, readLogFile, replaceLogFile, type LogContent,
 } from './log-file.js';
@@ -92,10 +93,9 @@
 	return {identity, log, saved};
 }
 
-async function open(folder: string, found: boolean): Promise<OpenFolder> {
+async function openHeld(folder: string, found: boolean, {release}: FolderLock): Promise<OpenFolder> {
 	const paths = pathsOf(folder);
 	const hash = await loadHash();
-	await makeFolder(folder);
 	const {identity, log, saved} = await readFolder(hash, paths);
 	const fresh = isEmpty(saved);
 	if (found && fresh && identity !== undefined && identity !== founderFolder) {
@@ -104,17 +104,32 @@
 
 	const file = log === undefined ? await replaceLogFile(hash, paths.log, []) : await openLogFile(paths.log, log);
 	const folderIdentity = identity ?? await makeIdentity(paths.identity, found);
-	const parts = {hash, logPath: paths.log, snapshotPath: paths.snapshot};
+	const parts = {
+		hash, logPath: paths.log, snapshotPath: paths.snapshot, release,
+	};
 	return {
 		storage: new Storage(parts, file, saved), saved, folderIdentity, fresh,
 	};
 }
 
+async function open(folder: string, found: boolean): Promise<OpenFolder> {
+	await makeFolder(folder);
+	const lock = await holdFolder(folder);
+	try {
+		return await openHeld(folder, found, lock);
+	} catch (error) {
+		await lock.release();
+		throw error;
+	}
+}
+
 /**
  * Opens a data folder, and makes it where it is missing. With `found` a new
  * folder gets the identity that founders share; otherwise a random one, which no
  * voter set holds before an operator adds it.
- * Fails with `storageDamaged` (file and offset), `storageFailed` or `conflict`.
+ * The folder belongs to this process until its storage is closed.
+ * Fails with `storageDamaged` (file and offset), `storageFailed` or `conflict`,
+ * the last also where another process holds the folder.
  */
 export async function openFolder(folder: string, options: {readonly found?: boolean} = {}): Promise<Result<OpenFolder, Failure>> {
 	try {
--- a/packages/storage/src/storage.ts
+++ b/packages/storage/src/storage.ts
@@ -26,6 +26,8 @@
 	readonly hash: XXHashAPI;
 	readonly logPath: string;
 	readonly snapshotPath: string;
+	/** Gives the folder up. */
+	readonly release: () => Promise<void>;
 };
 
 /** The disk of one voter. After a failed write it takes no other, since what the file holds is then unknown. */
@@ -56,11 +58,12 @@
 		});
 	}
 
-	/** Finishes what was asked, and closes the files. Nothing is taken any more. */
+	/** Finishes what was asked, closes the files and gives the folder up. Nothing is taken any more. */
 	async close(): Promise<void> {
 		await this.#writing;
 		this.#failed ??= failure(FailureKind.storageFailed, 'The storage is closed.');
 		await this.#log.handle.close();
+		await this.#parts.release();
 	}
 
 	async #writeAll(): Promise<void> {
