--- a/xo.config.js
+++ b/xo.config.js
@@ -60,8 +60,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	// Plain scripts (a few lines each that start compiled code) stand in no TypeScript project, and in a fresh clone XO finds none for them.
-	{ignores: ['**/dist/**', '**/generated/**', '**/*.md', '**/*.js']},
+	{ignores: ['**/dist/**', '**/generated/**', '**/*.md']},
 	{
 		rules: {
 			'no-restricted-syntax': ['error', ...restrictedSyntax],
