Copy an upstream's witnesses once for each report

Cause: `noteEvidence` copied all of an upstream's witnesses for each single piece of evidence, so a report of 890 instances cost 890 copies of up to 890 records for each upstream: quadratic in instances.

Change: a report's evidence is grouped by upstream, and an upstream's witnesses are copied once for each report. A table of cases says that one report and several give the same rows of failures; two cases bound the processor time.

Conclusion: linear in witnesses.

--- a/packages/membership/src/watch.ts
+++ b/packages/membership/src/watch.ts
@@ -77,6 +77,18 @@
 	return {reportedAt: now, reachableSince: isContinuous ? zone.reachableSince : now, reports: (zone?.reports ?? 0) + 1};
 }
 
+function byUpstream(evidence: Report['evidence']): ReadonlyMap<string, Report['evidence']> {
+	const groups = new Map<string, Array<Report['evidence'][number]>>();
+	for (const one of evidence) {
+		const key = upstreamKey(one.upstream.service, one.upstream.name);
+		const group = groups.get(key) ?? [];
+		groups.set(key, group);
+		group.push(one);
+	}
+
+	return groups;
+}
+
 function receive(event: Extract<WatchEvent, {readonly kind: 'reportReceived'}>, state: WatchState): Transition<WatchState, WatchEffect> {
 	const {now, report, reporter} = event;
 	const zones = {...state.zones, [reporter.zone]: hearZone(state.zones[reporter.zone], now)};
@@ -87,9 +99,7 @@
 		upstreams.set(key, hearAnnouncement(upstreams.get(key) ?? unheard(state), announcement, zones[zone]?.reports ?? 0, now));
 	}
 
-	for (const evidence of report.evidence) {
-		const {service, name} = evidence.upstream;
-		const key = upstreamKey(service, name);
+	for (const [key, evidence] of byUpstream(report.evidence)) {
 		const watch = upstreams.get(key) ?? unheard(state);
 		upstreams.set(key, {...watch, witnesses: noteEvidence(watch.witnesses, evidence, reporter.zone, now)});
 	}
--- a/packages/membership/src/witness.ts
+++ b/packages/membership/src/witness.ts
@@ -44,29 +44,35 @@
 	return isAlive ? 0 : before + evidence.failed + evidence.timedOut;
 }
 
-/** Takes in what an instance of `zone` saw. Evidence without any ended attempt says nothing. */
-export function noteEvidence(
-	witnesses: Witnesses,
-	evidence: UpstreamEvidence & {readonly seenBy: InstanceIdentity},
-	zone: ZoneName,
-	now: MonotonicTime,
-): Witnesses {
-	if (evidence.answered + evidence.shed + evidence.failed + evidence.timedOut === 0) {
+type SeenEvidence = UpstreamEvidence & {readonly seenBy: InstanceIdentity};
+
+function tellsOfAnEnd({answered, shed, failed, timedOut}: UpstreamEvidence): boolean {
+	return answered + shed + failed + timedOut > 0;
+}
+
+/**
+ * Takes in what instances of `zone` saw of one upstream, in the order in which
+ * they saw it. Evidence without any ended attempt says nothing. The witnesses
+ * are copied once for all of the evidence, as a zone may have hundreds.
+ */
+export function noteEvidence(witnesses: Witnesses, evidence: readonly SeenEvidence[], zone: ZoneName, now: MonotonicTime): Witnesses {
+	const telling = evidence.filter(one => tellsOfAnEnd(one));
+	if (telling.length === 0) {
 		return witnesses;
 	}
 
-	const {upstream, seenBy} = evidence;
-	const previous = Object.hasOwn(witnesses, seenBy.name) ? witnesses[seenBy.name] : undefined;
-	if (previous !== undefined && previous.upstream.incarnation > upstream.incarnation) {
-		return witnesses;
+	const next = new Map(Object.entries(witnesses));
+	for (const one of telling) {
+		const {upstream, seenBy} = one;
+		const previous = next.get(seenBy.name);
+		if (previous === undefined || previous.upstream.incarnation <= upstream.incarnation) {
+			next.set(seenBy.name, {
+				upstream, zone, seenAt: now, failuresInRow: failuresAfter(previous, one),
+			});
+		}
 	}
 
-	return {
-		...witnesses,
-		[seenBy.name]: {
-			upstream, zone, seenAt: now, failuresInRow: failuresAfter(previous, evidence),
-		},
-	};
+	return Object.fromEntries(next);
 }
 
 /**
--- /dev/null
+++ b/packages/membership/test/test-witness.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {test} from 'node:test';
+import {emptyReport, type Report} from '@dogwooddeck/model/lease';
+import {advanceWatch, createWatch, type WatchState} from '@dogwooddeck/membership/watch';
+
+const service = 'bermrand/schedule';
+const zone = 'n-1';
+
+/** What one instance saw: answers, failures, and which life of the upstream. */
+type Sight = {readonly instance: string; readonly incarnation?: number; readonly answered?: number; readonly failed?: number};
+
+function evidenceOf(name: string, {instance, incarnation = 1, answered = 0, failed = 0}: Sight): Report['evidence'][number] {
+	return {
+		upstream: {service, name, incarnation},
+		answered,
+		failed,
+		timedOut: 0,
+		shed: 0,
+		inFlight: 1,
+		meanLatencyMilliseconds: 5,
+		seenBy: {name: instance, incarnation: 1},
+	};
+}
+
+function receive(state: WatchState, evidence: Report['evidence']): WatchState {
+	return advanceWatch(state, {
+		kind: 'reportReceived', now: 100, report: {...emptyReport, evidence}, reporter: {zone, instance: 'i1'},
+	}).state;
+}
+
+const sightCases: ReadonlyArray<{readonly name: string; readonly sights: readonly Sight[]; readonly failures: Readonly<Record<string, number>>}> = [
+	{name: 'failures add up', sights: [{instance: 'i1', failed: 2}, {instance: 'i1', failed: 3}], failures: {i1: 5}},
+	{name: 'an answer ends the row', sights: [{instance: 'i1', failed: 2}, {instance: 'i1', answered: 1}], failures: {i1: 0}},
+	{name: 'a row begins after an answer', sights: [{instance: 'i1', answered: 1}, {instance: 'i1', failed: 2}], failures: {i1: 2}},
+	{name: 'each instance has its own row', sights: [{instance: 'i1', failed: 2}, {instance: 'i2', failed: 1}], failures: {i1: 2, i2: 1}},
+	{name: 'no attempt that ended says nothing', sights: [{instance: 'i1', failed: 2}, {instance: 'i1'}, {instance: 'i2'}], failures: {i1: 2}},
+	{name: 'an earlier life is left out', sights: [{instance: 'i1', incarnation: 2, failed: 1}, {instance: 'i1', failed: 5}], failures: {i1: 1}},
+	{name: 'a later life begins anew', sights: [{instance: 'i1', failed: 5}, {instance: 'i1', incarnation: 2, failed: 1}], failures: {i1: 1}},
+];
+
+for (const {name, sights, failures} of sightCases) {
+	test(`witnesses: ${name}, in one report and in several`, () => {
+		const evidence = sights.map(sight => evidenceOf('u1', sight));
+		const apart = evidence.reduce((state, one) => receive(state, [one]), createWatch(0));
+		for (const state of [receive(createWatch(0), evidence), apart]) {
+			const {witnesses} = state.upstreams.get(`${service}\nu1`)!;
+			assert.deepEqual(Object.fromEntries(Object.entries(witnesses).map(([instance, {failuresInRow}]) => [instance, failuresInRow])), failures);
+		}
+	});
+}
+
+const costCases = [
+	{instances: 9, upstreams: 48, processorMilliseconds: 500},
+	{instances: 890, upstreams: 48, processorMilliseconds: 1000},
+];
+
+for (const {instances, upstreams, processorMilliseconds} of costCases) {
+	test(`a report of ${instances} witnesses of ${upstreams} upstreams costs less than ${processorMilliseconds} ms of processor time`, () => {
+		const evidence = Array.from({length: instances}, (_, instance) =>
+			Array.from({length: upstreams}, (_, upstream) => evidenceOf(`u${upstream}`, {instance: `i${instance}`, answered: 5}))).flat();
+		const before = process.cpuUsage();
+		const state = receive(createWatch(0), evidence);
+		const {user, system} = process.cpuUsage(before);
+		assert.equal(Object.keys(state.upstreams.get(`${service}\nu0`)!.witnesses).length, instances);
+		assert.ok((user + system) / 1000 < processorMilliseconds, `${(user + system) / 1000} ms`);
+	});
+}
