Smooth loads in control over the time that the policy names

Change: the leader takes the time from the policy of the contract's weight, also after the weight was changed.

--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -20,6 +20,7 @@
 import {type SlotHash} from '@dogwooddeck/placement/hash';
 import {createLoad, type LoadState, receiveLoad} from '@dogwooddeck/placement/load';
 import {type PlacementState} from '@dogwooddeck/placement/input';
+import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {type ControlCommand} from './command.js';
 import {proposals} from './proposals.js';
 import {type ControlState} from './state.js';
@@ -64,9 +65,6 @@
 /** A step of the leader. */
 export type LeaderTransition = Transition<LeaderState, LeaderEffect>;
 
-/** The smoothing of reported loads. */
-const loadTimeConstantMilliseconds = 10_000;
-
 /** A proposal of which nothing is heard for this long is no longer waited for. Commands that come twice are refused when they are applied. */
 export const proposalMilliseconds: Milliseconds = 3000;
 
@@ -94,9 +92,10 @@
 	}
 
 	const report = {now, region, ...request.report};
-	const loads = contractsOf(control.configuration).map(({name}) => {
-		const load = state.loads[name] ?? createLoad(name, loadTimeConstantMilliseconds, now);
-		return [name, receiveLoad(load, report)] as const;
+	const loads = contractsOf(control.configuration).map(({name, weigh}) => {
+		const timeConstantMilliseconds = placementPolicies[weigh].smoothingMilliseconds;
+		const load = state.loads[name] ?? createLoad(name, timeConstantMilliseconds, now);
+		return [name, receiveLoad({...load, timeConstantMilliseconds}, report)] as const;
 	});
 	return Object.fromEntries(loads);
 }
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {defaultContract, type ServiceContract, WhenCut} from '@dogwooddeck/model/contract';
+import {
+	defaultContract, type ServiceContract, Weigh, WhenCut,
+} from '@dogwooddeck/model/contract';
 import {type Announcement, type InstanceRecord} from '@dogwooddeck/model/registry';
 import {emptyReport} from '@dogwooddeck/model/lease';
 import {defaultLeaseTerms} from '@dogwooddeck/ownership/terms';
+import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {applyEntry} from '@dogwooddeck/control/apply';
 import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
 import {
@@ -97,11 +100,15 @@
 	}
 }
 
+function contractApplied(base: number, changed: ServiceContract): ControlCommand {
+	return {
+		kind: 'subtreeApplied', team: 'team', operation: `operation-${base + 1}`, base, services: [changed], author: '', at: 0,
+	};
+}
+
 function begun(...names: readonly string[]): World {
 	const world = new World();
-	world.apply({
-		kind: 'subtreeApplied', team: 'team', operation: 'operation-1', base: 0, services: [contract], author: '', at: 0,
-	});
+	world.apply(contractApplied(0, contract));
 	for (const name of names) {
 		world.seat(instance(name));
 		world.pass(2500, [], world.members().map(member => member.split('#', 1)[0]!));
@@ -217,3 +224,22 @@
 for (const {name, run} of cases) {
 	test(`leader: ${name}`, run);
 }
+
+const smoothingCases = [
+	{name: 'of a contract that weighs availability', weighs: [Weigh.availability], expected: placementPolicies.availability.smoothingMilliseconds},
+	{name: 'of a contract that weighs churn', weighs: [Weigh.churn], expected: placementPolicies.churn.smoothingMilliseconds},
+	{name: 'after the weight was changed', weighs: [Weigh.availability, Weigh.churn], expected: placementPolicies.churn.smoothingMilliseconds},
+];
+
+for (const {name, weighs, expected} of smoothingCases) {
+	test(`smoothing of loads: ${name}`, () => {
+		const world = begun('entry-1');
+		for (const weigh of weighs) {
+			const {revision} = world.control.configuration.teams[0]!;
+			world.apply(contractApplied(revision, {...contract, weigh}));
+			world.pass(500, [], ['entry-1']);
+		}
+
+		assert.equal(world.leader.loads[contract.name]!.timeConstantMilliseconds, expected);
+	});
+}
