Plan a service when something changed, not at each tick

Cause: the leader planned all slots of all services 20 times a second, though a plan is a function of its input and the input of an idle service doesn't change.

Ends of revocations and operators' wishes are still looked at in each tick. A service that forms is looked at when its time is over.

--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -22,6 +22,7 @@
 import {type PlacementState} from '@dogwooddeck/placement/input';
 import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {type ControlCommand} from './command.js';
+import {type ServiceLook} from './plan-due.js';
 import {proposals} from './proposals.js';
 import {type ControlState} from './state.js';
 
@@ -32,6 +33,8 @@
 	readonly grantor: GrantorState;
 	readonly loads: Readonly<Record<ServiceName, LoadState>>;
 	readonly placements: Readonly<Record<ServiceName, PlacementState>>;
+	/** The last look at each service. */
+	readonly looks: Readonly<Record<ServiceName, ServiceLook>>;
 	/** The next owner that a slot under revocation is meant for, by `targetKey`. */
 	readonly targets: Readonly<Record<string, UpstreamIdentity>>;
 	/** The instances that ask for a seat. */
@@ -76,6 +79,7 @@
 		grantor: createGrantor(now, control.applied, terms),
 		loads: {},
 		placements: {},
+		looks: {},
 		targets: {},
 		seats: {},
 		heard: {},
--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -18,6 +18,9 @@
 import {type PlacementPlan} from '@dogwooddeck/placement/proposal';
 import {type ControlCommand} from './command.js';
 import {type LeaderState} from './leader.js';
+import {
+	formingLook, isPlanDue, type PlanBasis, plannedLook, type ServiceLook,
+} from './plan-due.js';
 import {type Proposals} from './proposals.js';
 import {type ControlState} from './state.js';
 
@@ -88,14 +91,19 @@
 	});
 }
 
-function placementInput(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): PlacementInput {
+function assignmentsOf(control: ControlState, service: ServiceName): ServiceAssignments {
+	return control.ownership.services[service] ?? {service, assignments: [], pinned: []};
+}
+
+function placementInput(state: LeaderState, control: ControlState, basis: PlanBasis, now: MonotonicTime): PlacementInput {
+	const {contract} = basis;
 	const service = contract.name;
 	const load = state.loads[service];
 	const loads = load === undefined ? noRates : ratesOf(load, now);
 	return {
 		now,
 		contract,
-		assignments: control.ownership.services[service] ?? {service, assignments: [], pinned: []},
+		assignments: assignmentsOf(control, service),
 		upstreams: upstreamsOf(control.membership, service).map(record => {
 			const joined = joinedAt(state.watch, identityOf(record));
 			return joined === undefined ? {record} : {record, joinedAt: joined};
@@ -103,19 +111,20 @@
 		loads,
 		hotKeys: Object.entries(loads.keys).map(([key, rate]) => ({key, home: state.hash(key, contract.slots), rate})),
 		flapping: flappingCount(state.watch, service, now),
-		unreachableZones: unreachableZones(state, control, now),
+		unreachableZones: basis.unreachableZones,
 		state: state.placements[service] ?? createPlacement(now),
 	};
 }
 
-function planCommands(service: ServiceName, plan: PlacementPlan, revoked: readonly Slot[]): readonly ControlCommand[] {
+function planCommands(service: ServiceName, plan: PlacementPlan | undefined, revoked: readonly Slot[]): readonly ControlCommand[] {
+	const {grants = [], pins = [], unpins = []} = plan ?? {};
 	return [
-		...(plan.grants.length === 0 ? [] : [{kind: 'assignmentsGranted' as const, service, grants: plan.grants}]),
+		...(grants.length === 0 ? [] : [{kind: 'assignmentsGranted' as const, service, grants}]),
 		...(revoked.length === 0 ? [] : [{kind: 'assignmentsRevoked' as const, service, slots: revoked}]),
-		...plan.pins.map(({key, home}) => ({
+		...pins.map(({key, home}) => ({
 			kind: 'keyPinned' as const, service, key, home,
 		})),
-		...plan.unpins.map(({key}) => ({kind: 'keyUnpinned' as const, service, key})),
+		...unpins.map(({key}) => ({kind: 'keyUnpinned' as const, service, key})),
 	];
 }
 
@@ -127,24 +136,50 @@
 /** A service without any owner waits until the first of its upstreams has been there for this long, so that its keys are divided over all that come together. */
 export const formationMilliseconds: Milliseconds = 1500;
 
-function isForming(input: PlacementInput, startedAt: MonotonicTime): boolean {
-	const {assignments} = input.assignments;
+/** When a service without any owner stops waiting. In the past where it doesn't wait. */
+function formsAt(input: PlacementInput, startedAt: MonotonicTime): MonotonicTime {
 	const joined = input.upstreams.map(upstream => upstream.joinedAt ?? startedAt);
-	return assignments.every(({phase}) => phase === AssignmentPhase.vacant) && input.now - Math.min(...joined) < formationMilliseconds;
+	const isVacant = input.assignments.assignments.every(({phase}) => phase === AssignmentPhase.vacant);
+	return isVacant ? Math.min(...joined) + formationMilliseconds : -Infinity;
 }
 
-function plannedProposals(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Proposals {
-	const service = contract.name;
-	const input = placementInput(state, control, contract, now);
-	if (isForming(input, state.grantor.startedAt)) {
-		return {state, commands: []};
+function basisOf(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): PlanBasis {
+	return {
+		contract,
+		assignments: control.ownership.services[contract.name],
+		membership: control.membership.services[contract.name],
+		unreachableZones: unreachableZones(state, control, now),
+	};
+}
+
+type Planned = {readonly state: LeaderState; readonly plan?: PlacementPlan};
+
+function planNow(state: LeaderState, control: ControlState, basis: PlanBasis, now: MonotonicTime): Planned {
+	const service = basis.contract.name;
+	const input = placementInput(state, control, basis, now);
+	const withLook = (look: ServiceLook) => ({...state, looks: {...state.looks, [service]: look}});
+	const waitsUntil = formsAt(input, state.grantor.startedAt);
+	if (now < waitsUntil) {
+		return {state: withLook(formingLook(basis, waitsUntil))};
 	}
 
 	const plan = planPlacement(input);
-	const wished = wishedMoves(control, input.assignments);
-	const planned = plan.moves.flatMap(({slot, to}) => to === undefined ? [] : [{slot, to}]);
-	const revoked = [...new Set([...plan.moves.map(({slot}) => slot), ...wished.map(({slot}) => slot)])];
-	const next = {...state, placements: {...state.placements, [service]: plan.state}};
+	const looked = withLook(plannedLook(basis, plan, input.flapping, now));
+	return {plan, state: {...looked, placements: {...state.placements, [service]: plan.state}}};
+}
+
+function planWhenDue(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Planned {
+	const basis = basisOf(state, control, contract, now);
+	return isPlanDue(state.looks[contract.name], basis, state.loads[contract.name], now) ? planNow(state, control, basis, now) : {state};
+}
+
+function plannedProposals(state: LeaderState, control: ControlState, contract: ServiceContract, now: MonotonicTime): Proposals {
+	const service = contract.name;
+	const {state: next, plan} = planWhenDue(state, control, contract, now);
+	const wished = wishedMoves(control, assignmentsOf(control, service));
+	const moves = plan?.moves ?? [];
+	const planned = moves.flatMap(({slot, to}) => to === undefined ? [] : [{slot, to}]);
+	const revoked = [...new Set([...moves.map(({slot}) => slot), ...wished.map(({slot}) => slot)])];
 	return {state: withTargets(next, service, [...planned, ...wished]), commands: planCommands(service, plan, revoked)};
 }
 
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -209,6 +209,19 @@
 			assert.deepEqual(new Set(world.owners()), new Set(['one']));
 		},
 	},
+	{
+		name: 'a service at rest is not planned again at the ticks',
+		run() {
+			const world = begun('entry-1');
+			const both = [announcement('one'), announcement('two')];
+			world.pass(10_000, both, ['entry-1']);
+			const look = world.leader.looks[contract.name];
+			world.pass(60_000, both, ['entry-1']);
+			assert.equal(world.leader.looks[contract.name], look);
+			world.pass(formationMilliseconds, [...both, announcement('three')], ['entry-1']);
+			assert.notEqual(world.leader.looks[contract.name], look);
+		},
+	},
 	{
 		name: 'the keys of an upstream that falls silent go to the others',
 		run() {
