Wait for the next due moment in place of ticks of 20 ms

Cause: the runners of the zone and of the voter ticked each 20 ms, and the runner of control each 50 ms, though the state machines have something to do only at moments that they know: a renewal, an election, the end of a support or a lease.

Change: `stewardDueAt` (ownership) and `voterDueAt` (consensus) tell when the next tick has something to do; `requestDueAt` and `leaseEnd` tell it of the lease. `startDueTimer` (clock) waits for that moment, at least 5 ms and at most 250 ms; an event cuts the wait short and never draws it out. While something is in flight under a revoked slot, the zone's runner looks each 20 ms as before. The limiter wakes the zone's runner when a request begins to wait for a share. Control ticks while it leads only. No duration of a lease, a support or a delegation was changed.

Tests: both packages' seeded schedules now also check, at every tick, that it did nothing before the moment that was told after the last event.

--- a/packages/consensus/test/test-schedules.ts
+++ b/packages/consensus/test/test-schedules.ts
@@ -9,6 +9,7 @@
 import fc from 'fast-check';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {voterDueAt} from '@dogwooddeck/consensus/due';
 import {entryAt} from '@dogwooddeck/consensus/log';
 import {
 	committedIndex, createVoter, foundCluster, founderFolder, quorumHeardAt, roleOf, stepVoter, termOf, voterSetOf, type VoterState,
@@ -156,6 +157,8 @@
 	handle(node: Node, event: ConsensusEvent): void {
 		if (node.voter !== undefined) {
 			const {state, effects} = stepVoter(node.voter, event);
+			const dueAt = voterDueAt(node.voter);
+			assert.ok(event.kind !== 'ticked' || effects.length === 0 || event.now >= dueAt, `a tick at ${event.now} did what was due at ${dueAt}`);
 			node.voter = state;
 			for (const effect of effects) {
 				dispatch(this.#edges, effect, node);
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -97,6 +97,8 @@
 	let leading: LeaderState | undefined;
 	let lastLeader: InstanceName | undefined;
 	let joiningVoters = false;
+	/** Runs while this voter leads. */
+	let ticking: NodeJS.Timeout | undefined;
 	const stewards = new Map<ZoneName, InstanceName>();
 
 	function notLeader(): Failure {
@@ -144,11 +146,16 @@
 		}
 	}
 
+	function tick(): void {
+		step({kind: 'ticked', now: monotonicNow(), control: holder.state()});
+	}
+
 	async function begin(): Promise<void> {
 		const voter = surroundings.voter()!;
 		const read = await voter.read();
 		if (read.isOk && voter.isLeader() && leading === undefined) {
 			leading = createLeader(monotonicNow(), holder.state(), surroundings.terms, surroundings.hash);
+			ticking = setInterval(tick, tickMilliseconds);
 		}
 	}
 
@@ -274,10 +281,6 @@
 		}
 	});
 
-	const ticking = setInterval(() => {
-		step({kind: 'ticked', now: monotonicNow(), control: holder.state()});
-	}, tickMilliseconds);
-
 	return {
 		async submit(command) {
 			const answer = await callLeader('propose', encodeCommands([command]));
@@ -290,6 +293,7 @@
 		takeVoter,
 		roleChanged() {
 			leading = undefined;
+			clearInterval(ticking);
 			if (surroundings.voter()?.isLeader() === true) {
 				void begin();
 			}
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -93,7 +93,9 @@
 	const evidence = createEvidenceRecorder();
 	const measures = createMeasures();
 	const requestMeasures = createRequestMeasures(measures);
-	const limiter = createLimiter(identity);
+	const limiter = createLimiter(identity, () => {
+		zone.look();
+	});
 	const ownReports = createReportCollector(identity, () => evidence.take(), () => limiter.takeDemands());
 	const zoneReports = createReportCollector(identity, () => [], () => []);
 	const claims = startClaims(identity, holder, clients, textHash);
--- a/packages/daemon/src/limiter.ts
+++ b/packages/daemon/src/limiter.ts
@@ -91,8 +91,8 @@
 		&& one.window === other.window && one.burst === other.burst;
 }
 
-/** Makes the limiter of an instance. */
-export function createLimiter(self: InstanceIdentity): Limiter {
+/** Makes the limiter of an instance. It calls `noteAwaited` when a request begins to wait for a share. */
+export function createLimiter(self: InstanceIdentity, noteAwaited: () => void): Limiter {
 	const holder = shareHolder(self);
 	const entries = new Map<string, Entry>();
 	const effectives = new WeakMap<ContractedLimit, EffectiveLimit>();
@@ -168,8 +168,12 @@
 	}
 
 	function setWaits(entry: Entry, waits: boolean): void {
+		const begins = waits && !entry.waits;
 		waiting += Number(waits) - Number(entry.waits);
 		entry.waits = waits;
+		if (begins) {
+			noteAwaited();
+		}
 	}
 
 	function dropIdle(now: MonotonicTime): void {
--- a/packages/daemon/src/voter-runner.ts
+++ b/packages/daemon/src/voter-runner.ts
@@ -2,6 +2,7 @@
  * Runs a voter of the replicated log: feeds what arrives to its state machine
  * and carries out the effects, by a lookup table.
  */
+import {voterDueAt} from '@dogwooddeck/consensus/due';
 import {
 	type ConsensusEffect, type ConsensusEvent, type ConsensusOptions, Role, type SavedState,
 } from '@dogwooddeck/consensus/machine';
@@ -10,11 +11,10 @@
 	committedIndex, createVoter, leaderOf, quorumHeardAt, roleOf, stepVoter, voterSetOf,
 } from '@dogwooddeck/consensus/voter';
 import {type ControlAccepted} from '@dogwooddeck/control/state';
+import {startDueTimer} from '@dogwooddeck/clock/due';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {
-	type InstanceName, type LogIndex, type Milliseconds, type MonotonicTime,
-} from '@dogwooddeck/model/identifiers';
+import {type InstanceName, type LogIndex, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {type Storage} from '@dogwooddeck/storage/folder';
 import {EventName} from '@dogwooddeck/telemetry/event';
@@ -57,8 +57,6 @@
 	readonly failed: (failed: Failure) => void;
 };
 
-const tickMilliseconds: Milliseconds = 20;
-
 type Settle = (result: Result<Committed, Failure>) => void;
 type Waiting = {readonly term: number; readonly settle: Settle};
 
@@ -182,6 +180,8 @@
 		for (const effect of next.effects) {
 			dispatch(effects, effect);
 		}
+
+		ticking.arm();
 	}
 
 	async function ask(event: (request: string) => ConsensusEvent): Promise<Result<Committed, Failure>> {
@@ -193,9 +193,12 @@
 		});
 	}
 
-	const ticking = setInterval(() => {
-		step({kind: 'ticked', now: monotonicNow()});
-	}, tickMilliseconds);
+	const ticking = startDueTimer({
+		dueAt: () => voterDueAt(state),
+		run() {
+			step({kind: 'ticked', now: monotonicNow()});
+		},
+	});
 
 	return {
 		receive(envelope) {
@@ -224,7 +227,7 @@
 		committed: () => committedIndex(state),
 		async stop() {
 			stopped = true;
-			clearInterval(ticking);
+			ticking.stop();
 			for (const pending of proposals.values()) {
 				pending(err(unknownOutcome));
 			}
--- a/packages/daemon/src/zone-runner.ts
+++ b/packages/daemon/src/zone-runner.ts
@@ -2,10 +2,11 @@
  * Runs this instance's part in its availability zone: it asks for a seat and
  * for routing leases, supports a steward, and is the steward when its turn comes.
  */
+import {startDueTimer} from '@dogwooddeck/clock/due';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {
-	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime,
+	type InstanceIdentity, type InstanceName, type LogIndex, type Milliseconds, type MonotonicTime,
 } from '@dogwooddeck/model/identifiers';
 import {
 	type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
@@ -14,8 +15,9 @@
 import {type LimitShare} from '@dogwooddeck/model/share';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {type Flights} from '@dogwooddeck/ownership/drain';
+import {stewardDueAt} from '@dogwooddeck/ownership/due';
 import {
-	answered, createLease, holdsLease, type LeaseState, requestDue, requestSent,
+	answered, createLease, holdsLease, leaseEnd, type LeaseState, requestDueAt, requestSent,
 } from '@dogwooddeck/ownership/lease';
 import {
 	createSteward, isSeated, isSteward, type StewardEffect, type StewardEvent, type StewardState, stepSteward,
@@ -28,8 +30,8 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
-import {shareHolder} from './limiter.js';
 import {type ReportCollector} from './report-collector.js';
+import {createSharePost} from './share-post.js';
 
 /** This instance's part in its zone. */
 export type ZoneRunner = {
@@ -43,6 +45,8 @@
 	readonly takeSupportRequest: (request: SupportRequest) => Promise<Result<SupportAnswer, Failure>>;
 	/** Another instance has applied this much: fetch what is new. */
 	readonly takeNotice: (applied: number) => void;
+	/** A request begins to wait for what the next lease brings. */
+	readonly look: () => void;
 	/** A planned stop: stand no more, and give the seat up unless it is the zone's only one. */
 	readonly leave: () => void;
 	readonly stop: () => void;
@@ -66,16 +70,14 @@
 	readonly log: Log;
 };
 
-const tickMilliseconds: Milliseconds = 20;
+/** The pause between two looks at what is in flight while the instance drains. */
+const drainMilliseconds: Milliseconds = 20;
 const peerMilliseconds: Milliseconds = 500;
 const seatMilliseconds: Milliseconds = 300;
 const holderMilliseconds: Milliseconds = 2000;
 /** The pause before a lease is asked for again that wasn't given. */
 const lackingMilliseconds: Milliseconds = 60;
 
-/** The shares that wait for an instance's next request. */
-const sharesAtMost = 4096;
-
 /** Starts the runner. */
 export function startZone(surroundings: ZoneSurroundings): ZoneRunner {
 	const {self, terms, holder, control, clients, flights, log} = surroundings;
@@ -89,8 +91,9 @@
 	let wasSteward = false;
 	let hadLease = false;
 	let leaving = false;
+	let drained: LogIndex = 0;
 	const notified = new Map<InstanceName, number>();
-	const sharesToPass = new Map<string, readonly LimitShare[]>();
+	const sharePost = createSharePost();
 	const leaseAskers = new Map<InstanceName, {readonly instance: InstanceRecord; readonly at: MonotonicTime}>();
 
 	function zoneMembers(): readonly InstanceRecord[] {
@@ -113,20 +116,6 @@
 		}
 	}
 
-	function passOnShares(shares: readonly LimitShare[]): void {
-		for (const share of shares) {
-			const waiting = sharesToPass.get(share.holder) ?? [];
-			sharesToPass.set(share.holder, [...waiting, share].slice(-sharesAtMost));
-		}
-	}
-
-	function sharesFor(instance: InstanceRecord): readonly LimitShare[] {
-		const holderName = shareHolder(instance);
-		const shares = sharesToPass.get(holderName) ?? [];
-		sharesToPass.delete(holderName);
-		return shares;
-	}
-
 	function recentHolders(now: MonotonicTime): readonly InstanceIdentity[] {
 		const recent = [...leaseAskers.values()].filter(({at}) => now - at < holderMilliseconds);
 		return recent.map(({instance}) => ({name: instance.name, incarnation: instance.incarnation}));
@@ -140,7 +129,7 @@
 		}
 
 		holder.catchUp(answer.value.catchUp);
-		passOnShares(answer.value.answer.shares);
+		sharePost.put(answer.value.answer.shares);
 		step({
 			kind: 'delegationAnswered', now: monotonicNow(), sentAt, applied: request.applied, answer: answer.value.answer,
 		});
@@ -167,6 +156,8 @@
 		for (const effect of next.effects) {
 			dispatch(effects, effect);
 		}
+
+		ticking.arm();
 	}
 
 	function noteSteward(now: MonotonicTime): void {
@@ -201,7 +192,7 @@
 			return err(failure(FailureKind.notReady, `${self.name} gives no lease now`));
 		}
 
-		return ok({answer: {...answer, shares: sharesFor(request.instance)}, catchUp: holder.after(request.applied)});
+		return ok({answer: {...answer, shares: sharePost.take(request.instance)}, catchUp: holder.after(request.applied)});
 	}
 
 	async function askSteward(request: LeaseRequest): Promise<Result<WithCatchUp<LeaseAnswer>, Failure>> {
@@ -224,11 +215,15 @@
 		return answer;
 	}
 
+	function askingDueAt(): MonotonicTime {
+		const isLacking = lacking || surroundings.lacksShares();
+		return Math.min(requestDueAt(lease, holder.state().applied, drained), isLacking ? lease.sentAt + lackingMilliseconds : Infinity);
+	}
+
 	async function renew(now: MonotonicTime): Promise<void> {
 		const table = holder.state();
-		const drained = flights.drained(table.ownership, table.applied, now);
-		const due = requestDue(lease, now, table.applied, drained) || ((lacking || surroundings.lacksShares()) && now >= lease.sentAt + lackingMilliseconds);
-		if (asking || !due) {
+		drained = flights.drained(table.ownership, table.applied, now);
+		if (asking || now < askingDueAt()) {
 			return;
 		}
 
@@ -245,11 +240,17 @@
 			surroundings.takeShares(answer.value.answer.shares);
 			steward = memberNamed(answer.value.answer.steward.name) ?? steward;
 		}
+
+		ticking.arm();
+	}
+
+	function seatDueAt(): MonotonicTime {
+		const from = isSeated(state) && !leaving ? leaseEnd(lease) : -Infinity;
+		return isSeated(state) || !leaving ? Math.max(from, seatAskedAt + seatMilliseconds) : Infinity;
 	}
 
 	async function askSeat(now: MonotonicTime): Promise<void> {
-		const content = isSeated(state) ? holdsLease(lease, now) && !leaving : leaving;
-		if (content || now < seatAskedAt + seatMilliseconds) {
+		if (now < seatDueAt()) {
 			return;
 		}
 
@@ -290,9 +291,8 @@
 	}
 
 	holder.listen(table => {
-		const now = monotonicNow();
 		step({
-			kind: 'tableChanged', now, applied: table.applied, table: table.ownership,
+			kind: 'tableChanged', now: monotonicNow(), applied: table.applied, table: table.ownership,
 		});
 		notifyZone(table.applied);
 	});
@@ -306,7 +306,13 @@
 		void renew(now);
 	}
 
-	const ticking = setInterval(tick, tickMilliseconds);
+	/** When anything here is due. While the instance drains, only a look at what is in flight tells how far it came. */
+	function dueAt(now: MonotonicTime): MonotonicTime {
+		const drainingAt = drained < holder.state().applied ? now + drainMilliseconds : Infinity;
+		return Math.min(stewardDueAt(state, now), asking ? Infinity : askingDueAt(), seatDueAt(), drainingAt);
+	}
+
+	const ticking = startDueTimer({dueAt, run: tick});
 
 	return {
 		lease: () => lease,
@@ -333,12 +339,11 @@
 				void fetchFrom(isSteward(state, monotonicNow()) ? leaderRecord?.peerAddress : steward?.peerAddress);
 			}
 		},
+		look: ticking.arm,
 		leave() {
-			step({kind: 'resigned', now: monotonicNow()});
 			leaving = zoneMembers().length > 1;
+			step({kind: 'resigned', now: monotonicNow()});
 		},
-		stop() {
-			clearInterval(ticking);
-		},
+		stop: ticking.stop,
 	};
 }
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -31,11 +31,16 @@
 	};
 }
 
-/** Whether to ask now: a renewal is due, or there is news that a revocation may wait for. */
+/** When to ask: a renewal is due, or there is news that a revocation may wait for. */
+export function requestDueAt(lease: LeaseState, applied: LogIndex, drained: LogIndex): MonotonicTime {
+	const {renewMilliseconds, urgentMilliseconds} = lease.terms;
+	const isNews = drained > lease.sentDrained || applied > lease.sentApplied;
+	return lease.sentAt + (isNews ? Math.min(renewMilliseconds, urgentMilliseconds) : renewMilliseconds);
+}
+
+/** Whether to ask now. */
 export function requestDue(lease: LeaseState, now: MonotonicTime, applied: LogIndex, drained: LogIndex): boolean {
-	const waited = now - lease.sentAt;
-	const news = drained > lease.sentDrained || applied > lease.sentApplied;
-	return waited >= lease.terms.renewMilliseconds || (news && waited >= lease.terms.urgentMilliseconds);
+	return now >= requestDueAt(lease, applied, drained);
 }
 
 /** Notes that a request was sent. */
@@ -60,6 +65,11 @@
 	return now < lease.holdUntil || now < lease.controlUntil;
 }
 
+/** When the last of the leases ends. */
+export function leaseEnd(lease: LeaseState): MonotonicTime {
+	return Math.max(lease.holdUntil, lease.controlUntil);
+}
+
 /**
  * Whether an instance may go on with an owner's slots without control: they
  * belong to its own zone, and the service's policy in the table is to hold.
--- a/packages/ownership/src/leasing.ts
+++ b/packages/ownership/src/leasing.ts
@@ -2,7 +2,9 @@
  * Handlers for what a steward gives and gets: leases to the zone's instances,
  * and the zone's delegation from control.
  */
-import {type Milliseconds, type MonotonicTime, sameInstance} from '@dogwooddeck/model/identifiers';
+import {
+	type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+} from '@dogwooddeck/model/identifiers';
 import {emptyReport, type LeaseAnswer, type LeaseRequest} from '@dogwooddeck/model/lease';
 import {countedHolders, withHolder} from './holders.js';
 import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
@@ -74,24 +76,28 @@
 	return {state: {...state, holders}, effects: [{kind: 'answerLease', answer: answerFor(state, hold, control)}]};
 }
 
-function delegationDue(state: StewardState, now: MonotonicTime, drained: number): boolean {
-	const waited = now - state.delegationAskedAt;
-	const lacking = now >= state.delegatedUntil && state.applied > state.askedApplied;
-	const news = drained > state.askedDrained || lacking;
-	return waited >= state.terms.renewMilliseconds || (news && waited >= state.terms.urgentMilliseconds);
+function drainedNow(state: StewardState, now: MonotonicTime): LogIndex {
+	return Math.max(state.askedDrained, zoneDrained(state, now));
 }
 
-/** Asks control for the delegation, where that is due. */
-export function delegationRequest(state: StewardState, now: MonotonicTime): StewardTransition {
-	if (!isSteward(state, now)) {
-		return {state, effects: []};
+/** When a steward asks control for the delegation, if nothing else happens. */
+export function delegationDueAt(state: StewardState, now: MonotonicTime): MonotonicTime {
+	const {delegationAskedAt, terms} = state;
+	const [renewal, urgent] = [delegationAskedAt + terms.renewMilliseconds, delegationAskedAt + terms.urgentMilliseconds];
+	if (drainedNow(state, now) > state.askedDrained) {
+		return urgent;
 	}
 
-	const drained = Math.max(state.askedDrained, zoneDrained(state, now));
-	if (!delegationDue(state, now, drained)) {
+	return state.applied > state.askedApplied ? Math.min(renewal, Math.max(urgent, state.delegatedUntil)) : renewal;
+}
+
+/** Asks control for the delegation, where that is due. */
+export function delegationRequest(state: StewardState, now: MonotonicTime): StewardTransition {
+	if (!isSteward(state, now) || now < delegationDueAt(state, now)) {
 		return {state, effects: []};
 	}
 
+	const drained = drainedNow(state, now);
 	const request = {
 		zone: state.self.zone,
 		steward: {name: state.self.name, incarnation: state.self.incarnation},
--- a/packages/ownership/src/standing.ts
+++ b/packages/ownership/src/standing.ts
@@ -73,22 +73,32 @@
 	};
 }
 
-function mayStand(state: StewardState, now: MonotonicTime): boolean {
-	const from = Math.max(freeFrom(state.supporter), state.standsFrom);
-	return isSeated(state) && now >= from + turn(state);
+/** When the instance stands, renews or gives its candidacy up, if nothing else happens. Infinite while it has no seat. */
+export function standingDueAt(state: StewardState): MonotonicTime {
+	if (state.stoodAt === undefined) {
+		return isSeated(state) ? Math.max(freeFrom(state.supporter), state.standsFrom) + turn(state) : Infinity;
+	}
+
+	const renewal = Math.max(state.supportAskedAt + state.terms.renewMilliseconds, state.standsFrom);
+	return state.electedAt === undefined ? Math.min(renewal, withdrawalAt(state)) : renewal;
+}
+
+function withdrawalAt({stoodAt = Infinity, terms}: StewardState): MonotonicTime {
+	return stoodAt + (2 * terms.renewMilliseconds);
 }
 
 function stand(state: StewardState, now: MonotonicTime): StewardTransition {
-	if (state.stoodAt === undefined) {
-		return mayStand(state, now) ? asked({...state, stoodAt: now}, now) : {state, effects: []};
+	if (now < standingDueAt(state)) {
+		return {state, effects: []};
 	}
 
-	if (state.electedAt === undefined && now >= state.stoodAt + (2 * state.terms.renewMilliseconds)) {
-		return {state: withdraw(state, now), effects: []};
+	if (state.stoodAt === undefined) {
+		return asked({...state, stoodAt: now}, now);
 	}
 
-	const due = now >= Math.max(state.supportAskedAt + state.terms.renewMilliseconds, state.standsFrom);
-	return due ? asked(state, now) : {state, effects: []};
+	return state.electedAt === undefined && now >= withdrawalAt(state)
+		? {state: withdraw(state, now), effects: []}
+		: asked(state, now);
 }
 
 /** Stands, renews, and asks for the delegation, each when it is due. */
--- a/packages/ownership/src/tenure.ts
+++ b/packages/ownership/src/tenure.ts
@@ -63,3 +63,14 @@
 	const counted = countedHolders(state.holders, now, state.longestDeadlineMilliseconds, state.terms);
 	return Math.min(state.applied, acknowledgedIndex(state.members, state.records), lowestDrained(counted));
 }
+
+/** When the passing of time alone lets `zoneDrained` grow next. */
+export function drainedGrowsAt(state: StewardState, now: MonotonicTime): MonotonicTime {
+	const wait = grantorWait(state.longestDeadlineMilliseconds, state.terms);
+	if (state.electedAt === undefined || now < state.electedAt + wait) {
+		return (state.electedAt ?? Infinity) + wait;
+	}
+
+	const ends = Object.values(state.holders).map(({leaseUntil}) => leaseUntil + wait).filter(end => now < end);
+	return zoneDrained(state, now) < state.applied ? Math.min(...ends) : Infinity;
+}
--- a/packages/ownership/test/actors.ts
+++ b/packages/ownership/test/actors.ts
@@ -68,4 +68,6 @@
 	flights!: Flights;
 	applied: LogIndex = 0;
 	seatAskedAt = -Infinity;
+	/** When the steward's next tick has something to do, as told after its last event. */
+	dueAt = -Infinity;
 }
--- a/packages/ownership/test/schedule.ts
+++ b/packages/ownership/test/schedule.ts
@@ -2,6 +2,7 @@
  * Runs leaders, stewards, routers and upstreams through a seeded schedule of
  * faults and watches that no key is sent to two upstreams at one moment.
  */
+import assert from 'node:assert/strict';
 import {FailureKind} from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {emptyReport} from '@dogwooddeck/model/lease';
@@ -10,6 +11,7 @@
 import {
 	Instance, type Plan, type Refusal, services, slotCount, Upstream, type Work,
 } from './actors.js';
+import {stewardDueAt} from '@dogwooddeck/ownership/due';
 import {createFlights} from '@dogwooddeck/ownership/drain';
 import {
 	answered, createLease, isHeld, mayStart, requestDue, requestSent,
@@ -73,6 +75,7 @@
 		instance.flights = createFlights(terms);
 		instance.applied = 0;
 		instance.seatAskedAt = -Infinity;
+		instance.dueAt = -Infinity;
 		this.#beat(instance);
 		this.#offer(instance);
 	}
@@ -106,7 +109,11 @@
 
 	#tick(instance: Instance): void {
 		const now = this.world.now(instance);
-		this.#step(instance, {kind: 'ticked', now});
+		const {dueAt} = instance;
+		const wasSteward = instance.steward.electedAt !== undefined;
+		const effects = this.#step(instance, {kind: 'ticked', now});
+		const hasChanged = effects.length > 0 || wasSteward !== (instance.steward.electedAt !== undefined);
+		assert.ok(now >= dueAt || !hasChanged, `a tick at ${now} did what was due at ${dueAt}`);
 		this.#askLease(instance, now);
 		const seated = this.states[instance.applied]!.rosters[instance.zone]?.members
 			.some(member => member.name === instance.name && member.incarnation === instance.life);
@@ -129,6 +136,7 @@
 	#step(instance: Instance, event: StewardEvent): readonly StewardEffect[] {
 		const {state, effects} = stepSteward(instance.steward, event);
 		instance.steward = state;
+		instance.dueAt = stewardDueAt(state, event.now);
 		for (const effect of effects) {
 			this.#carryOut(instance, effect);
 		}
