Leave the loads of a service alone that a report doesn't name

Change: the leader passes a report only to the services that it names. Loads decay with the time since they were last received, so the rates read later are the same. A service counts as quiet when no load was ever reported, or none for 20 time constants.

--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -12,7 +12,9 @@
 import {
 	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime, type ServiceName, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
-import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
+import {
+	type DelegationAnswer, type DelegationRequest, type Report, type SeatRequest,
+} from '@dogwooddeck/model/lease';
 import {type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
 import {createGrantor, type GrantorState, stepGrantor} from '@dogwooddeck/ownership/grantor';
@@ -89,6 +91,11 @@
 
 type EventOf<Kind extends LeaderEvent['kind']> = Extract<LeaderEvent, {readonly kind: Kind}>;
 
+function reportedServices({slotLoads, keyLoads, evidence}: Report): ReadonlySet<ServiceName> {
+	return new Set([...slotLoads, ...keyLoads, ...evidence.map(({upstream}) => upstream)].map(({service}) => service));
+}
+
+/** Loads decay with the time since they were last received, so a service that a report doesn't name costs nothing. */
 function takeLoads(state: LeaderState, {now, control, request}: EventOf<'delegationRequested'>): LeaderState['loads'] {
 	const region = control.ownership.rosters[request.zone]?.region;
 	if (region === undefined) {
@@ -96,10 +103,11 @@
 	}
 
 	const report = {now, region, ...request.report};
+	const reported = reportedServices(request.report);
 	const loads = contractsOf(control.configuration).map(({name, weigh}) => {
 		const timeConstantMilliseconds = placementPolicies[weigh].smoothingMilliseconds;
-		const load = state.loads[name] ?? createLoad(name, timeConstantMilliseconds, now);
-		return [name, receiveLoad({...load, timeConstantMilliseconds}, report)] as const;
+		const load = {...state.loads[name] ?? createLoad(name, timeConstantMilliseconds, now), timeConstantMilliseconds};
+		return [name, reported.has(name) ? receiveLoad(load, report) : load] as const;
 	});
 	return Object.fromEntries(loads);
 }
--- a/packages/control/src/plan-due.ts
+++ b/packages/control/src/plan-due.ts
@@ -39,8 +39,13 @@
 		&& one.unreachableZones.join('\n') === other.unreachableZones.join('\n');
 }
 
-function isQuiet(load: LoadState | undefined): boolean {
-	return load === undefined || (Object.keys(load.keys).length === 0 && load.slots.every(rate => rate === 0));
+/** Loads that were last reported so many time constants ago have decayed to nothing. */
+const quietTimeConstants = 20;
+
+function isQuiet(load: LoadState | undefined, now: MonotonicTime): boolean {
+	return load === undefined
+		|| (load.slots.length === 0 && Object.keys(load.keys).length === 0)
+		|| now - load.updatedAt >= quietTimeConstants * load.timeConstantMilliseconds;
 }
 
 /** Whether to plan a service now. */
@@ -49,7 +54,7 @@
 		return true;
 	}
 
-	return now >= last.dueAt && !(last.isAtRest && isQuiet(load));
+	return now >= last.dueAt && !(last.isAtRest && isQuiet(load, now));
 }
 
 /** The look at a service that waits for its first keys to be divided, until `formsAt`. */
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -4,8 +4,9 @@
 	defaultContract, type ServiceContract, Weigh, WhenCut,
 } from '@dogwooddeck/model/contract';
 import {type Announcement, type InstanceRecord} from '@dogwooddeck/model/registry';
-import {emptyReport} from '@dogwooddeck/model/lease';
+import {emptyReport, type Report} from '@dogwooddeck/model/lease';
 import {defaultLeaseTerms} from '@dogwooddeck/ownership/terms';
+import {ratesOf} from '@dogwooddeck/placement/load';
 import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {applyEntry} from '@dogwooddeck/control/apply';
 import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
@@ -55,7 +56,7 @@
 		}
 	}
 
-	report(zone: string, announcements: readonly Announcement[], holders: readonly string[]): void {
+	report(zone: string, announcements: readonly Announcement[], holders: readonly string[], seen: Partial<Report> = {}): void {
 		this.step({
 			kind: 'delegationRequested',
 			now: this.now,
@@ -66,7 +67,7 @@
 				steward: {name: holders[0]!, incarnation: 1},
 				applied: this.control.applied,
 				drained: this.control.applied,
-				report: {...emptyReport, announcements},
+				report: {...emptyReport, announcements, ...seen},
 				holders: holders.map(name => ({name, incarnation: 1})),
 			},
 		});
@@ -209,6 +210,21 @@
 			assert.deepEqual(new Set(world.owners()), new Set(['one']));
 		},
 	},
+	{
+		name: 'loads of a service that a report does not name are left as they are',
+		run() {
+			const world = begun('entry-1');
+			const slotLoads = [{service: contract.name, slot: 1, requests: 30}];
+			world.report('noord-a', [], ['entry-1'], {slotLoads});
+			const before = world.leader.loads[contract.name]!;
+			world.pass(2000, [], ['entry-1']);
+			const after = world.leader.loads[contract.name]!;
+			assert.deepEqual(after, before);
+			assert.ok(ratesOf(after, world.now).slots[1]! < ratesOf(before, world.now - 2000).slots[1]!);
+			world.report('noord-a', [], ['entry-1'], {slotLoads});
+			assert.equal(world.leader.loads[contract.name]!.updatedAt, world.now);
+		},
+	},
 	{
 		name: 'a service at rest is not planned again at the ticks',
 		run() {
--- a/packages/control/test/test-plan-due.ts
+++ b/packages/control/test/test-plan-due.ts
@@ -44,7 +44,13 @@
 	{name: 'nothing changed, and no time passed', now: plannedAt + 50, expected: false},
 	{name: 'nothing changed for an hour, and nothing is reported', now: long, expected: false},
 	{
-		name: 'nothing changed, and loads were swept away', load: noLoad, now: long, expected: false,
+		name: 'nothing changed, and no load was ever reported', load: noLoad, now: long, expected: false,
+	},
+	{
+		name: 'nothing changed, and the last load was reported long ago', load: someLoad, now: long, expected: false,
+	},
+	{
+		name: 'loads that are still smoothed', load: someLoad, now: (20 * someLoad.timeConstantMilliseconds) - 1, expected: true,
 	},
 	{
 		name: 'loads, before the pace', load: someLoad, now: pace - 1, expected: false,
