--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -12,7 +12,9 @@
 import {
 	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime, type ServiceName, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
-import {type DelegationAnswer, type DelegationRequest, type SeatRequest} from '@dogwooddeck/model/lease';
+import {
+	type DelegationAnswer, type DelegationRequest, type Report, type SeatRequest,
+} from '@dogwooddeck/model/lease';
 import {type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
 import {createGrantor, type GrantorState, stepGrantor} from '@dogwooddeck/ownership/grantor';
@@ -20,7 +22,9 @@
 import {type SlotHash} from '@dogwooddeck/placement/hash';
 import {createLoad, type LoadState, receiveLoad} from '@dogwooddeck/placement/load';
 import {type PlacementState} from '@dogwooddeck/placement/input';
+import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {type ControlCommand} from './command.js';
+import {type ServiceLook} from './plan-due.js';
 import {proposals} from './proposals.js';
 import {type ControlState} from './state.js';
 
@@ -31,6 +35,8 @@
 	readonly grantor: GrantorState;
 	readonly loads: Readonly<Record<ServiceName, LoadState>>;
 	readonly placements: Readonly<Record<ServiceName, PlacementState>>;
+	/** The last look at each service. */
+	readonly looks: Readonly<Record<ServiceName, ServiceLook>>;
 	/** The next owner that a slot under revocation is meant for, by `targetKey`. */
 	readonly targets: Readonly<Record<string, UpstreamIdentity>>;
 	/** The instances that ask for a seat. */
@@ -64,9 +70,6 @@
 /** A step of the leader. */
 export type LeaderTransition = Transition<LeaderState, LeaderEffect>;
 
-/** The smoothing of reported loads. */
-const loadTimeConstantMilliseconds = 10_000;
-
 /** A proposal of which nothing is heard for this long is no longer waited for. Commands that come twice are refused when they are applied. */
 export const proposalMilliseconds: Milliseconds = 3000;
 
@@ -78,6 +81,7 @@
 		grantor: createGrantor(now, control.applied, terms),
 		loads: {},
 		placements: {},
+		looks: {},
 		targets: {},
 		seats: {},
 		heard: {},
@@ -87,6 +91,11 @@
 
 type EventOf<Kind extends LeaderEvent['kind']> = Extract<LeaderEvent, {readonly kind: Kind}>;
 
+function reportedServices({slotLoads, keyLoads, evidence}: Report): ReadonlySet<ServiceName> {
+	return new Set([...slotLoads, ...keyLoads, ...evidence.map(({upstream}) => upstream)].map(({service}) => service));
+}
+
+/** Loads decay with the time since they were last received, so a service that a report doesn't name costs nothing. */
 function takeLoads(state: LeaderState, {now, control, request}: EventOf<'delegationRequested'>): LeaderState['loads'] {
 	const region = control.ownership.rosters[request.zone]?.region;
 	if (region === undefined) {
@@ -94,9 +103,11 @@
 	}
 
 	const report = {now, region, ...request.report};
-	const loads = contractsOf(control.configuration).map(({name}) => {
-		const load = state.loads[name] ?? createLoad(name, loadTimeConstantMilliseconds, now);
-		return [name, receiveLoad(load, report)] as const;
+	const reported = reportedServices(request.report);
+	const loads = contractsOf(control.configuration).map(({name, weigh}) => {
+		const timeConstantMilliseconds = placementPolicies[weigh].smoothingMilliseconds;
+		const load = {...state.loads[name] ?? createLoad(name, timeConstantMilliseconds, now), timeConstantMilliseconds};
+		return [name, reported.has(name) ? receiveLoad(load, report) : load] as const;
 	});
 	return Object.fromEntries(loads);
 }
