Don't judge an upstream lost by a report gap that a cut leaves open

Cause: where a 'hold' zone was cut off just after two reports that carried no announcement of an upstream, the upstream was silent for 1 s while its zone still counted as reachable, up to 1 s after its last report. Control judged it lost: in the trial of two regions (nine instances) all 64 slots of viewer-zuid-b were under revocation until the healing, 'no-owner' outside. Urgent reports, 25 ms apart, make two such reports common. Change: the zone's reports must also have left the upstream out for 750 ms, the announcements' timeout less one renewal, so detection is not later. Conclusion: an upstream unheard for 750 ms before the cut is still judged.

--- a/packages/membership/src/verdict.ts
+++ b/packages/membership/src/verdict.ts
@@ -13,6 +13,12 @@
 
 /** A zone must have sent this many reports without an upstream before its silence counts. */
 export const silentReportsForVerdict = 2;
+/**
+ * A zone's reports must also have left an upstream out for this long. It is the
+ * announcements' timeout less one renewal, so that a zone that is cut off just
+ * after two reports without an announcement isn't taken for one that misses it.
+ */
+export const missedMilliseconds: Milliseconds = 750;
 /** When a large part of a service's upstreams in a zone goes silent at once, the verdict waits for this much more silence. */
 export const stormConfirmationMilliseconds: Milliseconds = 500;
 /** Silence of more than this share of a service's upstreams in a zone looks like a cut, not like deaths. */
@@ -34,19 +40,27 @@
 	return !isWatched || (reportedAt !== undefined && tick.now - reportedAt <= zoneTimeoutMilliseconds);
 }
 
-function silenceOf(state: WatchState, tick: Judgement, record: UpstreamRecord): Milliseconds {
+function silentSince(state: WatchState, tick: Judgement, record: UpstreamRecord): MonotonicTime {
 	const watch = watchOf(state, record.service, record.name);
 	const heardAt = watch.announcement?.incarnation === record.incarnation ? watch.heardAt : state.startedAt;
 	const reachableSince = isZoneReachable(state, tick, record.zone) ? state.zones[record.zone]?.reachableSince ?? state.startedAt : state.startedAt;
-	return tick.now - Math.max(heardAt, reachableSince);
+	return Math.max(heardAt, reachableSince);
+}
+
+function silenceOf(state: WatchState, tick: Judgement, record: UpstreamRecord): Milliseconds {
+	return tick.now - silentSince(state, tick, record);
 }
 
 /** Whether the upstream's zone had its chance to tell of it. A zone out of reach is judged by the contract. */
 function isMissedByZone(state: WatchState, tick: Judgement, record: UpstreamRecord): boolean {
+	const zone = state.zones[record.zone];
 	const isWatched = (tick.rosterSizes[record.zone] ?? 0) > 0;
-	const reports = state.zones[record.zone]?.reports ?? 0;
+	if (!isWatched || zone === undefined || !isZoneReachable(state, tick, record.zone)) {
+		return true;
+	}
+
 	const {heardInReport} = watchOf(state, record.service, record.name);
-	return !isWatched || !isZoneReachable(state, tick, record.zone) || reports - heardInReport >= silentReportsForVerdict;
+	return zone.reports - heardInReport >= silentReportsForVerdict && zone.reportedAt - silentSince(state, tick, record) >= missedMilliseconds;
 }
 
 /** A later life that announces itself ends the earlier, also while it is held back itself. */
--- a/packages/membership/test/test-watch.ts
+++ b/packages/membership/test/test-watch.ts
@@ -32,6 +32,8 @@
 	readonly failingFrom?: Readonly<Record<string, {readonly at: number; readonly instances: readonly string[]}>>;
 	/** The only instances that send any requests. Absent: all. */
 	readonly busyInstances?: readonly string[];
+	/** Only one report of so many passes announcements on. */
+	readonly announcedEvery?: number;
 	/** The time in which no report of a zone comes through, by the zone. */
 	readonly cut?: Readonly<Record<string, readonly [from: number, until: number]>>;
 	/** When another leader begins with an empty view. */
@@ -58,7 +60,9 @@
 }
 
 function announcementsOf(scene: Scene, zone: string, now: number): readonly Announcement[] {
+	const isPassedOn = now % (reportMilliseconds * (scene.announcedEvery ?? 1)) === 0;
 	return namesIn(scene, zone)
+		.filter(() => isPassedOn)
 		.filter(name => now < (scene.silentFrom?.[name] ?? Number.POSITIVE_INFINITY))
 		.map(name => ({
 			service,
@@ -179,6 +183,13 @@
 		lost: [],
 	},
 	{name: 'a zone is cut off, and its service holds', scene: {cut: {'n-1': [2000, 60_000]}, untilMilliseconds: 20_000}, lost: []},
+	{
+		name: 'a zone is cut off that had not told of its only upstream for two reports, and its service holds',
+		scene: {
+			upstreams: 1, announcedEvery: 3, cut: {'n-1': [2001, 60_000]}, untilMilliseconds: 20_000,
+		},
+		lost: [],
+	},
 	{
 		name: 'a zone is cut off, and its service is taken over',
 		scene: {whenCut: WhenCut.takeOver, cut: {'n-1': [2000, 60_000]}, untilMilliseconds: 20_000},
