Try regions that lose each other, take-over and operators' remedies with real processes

Cause: 'take-over', cut regions, 'zone declare-lost' and 'token' had never run against a deployment. What test-failures shares stands in trial.ts, unchanged but for the cases' type. Stand-in upstreams can come back as a later incarnation; the watcher keeps the kind of a failure.

--- a/packages/stand-in/src/announcer.ts
+++ b/packages/stand-in/src/announcer.ts
@@ -3,6 +3,7 @@
  * grants that come back.
  */
 import {request} from 'undici';
+import {FailureKind} from '@dogwooddeck/model/failure';
 import {type FenceNumber, type Milliseconds, type Slot} from '@dogwooddeck/model/identifiers';
 import {type Announcement} from '@dogwooddeck/model/registry';
 
@@ -13,6 +14,8 @@
 	/** The bearer token. */
 	readonly token: string;
 	readonly intervalMilliseconds: Milliseconds;
+	/** Called when an instance asks for a later incarnation. */
+	readonly superseded?: () => void;
 };
 
 /** The right to serve one slot. */
@@ -33,9 +36,12 @@
 	stop(): void;
 };
 
+/** An answer, or the problem that was told; empty: neither came. */
+type Answered = Partial<AnnouncementAnswer> & {readonly kind?: string};
+
 const timeoutMilliseconds = 300;
 
-async function announce(address: string, token: string, announcement: Announcement): Promise<AnnouncementAnswer | undefined> {
+async function announce(address: string, token: string, announcement: Announcement): Promise<Answered> {
 	try {
 		const {body} = await request(`http://${address}/announce`, {
 			method: 'POST',
@@ -44,10 +50,9 @@
 			headersTimeout: timeoutMilliseconds,
 			bodyTimeout: timeoutMilliseconds,
 		});
-		const answer = await body.json() as AnnouncementAnswer;
-		return answer.accepted ? answer : undefined;
+		return await body.json() as Answered;
 	} catch {
-		return undefined;
+		return {};
 	}
 }
 
@@ -74,12 +79,16 @@
 	async #announceOnce(): Promise<boolean> {
 		const {addresses, token} = this.#options;
 		const answer = await announce(addresses[this.#next % addresses.length]!, token, this.#announcement());
-		if (answer === undefined) {
+		if (answer.kind === FailureKind.superseded) {
+			this.#options.superseded?.();
+		}
+
+		if (answer.accepted !== true) {
 			return false;
 		}
 
 		this.accepted++;
-		this.grants = answer.grants;
+		this.grants = answer.grants ?? [];
 		return true;
 	}
 
--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -31,6 +31,8 @@
 	readonly region: RegionName;
 	readonly zone: ZoneName;
 	readonly checksFence: boolean;
+	/** Whether it takes a later incarnation when it was judged to be gone. */
+	readonly rejoins?: boolean;
 	readonly workMilliseconds?: number;
 	/** Requests that it runs at one time. */
 	readonly slots?: number;
@@ -49,6 +51,9 @@
 	child: Child;
 };
 
+/** What a command printed, and its exit code. */
+export type CommandEnded = {readonly output: string; readonly code: number | undefined};
+
 /** A deployment that runs. */
 export type Deployment = {
 	readonly folder: string;
@@ -57,8 +62,10 @@
 	/** Starts an instance again after its process ended. */
 	readonly restart: (instance: TrialInstance) => void;
 	readonly startUpstream: (plan: UpstreamPlan) => Child;
-	/** Runs `dogwooddeckctl` and gives what it printed and its exit code. */
-	readonly control: (...parameters: string[]) => Promise<{readonly output: string; readonly code: number | undefined}>;
+	/** Runs `dogwooddeckctl` with the operators' token. */
+	readonly control: (...parameters: string[]) => Promise<CommandEnded>;
+	/** Runs `dogwooddeckctl` with the token of a file. */
+	readonly controlAs: (tokenFile: string, ...parameters: string[]) => Promise<CommandEnded>;
 	/** The JSON of an operators' read at one instance. */
 	readonly read: (instance: TrialInstance, path: string) => Promise<unknown>;
 	/** Waits until all instances that run are ready. */
@@ -195,7 +202,7 @@
 		});
 	}
 
-	async function command(name: string, script: string, parameters: readonly string[]) {
+	async function command(name: string, script: string, parameters: readonly string[]): Promise<CommandEnded> {
 		const child = startChild(name, script, parameters);
 		commands.push(child);
 		await eventually(`${name} ended`, reasonableMilliseconds, () => !child.running());
@@ -203,6 +210,8 @@
 	}
 
 	const servers = () => instances.flatMap(({addresses}) => ['--server', `http://${addresses.operators}`]);
+	const controlAs: Deployment['controlAs'] = async (file, ...parameters) =>
+		command('dogwooddeckctl', controlScript, [...parameters, ...servers(), '--token-file', file]);
 	const founded = await command('found', daemonScript, ['found', '--settings', voters[0]!.settingsFile, '--operator-token-file', tokenFile]);
 	if (founded.code !== 0) {
 		throw new FailureError(failure(FailureKind.internal, founded.output));
@@ -236,11 +245,13 @@
 				'--work-milliseconds',
 				String(plan.workMilliseconds ?? 1),
 				...(plan.checksFence ? ['--checks-fence'] : []),
+				...(plan.rejoins === true ? ['--rejoins'] : []),
 			]);
 			upstreams.set(plan.name, child);
 			return child;
 		},
-		control: async (...parameters) => command('dogwooddeckctl', controlScript, [...parameters, ...servers(), '--token-file', tokenFile]),
+		control: async (...parameters) => controlAs(tokenFile, ...parameters),
+		controlAs,
 		async read(instance, where) {
 			const {body} = await request(`http://${instance.addresses.operators}${where}`, {headers: {authorization: `Bearer ${operatorToken}`}});
 			return body.json();
--- a/packages/stand-in/src/upstream-command.ts
+++ b/packages/stand-in/src/upstream-command.ts
@@ -36,6 +36,7 @@
 		announceTo: option({type: string, long: 'announce-to', description: 'operator addresses with commas between them'}),
 		token: option({type: string, long: 'token', defaultValue: () => ''}),
 		checksFence: flag({long: 'checks-fence'}),
+		rejoins: flag({long: 'rejoins', description: 'takes a later incarnation when it was judged to be gone'}),
 		slots: option({type: number, long: 'slots', defaultValue: () => 3}),
 		workMilliseconds: option({type: number, long: 'work-milliseconds', defaultValue: () => 1}),
 	},
--- a/packages/stand-in/src/upstream.ts
+++ b/packages/stand-in/src/upstream.ts
@@ -8,7 +8,7 @@
 	createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
-import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {HeaderName} from '@dogwooddeck/model/headers';
 import {
 	type FenceNumber, type Incarnation, type Milliseconds, type RegionName, type ServiceName, type Slot, type UpstreamName, type ZoneName,
@@ -39,6 +39,8 @@
 	readonly workMilliseconds: Milliseconds;
 	/** The length of an answer's body. */
 	readonly answerBytes: number;
+	/** Whether it takes a later incarnation when it was judged to be gone. */
+	readonly rejoins: boolean;
 	/** Absent: it announces itself to nobody. */
 	readonly announceTo?: AnnouncerOptions;
 };
@@ -75,6 +77,7 @@
 	slots: 1024,
 	workMilliseconds: 0,
 	answerBytes: 1024,
+	rejoins: false,
 };
 
 const misdirected = 421;
@@ -106,6 +109,7 @@
 	readonly #keys = new Map<string, number>();
 	readonly #fences = new Map<Slot, FenceNumber>();
 	readonly #waiting: Array<() => void> = [];
+	#incarnation: Incarnation;
 	#running = 0;
 	#leaving = false;
 	#order: FaultOrder = noFault;
@@ -113,6 +117,7 @@
 
 	constructor(options: UpstreamOptions) {
 		this.#options = options;
+		this.#incarnation = options.incarnation;
 		this.#server = createServer((request, response) => {
 			void this.#meet(request, response);
 		});
@@ -130,7 +135,13 @@
 		const {host, port, announceTo} = this.#options;
 		await this.#listen(port);
 		this.address = `${host}:${this.#port}`;
-		this.announcer = announceTo === undefined ? undefined : startAnnouncer(announceTo, () => this.#announcement());
+		this.announcer = announceTo === undefined
+			? undefined
+			: startAnnouncer({
+				...announceTo, superseded: () => {
+					this.#rejoin();
+				},
+			}, () => this.#announcement());
 	}
 
 	async order(order: FaultOrder): Promise<void> {
@@ -178,12 +189,18 @@
 		}
 	}
 
+	#rejoin(): void {
+		if (this.#options.rejoins) {
+			this.#incarnation = Math.max(this.#incarnation + 1, wallNow());
+		}
+	}
+
 	#announcement(): Announcement {
 		const {
-			service, name, incarnation, region, zone, slots,
+			service, name, region, zone, slots,
 		} = this.#options;
 		return {
-			service, name, incarnation, region, zone, address: this.address, leaving: this.#leaving, load: Math.min(1, this.#running / slots),
+			service, name, incarnation: this.#incarnation, region, zone, address: this.address, leaving: this.#leaving, load: Math.min(1, this.#running / slots),
 		};
 	}
 
--- a/packages/stand-in/src/watcher.ts
+++ b/packages/stand-in/src/watcher.ts
@@ -15,6 +15,8 @@
 	readonly endedAt: MonotonicTime;
 	/** 0: the connection was refused or broken. */
 	readonly status: number;
+	/** The kind of the failure that was told; empty: none. */
+	readonly failureKind: string;
 	/** Empty: none, or it is not known. */
 	readonly upstream: string;
 	/** The fence number that the upstream was sent; 0: none is known. */
@@ -33,33 +35,41 @@
 	readonly stop: () => Promise<readonly Sighting[]>;
 };
 
-const pauseMilliseconds: Milliseconds = 20;
+const shortPauseMilliseconds: Milliseconds = 20;
 const refused: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
 
-type Served = Pick<Sighting, 'upstream' | 'fence'>;
+type Told = Pick<Sighting, 'upstream' | 'fence' | 'failureKind'>;
 
-const notServed: Served = {upstream: '', fence: 0};
+const nothingTold: Told = {upstream: '', fence: 0, failureKind: ''};
+
+function told(status: number, mediaType: string, text: string): Told {
+	if (!mediaType.includes('json')) {
+		return nothingTold;
+	}
+
+	const {upstream = '', fence = 0, kind = ''} = JSON.parse(text) as {readonly upstream?: string; readonly fence?: number; readonly kind?: string};
+	return status === 200 ? {upstream, fence, failureKind: ''} : {...nothingTold, failureKind: kind};
+}
 
 async function ask(pool: Pool, instance: string, key: string): Promise<Sighting> {
 	const sentAt = monotonicNow();
 	const seen = {key, instance, sentAt};
 	try {
-		const {statusCode, body} = await pool.request({method: 'GET', path: `/schedule/${key}`});
+		const {statusCode, headers, body} = await pool.request({method: 'GET', path: `/schedule/${key}`});
 		const text = await body.text();
-		const {upstream, fence} = statusCode === 200 ? JSON.parse(text) as Served : notServed;
 		return {
-			...seen, endedAt: monotonicNow(), status: statusCode, upstream, fence, broken: false,
+			...seen, endedAt: monotonicNow(), status: statusCode, ...told(statusCode, String(headers['content-type']), text), broken: false,
 		};
 	} catch (error) {
 		const code = (error as {readonly code?: string}).code ?? '';
 		return {
-			...seen, endedAt: monotonicNow(), status: 0, ...notServed, broken: !refused.has(code),
+			...seen, endedAt: monotonicNow(), status: 0, ...nothingTold, broken: !refused.has(code),
 		};
 	}
 }
 
-/** Starts to watch: one caller for each key and instance. */
-export function startWatcher(instances: readonly TrialInstance[], keys: readonly string[]): Watcher {
+/** Starts to watch: one caller for each key and instance, which pauses after each answer. */
+export function startWatcher(instances: readonly TrialInstance[], keys: readonly string[], pauseMilliseconds = shortPauseMilliseconds): Watcher {
 	const sightings: Sighting[] = [];
 	const avoided = new Set<string>();
 	const state = {stopped: false};
--- a/packages/stand-in/test/test-failures.ts
+++ b/packages/stand-in/test/test-failures.ts
@@ -1,84 +1,17 @@
 import assert from 'node:assert/strict';
 import {rm} from 'node:fs/promises';
-import path from 'node:path';
-import {test} from 'node:test';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
-import {eventually} from '@dogwooddeck/stand-in/child';
-import {
-	type Deployment, repository, startDeployment, type TrialInstance,
-} from '@dogwooddeck/stand-in/deployment';
 import {
-	doubleOwners, outages, startWatcher, type Watcher,
-} from '@dogwooddeck/stand-in/watcher';
-
-const zones = [
-	{region: 'noord', zone: 'noord-a'},
-	{region: 'noord', zone: 'noord-b'},
-	{region: 'zuid', zone: 'zuid-a'},
-	{region: 'zuid', zone: 'zuid-b'},
-];
+	hasHistory, keys, nine, owned, owners, patience, runTrials, served, type TrialCase,
+} from './trial.js';
+import {eventually} from '@dogwooddeck/stand-in/child';
+import {type Deployment, type TrialInstance} from '@dogwooddeck/stand-in/deployment';
+import {doubleOwners, outages, startWatcher} from '@dogwooddeck/stand-in/watcher';
 
-const plans = zones.map((place, position) => ({...place, name: `entry-${position}`, voter: position < 3}));
-/** As the users run it: nine instances, three voters, no zone with a majority of them. */
-const nine = [3, 2, 2, 2].flatMap((instances, position) => Array.from({length: instances}, (_, number) => ({
-	...zones[position]!, name: `${zones[position]!.zone}-${number}`, voter: number === 0 && position < 3,
-})));
-const keys = Array.from({length: 24}, (_, number) => `verge-${number}`);
 const serveAgainMilliseconds = 4000;
-const patience = 30_000;
 const movedSlots = 12;
 
-type Owner = {readonly slot: number; readonly phase: string; readonly upstream?: string; readonly zone?: string};
-
-async function owners(deployment: Deployment, instance: TrialInstance): Promise<readonly Owner[]> {
-	const answer = await deployment.read(instance, '/operator/owners?service=bermrand/schedule') as {readonly owners?: readonly Owner[]};
-	return answer.owners ?? [];
-}
-
-async function owned(deployment: Deployment, instance: TrialInstance, upstream: string): Promise<readonly Owner[]> {
-	const all = await owners(deployment, instance);
-	return all.filter(owner => owner.upstream === upstream);
-}
-
-async function hasHistory(deployment: Deployment, instance: TrialInstance, team: string): Promise<boolean> {
-	try {
-		const answer = await deployment.read(instance, `/operator/history?team=${team}`) as {readonly entries?: readonly unknown[]};
-		return answer.entries?.length === 1;
-	} catch {
-		return false;
-	}
-}
-
-async function settled(deployment: Deployment, upstreams: number): Promise<void> {
-	for (const instance of deployment.instances.filter(({child}) => child.running())) {
-		await eventually(`${instance.name} knows all owners`, patience, async () => {
-			const all = await owners(deployment, instance);
-			return all.length >= 256 && all.every(({phase}) => phase === 'granted') && new Set(all.map(({upstream}) => upstream)).size === upstreams;
-		});
-	}
-}
-
-async function begin(deployment: Deployment, folder: string): Promise<void> {
-	await deployment.ready();
-	const applied = await deployment.control('apply', path.join(repository, 'packages/stand-in/trial', folder), '--wait');
-	assert.equal(applied.code, 0, applied.output);
-	for (const [position, {region, zone}] of zones.entries()) {
-		deployment.startUpstream({
-			service: 'bermrand/schedule', name: `viewer-${zone}`, region, zone, checksFence: position % 2 === 0,
-		});
-	}
-
-	await settled(deployment, zones.length);
-}
-
-async function served(watcher: Watcher, since: number, wanted = keys): Promise<void> {
-	await eventually('every key is served again', patience, () => {
-		const again = new Set(watcher.sightings.filter(({sentAt, status}) => sentAt > since && status === 200).map(({key}) => key));
-		return wanted.every(key => again.has(key));
-	});
-}
-
 async function losesUpstream(deployment: Deployment, signal: NodeJS.Signals): Promise<void> {
 	const lost = 'viewer-noord-b';
 	const watcher = startWatcher(deployment.instances, keys);
@@ -298,7 +231,7 @@
 	assert.deepEqual(doubleOwners(sightings), []);
 }
 
-const cases: ReadonlyArray<{readonly name: string; readonly instances?: typeof plans; readonly folder?: string; readonly run: (deployment: Deployment) => Promise<void>}> = [
+const cases: readonly TrialCase[] = [
 	{name: 'one of a zone\'s two instances is killed, and returns', instances: nine, run: losesMember},
 	{name: 'every one of nine instances is stopped in turn under load', instances: nine, run: stopsInstances},
 	{name: 'an upstream is killed', run: async deployment => losesUpstream(deployment, 'SIGKILL')},
@@ -312,20 +245,4 @@
 	{name: 'a contracted limit is spent through all instances, and the leader is lost', folder: 'limited', run: spendsLimit},
 ];
 
-for (const {name, run, instances = plans, folder = 'bermrand'} of cases) {
-	test(`failures: ${name}`, {timeout: 180_000}, async () => {
-		const deployment = await startDeployment(instances);
-		try {
-			await begin(deployment, folder);
-			await run(deployment);
-		} catch (error) {
-			for (const {child} of deployment.instances) {
-				console.log(child.output().split('\n').filter(line => !line.includes('event=request-failed')).slice(-25).join('\n'));
-			}
-
-			throw error;
-		} finally {
-			await deployment.close();
-		}
-	});
-}
+runTrials('failures', cases);
