--- a/packages/daemon/src/operator-surface.ts
+++ b/packages/daemon/src/operator-surface.ts
@@ -6,8 +6,8 @@
 	type Authority, authorityOf, hashToken, requireOperator, requireTeam,
 } from '@dogwooddeck/configuration/authority';
 import {
-	declareLostConfirmation, type ConfigurationAnswer, type HistoryAnswer, type MemberAnswer, type MembersAnswer, type OwnerAnswer, type OwnersAnswer,
-	parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest, type StatusAnswer, type WriteAnswer,
+	authorHeader, declareLostConfirmation, type ConfigurationAnswer, type HistoryAnswer, longestAuthor, type MemberAnswer, type MembersAnswer, type OwnerAnswer,
+	type OwnersAnswer, parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest, type StatusAnswer, type WriteAnswer,
 } from '@dogwooddeck/configuration/messages';
 import {
 	contractOf, type ConfigurationAccepted, type ConfigurationCommand, subtreeOf, teamOf,
@@ -16,7 +16,9 @@
 import {type ControlAccepted, type ControlState} from '@dogwooddeck/control/state';
 import {type OperatorSurface, type SurfaceHandler, type SurfaceRequest} from '@dogwooddeck/front/surface';
 import {upstreamOf, upstreamsOf} from '@dogwooddeck/membership/registry';
-import {type Assignment, AssignmentPhase, type PinnedKey} from '@dogwooddeck/model/assignment';
+import {
+	type Assignment, AssignmentPhase, assignmentsInUse, type PinnedKey,
+} from '@dogwooddeck/model/assignment';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type OperationIdentifier, type TeamName} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
@@ -79,7 +81,7 @@
 		: ok({
 			service,
 			index: state.applied,
-			owners: assignments.assignments.map(assignment => ownerAnswer(state, assignment, assignments.pinned)),
+			owners: assignmentsInUse(assignments, state.ownership.policies[service]?.slots ?? 0).map(assignment => ownerAnswer(state, assignment, assignments.pinned)),
 		});
 }
 
@@ -154,9 +156,11 @@
 
 	return {
 		announce: surroundings.announce,
-		apply: writing(parseApplyRequest, ({team}) => ofTeam(team), async (read, {author}) => configure({
-			kind: 'subtreeApplied', ...read, author, at: wallNow(),
-		})),
+		apply: writing(parseApplyRequest, ({team}) => ofTeam(team), async (read, {author}) => author.length > longestAuthor
+			? err(failure(FailureKind.malformed, `"${authorHeader}" is longer than ${longestAuthor} characters`))
+			: configure({
+				kind: 'subtreeApplied', ...read, author, at: wallNow(),
+			})),
 		token: writing(parseTokenRequest, () => (_state, authority) => requireOperator(authority), async ({team, operation, token}) => configure({
 			kind: 'tokenSet', team, operation, tokenHash: hashToken(token), at: wallNow(),
 		})),
--- a/packages/stand-in/test/trial.ts
+++ b/packages/stand-in/test/trial.ts
@@ -150,11 +150,18 @@
 	readonly run: (deployment: Deployment) => Promise<void>;
 };
 
-async function printState({instances}: Deployment, all: readonly Owner[]): Promise<void> {
-	const open = all.filter(({phase}) => phase !== 'granted');
-	console.log(`owners: ${[...new Set(all.map(({upstream}) => upstream))].join(', ')}; not granted: ${JSON.stringify(open.slice(0, 5))} of ${open.length}`);
-	for (const {child} of instances) {
-		console.log(child.output().split('\n').filter(line => !line.includes('event=request-failed')).slice(-25).join('\n'));
+/** Prints how many slots each upstream has in each phase, as each instance that answers knows it. */
+async function showOwners(deployment: Deployment): Promise<void> {
+	for (const instance of deployment.instances.filter(({child}) => child.running())) {
+		try {
+			const all = await owners(deployment, instance);
+			const names = all.map(({phase, upstream = 'nobody'}) => `${phase} by ${upstream}`);
+			const counts = [...new Set(names)].map(name => `${name}: ${names.filter(other => other === name).length}`);
+			const status = await deployment.read(instance, '/operator/status');
+			console.log(`${instance.name}: ${counts.join(', ')}; ${JSON.stringify(status)}`);
+		} catch {
+			console.log(`${instance.name} does not answer`);
+		}
 	}
 }
 
@@ -169,8 +176,11 @@
 				await begin(deployment, folder, rejoins);
 				await run(deployment);
 			} catch (error) {
-				const running = deployment.instances.find(({child}) => child.running());
-				await printState(deployment, running === undefined ? [] : await owners(deployment, running));
+				await showOwners(deployment);
+				for (const {child} of deployment.instances) {
+					console.log(child.output().split('\n').filter(line => !line.includes('event=request-failed')).slice(-25).join('\n'));
+				}
+
 				throw error;
 			} finally {
 				await deployment.close();
