Measure the request path in short interleaved rounds

Cause: three rounds of 3 s after 1 s of warm-up, entry always first, with new connections in each round, differed by up to a factor of two; nothing told a busy machine from a costly path. Change: 21 rounds of 0.5 s over connections that stay open, 4 s of warm-up for each subject, who goes first changes; medians and quartiles of the ratios within one round; the processor time of a request, also of the entry instance, from its measures.

--- a/packages/stand-in/src/caller.ts
+++ b/packages/stand-in/src/caller.ts
@@ -74,9 +74,13 @@
 	}
 }
 
-/** Loads an address and reports once all requests are over. */
-export async function runCaller(options: CallerOptions): Promise<CallerReport> {
-	const pool = new Pool(`http://${options.address}`, {connections: options.connections, pipelining: 1});
+/** Opens the connections of a caller, to be kept over several runs. Close them after the last. */
+export function openConnections({address, connections}: Pick<CallerOptions, 'address' | 'connections'>): Pool {
+	return new Pool(`http://${address}`, {connections, pipelining: 1});
+}
+
+/** Loads an address through open connections and reports once all requests are over. */
+export async function runThrough(pool: Pool, options: CallerOptions): Promise<CallerReport> {
 	const tally: Tally = {
 		sent: 0, broken: 0, foreign: 0, statuses: {}, latencies: [],
 	};
@@ -89,6 +93,13 @@
 
 	await Promise.all(Array.from({length: options.connections}, repeat));
 	const elapsedMilliseconds = monotonicNow() - began;
-	await pool.close();
 	return {...tally, latencies: tally.latencies.sort((one, other) => one - other), elapsedMilliseconds};
 }
+
+/** Loads an address and reports once all requests are over. */
+export async function runCaller(options: CallerOptions): Promise<CallerReport> {
+	const pool = openConnections(options);
+	const report = await runThrough(pool, options);
+	await pool.close();
+	return report;
+}
--- a/packages/stand-in/src/cost.ts
+++ b/packages/stand-in/src/cost.ts
@@ -1,6 +1,6 @@
 /**
- * Measures what the request path costs beside a bare forwarder, in interleaved
- * rounds of one run.
+ * Measures what the request path costs beside a bare forwarder, in short
+ * interleaved rounds of one run, over connections that stay open.
  */
 import {type ChildProcess, fork} from 'node:child_process';
 import {once} from 'node:events';
@@ -8,11 +8,16 @@
 import {
 	command, number, option, optional, run, string,
 } from 'cmd-ts';
-import {type CallerReport, percentile, runCaller} from './caller.js';
+import {type Pool, request} from 'undici';
+import {openConnections, runThrough} from './caller.js';
 import {costChildren} from './cost-children.js';
+import {
+	processorRatios, type Quartiles, rateRatios, type Round, type RoundFigures, slowestRatios, type SubjectFigures, summarise,
+} from './cost-figures.js';
 
 type CostSettings = {
 	readonly entry: string | undefined;
+	readonly operators: string | undefined;
 	readonly upstream: string | undefined;
 	readonly path: string;
 	readonly rounds: number;
@@ -20,22 +25,26 @@
 	readonly connections: number;
 };
 
-type Figures = {
-	readonly requestsPerSecond: number;
-	readonly median: number;
-	readonly slowest: number;
-	readonly bad: number;
-	/** The processor time of the forwarder for one request, in microseconds. Absent for a process that this tool did not start. */
-	readonly processorTime: number | undefined;
+/** A process that is loaded. */
+type Subject = {
+	readonly address: string;
+	readonly pool: Pool;
+	/** Its processor time so far, in microseconds. Undefined where it can't be read. */
+	readonly processorTime: () => Promise<number | undefined>;
 };
 
-/** A process that is loaded. */
-type Subject = {readonly address: string; readonly child: ChildProcess | undefined};
+/** The subjects by name. */
+type Subjects = Readonly<Record<keyof Round, Subject>>;
+
+type StartedChild = {readonly address: string; readonly child: ChildProcess};
 
 const millisecondsPerSecond = 1000;
+const microsecondsPerMillisecond = 1000;
 const paths = 1000;
+/** Each subject's load before the first round, so that its code is compiled. */
+const warmUpSeconds = 4;
 
-async function startChild(script: string, role: string, upstreamAddress: string): Promise<Subject & {readonly child: ChildProcess}> {
+async function startChild(script: string, role: string, upstreamAddress: string): Promise<StartedChild> {
 	const child = fork(script, ['--role', role, '--upstream', upstreamAddress]);
 	const [address] = await once(child, 'message') as [string];
 	return {child, address};
@@ -51,30 +60,21 @@
 	process.on('disconnect', () => process.exit());
 }
 
-async function processorTimeOf(subject: Subject): Promise<number | undefined> {
-	if (subject.child === undefined) {
-		return undefined;
-	}
-
-	subject.child.send('processor time');
-	const [microseconds] = await once(subject.child, 'message') as [number];
+async function childTime(child: ChildProcess): Promise<number> {
+	child.send('processor time');
+	const [microseconds] = await once(child, 'message') as [number];
 	return microseconds;
 }
 
-function figuresOf(report: CallerReport, processorTime: number | undefined): Figures {
-	const bad = report.sent - (report.statuses['200'] ?? 0) + report.foreign;
-	return {
-		requestsPerSecond: report.latencies.length / report.elapsedMilliseconds * millisecondsPerSecond,
-		median: percentile(report.latencies, 0.5),
-		slowest: percentile(report.latencies, 0.99),
-		bad,
-		processorTime: processorTime === undefined ? undefined : processorTime / report.sent,
-	};
+async function instanceTime(operators: string): Promise<number | undefined> {
+	const {body} = await request(`http://${operators}/metrics`);
+	const found = /^dogwooddeck_processor_milliseconds_total (\S+)$/mv.exec(await body.text());
+	return found === null ? undefined : Number(found[1]) * microsecondsPerMillisecond;
 }
 
-async function measure(subject: Subject, settings: CostSettings): Promise<Figures> {
-	const before = await processorTimeOf(subject);
-	const report = await runCaller({
+async function measure(subject: Subject, settings: CostSettings): Promise<RoundFigures> {
+	const before = await subject.processorTime();
+	const report = await runThrough(subject.pool, {
 		address: subject.address,
 		paths: Array.from({length: paths}, (_, position) => `${settings.path}/key-${position}`),
 		method: 'GET',
@@ -83,49 +83,79 @@
 		longestMilliseconds: settings.seconds * millisecondsPerSecond,
 		name: 'cost',
 	});
-	const after = await processorTimeOf(subject);
-	return figuresOf(report, before === undefined || after === undefined ? undefined : after - before);
+	const after = await subject.processorTime();
+	return {report, processorMicroseconds: before === undefined || after === undefined ? undefined : after - before};
 }
 
-function row(name: string, figures: Figures): string {
-	const columns = [figures.requestsPerSecond.toFixed(0), figures.median.toFixed(2), figures.slowest.toFixed(2), String(figures.bad), figures.processorTime?.toFixed(0) ?? '-'];
-	return [name.padEnd(16), ...columns.map(column => column.padStart(12))].join('');
+/** Who goes first changes with each round, so that a machine that gets busier favours nobody. */
+async function measureRound(subjects: Subjects, settings: CostSettings, position: number): Promise<Round> {
+	if (position % 2 === 0) {
+		const entry = await measure(subjects.entry, settings);
+		return {entry, bare: await measure(subjects.bare, settings)};
+	}
+
+	const bare = await measure(subjects.bare, settings);
+	return {entry: await measure(subjects.entry, settings), bare};
 }
 
-function middle(values: readonly number[]): number {
-	return [...values].sort((one, other) => one - other)[Math.floor(values.length / 2)]!;
+function row(columns: readonly string[]): string {
+	const [name = '', ...figures] = columns;
+	return [name.padEnd(20), ...figures.map(figure => figure.padStart(12))].join('');
 }
 
-async function measureRounds(subjects: {readonly entry: Subject; readonly bare: Subject}, settings: CostSettings): Promise<void> {
-	const ratios: Array<{readonly rate: number; readonly slowest: number}> = [];
-	await measure(subjects.entry, {...settings, seconds: 1});
-	await measure(subjects.bare, {...settings, seconds: 1});
-	for (let round = 0; round < settings.rounds; round++) {
-		const entry = await measure(subjects.entry, settings);
-		const bare = await measure(subjects.bare, settings);
-		console.log(row('entry', entry));
-		console.log(row('bare forwarder', bare));
-		ratios.push({rate: entry.requestsPerSecond / bare.requestsPerSecond, slowest: entry.slowest / bare.slowest});
+function subjectRow(name: string, figures: SubjectFigures): string {
+	return row([
+		name,
+		figures.requestsPerSecond.toFixed(0),
+		figures.medianMilliseconds.toFixed(2),
+		figures.slowestMilliseconds.toFixed(2),
+		String(figures.bad),
+		figures.processorMicrosecondsPerRequest?.toFixed(0) ?? '-',
+	]);
+}
+
+function ratioRow(name: string, ratios: Quartiles | undefined): string {
+	return row([name, ...[ratios?.median, ratios?.lower, ratios?.upper].map(ratio => ratio?.toFixed(2) ?? '-')]);
+}
+
+function print(rounds: readonly Round[]): void {
+	console.log(row(['all rounds', 'requests/s', 'p50 ms', 'p99 ms', 'bad', 'CPU us/req']));
+	console.log(subjectRow('entry', summarise(rounds.map(({entry}) => entry))));
+	console.log(subjectRow('bare forwarder', summarise(rounds.map(({bare}) => bare))));
+	console.log(row(['entry / bare', 'median', 'quartile', 'quartile']));
+	console.log(ratioRow('requests/s', rateRatios(rounds)));
+	console.log(ratioRow('p99', slowestRatios(rounds)));
+	console.log(ratioRow('CPU us/req', processorRatios(rounds)));
+}
+
+async function measureRounds(subjects: Subjects, settings: CostSettings): Promise<void> {
+	await measureRound(subjects, {...settings, seconds: warmUpSeconds}, 0);
+	const rounds: Round[] = [];
+	for (let position = 0; position < settings.rounds; position++) {
+		rounds.push(await measureRound(subjects, settings, position));
 	}
 
-	const rate = middle(ratios.map(ratio => ratio.rate)).toFixed(2);
-	const slowest = middle(ratios.map(ratio => ratio.slowest)).toFixed(2);
-	console.log(`entry / bare, median of ${settings.rounds} rounds: requests a second ${rate}, 99th latency ${slowest}`);
+	print(rounds);
 }
 
 async function measureAll(script: string, settings: CostSettings): Promise<void> {
 	const children: ChildProcess[] = [];
-	const start = async (role: string, upstreamAddress: string): Promise<Subject> => {
-		const subject = await startChild(script, role, upstreamAddress);
-		children.push(subject.child);
-		return subject;
+	const start = async (role: string, upstreamAddress: string): Promise<StartedChild> => {
+		const started = await startChild(script, role, upstreamAddress);
+		children.push(started.child);
+		return started;
 	};
 
-	const upstream = settings.upstream === undefined ? await start('upstream', '') : {address: settings.upstream};
-	const bare = await start('bare', upstream.address);
-	const entry = settings.entry === undefined ? await start('forwarder', upstream.address) : {address: settings.entry, child: undefined};
-	console.log(['what'.padEnd(16), ...['requests/s', 'p50 ms', 'p99 ms', 'bad', 'CPU us/req'].map(column => column.padStart(12))].join(''));
+	const subjectOf = (address: string, processorTime: Subject['processorTime']): Subject =>
+		({address, pool: openConnections({address, connections: settings.connections}), processorTime});
+	const subjectOfChild = ({address, child}: StartedChild) => subjectOf(address, async () => childTime(child));
+	const {address: upstream} = settings.upstream === undefined ? await start('upstream', '') : {address: settings.upstream};
+	const bare = subjectOfChild(await start('bare', upstream));
+	const entry = settings.entry === undefined
+		? subjectOfChild(await start('forwarder', upstream))
+		: subjectOf(settings.entry, async () => settings.operators === undefined ? undefined : instanceTime(settings.operators));
 	await measureRounds({entry, bare}, settings);
+	await Promise.all([entry, bare].map(async ({pool}) => pool.close()));
 	for (const child of children) {
 		child.disconnect();
 	}
@@ -137,10 +167,11 @@
 	args: {
 		role: option({type: optional(string), long: 'role', description: 'for the processes that this tool starts'}),
 		entry: option({type: optional(string), long: 'entry', description: 'the address for callers of an entry instance'}),
+		operators: option({type: optional(string), long: 'operators', description: 'the address for operators of the entry instance, to read its processor time'}),
 		upstream: option({type: optional(string), long: 'upstream', description: 'the address of the upstream that the entry instance routes to'}),
 		path: option({type: string, long: 'path', defaultValue: () => '/schedule'}),
-		rounds: option({type: number, long: 'rounds', defaultValue: () => 5}),
-		seconds: option({type: number, long: 'seconds', defaultValue: () => 3}),
+		rounds: option({type: number, long: 'rounds', defaultValue: () => 21}),
+		seconds: option({type: number, long: 'seconds', defaultValue: () => 0.5}),
 		connections: option({type: number, long: 'connections', defaultValue: () => 32}),
 	},
 	handler: async ({role, ...settings}) => role === undefined ? measureAll(script, settings) : runAsChild(role, settings.upstream ?? ''),
--- a/packages/stand-in/src/entry-cost.ts
+++ b/packages/stand-in/src/entry-cost.ts
@@ -23,7 +23,7 @@
 		const upstream = deployment.startUpstream({
 			service: 'bermrand/schedule', name: 'viewer', region: 'noord', zone: 'noord-a', checksFence: true, workMilliseconds: 0, slots: upstreamSlots,
 		});
-		const {callers} = deployment.instances[0]!.addresses;
+		const {callers, operators} = deployment.instances[0]!.addresses;
 		await eventually('a request is served', patienceMilliseconds, async () => {
 			const {statusCode, body} = await request(`http://${callers}/schedule/key-1`);
 			await body.dump();
@@ -31,7 +31,7 @@
 		});
 		const upstreamAddress = /address=(\S+)/v.exec(upstream.output())?.[1] ?? '';
 		const measurement = startChild('cost', path.join(repository, 'packages/stand-in/bin/cost.js'), [
-			'--entry', callers, '--upstream', upstreamAddress, '--path', '/schedule', ...parameters,
+			'--entry', callers, '--operators', operators, '--upstream', upstreamAddress, '--path', '/schedule', ...parameters,
 		]);
 		await eventually('the measurement ended', longestRunMilliseconds, () => !measurement.running());
 		process.stdout.write(measurement.output());
