Measure a change of configuration on nine processes, and race two operators

Cause: that an accepted change is in force on nine instances within 2 s was not measured, and no real-process test had two operators race while the leader is killed.

Change: test-configuration.ts with both as cases; it counts among the tests that start deployments.

--- a/scripts/test.js
+++ b/scripts/test.js
@@ -48,7 +48,7 @@
 }
 
 // Tests that start whole deployments state times, so each has the machine to itself.
-const startsDeployments = file => /stand-in\/dist\/test\/test-(?:failures|session)\.js$/v.test(file);
+const startsDeployments = file => /stand-in\/dist\/test\/test-(?:configuration|failures|session)\.js$/v.test(file);
 const statuses = [
 	run(files.filter(file => !startsDeployments(file)), concurrentFiles),
 	run(files.filter(file => startsDeployments(file)), 1),
