Divide the start of an instance into its voter, its status and the composition

Cause: startInstance was one closure of 220 lines that opened the voter's folder, told the status and counted metrics beside putting the parts together. Change: own-voter.ts, instance-status.ts and taken.ts hold these; moved without a change of behaviour. Conclusion: the composition reads top to bottom.

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -1,22 +1,19 @@
 /**
  * One instance: all parts put together, started and stopped in order.
  */
-import process from 'node:process';
 import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
-import {type ConsensusEnvelope} from '@dogwooddeck/consensus/message';
 import {startCallerServer} from '@dogwooddeck/front/caller-server';
 import {startOperatorServer} from '@dogwooddeck/front/operator-server';
-import {type FrontServer, type Readiness} from '@dogwooddeck/front/surface';
+import {type FrontServer} from '@dogwooddeck/front/surface';
 import {createEvidenceRecorder} from '@dogwooddeck/membership/evidence';
-import {type Failure, FailureError} from '@dogwooddeck/model/failure';
+import {type Failure} from '@dogwooddeck/model/failure';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {createFlights} from '@dogwooddeck/ownership/drain';
 import {defaultLeaseTerms} from '@dogwooddeck/ownership/terms';
 import {createSlotHash} from '@dogwooddeck/placement/hash';
 import {loadTextHash} from '@dogwooddeck/routing/text-hash';
-import {openFolder} from '@dogwooddeck/storage/folder';
 import {holdFolder} from '@dogwooddeck/storage/lock';
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
@@ -24,21 +21,24 @@
 import {createUpstreamClient} from '@dogwooddeck/upstream-client/client';
 import {createPeerClients} from '@dogwooddeck/wire/client';
 import {type PeerServer, startPeerServer} from '@dogwooddeck/wire/server';
-import {ok, type Result} from 'true-myth/result';
+import {ok} from 'true-myth/result';
 import {createCallerHandler} from './caller-handler.js';
 import {createAnnouncements} from './announcements.js';
 import {startBurn} from './burn-runner.js';
 import {startClaims} from './claim-runner.js';
 import {createControlHolder} from './control-holder.js';
 import {startControl} from './control-runner.js';
+import {createInstanceStatus} from './instance-status.js';
 import {createLimiter} from './limiter.js';
 import {createOperatorSurface, type MemberReport} from './operator-surface.js';
+import {startOwnVoter} from './own-voter.js';
 import {createPeerHandlers} from './peer-service.js';
 import {createReportCollector} from './report-collector.js';
 import {createRequestMeasures} from './request-measures.js';
 import {createRequestPath} from './request-path.js';
 import {type InstanceSettings, isVoter} from './settings.js';
-import {startVoter, type VoterRunner} from './voter-runner.js';
+import {taken} from './taken.js';
+import {type VoterRunner} from './voter-runner.js';
 import {startZone, type ZoneRunner} from './zone-runner.js';
 
 /** An instance that runs. */
@@ -47,25 +47,12 @@
 	readonly stop: () => Promise<void>;
 };
 
-const electionMilliseconds: Milliseconds = 800;
-const heartbeatMilliseconds: Milliseconds = 80;
-const deliverMilliseconds: Milliseconds = 1000;
 const memberMilliseconds: Milliseconds = 500;
-const joinMilliseconds: Milliseconds = 300;
-const entriesBeforeSnapshot = 1000;
 const connectTimeoutMilliseconds: Milliseconds = 1000;
 const idleMilliseconds: Milliseconds = 30_000;
 const leaveMilliseconds: Milliseconds = 4000;
 const pollMilliseconds: Milliseconds = 20;
 
-function taken<Value>(result: Result<Value, Failure>): Value {
-	if (result.isErr) {
-		throw new FailureError(result.error);
-	}
-
-	return result.value;
-}
-
 async function until(holds: () => boolean, longest: Milliseconds): Promise<void> {
 	const end = monotonicNow() + longest;
 	while (!holds() && monotonicNow() < end) {
@@ -73,18 +60,22 @@
 	}
 }
 
+function recordOf({name, region, zone, addresses}: InstanceSettings): InstanceRecord {
+	return {
+		name,
+		incarnation: wallNow(),
+		region,
+		zone,
+		peerAddress: addresses.peers,
+		callerAddress: addresses.callers,
+		operatorAddress: addresses.operators,
+	};
+}
+
 /** Starts an instance. Throws a `FailureError` when a part of it can't start. */
 export async function startInstance(settings: InstanceSettings, log: Log, failed: (failure: Failure) => void): Promise<Instance> {
 	const terms = defaultLeaseTerms;
-	const self: InstanceRecord = {
-		name: settings.name,
-		incarnation: wallNow(),
-		region: settings.region,
-		zone: settings.zone,
-		peerAddress: settings.addresses.peers,
-		callerAddress: settings.addresses.callers,
-		operatorAddress: settings.addresses.operators,
-	};
+	const self = recordOf(settings);
 	const identity = {name: self.name, incarnation: self.incarnation};
 	const hash = await createSlotHash();
 	const textHash = await loadTextHash();
@@ -123,75 +114,13 @@
 		log,
 	});
 
-	const addresses = new Map(settings.control.voters.map(({name, peerAddress}) => [name, peerAddress]));
-	function send(envelope: ConsensusEnvelope): void {
-		const address = addresses.get(envelope.to.name);
-		if (address !== undefined) {
-			void clients.call(address, 'deliver', envelope, deliverMilliseconds);
-		}
-	}
-
-	async function openVoter(): Promise<void> {
-		const folder = taken(await openFolder(settings.control.dataFolder!));
-		if (folder.saved.snapshot !== undefined) {
-			taken(holder.restore(folder.saved.snapshot.index, folder.saved.snapshot.data));
-		}
-
-		const voterIdentity = {name: settings.name, folder: folder.folderIdentity};
-		voter = startVoter({
-			options: {
-				self: voterIdentity, electionMilliseconds, heartbeatMilliseconds, entriesBeforeSnapshot, seed: self.incarnation % (2 ** 31),
-			},
-			saved: folder.saved,
-			storage: folder.storage,
-			holder,
-			log,
-			send,
-			roleChanged() {
-				control.roleChanged();
-			},
-			failed,
-		});
-		joining = setInterval(() => {
-			const isIn = voter!.voterSet().voters.some(({name, folder: known}) => name === voterIdentity.name && known === voterIdentity.folder);
-			if (!isIn) {
-				void control.callLeader('joinVoters', voterIdentity);
-			}
-		}, joinMilliseconds);
-	}
-
-	let joining: NodeJS.Timeout | undefined;
-	const readiness = (): Readiness => {
-		if (stopping) {
-			return {ready: false, reason: 'the instance stops'};
-		}
-
-		return zone.holdsLease()
-			? {ready: true, reason: 'a routing lease is held'}
-			: {ready: false, reason: 'no routing lease is held'};
-	};
-
-	const member = (): MemberReport => ({applied: holder.state().applied, voter: voter !== undefined});
+	const health = createInstanceStatus({
+		self, holder, control, zone, voter: () => voter, isStopping: () => stopping, measures,
+	});
 	const surface = createOperatorSurface({
 		holder,
 		control,
-		status() {
-			const {ready, reason} = readiness();
-			const leader = control.leader();
-			const steward = zone.steward();
-			return {
-				instance: settings.name,
-				incarnation: self.incarnation,
-				region: settings.region,
-				zone: settings.zone,
-				ready,
-				reason,
-				voter: voter !== undefined,
-				committed: voter?.committed() ?? holder.state().applied,
-				...(leader === undefined ? {} : {leader}),
-				...(steward === undefined ? {} : {steward}),
-			};
-		},
+		status: health.status,
 		async askMember(record) {
 			const answer = await clients.call(record.peerAddress, 'collect', 'member', memberMilliseconds);
 			return answer.isOk ? JSON.parse(answer.value) as MemberReport : undefined;
@@ -239,29 +168,20 @@
 		},
 	});
 
-	function metrics(): string {
-		const usage = process.cpuUsage();
-		measures.set(MeasureName.applied, holder.state().applied);
-		measures.set(MeasureName.ready, Number(readiness().ready));
-		measures.set(MeasureName.leader, Number(voter?.isLeader() ?? false));
-		measures.set(MeasureName.steward, Number(zone.isSteward()));
-		measures.set(MeasureName.memory, process.memoryUsage.rss());
-		measures.set(MeasureName.processor, (usage.user + usage.system) / 1000);
-		return measures.expose();
-	}
-
 	const peers: PeerServer = taken(await startPeerServer(settings.addresses.peers, settings.keys.peer, createPeerHandlers({
 		holder,
 		control,
 		zone: () => zone,
 		claims,
 		voter: () => voter,
-		collectors: {member: () => JSON.stringify(member()), burn: () => JSON.stringify(burn.own())},
+		collectors: {member: () => JSON.stringify(health.member()), burn: () => JSON.stringify(burn.own())},
 	})));
-	const operators: FrontServer = taken(await startOperatorServer(settings.addresses.operators, surface, {readiness, metrics}));
+	const operators: FrontServer = taken(await startOperatorServer(settings.addresses.operators, surface, health));
 	const callers: FrontServer = taken(await startCallerServer(settings.addresses.callers, createCallerHandler(client, path, () => stopping)));
 	if (isVoter(settings)) {
-		await openVoter();
+		voter = await startOwnVoter({
+			settings, self: identity, holder, control, clients, log, failed,
+		});
 	}
 
 	log.event(EventName.instanceStarted, {
@@ -280,7 +200,6 @@
 		await Promise.race([closing, pause(settings.stop.longestMilliseconds)]);
 		accepting = false;
 		await operators.close();
-		clearInterval(joining);
 		zone.stop();
 		control.stop();
 		claims.stop();
--- /dev/null
+++ b/packages/daemon/src/own-voter.ts
@@ -0,0 +1,86 @@
+/**
+ * This instance's voter: its data folder, its way to the other voters, and its
+ * joining for as long as the voter set doesn't name its folder.
+ */
+import {type ConsensusEnvelope} from '@dogwooddeck/consensus/message';
+import {sameVoter} from '@dogwooddeck/consensus/voter-set';
+import {type Failure} from '@dogwooddeck/model/failure';
+import {type InstanceIdentity, type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {openFolder} from '@dogwooddeck/storage/folder';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {type PeerClients} from '@dogwooddeck/wire/client';
+import {type ControlHolder} from './control-holder.js';
+import {type ControlRunner} from './control-runner.js';
+import {type InstanceSettings} from './settings.js';
+import {taken} from './taken.js';
+import {startVoter, type VoterRunner} from './voter-runner.js';
+
+/** What the voter works with. */
+export type OwnVoterSurroundings = {
+	readonly settings: InstanceSettings;
+	readonly self: InstanceIdentity;
+	readonly holder: ControlHolder;
+	readonly control: ControlRunner;
+	readonly clients: PeerClients;
+	readonly log: Log;
+	/** The durable state can't be written: the process has to end. */
+	readonly failed: (failure: Failure) => void;
+};
+
+const electionMilliseconds: Milliseconds = 800;
+const heartbeatMilliseconds: Milliseconds = 80;
+const deliverMilliseconds: Milliseconds = 1000;
+const joinMilliseconds: Milliseconds = 300;
+const entriesBeforeSnapshot = 1000;
+const seeds = 2 ** 31;
+
+function createSend({settings, clients}: OwnVoterSurroundings): (envelope: ConsensusEnvelope) => void {
+	const addresses = new Map(settings.control.voters.map(({name, peerAddress}) => [name, peerAddress]));
+	return envelope => {
+		const address = addresses.get(envelope.to.name);
+		if (address !== undefined) {
+			void clients.call(address, 'deliver', envelope, deliverMilliseconds);
+		}
+	};
+}
+
+/**
+ * Opens the data folder and starts the voter with what it holds. Throws a
+ * `FailureError` where the folder is held by another process, damaged or not
+ * to be read.
+ */
+export async function startOwnVoter(surroundings: OwnVoterSurroundings): Promise<VoterRunner> {
+	const {settings, self, holder, control, log, failed} = surroundings;
+	const folder = taken(await openFolder(settings.control.dataFolder!));
+	if (folder.saved.snapshot !== undefined) {
+		taken(holder.restore(folder.saved.snapshot.index, folder.saved.snapshot.data));
+	}
+
+	const identity = {name: settings.name, folder: folder.folderIdentity};
+	const voter = startVoter({
+		options: {
+			self: identity, electionMilliseconds, heartbeatMilliseconds, entriesBeforeSnapshot, seed: self.incarnation % seeds,
+		},
+		saved: folder.saved,
+		storage: folder.storage,
+		holder,
+		log,
+		send: createSend(surroundings),
+		roleChanged() {
+			control.roleChanged();
+		},
+		failed,
+	});
+	const joining = setInterval(() => {
+		if (!voter.voterSet().voters.some(known => sameVoter(known, identity))) {
+			void control.callLeader('joinVoters', identity);
+		}
+	}, joinMilliseconds);
+	return {
+		...voter,
+		async stop() {
+			clearInterval(joining);
+			await voter.stop();
+		},
+	};
+}
