Ask the holders before a change of seats until all seats know of the change

Cause: an instance forgot an earlier seating 15 s after it had applied the next, taking it that every instance with a lease had applied it too. A cut zone that holds keeps its leases and learns of nothing: two changes of seats on one side gave an operation two new holders there, and it ran on both sides. Ruled out: one change alone, which keeps one of the two holders. Change: claim-spread decides from what the seated instances say that they have applied; the runner asks those behind, once a second, only while there are any. A seat that can't be reached counts as behind until it is no longer seated. Conclusion: while a whole region is gone but seated, operations whose two former holders stood there are refused as claim-unavailable.

--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -5,18 +5,23 @@
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type Seating} from '@dogwooddeck/control/state';
 import {
 	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {
 	type ClaimAnswer, type ClaimEnded, type ClaimRequest,
 } from '@dogwooddeck/routing/claim';
+import {
+	acknowledgedBy, type ClaimSpread, noteApplied, seatsBehind, spreadOf,
+} from '@dogwooddeck/routing/claim-spread';
 import {type TextHash} from '@dogwooddeck/routing/text-hash';
 import {type ClaimDesk, createClaimDesk} from '@dogwooddeck/upstream-client/claim-desk';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClaimMessage, readClaimMessage} from './claim-message.js';
 import {type ControlHolder} from './control-holder.js';
+import {type MemberReport} from './operator-surface.js';
 
 /** The claims of this instance. */
 export type ClaimRunner = {
@@ -30,7 +35,7 @@
 export const claimLifetimeMilliseconds: Milliseconds = 3_600_000;
 /** How long the holders before the last change of the seats are asked beside the present ones. */
 const copyingMilliseconds: Milliseconds = 10_000;
-/** After this long every instance that still holds a lease has applied an entry. */
+/** After this long an instance that has lost its seat holds no lease any more. */
 const spreadMilliseconds: Milliseconds = 5000;
 const askMilliseconds: Milliseconds = 400;
 const tellPauses: readonly Milliseconds[] = [0, 500, 2000];
@@ -41,6 +46,8 @@
 export function startClaims(self: InstanceIdentity, control: ControlHolder, clients: PeerClients, hash: TextHash): ClaimRunner {
 	const seenAt = new Map<LogIndex, MonotonicTime>();
 
+	let spread: ClaimSpread = new Map();
+
 	function addressOf(instance: InstanceIdentity): string | undefined {
 		return Object.values(control.state().ownership.rosters)
 			.flatMap(({members}) => members)
@@ -89,10 +96,29 @@
 		}
 	}
 
+	async function askApplied(seat: InstanceIdentity): Promise<void> {
+		const address = addressOf(seat);
+		const answer = address === undefined ? undefined : await clients.call(address, 'collect', 'member', askMilliseconds);
+		if (answer?.isOk === true) {
+			spread = noteApplied(spread, seat, (JSON.parse(answer.value) as MemberReport).applied);
+		}
+	}
+
+	/** What all seats have applied; those that are not known to be up to date are asked, for the next sweep. */
+	function acknowledged(newest: Seating): LogIndex {
+		spread = noteApplied(spreadOf(spread, newest), self, control.state().applied);
+		for (const seat of seatsBehind(spread, newest)) {
+			void askApplied(seat);
+		}
+
+		return acknowledgedBy(spread, newest);
+	}
+
 	function sweep(): void {
 		const now = monotonicNow();
-		const spread = [...seenAt].filter(([, at]) => now - at >= spreadMilliseconds).map(([index]) => index);
-		desk.sweep(Math.max(0, ...spread));
+		const old = [...seenAt].filter(([, at]) => now - at >= spreadMilliseconds).map(([index]) => index);
+		const [newest] = control.state().seatings;
+		desk.sweep(newest === undefined ? 0 : Math.min(acknowledged(newest), Math.max(0, ...old)));
 	}
 
 	control.listen(followSeatings);
--- /dev/null
+++ b/packages/routing/src/claim-spread.ts
@@ -0,0 +1,39 @@
+/**
+ * How far the seated instances have applied the log, so that rosters which one
+ * of them may still follow are not forgotten. An instance in a cut zone keeps
+ * its lease and its records without learning of a change of the seats.
+ */
+import {type InstanceIdentity, type LogIndex} from '@dogwooddeck/model/identifiers';
+import {type ClaimRoster, type ClaimSeat} from './claim.js';
+
+/** The newest log entry that each instance said it has applied, by the name and the life of the instance. */
+export type ClaimSpread = ReadonlyMap<string, LogIndex>;
+
+function seatKey({name, incarnation}: InstanceIdentity): string {
+	return JSON.stringify([name, incarnation]);
+}
+
+/** Notes what an instance said. It never goes back. */
+export function noteApplied(spread: ClaimSpread, seat: InstanceIdentity, applied: LogIndex): ClaimSpread {
+	const key = seatKey(seat);
+	return new Map([...spread, [key, Math.max(applied, spread.get(key) ?? 0)]]);
+}
+
+/** What is known of the seats of a roster alone. */
+export function spreadOf(spread: ClaimSpread, roster: ClaimRoster): ClaimSpread {
+	const seated = new Set(roster.seats.map(seat => seatKey(seat)));
+	return new Map([...spread].filter(([key]) => seated.has(key)));
+}
+
+/** The seats of a roster that are not known to have applied the entry that made it. */
+export function seatsBehind(spread: ClaimSpread, roster: ClaimRoster): readonly ClaimSeat[] {
+	return roster.seats.filter(seat => (spread.get(seatKey(seat)) ?? 0) < roster.index);
+}
+
+/**
+ * The newest log entry that every seat of a roster is known to have applied. A
+ * seat that was never heard counts as behind all, until it is no longer seated.
+ */
+export function acknowledgedBy(spread: ClaimSpread, roster: ClaimRoster): LogIndex {
+	return Math.min(roster.index, ...roster.seats.map(seat => spread.get(seatKey(seat)) ?? 0));
+}
--- a/packages/routing/test/fake-claim-network.ts
+++ b/packages/routing/test/fake-claim-network.ts
@@ -10,6 +10,7 @@
 import {
 	type ClaimsEffect, type ClaimsEvent, type ClaimsState, createClaims, stepClaims,
 } from '@dogwooddeck/routing/claims';
+import {acknowledgedBy, type ClaimSpread, noteApplied} from '@dogwooddeck/routing/claim-spread';
 import {type TextHash} from '@dogwooddeck/routing/text-hash';
 
 export const lifetimeMilliseconds = 60_000;
@@ -26,7 +27,7 @@
 };
 
 type Packet = {readonly from: InstanceIdentity; readonly to: InstanceIdentity; readonly content: ClaimRequest | ClaimEnded | ClaimAnswer; readonly copied?: ClaimRequest};
-type Member = {claims: ClaimsState; applied: number; readonly begun: Map<number, {readonly operation: string; readonly at: number; decided: boolean}>};
+type Member = {claims: ClaimsState; applied: number; spread: ClaimSpread; readonly begun: Map<number, {readonly operation: string; readonly at: number; decided: boolean}>};
 
 const seats = [
 	{name: 'a', zone: 'noord-1'},
@@ -46,8 +47,13 @@
 	readonly #members = new Map<string, Member>();
 	readonly #hash: TextHash;
 	readonly #copyingMilliseconds: number;
+	#inside: ReadonlySet<string> = new Set();
 
-	constructor(hash: TextHash, copyingMilliseconds = lifetimeMilliseconds) {
+	readonly #rostersAtStart: number;
+
+	/** `rostersAtStart`: how many of the newest rosters an instance that starts knows. */
+	constructor(hash: TextHash, copyingMilliseconds = lifetimeMilliseconds, rostersAtStart = Infinity) {
+		this.#rostersAtStart = rostersAtStart;
 		this.#hash = hash;
 		this.#copyingMilliseconds = copyingMilliseconds;
 		this.rosters = [{index: 1, seats: seats.map(seat => ({...seat, incarnation: 1}))}];
@@ -61,6 +67,15 @@
 		return [...this.#members.keys()].sort();
 	}
 
+	/** Cuts the instances of some zones off from the others; none: heals. */
+	cut(zones: readonly string[]): void {
+		this.#inside = new Set(seats.filter(({zone}) => zones.includes(zone)).map(({name}) => name));
+	}
+
+	isInside(name: string): boolean {
+		return this.#inside.has(name);
+	}
+
 	begin(entry: string, operation: string): void {
 		const member = this.#members.get(entry);
 		if (member !== undefined) {
@@ -88,6 +103,11 @@
 			return;
 		}
 
+		if (this.isInside(packet.from.name) !== this.isInside(packet.to.name)) {
+			this.lose(position);
+			return;
+		}
+
 		this.packets = keep ? this.packets : this.packets.filter(other => other !== packet);
 		const member = this.#members.get(packet.to.name);
 		if (member?.claims.self.incarnation !== packet.to.incarnation && packet.content.kind !== 'claim-request') {
@@ -147,10 +167,9 @@
 	/** Time passes: claims that were asked for too long are given up, runs that are over have ended, and everyone sweeps. */
 	advance(milliseconds: number): void {
 		this.now += milliseconds;
-		const acknowledged = Math.min(...[...this.#members.values()].map(member => member.applied));
 		for (const name of this.live) {
 			this.#giveUpOld(name);
-			this.#step(name, {kind: 'swept', now: this.now, acknowledged});
+			this.#step(name, {kind: 'swept', now: this.now, acknowledged: this.#acknowledged(name)});
 		}
 	}
 
@@ -161,6 +180,14 @@
 		}
 	}
 
+	/** Each instance asks the seats that it reaches how far they are. */
+	#acknowledged(name: string): number {
+		const member = this.#members.get(name)!;
+		const reached = [...this.#members].filter(([other]) => this.isInside(other) === this.isInside(name)).map(([, other]) => other);
+		member.spread = reached.reduce((spread, {claims, applied}) => noteApplied(spread, claims.self, applied), member.spread);
+		return acknowledgedBy(member.spread, member.claims.rosters[0]!.roster);
+	}
+
 	#giveUpOld(name: string): void {
 		for (const [sequence, claim] of this.#members.get(name)!.begun) {
 			if (!claim.decided && this.now - claim.at >= runsForMilliseconds) {
@@ -172,6 +199,7 @@
 	#start(name: string, incarnation: number): void {
 		this.#members.set(name, {
 			applied: this.rosters[0]!.index,
+			spread: new Map(),
 			begun: new Map(),
 			claims: createClaims({
 				self: {name, incarnation},
@@ -179,7 +207,7 @@
 				bounds: {records: 1000, answerBytes: 10_000},
 				lifetimeMilliseconds,
 				copyingMilliseconds: this.#copyingMilliseconds,
-				rosters: this.rosters.slice(0, this.#copyingMilliseconds < lifetimeMilliseconds ? 1 : undefined),
+				rosters: this.rosters.slice(0, this.#rostersAtStart),
 				rostersComplete: true,
 				now: this.now,
 			}),
--- a/packages/routing/test/test-claims.ts
+++ b/packages/routing/test/test-claims.ts
@@ -1,21 +1,17 @@
 import assert from 'node:assert/strict';
-import process from 'node:process';
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {FailureKind} from '@dogwooddeck/model/failure';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {
-	FakeClaimNetwork, lifetimeMilliseconds, operationOf, type Run, runsForMilliseconds,
-} from './fake-claim-network.js';
+	assertNothingRanTwice, type Change, change, names, operations, seed,
+} from './claim-cases.js';
+import {FakeClaimNetwork, operationOf} from './fake-claim-network.js';
 import {operationText} from '@dogwooddeck/routing/claim';
 import {holdersOf} from '@dogwooddeck/routing/claim-holders';
 import {loadTextHash} from '@dogwooddeck/routing/text-hash';
 
 const hash = await loadTextHash();
-const names = ['a', 'b', 'c', 'd', 'e', 'f'] as const;
-const operations = ['one', 'two'] as const;
-const seed = Number(process.env.TEST_SEED ?? 20_261_204);
-
 type Action = {readonly kind: keyof typeof actions; readonly name: string; readonly operation: string; readonly number: number};
 
 const outcomes = [Outcome.ran, Outcome.notRun, Outcome.unknown] as const;
@@ -80,16 +76,6 @@
 	number: fc.nat({max: 40_000}),
 });
 
-/** A second run is wrong unless the first is known not to have run, or is a lifetime ago. */
-function assertNothingRanTwice(runs: readonly Run[]): void {
-	for (const [position, run] of runs.entries()) {
-		const earlier = runs.slice(0, position).filter(other => other.operation === run.operation && other.outcome !== Outcome.notRun);
-		for (const other of earlier) {
-			assert.ok(run.at - other.at >= lifetimeMilliseconds - runsForMilliseconds, `${run.operation} runs at ${other.entry} from ${other.at} and at ${run.entry} from ${run.at}`);
-		}
-	}
-}
-
 /** Not-run is said only of an operation that no send may have run. */
 function assertToldRightly(network: FakeClaimNetwork): void {
 	const newest = network.decisions.at(-1);
@@ -223,12 +209,6 @@
 	assert.equal(network.decisions.at(-1)!.decision.kind, 'replay');
 });
 
-type Change = {readonly kind: 'restart' | 'unseat'; readonly name: string; readonly lossy: readonly boolean[]; readonly operation: string};
-
-const change: fc.Arbitrary<Change> = fc.record({
-	kind: fc.constantFrom('restart', 'unseat'), name: fc.constantFrom(...names), lossy: fc.array(fc.boolean(), {minLength: 20, maxLength: 20}), operation: fc.constantFrom(...operations),
-});
-
 /** Delivers everything but what is lost; a lost request is unreachable. */
 function settleWithLosses(network: FakeClaimNetwork, lossy: readonly boolean[]): void {
 	for (const isLost of lossy) {
@@ -264,7 +244,7 @@
 test('claims: one change of the seats at a time, each after the copies arrived, needs no earlier rosters', () => {
 	let replayed = 0;
 	fc.assert(fc.property(fc.array(change, {minLength: 2, maxLength: 12}), changes => {
-		const network = new FakeClaimNetwork(hash, 1);
+		const network = new FakeClaimNetwork(hash, 1, 1);
 		for (const next of changes) {
 			for (const entry of network.live) {
 				network.begin(entry, next.operation);
--- a/packages/stand-in/test/test-remedies.ts
+++ b/packages/stand-in/test/test-remedies.ts
@@ -7,6 +7,7 @@
 import path from 'node:path';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {
 	homeKeys, isServed, keys, owned, owners, patience, runTrials, served, servedEverywhere, settled, startViewer, type TrialCase, write, zoneOf, zones,
 } from './trial.js';
@@ -21,20 +22,23 @@
 /** From the loss on until others have settled. */
 const settlingMilliseconds = 4000;
 
-async function declareLost(deployment: Deployment): Promise<void> {
+/** Gives the moment at which the right command began. */
+async function declareLost(deployment: Deployment): Promise<MonotonicTime> {
 	const wrong = await deployment.control('zone', 'declare-lost', lostZone, '--confirm', 'yes');
 	assert.equal(wrong.code, 3, wrong.output);
 	const unknown = await deployment.control('zone', 'declare-lost', 'elsewhere', '--confirm', 'the upstreams of elsewhere are stopped');
 	assert.equal(unknown.code, 8, unknown.output);
 	const parameters = ['zone', 'declare-lost', lostZone, '--confirm', confirmation, '--operation', 'zone-lost-1'];
+	const since = monotonicNow();
 	const accepted = await deployment.control(...parameters);
 	assert.equal(accepted.code, 0, accepted.output);
 	const again = await deployment.control(...parameters);
 	assert.deepEqual(again, accepted, 'the same operation has the same answer');
+	return since;
 }
 
 /** Waits until others own all slots, and gives the time from the declaration until they served all of the zone's keys. */
-async function takenByOthers(deployment: Deployment, watcher: Watcher, wanted: readonly string[], since: number): Promise<number> {
+async function takenByOthers(deployment: Deployment, watcher: Watcher, wanted: readonly string[], since: MonotonicTime): Promise<Milliseconds> {
 	const [first] = deployment.instances as [TrialInstance];
 	await eventually('others own all slots', patience, async () => {
 		const all = await owners(deployment, first);
@@ -64,8 +68,7 @@
 	const kept = await owned(deployment, others[0]!, `viewer-${lostZone}`);
 	assert.ok(kept.length > 0 && kept.every(({phase}) => phase === 'granted'), 'a "hold" zone keeps its slots');
 	assert.deepEqual(waiting.filter(sighting => isServed(sighting)), [], 'nobody else serves its keys');
-	const declaredAt = monotonicNow();
-	await declareLost(deployment);
+	const declaredAt = await declareLost(deployment);
 	const after = await takenByOthers(deployment, watcher, theirs, declaredAt);
 	deployment.restart(lost);
 	startViewer(deployment, lost);
@@ -86,8 +89,7 @@
 	const theirs = homeKeys(watcher.sightings, lostZone);
 	deployment.cut((one, other) => one === alive && other !== alive);
 	await pause(waitingMilliseconds);
-	const declaredAt = monotonicNow();
-	await declareLost(deployment);
+	const declaredAt = await declareLost(deployment);
 	const after = await takenByOthers(deployment, watcher, theirs, declaredAt);
 	await pause(1000);
 	const double = doubleOwners(watcher.sightings);
