--- a/packages/consensus/test/invariants.ts
+++ b/packages/consensus/test/invariants.ts
@@ -3,12 +3,13 @@
  */
 import assert from 'node:assert/strict';
 import {type Node} from './faults.js';
+import {voterDueAt} from '@dogwooddeck/consensus/due';
 import {entryAt} from '@dogwooddeck/consensus/log';
 import {
-	quorumHeardAt, roleOf, termOf, voterSetOf,
+	quorumHeardAt, roleOf, termOf, voterSetOf, type VoterState,
 } from '@dogwooddeck/consensus/voter';
 import {type ConsensusEnvelope, type LogEntry} from '@dogwooddeck/consensus/message';
-import {Role} from '@dogwooddeck/consensus/machine';
+import {type ConsensusEffect, type ConsensusEvent, Role} from '@dogwooddeck/consensus/machine';
 
 /** What a member confirms is what the leader of the term has. */
 function checkConfirmed(message: ConsensusEnvelope['message'], node: Node, nodes: readonly Node[]): void {
@@ -49,3 +50,9 @@
 	});
 	assert.ok(holding.length * 2 > voters.length, `entry ${index} is accepted before a majority has synced it`);
 }
+
+/** A tick does nothing before the moment at which the voter said that it was due. */
+export function checkDue(voter: VoterState, event: ConsensusEvent, effects: readonly ConsensusEffect[]): void {
+	const dueAt = voterDueAt(voter);
+	assert.ok(event.kind !== 'ticked' || effects.length === 0 || event.now >= dueAt, `a tick at ${event.now} did what was due at ${dueAt}`);
+}
--- a/packages/consensus/test/schedule.ts
+++ b/packages/consensus/test/schedule.ts
@@ -10,7 +10,9 @@
 import {
 	calm, type Faults, type Mail, type Node, options, stepMilliseconds, written,
 } from './faults.js';
-import {checkLeases, checkMajority, checkSynced} from './invariants.js';
+import {
+	checkDue, checkLeases, checkMajority, checkSynced,
+} from './invariants.js';
 import {
 	committedIndex, createVoter, foundCluster, founderFolder, roleOf, stepVoter, termOf, voterSetOf,
 } from '@dogwooddeck/consensus/voter';
@@ -110,6 +112,7 @@
 	handle(node: Node, event: ConsensusEvent): void {
 		if (node.voter !== undefined) {
 			const {state, effects} = stepVoter(node.voter, event);
+			checkDue(node.voter, event, effects);
 			node.voter = state;
 			for (const effect of effects) {
 				dispatch(this.#edges, effect, node);
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -1,9 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {defaultContract, type ServiceContract, WhenCut} from '@dogwooddeck/model/contract';
+import {
+	defaultContract, type ServiceContract, Weigh, WhenCut,
+} from '@dogwooddeck/model/contract';
 import {type Announcement, type InstanceRecord} from '@dogwooddeck/model/registry';
-import {emptyReport} from '@dogwooddeck/model/lease';
+import {emptyReport, type Report} from '@dogwooddeck/model/lease';
 import {defaultLeaseTerms} from '@dogwooddeck/ownership/terms';
+import {ratesOf} from '@dogwooddeck/placement/load';
+import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {applyEntry} from '@dogwooddeck/control/apply';
 import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
 import {
@@ -54,7 +58,7 @@
 		}
 	}
 
-	report(zone: string, announcements: readonly Announcement[], holders: readonly string[]): void {
+	report(zone: string, announcements: readonly Announcement[], holders: readonly string[], seen: Partial<Report> = {}): void {
 		this.step({
 			kind: 'delegationRequested',
 			now: this.now,
@@ -65,7 +69,7 @@
 				steward: {name: holders[0]!, incarnation: 1},
 				applied: this.control.applied,
 				drained: this.drains ? this.control.applied : 0,
-				report: {...emptyReport, announcements},
+				report: {...emptyReport, announcements, ...seen},
 				holders: holders.map(name => ({name, incarnation: 1})),
 			},
 		});
@@ -103,11 +107,15 @@
 	}
 }
 
+function contractApplied(base: number, changed: ServiceContract): ControlCommand {
+	return {
+		kind: 'subtreeApplied', team: 'team', operation: `operation-${base + 1}`, base, services: [changed], author: '', at: 0,
+	};
+}
+
 function begun(...names: readonly string[]): World {
 	const world = new World();
-	world.apply({
-		kind: 'subtreeApplied', team: 'team', operation: 'operation-1', base: 0, services: [contract], author: '', at: 0,
-	});
+	world.apply(contractApplied(0, contract));
 	for (const name of names) {
 		world.seat(instance(name));
 		world.pass(2500, [], world.members().map(member => member.split('#', 1)[0]!));
@@ -231,6 +239,34 @@
 			assert.deepEqual(new Set(world.owners()), new Set(['one']));
 		},
 	},
+	{
+		name: 'loads of a service that a report does not name are left as they are',
+		run() {
+			const world = begun('entry-1');
+			const slotLoads = [{service: contract.name, slot: 1, requests: 30}];
+			world.report('noord-a', [], ['entry-1'], {slotLoads});
+			const before = world.leader.loads[contract.name]!;
+			world.pass(2000, [], ['entry-1']);
+			const after = world.leader.loads[contract.name]!;
+			assert.deepEqual(after, before);
+			assert.ok(ratesOf(after, world.now).slots[1]! < ratesOf(before, world.now - 2000).slots[1]!);
+			world.report('noord-a', [], ['entry-1'], {slotLoads});
+			assert.equal(world.leader.loads[contract.name]!.updatedAt, world.now);
+		},
+	},
+	{
+		name: 'a service at rest is not planned again at the ticks',
+		run() {
+			const world = begun('entry-1');
+			const both = [announcement('one'), announcement('two')];
+			world.pass(10_000, both, ['entry-1']);
+			const look = world.leader.looks[contract.name];
+			world.pass(60_000, both, ['entry-1']);
+			assert.equal(world.leader.looks[contract.name], look);
+			world.pass(formationMilliseconds, [...both, announcement('three')], ['entry-1']);
+			assert.notEqual(world.leader.looks[contract.name], look);
+		},
+	},
 	{
 		name: 'the keys of an upstream that falls silent go to the others',
 		run() {
@@ -246,3 +282,22 @@
 for (const {name, run} of cases) {
 	test(`leader: ${name}`, run);
 }
+
+const smoothingCases = [
+	{name: 'of a contract that weighs availability', weighs: [Weigh.availability], expected: placementPolicies.availability.smoothingMilliseconds},
+	{name: 'of a contract that weighs churn', weighs: [Weigh.churn], expected: placementPolicies.churn.smoothingMilliseconds},
+	{name: 'after the weight was changed', weighs: [Weigh.availability, Weigh.churn], expected: placementPolicies.churn.smoothingMilliseconds},
+];
+
+for (const {name, weighs, expected} of smoothingCases) {
+	test(`smoothing of loads: ${name}`, () => {
+		const world = begun('entry-1');
+		for (const weigh of weighs) {
+			const {revision} = world.control.configuration.teams[0]!;
+			world.apply(contractApplied(revision, {...contract, weigh}));
+			world.pass(500, [], ['entry-1']);
+		}
+
+		assert.equal(world.leader.loads[contract.name]!.timeConstantMilliseconds, expected);
+	});
+}
