Let the voter's tick and its due moment share one rule; settle before measuring

Change: the tick asks `electionDueAt` and `leadershipEndsAt`. `control-cost` waits until no instance has applied anything for 6 s (at most 60 s, and says so where that doesn't come).

--- a/packages/consensus/src/due.ts
+++ b/packages/consensus/src/due.ts
@@ -6,14 +6,15 @@
 import {latestVoterSet} from './log.js';
 import {Role} from './machine.js';
 import {roundHeardAt} from './quorum.js';
-import {votesItself, type VoterState} from './state.js';
+import {type Leadership, votesItself, type VoterState} from './state.js';
 import {isMajority} from './voter-set.js';
 
 function isAlone(state: VoterState): boolean {
 	return isMajority(latestVoterSet(state.log), [state.options.self]);
 }
 
-function electionDueAt(state: VoterState): MonotonicTime {
+/** When a voter stands for election if it hears from nobody. Infinite for one that doesn't vote. */
+export function electionDueAt(state: VoterState): MonotonicTime {
 	if (!votesItself(state)) {
 		return Infinity;
 	}
@@ -21,11 +22,19 @@
 	return isAlone(state) && state.campaign === undefined ? -Infinity : state.electionAt;
 }
 
-function leaderDueAt(state: VoterState): MonotonicTime {
-	const {heartbeatAt, handOver} = state.leadership!;
+/**
+ * When a leader gives up: it heard no majority for an election's time, or it
+ * passed leadership on that long ago and the invitation may arrive yet.
+ */
+export function leadershipEndsAt(state: VoterState, leadership: Leadership): MonotonicTime {
 	const {electionMilliseconds} = state.options;
-	const lostAt = isAlone(state) ? Infinity : roundHeardAt(state, state.leadership!) + electionMilliseconds;
-	return Math.min(heartbeatAt, lostAt, (handOver?.startedAt ?? Infinity) + electionMilliseconds);
+	const heardAt = isAlone(state) ? Infinity : roundHeardAt(state, leadership);
+	return Math.min(heardAt, leadership.handOver?.startedAt ?? Infinity) + electionMilliseconds;
+}
+
+function leaderDueAt(state: VoterState): MonotonicTime {
+	const leadership = state.leadership!;
+	return Math.min(leadership.heartbeatAt, leadershipEndsAt(state, leadership));
 }
 
 const dueByRole: Readonly<Record<Role, (state: VoterState) => MonotonicTime>> = {
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -8,15 +8,15 @@
 import {
 	change, refuse, sendSynced, setHardState, type Draft,
 } from './draft.js';
+import {electionDueAt, leadershipEndsAt} from './due.js';
 import {lastTermOf, latestVoterSet} from './log.js';
 import {Role} from './machine.js';
 import {type ConsensusMessage, type Term, type VoterIdentity} from './message.js';
-import {roundHeardAt} from './quorum.js';
 import {
 	advanceCommit, appendOwn, newProgress, startRound,
 } from './replication.js';
 import {
-	hardStateSynced, votesItself, type Leadership, type VoterState,
+	hardStateSynced, votesItself, type VoterState,
 } from './state.js';
 import {
 	includesVoter, isMajority, membersOf, sameVoter,
@@ -209,24 +209,12 @@
 }
 
 function tickFollower(draft: Draft): Draft {
-	const {state, now} = draft;
-	const alone = isMajority(latestVoterSet(state.log), [state.options.self]) && state.campaign === undefined;
-	return votesItself(state) && (alone || now >= state.electionAt) ? standForPreVote(draft) : draft;
-}
-
-function noQuorumLeft({state, now}: Draft, leadership: Leadership): boolean {
-	const alone = isMajority(latestVoterSet(state.log), [state.options.self]);
-	return !alone && now - roundHeardAt(state, leadership) >= state.options.electionMilliseconds;
-}
-
-/** The invitation may arrive late, so a leader that sent one doesn't go on to lead. */
-function handOverExpired({state, now}: Draft, {handOver}: Leadership): boolean {
-	return handOver !== undefined && now - handOver.startedAt >= state.options.electionMilliseconds;
+	return draft.now >= electionDueAt(draft.state) ? standForPreVote(draft) : draft;
 }
 
 function tickLeader(draft: Draft): Draft {
 	const leadership = draft.state.leadership!;
-	if (noQuorumLeft(draft, leadership) || handOverExpired(draft, leadership)) {
+	if (draft.now >= leadershipEndsAt(draft.state, leadership)) {
 		const lost = failure(FailureKind.noQuorum, 'The leader can\'t hear a majority of the voters any more.');
 		return becomeFollower(postponeElection(draft), undefined, lost);
 	}
--- a/packages/stand-in/src/control-cost.ts
+++ b/packages/stand-in/src/control-cost.ts
@@ -5,6 +5,7 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {request} from 'undici';
 import {type Deployment, startDeployment, type TrialInstance} from './deployment.js';
@@ -20,6 +21,8 @@
 type Figures = {
 	readonly processorMilliseconds: number;
 	readonly peerBytes: number;
+	/** The newest log entry that the instance has applied. */
+	readonly applied: number;
 	readonly residentBytes: number;
 	readonly leader: boolean;
 	readonly steward: boolean;
@@ -50,7 +53,11 @@
 	},
 ];
 
+/** A size is measured when no instance has applied anything for this long. */
 const settleMilliseconds = 6000;
+/** A size that isn't settled by then is measured all the same, and said to be unsettled. */
+const longestSettleMilliseconds = 60_000;
+const pollMilliseconds = 1000;
 const measureMilliseconds = 6000;
 const bytesPerMebibyte = 1_048_576;
 
@@ -64,6 +71,7 @@
 	return {
 		processorMilliseconds: measureIn(text, 'dogwooddeck_processor_milliseconds_total'),
 		peerBytes: instance.proxy.passed(),
+		applied: measureIn(text, 'dogwooddeck_applied_index'),
 		residentBytes: measureIn(text, 'dogwooddeck_resident_bytes'),
 		leader: measureIn(text, 'dogwooddeck_leader') === 1,
 		steward: measureIn(text, 'dogwooddeck_steward') === 1,
@@ -142,6 +150,26 @@
 	}
 }
 
+/** Whether the log came to rest in time. */
+async function settles(deployment: Deployment): Promise<boolean> {
+	const end = monotonicNow() + longestSettleMilliseconds;
+	let restsFrom = monotonicNow();
+	let last = '';
+	while (monotonicNow() < end) {
+		const figures = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
+		const applied = figures.map(figure => figure.applied).join(' ');
+		restsFrom = applied === last ? restsFrom : monotonicNow();
+		last = applied;
+		if (monotonicNow() - restsFrom >= settleMilliseconds) {
+			return true;
+		}
+
+		await pause(pollMilliseconds);
+	}
+
+	return false;
+}
+
 async function measure(size: Size): Promise<void> {
 	const deployment = await startDeployment(Array.from({length: size.instances}, (_, number) => ({
 		...zones[number % zones.length]!, name: `entry-${number}`, voter: number < 3,
@@ -149,7 +177,10 @@
 	try {
 		await deployment.ready();
 		await fill(deployment, size);
-		await pause(settleMilliseconds);
+		if (!await settles(deployment)) {
+			process.stdout.write(`not settled within ${longestSettleMilliseconds} ms: `);
+		}
+
 		const before = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
 		await pause(measureMilliseconds);
 		const after = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
