--- a/packages/stand-in/test/test-configuration.ts
+++ b/packages/stand-in/test/test-configuration.ts
@@ -7,21 +7,16 @@
 import {test} from 'node:test';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
+import {nine, patience} from './trial.js';
 import {eventually} from '@dogwooddeck/stand-in/child';
 import {
 	type Deployment, repository, startDeployment, type TrialInstance,
 } from '@dogwooddeck/stand-in/deployment';
 
-/** As the users run it: nine instances, three voters, no zone with a majority of them. */
-const zones = ['noord-a', 'noord-b', 'zuid-a', 'zuid-b'];
-const nine = [3, 2, 2, 2].flatMap((instances, position) => Array.from({length: instances}, (_, number) => ({
-	region: zones[position]!.split('-')[0]!, zone: zones[position]!, name: `${zones[position]!}-${number}`, voter: number === 0 && position < 3,
-})));
 const folders = ['bermrand', 'limited'].map(folder => path.join(repository, 'packages/stand-in/trial', folder));
 const inForceMilliseconds = 2000;
 /** With an election on the way. */
 const inForceAfterLossMilliseconds = 10_000;
-const patience = 30_000;
 const quietChanges = 8;
 /** From the start of the two command lines to the end of the leader: before, while and after they send. */
 const killDelays = [0, 300, 600];
