Keep the labels of a burn plot apart

Cause: where a rate is so high that the rule at 1 lies on that at 0, both labels were written over each other (seen in the rendered page). Change: the rule at 0 goes without its label there.

--- a/packages/burn/src/plot.ts
+++ b/packages/burn/src/plot.ts
@@ -9,6 +9,8 @@
 } as const;
 
 const leastTop = 2;
+/** The least distance of two labels, in pixels. */
+const labelHeight = 12;
 
 type Scale = (value: number) => number;
 
@@ -26,9 +28,13 @@
 	return value >= 10 ? value.toFixed(0) : value.toFixed(1);
 }
 
-function ruleAt(rate: number, vertical: Scale, colour: string): string {
+function lineAt(rate: number, vertical: Scale, colour: string): string {
 	const height = vertical(rate).toFixed(1);
-	return `<line x1="${size.left}" x2="${size.width - size.right}" y1="${height}" y2="${height}" stroke="${colour}"/>`
+	return `<line x1="${size.left}" x2="${size.width - size.right}" y1="${height}" y2="${height}" stroke="${colour}"/>`;
+}
+
+function ruleAt(rate: number, vertical: Scale, colour: string): string {
+	return lineAt(rate, vertical, colour)
 		+ `<text x="${size.left - 6}" y="${(vertical(rate) + 4).toFixed(1)}" text-anchor="end">${label(rate)}</text>`;
 }
 
@@ -51,13 +57,14 @@
 	return `<text x="${position}" y="${size.height - 6}" text-anchor="${anchor}">${text}</text>`;
 }
 
-/** Burn rates as bars, oldest first, with a rule at 1. A gap: no requests. The title must be escaped. */
+/** Burn rates as bars, oldest first, with a rule at 1, whose label takes the place of that at 0 where there is no room for both. A gap: no requests. The title must be escaped. */
 export function plotPoints(points: readonly BurnPoint[], title: string): string {
 	const most = Math.max(leastTop, ...points.map(point => point.burnRate ?? 0));
 	const horizontal = horizontalScale(points.length);
 	const vertical = verticalScale(most);
+	const floor = vertical(0) - vertical(1) < labelHeight ? lineAt : ruleAt;
 	return `<svg viewBox="0 0 ${size.width} ${size.height}" width="100%" role="img" aria-label="${title}">`
-		+ ruleAt(0, vertical, '#c3ccd4')
+		+ floor(0, vertical, '#c3ccd4')
 		+ (most > 1.2 * leastTop ? ruleAt(most, vertical, '#eceff2') : '')
 		+ bars(points, horizontal, vertical)
 		+ ruleAt(1, vertical, '#d99a00')
