Tell the imbalance of load by requests, merged over instances

Cause: the burn report gave the imbalance of slots in place of that of load. Change: each instance counts the requests that it sent to each upstream in the last 5 to 10 minutes; the report adds them up, and owners without requests count. Conclusion: the report's last column is what its title says.

--- a/packages/burn/src/encoding.ts
+++ b/packages/burn/src/encoding.ts
@@ -4,6 +4,7 @@
  */
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {err, ok, type Result} from 'true-myth/result';
+import {type UpstreamLoad} from './load.js';
 import {summariseLatency, type ServiceLatency} from './latency.js';
 import {
 	badJudgements, badOf, keptMilliseconds, type BurnInterval, type Counts, type InstanceBurn, type ObjectiveCounts,
@@ -61,9 +62,13 @@
 		&& isListOf(value.latencies, isLatency);
 }
 
+function isLoad(value: unknown): value is UpstreamLoad {
+	return isRecord(value) && isName(value.service) && isName(value.upstream) && isCount(value.requests);
+}
+
 /** Whether a value is what one instance counted. */
 export function isInstanceBurn(value: unknown): value is InstanceBurn {
-	return isRecord(value) && isName(value.instance) && isListOf(value.intervals, isInterval);
+	return isRecord(value) && isName(value.instance) && isListOf(value.intervals, isInterval) && isListOf(value.loads, isLoad);
 }
 
 /** An interval as one line of JSON. */
--- a/packages/burn/src/following.ts
+++ b/packages/burn/src/following.ts
@@ -6,7 +6,7 @@
 	type Assignment, AssignmentPhase, assignmentsInUse, type ServiceAssignments,
 } from '@dogwooddeck/model/assignment';
 import {type Milliseconds, type MonotonicTime, type Slot} from '@dogwooddeck/model/identifiers';
-import {type ServiceFigures} from './report.js';
+import {type OwnershipFigures} from './report.js';
 
 type Place = {
 	readonly assignment: Assignment;
@@ -73,7 +73,7 @@
 	};
 }
 
-function imbalance(places: Iterable<Place>): number {
+function slotsByOwner(places: Iterable<Place>): readonly number[] {
 	const counts = new Map<string, number>();
 	for (const {assignment} of places) {
 		const owner = ownerOf(assignment);
@@ -82,15 +82,19 @@
 		}
 	}
 
-	const sum = [...counts.values()].reduce((one, other) => one + other, 0);
-	return sum === 0 ? 0 : Math.max(...counts.values()) * counts.size / sum;
+	return [...counts.values()];
 }
 
-/** The figures so far; times without an owner that haven't ended count up to now. The imbalance of load is told by that of slots. */
-export function figuresOf({service, places, unavailableMilliseconds, moves}: Followed, now: MonotonicTime): ServiceFigures {
+function imbalance(counts: readonly number[]): number {
+	const sum = counts.reduce((one, other) => one + other, 0);
+	return sum === 0 ? 0 : Math.max(...counts) * counts.length / sum;
+}
+
+/** The figures so far; times without an owner that haven't ended count up to now. */
+export function figuresOf({service, places, unavailableMilliseconds, moves}: Followed, now: MonotonicTime): OwnershipFigures {
 	const open = [...places.values()].reduce((sum, {withoutOwnerSince}) => sum + now - (withoutOwnerSince ?? now), 0);
-	const slotImbalance = imbalance(places.values());
+	const counts = slotsByOwner(places.values());
 	return {
-		service, unavailableSlotMilliseconds: unavailableMilliseconds + open, moves, slotImbalance, loadImbalance: slotImbalance,
+		service, unavailableSlotMilliseconds: unavailableMilliseconds + open, moves, slotImbalance: imbalance(counts), owners: counts.length,
 	};
 }
--- a/packages/burn/src/report.ts
+++ b/packages/burn/src/report.ts
@@ -9,6 +9,7 @@
 } from '@dogwooddeck/model/identifiers';
 import {err, ok, type Result} from 'true-myth/result';
 import {isInstanceBurn} from './encoding.js';
+import {loadImbalance} from './load.js';
 import {
 	mergeLatencies, summariseLatency, type LatencySummary, type ServiceLatency,
 } from './latency.js';
@@ -19,8 +20,8 @@
 /** An objective of a service. */
 export type ServiceObjective = Objective & {readonly service: ServiceName};
 
-/** What else the users measure about a service, since the deployment began to count. */
-export type ServiceFigures = {
+/** What one instance sees in the ownership table of a service, since it began to follow it. */
+export type OwnershipFigures = {
 	readonly service: ServiceName;
 	/** The sum over keys' slots of the time without an owner. */
 	readonly unavailableSlotMilliseconds: Milliseconds;
@@ -28,7 +29,13 @@
 	readonly moves: number;
 	/** The most slots on one upstream, as a multiple of the mean. */
 	readonly slotImbalance: number;
-	/** The most requests on one upstream, as a multiple of the mean. */
+	/** The upstreams that own slots now. */
+	readonly owners: number;
+};
+
+/** What else the users measure about a service. */
+export type ServiceFigures = Omit<OwnershipFigures, 'owners'> & {
+	/** The most requests on one upstream, as a multiple of the mean, over the last minutes. */
 	readonly loadImbalance: number;
 };
 
@@ -39,7 +46,7 @@
 	/** The instances that should have counted. */
 	readonly expected: readonly InstanceName[];
 	readonly instances: readonly InstanceBurn[];
-	readonly figures: readonly ServiceFigures[];
+	readonly figures: readonly OwnershipFigures[];
 };
 
 /** An objective's burn over one window. */
@@ -119,13 +126,14 @@
 export function makeReport({at, objectives, expected, instances, figures}: BurnInput): BurnReport {
 	const intervals = instances.flatMap(instance => instance.intervals);
 	const names = instances.map(instance => instance.instance);
+	const loads = instances.flatMap(instance => instance.loads);
 	const lastHour = intervalsBetween(intervals, at - hourMilliseconds, Number.POSITIVE_INFINITY);
 	const latencies = lastHour.reduce<readonly ServiceLatency[]>((sum, interval) => mergeLatencies(sum, interval.latencies), []);
 	return {
 		at,
 		objectives: objectives.map(objective => objectiveBurn(intervals, objective, at)),
 		latencies: latencies.map(latency => summariseLatency(latency)),
-		figures,
+		figures: figures.map(({owners, ...kept}) => ({...kept, loadImbalance: loadImbalance(loads, kept.service, owners)})),
 		instances: [...names].sort(),
 		lacking: expected.filter(name => !names.includes(name)).sort(),
 	};
@@ -148,7 +156,7 @@
 	}
 
 	const {objectives, expected, instances, figures} = value as Readonly<Record<string, unknown>>;
-	const figureFields = ['unavailableSlotMilliseconds', 'moves', 'slotImbalance', 'loadImbalance'];
+	const figureFields = ['unavailableSlotMilliseconds', 'moves', 'slotImbalance', 'owners'];
 	return isTextList(expected)
 		&& Array.isArray(objectives) && objectives.every(item => isNumbered(item, ['service', 'name'], ['target', 'periodDays']))
 		&& Array.isArray(instances) && instances.every(item => isInstanceBurn(item))
--- a/packages/burn/src/window.ts
+++ b/packages/burn/src/window.ts
@@ -7,6 +7,7 @@
 	type InstanceName, type Milliseconds, type ServiceName, type WallTime,
 } from '@dogwooddeck/model/identifiers';
 import {Judgement} from './judgement.js';
+import {type UpstreamLoad} from './load.js';
 import {mergeLatencies, type ServiceLatency} from './latency.js';
 
 /** The length of the intervals that are counted into. */
@@ -48,6 +49,8 @@
 export type InstanceBurn = {
 	readonly instance: InstanceName;
 	readonly intervals: readonly BurnInterval[];
+	/** The requests that it sent to upstreams lately. */
+	readonly loads: readonly UpstreamLoad[];
 };
 
 /** A length of time over which burn is told. */
--- a/packages/daemon/src/burn-runner.ts
+++ b/packages/daemon/src/burn-runner.ts
@@ -6,11 +6,12 @@
 	appendFile, mkdir, readFile, rename, writeFile,
 } from 'node:fs/promises';
 import path from 'node:path';
-import {wallNow} from '@dogwooddeck/clock/monotonic';
+import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {
 	decodeJournal, encodeInterval, encodeJournal, isInstanceBurn,
 } from '@dogwooddeck/burn/encoding';
 import {endOf} from '@dogwooddeck/burn/judgement';
+import {LoadRecorder} from '@dogwooddeck/burn/load';
 import {BurnRecorder} from '@dogwooddeck/burn/recorder';
 import {type BurnInput} from '@dogwooddeck/burn/report';
 import {
@@ -19,7 +20,7 @@
 import {contractsOf} from '@dogwooddeck/configuration/tree';
 import {type ServiceContract} from '@dogwooddeck/model/contract';
 import {FailureKind} from '@dogwooddeck/model/failure';
-import {type InstanceName, type WallTime} from '@dogwooddeck/model/identifiers';
+import {type InstanceName, type UpstreamIdentity, type WallTime} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type RequestReport} from '@dogwooddeck/upstream-client/request-path';
 import {type ControlHolder} from './control-holder.js';
@@ -29,6 +30,8 @@
 export type BurnRunner = {
 	/** Counts a request that ended, for the objectives of the contract under which it came. */
 	readonly record: (contract: ServiceContract, idempotent: boolean, report: RequestReport) => void;
+	/** Counts a request that was sent to an upstream. */
+	readonly sent: (upstream: UpstreamIdentity) => void;
 	/** What this instance counted. */
 	readonly own: () => InstanceBurn;
 	/** The report's input, with what the other instances counted as far as they answer. */
@@ -76,6 +79,7 @@
 	const {name, holder} = surroundings;
 	const file = surroundings.folder === undefined ? undefined : path.join(surroundings.folder, 'burn.jsonl');
 	const recorder = new BurnRecorder();
+	const loads = new LoadRecorder(monotonicNow());
 	const figures = createOwnershipFigures(holder);
 	if (surroundings.folder !== undefined) {
 		await mkdir(surroundings.folder, {recursive: true});
@@ -125,7 +129,7 @@
 
 	function own(): InstanceBurn {
 		take();
-		return {instance: name, intervals};
+		return {instance: name, intervals, loads: loads.loads(monotonicNow())};
 	}
 
 	return {
@@ -141,6 +145,9 @@
 			});
 			recorder.record(contract, {end, idempotent, latencyMilliseconds: report.latencyMilliseconds});
 		},
+		sent({service, name: upstream}) {
+			loads.record(service, upstream, monotonicNow());
+		},
 		own,
 		async input() {
 			const members = Object.values(holder.state().ownership.rosters).flatMap(roster => roster.members);
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -151,7 +151,13 @@
 		lease: zone.lease,
 		accepts: () => accepting,
 		flights,
-		evidence,
+		evidence: {
+			...evidence,
+			started(upstream) {
+				evidence.started(upstream);
+				burn.sent(upstream);
+			},
+		},
 		reports: ownReports,
 		claims,
 		limiter,
--- a/packages/daemon/src/ownership-figures.ts
+++ b/packages/daemon/src/ownership-figures.ts
@@ -4,19 +4,19 @@
 import {
 	createFollowed, figuresOf, follow, type Followed,
 } from '@dogwooddeck/burn/following';
-import {type ServiceFigures} from '@dogwooddeck/burn/report';
+import {type OwnershipFigures} from '@dogwooddeck/burn/report';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {type ServiceName} from '@dogwooddeck/model/identifiers';
 import {type ControlHolder} from './control-holder.js';
 
 /** The figures of all services since this process started. */
-export type OwnershipFigures = {
-	readonly take: () => readonly ServiceFigures[];
+export type FiguresFollower = {
+	readonly take: () => readonly OwnershipFigures[];
 };
 
 /** Begins to follow the tables. */
-export function createOwnershipFigures(holder: ControlHolder): OwnershipFigures {
+export function createOwnershipFigures(holder: ControlHolder): FiguresFollower {
 	const followed = new Map<ServiceName, {readonly table: ServiceAssignments; readonly seen: Followed}>();
 
 	holder.listen(({ownership}) => {
