Tell voters apart in control-cost; shorten the cases of plan-due

Cause: `control-cost` counted voters that follow among entries and stewards, though their heartbeats cost more than all the rest. The cases of `plan-due` took more lines than they needed.

Change: a role names the voter. The cases of `plan-due` are three tables now, by change, by time and by load; those of time and load ask at five moments each, so that they are at least as strict as before: 24 tests with one moment each became 19.

--- a/packages/control/test/test-plan-due.ts
+++ b/packages/control/test/test-plan-due.ts
@@ -23,103 +23,63 @@
 };
 const noLoad = createLoad(contract.name, 15_000, 0);
 const someLoad: LoadState = {...noLoad, slots: [0, 0.5]};
-const hotKey: LoadState = {...noLoad, keys: {key: 0.5}};
-
 const plannedAt = 1000;
+const soon = plannedAt + 50;
 const pace = plannedAt + planPaceMilliseconds;
-const long = plannedAt + 3_600_000;
+const decayed = 20 * noLoad.timeConstantMilliseconds;
 
-type Case = {
-	readonly name: string;
-	readonly plan?: Partial<PlacementPlan>;
-	readonly flapping?: number;
-	/** What changed since the plan. */
-	readonly changed?: Partial<PlanBasis>;
-	readonly load?: LoadState;
-	readonly now: number;
-	readonly expected: boolean;
-};
+function isDue(now: number, plan: Partial<PlacementPlan> = {}, flapping = 0, load: LoadState | undefined = undefined, changed: Partial<PlanBasis> = {}): boolean {
+	return isPlanDue(plannedLook(basis, {...nothing, ...plan}, flapping, plannedAt), {...basis, ...changed}, load, now);
+}
+
+const changeCases: ReadonlyArray<{readonly name: string; readonly changed: Partial<PlanBasis>; readonly expected: boolean}> = [
+	{name: 'nothing', changed: {}, expected: false},
+	{name: 'the contract', changed: {contract: {...contract}}, expected: true},
+	{name: 'the assignments', changed: {assignments: {...basis.assignments!}}, expected: true},
+	{name: 'the upstreams', changed: {membership: {...basis.membership!}}, expected: true},
+	{name: 'the zones out of reach', changed: {unreachableZones: ['noord-a', 'noord-b']}, expected: true},
+	{name: 'the list of the same zones out of reach', changed: {unreachableZones: ['noord-a']}, expected: false},
+];
+
+for (const {name, changed, expected} of changeCases) {
+	test(`plan due at once after a change: ${name}`, () => {
+		assert.equal(isDue(soon, {}, 0, undefined, changed), expected);
+	});
+}
 
-const cases: readonly Case[] = [
-	{name: 'nothing changed, and no time passed', now: plannedAt + 50, expected: false},
-	{name: 'nothing changed for an hour, and nothing is reported', now: long, expected: false},
-	{
-		name: 'nothing changed, and no load was ever reported', load: noLoad, now: long, expected: false,
-	},
-	{
-		name: 'nothing changed, and the last load was reported long ago', load: someLoad, now: long, expected: false,
-	},
-	{
-		name: 'loads that are still smoothed', load: someLoad, now: (20 * someLoad.timeConstantMilliseconds) - 1, expected: true,
-	},
-	{
-		name: 'loads, before the pace', load: someLoad, now: pace - 1, expected: false,
-	},
-	{
-		name: 'loads, at the pace', load: someLoad, now: pace, expected: true,
-	},
-	{
-		name: 'a hot key, at the pace', load: hotKey, now: pace, expected: true,
-	},
-	{
-		name: 'another contract', changed: {contract: {...contract}}, now: plannedAt + 50, expected: true,
-	},
-	{
-		name: 'other assignments', changed: {assignments: {...basis.assignments!}}, now: plannedAt + 50, expected: true,
-	},
-	{
-		name: 'other upstreams', changed: {membership: {...basis.membership!}}, now: plannedAt + 50, expected: true,
-	},
-	{
-		name: 'a zone goes out of reach', changed: {unreachableZones: ['noord-a', 'noord-b']}, now: plannedAt + 50, expected: true,
-	},
-	{
-		name: 'the zones out of reach in a new list', changed: {unreachableZones: ['noord-a']}, now: plannedAt + 50, expected: false,
-	},
-	{
-		name: 'a grant was proposed', plan: {grants: [{slot: 0, owner}]}, now: plannedAt, expected: true,
-	},
-	{
-		name: 'a move was proposed', plan: {moves: [{slot: 0, from: owner, reason: 'lost'}]}, now: plannedAt, expected: true,
-	},
-	{
-		name: 'a pin was proposed', plan: {pins: [{key: 'key', home: 0}]}, now: plannedAt, expected: true,
-	},
-	{
-		name: 'a way back was proposed', plan: {unpins: [{key: 'key', slot: 0}]}, now: plannedAt, expected: true,
-	},
-	{
-		name: 'balancing waits for its budget', plan: {state: {...nothing.state, isBalancing: true}}, now: pace, expected: true,
-	},
-	{
-		name: 'a moved slot cools down', plan: {state: {...nothing.state, movedAt: {0: 500}}}, now: pace, expected: true,
-	},
-	{
-		name: 'upstreams flap', flapping: 1, now: pace, expected: true,
-	},
-	{
-		name: 'upstreams flap, before the pace', flapping: 1, now: pace - 1, expected: false,
-	},
+const timeCases: ReadonlyArray<{readonly name: string; readonly plan?: Partial<PlacementPlan>; readonly flapping?: number; readonly dueAt: number}> = [
+	{name: 'nothing was proposed, and nothing is reported', dueAt: Infinity},
+	{name: 'a grant was proposed', plan: {grants: [{slot: 0, owner}]}, dueAt: plannedAt},
+	{name: 'a move was proposed', plan: {moves: [{slot: 0, from: owner, reason: 'lost'}]}, dueAt: plannedAt},
+	{name: 'a pin was proposed', plan: {pins: [{key: 'key', home: 0}]}, dueAt: plannedAt},
+	{name: 'a way back was proposed', plan: {unpins: [{key: 'key', slot: 0}]}, dueAt: plannedAt},
+	{name: 'balancing waits for its budget', plan: {state: {...nothing.state, isBalancing: true}}, dueAt: pace},
+	{name: 'a moved slot cools down', plan: {state: {...nothing.state, movedAt: {0: 500}}}, dueAt: pace},
+	{name: 'upstreams flap', flapping: 1, dueAt: pace},
 ];
 
-for (const {name, plan, flapping = 0, changed, load, now, expected} of cases) {
-	test(`plan due: ${name}`, () => {
-		const look = plannedLook(basis, {...nothing, ...plan}, flapping, plannedAt);
-		assert.equal(isPlanDue(look, {...basis, ...changed}, load, now), expected);
+for (const {name, plan, flapping, dueAt} of timeCases) {
+	test(`plan due with time: ${name}`, () => {
+		for (const now of [plannedAt, soon, pace - 1, pace, 3_600_000]) {
+			assert.equal(isDue(now, plan, flapping), now >= dueAt, `at ${now}`);
+		}
 	});
 }
 
-const formingCases = [
-	{name: 'before its time', now: 1999, expected: false},
-	{name: 'at its time', now: 2000, expected: true},
+const loadCases: ReadonlyArray<{readonly name: string; readonly load: LoadState; readonly dueAt: readonly number[]}> = [
+	{name: 'none was ever reported', load: noLoad, dueAt: []},
+	{name: 'of slots', load: someLoad, dueAt: [pace, decayed - 1]},
+	{name: 'of a hot key', load: {...noLoad, keys: {key: 0.5}}, dueAt: [pace, decayed - 1]},
+	{name: 'reported long ago', load: {...someLoad, updatedAt: -decayed}, dueAt: []},
 ];
 
-for (const {name, now, expected} of formingCases) {
-	test(`plan due: a service that forms, ${name}`, () => {
-		assert.equal(isPlanDue(formingLook(basis, 2000), basis, undefined, now), expected);
+for (const {name, load, dueAt} of loadCases) {
+	test(`plan due for loads: ${name}`, () => {
+		assert.deepEqual([soon, pace - 1, pace, decayed - 1, decayed].filter(now => isDue(now, {}, 0, load)), dueAt);
 	});
 }
 
-test('plan due: a service that was never looked at', () => {
+test('plan due: a service that forms, when its time is over, and one that was never looked at', () => {
+	assert.deepEqual([1999, 2000].map(now => isPlanDue(formingLook(basis, 2000), basis, undefined, now)), [false, true]);
 	assert.equal(isPlanDue(undefined, basis, undefined, 0), true);
 });
--- a/packages/stand-in/src/control-cost.ts
+++ b/packages/stand-in/src/control-cost.ts
@@ -26,6 +26,7 @@
 	readonly residentBytes: number;
 	readonly leader: boolean;
 	readonly steward: boolean;
+	readonly voter: boolean;
 };
 
 const zones = [
@@ -75,6 +76,7 @@
 		residentBytes: measureIn(text, 'dogwooddeck_resident_bytes'),
 		leader: measureIn(text, 'dogwooddeck_leader') === 1,
 		steward: measureIn(text, 'dogwooddeck_steward') === 1,
+		voter: instance.voter,
 	};
 }
 
@@ -113,8 +115,8 @@
 	}
 }
 
-function roleOf({leader, steward}: Figures): string {
-	const roles = [...(leader ? ['leader'] : []), ...(steward ? ['steward'] : [])];
+function roleOf({leader, steward, voter}: Figures): string {
+	const roles = [...(leader ? ['leader'] : []), ...(steward ? ['steward'] : []), ...(voter && !leader ? ['voter'] : [])];
 	return roles.length === 0 ? 'entry' : roles.join('+');
 }
 
