Take no nonsense from other instances' answers

Cause: a holder that answered a claim with anything but a claim's answer made the claimant's promise reject with nobody to hear it, which ends the process. Durations and indexes of answers were not checked: a lease without end was taken as one. One instance that told nonsense of itself failed `members` for all.

Change: answers between instances pass a table of checks (answer-check.ts); claims' answers have a schema; a member's nonsense counts as no answer.

Conclusion: a faulty instance costs its own answers, not the process of others.

--- a/packages/daemon/src/claim-message.ts
+++ b/packages/daemon/src/claim-message.ts
@@ -1,9 +1,11 @@
 /**
- * The form of the messages about claims that arrive from other instances.
+ * The form of what arrives from other instances about claims.
  */
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {type ClaimEnded, ClaimPurpose, type ClaimRequest} from '@dogwooddeck/routing/claim';
+import {
+	type ClaimAnswer, type ClaimEnded, ClaimPurpose, type ClaimRequest, ClaimVerdict,
+} from '@dogwooddeck/routing/claim';
 import {err, ok, type Result} from 'true-myth/result';
 import * as v from 'valibot';
 
@@ -26,6 +28,11 @@
 	status: v.pipe(whole, v.minValue(100), v.maxValue(599)), headers: v.array(v.string()), body: v.string(),
 }));
 
+const status = v.variant('kind', [
+	v.object({kind: v.literal('running'), remainingMilliseconds: duration}),
+	v.object({kind: v.literal('ended'), outcome, answer}),
+]);
+
 const messageSchema = v.variant('kind', [
 	v.object({
 		kind: v.literal('claim-request'),
@@ -35,10 +42,7 @@
 		token,
 		holder: identity,
 		rosterIndex: whole,
-		status: v.variant('kind', [
-			v.object({kind: v.literal('running'), remainingMilliseconds: duration}),
-			v.object({kind: v.literal('ended'), outcome, answer}),
-		]),
+		status,
 		lifetimeMilliseconds: duration,
 	}),
 	v.object({
@@ -46,6 +50,17 @@
 	}),
 ]);
 
+const answerParts = {
+	kind: v.literal('claim-answer'), token, holder: identity, rosterIndex: whole,
+};
+
+const {taken: _taken, ...withoutStatus} = ClaimVerdict;
+
+const answerSchema = v.variant('verdict', [
+	v.object({...answerParts, verdict: v.literal(ClaimVerdict.taken), status}),
+	v.object({...answerParts, verdict: v.picklist(Object.values(withoutStatus))}),
+]);
+
 function parsed(body: string): unknown {
 	try {
 		return JSON.parse(body);
@@ -54,10 +69,19 @@
 	}
 }
 
+function read<Schema extends v.GenericSchema>(schema: Schema, body: string, what: string): Result<v.InferOutput<Schema>, Failure> {
+	const result = v.safeParse(schema, parsed(body));
+	return result.success
+		? ok(result.output)
+		: err(failure(FailureKind.malformed, `${what} can't be read: ${v.getDotPath(result.issues[0]) ?? 'no object'}`));
+}
+
 /** Reads a message, as JSON. Fails with `malformed`. */
 export function readClaimMessage(body: string): Result<ClaimMessage, Failure> {
-	const read = v.safeParse(messageSchema, parsed(body));
-	return read.success
-		? ok(read.output)
-		: err(failure(FailureKind.malformed, `the claim message can't be read: ${v.getDotPath(read.issues[0]) ?? 'no object'}`));
+	return read(messageSchema, body, 'the claim message');
+}
+
+/** Reads a holder's answer, as JSON. Fails with `malformed`. */
+export function readClaimAnswer(body: string): Result<ClaimAnswer, Failure> {
+	return read(answerSchema, body, 'the answer to a claim');
 }
--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -8,14 +8,12 @@
 import {
 	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
-import {
-	type ClaimAnswer, type ClaimEnded, type ClaimRequest,
-} from '@dogwooddeck/routing/claim';
+import {type ClaimEnded} from '@dogwooddeck/routing/claim';
 import {type TextHash} from '@dogwooddeck/routing/text-hash';
 import {type ClaimDesk, createClaimDesk} from '@dogwooddeck/upstream-client/claim-desk';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {err, ok, type Result} from 'true-myth/result';
-import {type ClaimMessage, readClaimMessage} from './claim-message.js';
+import {type ClaimMessage, readClaimAnswer, readClaimMessage} from './claim-message.js';
 import {type ControlHolder} from './control-holder.js';
 
 /** The claims of this instance. */
@@ -70,9 +68,7 @@
 	}, {
 		async ask(request) {
 			const answer = await send(request);
-			return answer.andThen(text => text === ''
-				? err(failure(FailureKind.malformed, `${request.holder.name} gave no answer to a claim`))
-				: ok(JSON.parse(text) as ClaimAnswer));
+			return answer.andThen(text => readClaimAnswer(text));
 		},
 		tell(ended) {
 			void insist(ended);
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -32,7 +32,7 @@
 import {createControlHolder} from './control-holder.js';
 import {startControl} from './control-runner.js';
 import {createLimiter} from './limiter.js';
-import {createOperatorSurface, type MemberReport} from './operator-surface.js';
+import {createOperatorSurface, type MemberReport, readMemberReport} from './operator-surface.js';
 import {createPeerHandlers} from './peer-service.js';
 import {createReportCollector} from './report-collector.js';
 import {createRequestMeasures} from './request-measures.js';
@@ -192,7 +192,7 @@
 		},
 		async askMember(record) {
 			const answer = await clients.call(record.peerAddress, 'collect', 'member', memberMilliseconds);
-			return answer.isOk ? JSON.parse(answer.value) as MemberReport : undefined;
+			return answer.isOk ? readMemberReport(answer.value) : undefined;
 		},
 		announce: createAnnouncements(holder, settings.keys.announce, announcement => {
 			measures.counter(MeasureName.announcements, {service: announcement.service}).value += 1;
--- a/packages/daemon/src/operator-surface.ts
+++ b/packages/daemon/src/operator-surface.ts
@@ -9,6 +9,7 @@
 	authorHeader, declareLostConfirmation, type ConfigurationAnswer, type HistoryAnswer, longestAuthor, type MemberAnswer, type MembersAnswer, type OwnerAnswer,
 	type OwnersAnswer, parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest, type StatusAnswer, type WriteAnswer,
 } from '@dogwooddeck/configuration/messages';
+import {revisionField} from '@dogwooddeck/configuration/field';
 import {
 	contractOf, type ConfigurationAccepted, type ConfigurationCommand, subtreeOf, teamOf,
 } from '@dogwooddeck/configuration/tree';
@@ -22,12 +23,25 @@
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {ReleaseReason} from '@dogwooddeck/ownership/command';
 import {err, ok, type Result} from 'true-myth/result';
+import * as v from 'valibot';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
 
 /** What one instance tells another of itself. */
 export type MemberReport = {readonly applied: number; readonly voter: boolean};
 
+const memberReport = v.object({applied: revisionField, voter: v.boolean()});
+
+/** Reads what an instance told of itself, as JSON; undefined if it makes no sense, as if it had not answered. */
+export function readMemberReport(text: string): MemberReport | undefined {
+	try {
+		const read = v.safeParse(memberReport, JSON.parse(text));
+		return read.success ? read.output : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
 /** What the surface needs. */
 export type OperatorSurroundings = {
 	readonly holder: ControlHolder;
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -8,6 +8,7 @@
 	type ChannelOptions, credentials, logVerbosity, Metadata, type ServiceError, setLogVerbosity,
 } from '@grpc/grpc-js';
 import {err, type Result} from 'true-myth/result';
+import {checkAnswer} from './answer-check.js';
 import {PeerClient} from './generated/peer.js';
 import {
 	methodCodecs, type MethodCodec, type PeerCall, type PeerCalls,
@@ -40,7 +41,7 @@
 
 /** Calls other instances by their address. */
 export type PeerClients = {
-	/** Calls the instance at an address. Fails with `unreachable` when no answer comes in time. */
+	/** Calls the instance at an address. Fails with `unreachable` when no answer comes in time, and with `malformed` when a bad one comes. */
 	readonly call: <Call extends PeerCall>(
 		address: string,
 		call: Call,
@@ -77,7 +78,7 @@
 			const unary = (client[call] as unknown as UnaryCall).bind(client);
 			return new Promise(resolve => {
 				unary(codec.requestToWire(request), metadata, {deadline: Date.now() + timeoutMilliseconds}, (error, answer) => {
-					resolve(error === null ? codec.answerFromWire(answer) : err(failureOfStatus(error)));
+					resolve(error === null ? checkAnswer(call, answer).andThen(() => codec.answerFromWire(answer)) : err(failureOfStatus(error)));
 				});
 			});
 		},
--- a/packages/wire/src/request-check.ts
+++ b/packages/wire/src/request-check.ts
@@ -4,28 +4,24 @@
  * there is refused here.
  */
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {isFreeName} from '@dogwooddeck/model/identifiers';
 import {err, ok, type Result} from 'true-myth/result';
 import {
 	amount, type FieldCheck, formed, list, message, optional, text, whole,
 } from './field-check.js';
+import {
+	callerText, instanceIdentity, name, service, shareHolder,
+} from './message-parts.js';
 import {type PeerCall} from './methods.js';
 
-/** The longest header field, and so the longest key or caller, that Node.js takes from a caller. */
-const longestCallerText = 16_384;
 /** The longest payload of a proposal: several times the largest body of the operators' surface. */
 const longestPayload = 16_777_216;
 const longestSubject = 64;
 const longestKind = 64;
 const largestSlot = 131_072;
 
-const plainName = formed(/^[a-z][a-z\d\-]{0,62}$/v, 'a name');
-const name: FieldCheck = value => plainName(value) ?? (isFreeName(value as string) ? undefined : ' is not a free name');
-const service = formed(/^[a-z][a-z\d\-]{0,62}\/[a-z][a-z\d\-]{0,62}$/v, 'the path of a service');
 const upstreamName = formed(/^[\w.:\-]{1,128}$/v, 'the name of an upstream');
 const address = formed(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'an address');
 const folder = formed(/^[\w\-]{1,64}$/v, 'the identity of a folder');
-const shareHolder = formed(/^[\w.:#\-]{1,128}$/v, 'the holder of a share');
 
 const voterIdentity = message({name, folder});
 const voterSet = message({voters: list(voterIdentity), learners: list(voterIdentity)});
@@ -48,7 +44,6 @@
 	snapshot: optional(message({index: whole(), term: whole(), voterSet: optional(voterSet)})),
 });
 
-const instanceIdentity = message({name, incarnation: whole()});
 const instanceRecord = message({
 	name, incarnation: whole(), region: name, zone: name, peerAddress: address, callerAddress: address, operatorAddress: address,
 });
@@ -66,13 +61,13 @@
 	seenBy: instanceIdentity,
 });
 const demand = message({
-	service, limit: name, caller: text(longestCallerText), wanted: amount(), holder: shareHolder, sequence: whole(), held: amount(), usable: amount(),
+	service, limit: name, caller: callerText, wanted: amount(), holder: shareHolder, sequence: whole(), held: amount(), usable: amount(),
 });
 const report = message({
 	announcements: list(announcement),
 	evidence: list(evidence),
 	slotLoads: list(message({service, slot: whole(largestSlot), requests: whole()})),
-	keyLoads: list(message({service, key: text(longestCallerText), requests: whole()})),
+	keyLoads: list(message({service, key: callerText, requests: whole()})),
 	demands: list(demand),
 });
 
--- a/packages/wire/test/test-bad-input.ts
+++ b/packages/wire/test/test-bad-input.ts
@@ -15,6 +15,7 @@
 import {type PeerCall} from '@dogwooddeck/wire/methods';
 import {type PeerHandlers, type PeerServer, startPeerServer} from '@dogwooddeck/wire/server';
 import {failureOfStatus} from '@dogwooddeck/wire/status';
+import {envelopeToWire} from '@dogwooddeck/wire/translate-consensus';
 
 const key = 'peer-key-of-the-test-0123456789';
 const callMilliseconds = 10_000;
@@ -98,26 +99,13 @@
 const demand = {
 	service: 'bermrand/schedule', limit: 'viewings', caller: '', wanted: 1, holder: 'entry-1#7', sequence: 1, held: 0, usable: 0,
 };
-const envelope = {
+const envelope = envelopeToWire({
 	from: voter,
 	to: {name: 'entry-2', folder: 'folder-2'},
-	kind: 'appendRequested',
-	term: 3,
-	lastIndex: 0,
-	lastTerm: 0,
-	granted: false,
-	previousIndex: 1,
-	previousTerm: 1,
-	entries: [{
-		index: 2, term: 3, kind: 'command', payload: '[]', voterSet: undefined,
-	}],
-	committed: 0,
-	round: 0,
-	accepted: false,
-	index: 0,
-	snapshot: undefined,
-	invited: false,
-};
+	message: {
+		kind: 'appendRequested', term: 3, previousIndex: 1, previousTerm: 1, committed: 0, round: 0, entries: [{index: 2, term: 3, body: {kind: 'command', payload: '[]'}}],
+	},
+});
 const lease = {
 	instance, applied: 1, drained: 1, report,
 };
