--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -65,12 +65,27 @@
 	return JSON.stringify(state);
 }
 
+/** Whether a value has the parts of a pattern, each a list, an object or a plain value where the pattern has one. */
+function hasForm(value: unknown, pattern: unknown): boolean {
+	if (typeof pattern !== 'object' || pattern === null || typeof value !== 'object' || value === null) {
+		return typeof value === typeof pattern && value !== null;
+	}
+
+	return Array.isArray(value) === Array.isArray(pattern)
+		&& Object.entries(pattern).every(([name, part]) => hasForm((value as Readonly<Record<string, unknown>>)[name], part));
+}
+
 /** The state of a snapshot's text. Fails with `malformed`. */
 export function decodeControl(data: string): Result<ControlState, Failure> {
 	try {
-		const state = JSON.parse(data) as ControlState;
-		return ok({...emptyControl, ...state});
+		const read = JSON.parse(data) as ControlState;
+		const state = {...emptyControl, ...read};
+		if (hasForm(read, {}) && hasForm(state, emptyControl)) {
+			return ok(state);
+		}
 	} catch {
-		return err(failure(FailureKind.malformed, 'the snapshot holds no control state'));
+		// What can't be parsed is refused below.
 	}
+
+	return err(failure(FailureKind.malformed, 'the snapshot holds no control state'));
 }
--- a/packages/control/test/test-apply.ts
+++ b/packages/control/test/test-apply.ts
@@ -67,6 +67,24 @@
 	},
 ];
 
+const snapshots: ReadonlyArray<readonly [name: string, data: string, isState: boolean]> = [
+	['the empty state', encodeControl(emptyControl), true],
+	['a state that lacks a part of later versions', '{"applied":7}', true],
+	['no JSON', '{', false],
+	['a number', '7', false],
+	['null', 'null', false],
+	['a list', '[]', false],
+	['a part that is null', '{"wishes":null}', false],
+	['a list in place of an object', '{"ownership":[]}', false],
+	['an object that lacks its parts', '{"ownership":{}}', false],
+];
+
+for (const [name, data, isState] of snapshots) {
+	test(`snapshot: ${name}`, () => {
+		assert.equal(decodeControl(data).isOk, isState);
+	});
+}
+
 for (const {name, payloads, last} of cases) {
 	test(`apply: ${name}`, () => {
 		const result = applied(payloads);
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -246,6 +246,7 @@
 	}
 
 	const peers: PeerServer = taken(await startPeerServer(settings.addresses.peers, settings.keys.peer, createPeerHandlers({
+		ownZone: self.zone,
 		holder,
 		control,
 		zone: () => zone,
--- a/packages/daemon/src/peer-service.ts
+++ b/packages/daemon/src/peer-service.ts
@@ -2,11 +2,13 @@
  * What an instance does with the calls of other instances.
  */
 import {type PeerHandlers} from '@dogwooddeck/wire/server';
-import {failure, FailureKind} from '@dogwooddeck/model/failure';
-import {err, ok} from 'true-myth/result';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type InstanceIdentity, type ZoneName} from '@dogwooddeck/model/identifiers';
+import {err, ok, type Result} from 'true-myth/result';
 import {type ClaimRunner} from './claim-runner.js';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
+import {checkLife, checkZone} from './peer-check.js';
 import {type VoterRunner} from './voter-runner.js';
 import {type ZoneRunner} from './zone-runner.js';
 
@@ -15,6 +17,8 @@
 
 /** The parts that answer calls. */
 export type PeerParts = {
+	/** The zone that this instance serves. */
+	readonly ownZone: ZoneName;
 	readonly holder: ControlHolder;
 	readonly control: ControlRunner;
 	readonly zone: () => ZoneRunner;
@@ -25,7 +29,15 @@
 
 /** Makes the handlers. */
 export function createPeerHandlers(parts: PeerParts): PeerHandlers {
-	const {holder, control, claims, collectors} = parts;
+	const {
+		ownZone, holder, control, claims, collectors,
+	} = parts;
+
+	function checkCaller(zone: ZoneName, caller: InstanceIdentity): Result<undefined, Failure> {
+		const members = holder.state().ownership.rosters[ownZone]?.members ?? [];
+		return checkZone(ownZone, zone).andThen(() => checkLife(members, caller));
+	}
+
 	return {
 		async deliver(envelope) {
 			const voter = parts.voter();
@@ -33,8 +45,14 @@
 				? err(failure(FailureKind.notReady, 'this instance does not vote, or not yet'))
 				: voter.receive(envelope);
 		},
-		renewLease: async request => parts.zone().takeLeaseRequest(request),
-		support: async request => parts.zone().takeSupportRequest(request),
+		async renewLease(request) {
+			const checked = checkCaller(request.instance.zone, request.instance);
+			return checked.isOk ? parts.zone().takeLeaseRequest(request) : err(checked.error);
+		},
+		async support(request) {
+			const checked = checkCaller(request.zone, request.candidate);
+			return checked.isOk ? parts.zone().takeSupportRequest(request) : err(checked.error);
+		},
 		delegate: control.takeDelegation,
 		seat: control.takeSeat,
 		fetchState: async applied => ok(holder.after(applied)),
--- a/packages/daemon/src/voter-runner.ts
+++ b/packages/daemon/src/voter-runner.ts
@@ -13,7 +13,7 @@
 import {
 	committedIndex, createVoter, leaderOf, quorumHeardAt, roleOf, stepVoter, voterSetOf,
 } from '@dogwooddeck/consensus/voter';
-import {type ControlAccepted} from '@dogwooddeck/control/state';
+import {type ControlAccepted, decodeControl} from '@dogwooddeck/control/state';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {
@@ -69,12 +69,17 @@
 
 const unknownOutcome = failure(FailureKind.outcomeUnknown, 'another leader took over before the change was known to be accepted');
 
+/** A snapshot that can't be read must not take the place of the state on disk. */
+function hasReadableSnapshot({message}: ConsensusEnvelope): boolean {
+	return message.kind !== 'snapshotSent' || decodeControl(message.snapshot.data).isOk;
+}
+
 function checkEnvelope(envelope: ConsensusEnvelope, self: VoterIdentity): Result<undefined, Failure> {
 	if (!sameVoter(envelope.to, self)) {
 		return err(failure(FailureKind.notFound, `the message is for the folder ${envelope.to.folder} of ${envelope.to.name}, which is not here`));
 	}
 
-	return isSound(envelope, self)
+	return isSound(envelope, self) && hasReadableSnapshot(envelope)
 		? ok(undefined)
 		: err(failure(FailureKind.malformed, `a message of kind ${envelope.message.kind} does not agree with itself`));
 }
--- a/packages/daemon/src/zone-runner.ts
+++ b/packages/daemon/src/zone-runner.ts
@@ -29,7 +29,6 @@
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
 import {shareHolder} from './limiter.js';
-import {checkLife, checkZone} from './peer-check.js';
 import {type ReportCollector} from './report-collector.js';
 
 /** This instance's part in its zone. */
@@ -188,11 +187,6 @@
 
 	async function takeLeaseRequest(request: LeaseRequest): Promise<Result<WithCatchUp<LeaseAnswer>, Failure>> {
 		const now = monotonicNow();
-		const checked = checkZone(self.zone, request.instance.zone).andThen(() => checkLife(zoneMembers(), request.instance));
-		if (checked.isErr) {
-			return err(checked.error);
-		}
-
 		if (!isSteward(state, now)) {
 			const leader = steward?.name;
 			return err(failure(FailureKind.notLeader, `${self.name} is not the steward of ${self.zone}`, leader === undefined ? {} : {leader}));
@@ -322,11 +316,6 @@
 		steward: () => isSteward(state, monotonicNow()) ? self.name : steward?.name,
 		takeLeaseRequest,
 		async takeSupportRequest(request) {
-			const checked = checkZone(self.zone, request.zone).andThen(() => checkLife(zoneMembers(), request.candidate));
-			if (checked.isErr) {
-				return err(checked.error);
-			}
-
 			supportAnswer = undefined;
 			step({kind: 'supportRequested', now: monotonicNow(), request});
 			const answer = supportAnswer as SupportAnswer | undefined;
--- a/packages/daemon/test/one-instance.ts
+++ b/packages/daemon/test/one-instance.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {mkdtemp, rm} from 'node:fs/promises';
+import {mkdtemp, readFile, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {authorHeader} from '@dogwooddeck/configuration/messages';
@@ -19,6 +19,8 @@
 export type OneInstance = {
 	readonly addresses: {readonly peers: string; readonly operators: string};
 	readonly peers: PeerClients;
+	/** What voters call its data folder. */
+	readonly folder: string;
 	readonly failures: string[];
 	readonly send: (method: 'GET' | 'POST', where: string, options: Sending) => Promise<{readonly status: number; readonly body: unknown}>;
 	readonly ready: () => Promise<boolean>;
@@ -79,9 +81,11 @@
 	};
 
 	await until(ready);
+	const identity = await readFile(path.join(folder, 'data', 'identity'), 'utf8');
 	return {
 		addresses,
 		peers,
+		folder: identity.trim().split(' ').at(-1)!,
 		failures,
 		async send(method, where, {token, author, body}) {
 			const answer = await fetch(`http://${addresses.operators}${where}`, {
--- a/packages/daemon/test/test-bad-calls.ts
+++ b/packages/daemon/test/test-bad-calls.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
+import {type ConsensusMessage} from '@dogwooddeck/consensus/message';
 import {FailureKind} from '@dogwooddeck/model/failure';
 import {emptyReport} from '@dogwooddeck/model/lease';
 import {type PeerCall, type PeerCalls} from '@dogwooddeck/wire/methods';
@@ -100,6 +101,33 @@
 	['a seat for a former life', 'seat', {instance: {...stranger, name: 'entry-1', zone: 'noord-a'}, applied: 0}, FailureKind.superseded],
 ];
 
+const gap = {
+	kind: 'appendRequested', term: 9, previousIndex: 2, previousTerm: 1, committed: 9, round: 1, entries: [{index: 7, term: 9, body: {kind: 'leaderStarted'}}],
+} as const;
+
+function snapshotOf(data: string) {
+	return {
+		kind: 'snapshotSent', term: 9, round: 1, snapshot: {
+			index: 90, term: 9, voterSet: {voters: [envelope.from], learners: []}, data,
+		},
+	} as const;
+}
+
+const messages: ReadonlyArray<readonly [name: string, message: ConsensusMessage]> = [
+	['entries that do not follow each other', gap],
+	['a snapshot that is no JSON', snapshotOf('{')],
+	['a snapshot that is no state', snapshotOf('7')],
+	['a snapshot with a part of another form', snapshotOf('{"ownership":[]}')],
+];
+
+async function isNoMessage(name: string, message: ConsensusMessage): Promise<void> {
+	await isRefused([name, 'deliver', {...envelope, to: {name: 'entry-1', folder: one.folder}, message}, FailureKind.malformed]);
+}
+
+for (const [name, message] of messages) {
+	test(`a bad call is refused: ${name} (deliver)`, async () => isNoMessage(name, message));
+}
+
 async function isRefused([name, call, request, kind]: Case): Promise<void> {
 	const earlier = await standing();
 	const answer = await one.peers.call(one.addresses.peers, call, request, callMilliseconds);
