--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -9,9 +9,7 @@
 import {
 	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
-import {
-	type ClaimAnswer, type ClaimEnded, type ClaimRequest,
-} from '@dogwooddeck/routing/claim';
+import {type ClaimEnded} from '@dogwooddeck/routing/claim';
 import {
 	acknowledgedBy, type ClaimSpread, noteApplied, seatsBehind, spreadOf,
 } from '@dogwooddeck/routing/claim-spread';
@@ -19,9 +17,9 @@
 import {type ClaimDesk, createClaimDesk} from '@dogwooddeck/upstream-client/claim-desk';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {err, ok, type Result} from 'true-myth/result';
-import {type ClaimMessage, readClaimMessage} from './claim-message.js';
+import {type ClaimMessage, readClaimAnswer, readClaimMessage} from './claim-message.js';
 import {type ControlHolder} from './control-holder.js';
-import {type MemberReport} from './operator-surface.js';
+import {readMemberReport} from './operator-surface.js';
 
 /** The claims of this instance. */
 export type ClaimRunner = {
@@ -77,9 +75,7 @@
 	}, {
 		async ask(request) {
 			const answer = await send(request);
-			return answer.andThen(text => text === ''
-				? err(failure(FailureKind.malformed, `${request.holder.name} gave no answer to a claim`))
-				: ok(JSON.parse(text) as ClaimAnswer));
+			return answer.andThen(text => readClaimAnswer(text));
 		},
 		tell(ended) {
 			void insist(ended);
@@ -99,8 +95,9 @@
 	async function askApplied(seat: InstanceIdentity): Promise<void> {
 		const address = addressOf(seat);
 		const answer = address === undefined ? undefined : await clients.call(address, 'collect', 'member', askMilliseconds);
-		if (answer?.isOk === true) {
-			spread = noteApplied(spread, seat, (JSON.parse(answer.value) as MemberReport).applied);
+		const report = answer?.isOk === true ? readMemberReport(answer.value) : undefined;
+		if (report !== undefined) {
+			spread = noteApplied(spread, seat, report.applied);
 		}
 	}
 
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -30,7 +30,7 @@
 import {startControl} from './control-runner.js';
 import {createInstanceStatus} from './instance-status.js';
 import {createLimiter} from './limiter.js';
-import {createOperatorSurface, type MemberReport} from './operator-surface.js';
+import {createOperatorSurface, readMemberReport} from './operator-surface.js';
 import {startOwnVoter} from './own-voter.js';
 import {createPeerHandlers} from './peer-service.js';
 import {createReportCollector} from './report-collector.js';
@@ -123,7 +123,7 @@
 		status: health.status,
 		async askMember(record) {
 			const answer = await clients.call(record.peerAddress, 'collect', 'member', memberMilliseconds);
-			return answer.isOk ? JSON.parse(answer.value) as MemberReport : undefined;
+			return answer.isOk ? readMemberReport(answer.value) : undefined;
 		},
 		announce: createAnnouncements(holder, settings.keys.announce, announcement => {
 			measures.counter(MeasureName.announcements, {service: announcement.service}).value += 1;
@@ -175,6 +175,7 @@
 	});
 
 	const peers: PeerServer = taken(await startPeerServer(settings.addresses.peers, settings.keys.peer, createPeerHandlers({
+		ownZone: self.zone,
 		holder,
 		control,
 		zone: () => zone,
