Take callers' requests with Fastify alone, and refuse what it doesn't route as problems

Beside that, a path with bad percent-encoding was answered by Fastify's own body, and neither it nor an unknown method told an outcome. Change: the callers' server is a Fastify instance of its own with the same raw route; closing and addresses are modules that both servers use. What Fastify doesn't route is refused by the forwarder's problem with an outcome. Operators' server is still Nest on Fastify.

--- a/packages/front/src/caller-server.ts
+++ b/packages/front/src/caller-server.ts
@@ -1,37 +1,67 @@
 /**
- * The server for callers: one raw route on the adapter's Fastify instance, so
- * that a request meets no controller and no body parser on its way.
+ * The server for callers: one raw route on a Fastify instance of its own. Nest
+ * has no part in it, since its adapter runs hooks for every request, and a
+ * request meets no controller and no body parser on its way.
  */
-import {type Failure} from '@dogwooddeck/model/failure';
-import {Module} from '@nestjs/common';
-import {type Result} from 'true-myth/result';
-import {startApplication} from './application.js';
+import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
+import {statusOf} from '@dogwooddeck/routing/outcome';
+import {outcomeOfRefusedHead, writeProblem} from '@dogwooddeck/upstream-client/problem';
+import {fastify, type FastifyReply} from 'fastify';
+import {err, ok, type Result} from 'true-myth/result';
+import {boundAddress, cannotListen, splitAddress} from './address.js';
+import {closeGracefully} from './closing.js';
 import {type CallerHandler, type FrontServer} from './surface.js';
 
-/** The Nest module of the callers' server. */
-@Module({})
-class CallerModule {}
-
 /** Bodies are bounded by each service's contract, after its route is known. */
 const noBodyLimitBytes = Number.MAX_SAFE_INTEGER;
 
+const unknownMethod = failure(FailureKind.notFound, 'no service takes this method');
+const unreadableHead = failure(FailureKind.malformed, 'the path or a header field can\'t be read');
+
+function refuse(reply: FastifyReply, why: Failure): void {
+	reply.hijack();
+	writeProblem(reply.raw, why, statusOf(why.kind), outcomeOfRefusedHead(reply.request.headers));
+}
+
+/** Makes the server, which doesn't listen yet. What Fastify doesn't route is refused in the same form as by the forwarder. */
+function createServer(handle: CallerHandler) {
+	const server = fastify({
+		bodyLimit: noBodyLimitBytes,
+		forceCloseConnections: 'idle',
+		frameworkErrors(_error, _request, reply) {
+			refuse(reply, unreadableHead);
+		},
+	});
+	server.removeAllContentTypeParsers();
+	server.addContentTypeParser('*', (_request, _payload, done) => {
+		done(null);
+	});
+	server.setErrorHandler((_error, _request, reply) => {
+		refuse(reply, unreadableHead);
+	});
+	server.setNotFoundHandler((_request, reply) => {
+		refuse(reply, unknownMethod);
+	});
+	server.all('/*', (request, reply) => {
+		reply.hijack();
+		handle(request.raw, reply.raw);
+	});
+	return server;
+}
+
 /** Starts the server. Fails with `unreachable` when the address can't be bound. */
 export async function startCallerServer(address: string, handle: CallerHandler): Promise<Result<FrontServer, Failure>> {
-	return startApplication({
-		address,
-		module: {module: CallerModule},
-		largestBodyBytes: noBodyLimitBytes,
-		readsBodies: false,
-		prepare(adapter) {
-			const fastify = adapter.getInstance();
-			fastify.removeAllContentTypeParsers();
-			fastify.addContentTypeParser('*', (_request, _payload, done) => {
-				done(null);
-			});
-			fastify.all('/*', (request, reply) => {
-				reply.hijack();
-				handle(request.raw, reply.raw);
-			});
-		},
+	const server = createServer(handle);
+	const {host, port} = splitAddress(address);
+	try {
+		await server.listen({host, port});
+	} catch (error) {
+		await server.close();
+		return err(cannotListen(address, error as Error));
+	}
+
+	return ok({
+		address: boundAddress(server.server, host),
+		close: async () => closeGracefully(server.server, async () => server.close()),
 	});
 }
--- a/packages/front/src/operator-server.ts
+++ b/packages/front/src/operator-server.ts
@@ -32,9 +32,5 @@
 			],
 		},
 		largestBodyBytes: largestOperatorBody,
-		readsBodies: true,
-		prepare() {
-			// The controllers are all that this server has.
-		},
 	});
 }
