Make the records of a request without spreads

Cause: spreads of optional fields and of the retry budget's state copied records on the path of every request (profiles of 8 s under load: `bookAttempt` 0.70 and 0.89%, the end of a request 0.92 and 0.61%, by themselves). Change: the fields are set, `undefined` where there is nothing; the types say so. What is decided stays. Conclusion: kept, as it is shorter; no claim on requests a second.

--- a/packages/burn/src/judgement.ts
+++ b/packages/burn/src/judgement.ts
@@ -26,7 +26,7 @@
 export type Ended = {
 	readonly outcome: Outcome;
 	/** The status that the caller got; absent where no whole answer came. */
-	readonly status?: number;
+	readonly status?: number | undefined;
 	/** Whether it was refused because its caller's limit is spent. */
 	readonly limited: boolean;
 };
--- a/packages/daemon/src/burn-runner.ts
+++ b/packages/daemon/src/burn-runner.ts
@@ -137,7 +137,7 @@
 			const end = endOf({
 				outcome: report.outcome,
 				limited: report.failure?.kind === FailureKind.limitReached,
-				...(report.status === undefined ? {} : {status: report.status}),
+				status: report.status,
 			});
 			recorder.record(contract, {end, idempotent, latencyMilliseconds: report.latencyMilliseconds});
 		},
--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -56,7 +56,7 @@
 		/** Whether the service's budget allows a retry. */
 		readonly budgetAllows: boolean;
 		/** What the upstream asked for. */
-		readonly retryAfterMilliseconds?: Milliseconds;
+		readonly retryAfterMilliseconds?: Milliseconds | undefined;
 	}
 	| {readonly kind: 'pause-over'; readonly now: MonotonicTime}
 	| {readonly kind: 'deadline-passed'; readonly now: MonotonicTime}
--- a/packages/routing/src/budget.ts
+++ b/packages/routing/src/budget.ts
@@ -28,5 +28,5 @@
 /** Books a first attempt or a retry. */
 export function bookAttempt(budget: RetryBudget, event: RetryBudgetEvent): Transition<RetryBudget, never> {
 	const change = event.kind === 'retry' ? -1 : budget.ratio;
-	return {state: {...budget, balance: Math.min(largestBalance, budget.balance + change)}, effects: []};
+	return {state: {ratio: budget.ratio, balance: Math.min(largestBalance, budget.balance + change)}, effects: []};
 }
--- a/packages/upstream-client/src/forwarding.ts
+++ b/packages/upstream-client/src/forwarding.ts
@@ -145,7 +145,7 @@
 			seen,
 			headPassed: this.#answer.begun,
 			budgetAllows: this.#path.allowsRetry(this.#opened),
-			...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
+			retryAfterMilliseconds,
 		});
 		owner.admission.finish(finishedBy(seen), latencyMilliseconds);
 	}
@@ -322,14 +322,13 @@
 			this.#claim?.giveUp();
 		}
 
-		const {status} = this.#answer;
 		this.#path.requestEnded(this.#opened, {
 			outcome,
+			status: this.#answer.status,
+			failure: why,
 			latencyMilliseconds: this.#path.now() - this.#beganAt,
 			attempts: this.#state?.attempts ?? 0,
 			bodyBytes: this.#body?.length ?? 0,
-			...(status === undefined ? {} : {status}),
-			...(why === undefined ? {} : {failure: why}),
 		});
 	}
 }
--- a/packages/upstream-client/src/headers.ts
+++ b/packages/upstream-client/src/headers.ts
@@ -48,7 +48,7 @@
 	/** Whether the end of the body can be told from a cut. */
 	readonly bounded: boolean;
 	/** The value of `Retry-After`. */
-	readonly retryAfter?: string;
+	readonly retryAfter?: string | undefined;
 };
 
 const lastIsChunked = /(?:^|,)\s*chunked\s*$/iv;
@@ -73,7 +73,7 @@
 	}
 
 	const named = namedFields(connection);
-	return {headers: named.size === 0 ? headers : withoutNamed(headers, named), bounded, ...(retryAfter === undefined ? {} : {retryAfter})};
+	return {headers: named.size === 0 ? headers : withoutNamed(headers, named), bounded, retryAfter};
 }
 
 function withoutNamed(headers: RawHeaders, named: ReadonlySet<string>): string[] {
--- a/packages/upstream-client/src/request-path.ts
+++ b/packages/upstream-client/src/request-path.ts
@@ -48,8 +48,8 @@
 export type RequestReport = {
 	readonly outcome: Outcome;
 	/** The status that the caller got. Absent: its connection was broken, or it went away. */
-	readonly status?: number;
-	readonly failure?: Failure;
+	readonly status?: number | undefined;
+	readonly failure?: Failure | undefined;
 	/** From the head of the request to the end. */
 	readonly latencyMilliseconds: Milliseconds;
 	readonly attempts: number;
