Tell callers an outcome also where no route is met

Change: each server says how what reaches no handler is refused; callers get the forwarder's problem with its outcome. Nest stays in front, with its raw route. Conclusion: one form of refusal for callers.

--- a/packages/front/src/application.ts
+++ b/packages/front/src/application.ts
@@ -7,9 +7,9 @@
 import {NestFactory} from '@nestjs/core';
 import {FastifyAdapter, type NestFastifyApplication} from '@nestjs/platform-fastify';
 import {err, ok, type Result} from 'true-myth/result';
-import {ProblemFilter} from './problem-filter.js';
+import {ProblemFilter, type RefusableReply, type Refuse} from './problem-filter.js';
 import {type FrontServer} from './surface.js';
-import {answerUnread, answerUnreadPath} from './unread-request.js';
+import {answerUnread} from './unread-request.js';
 
 /** What an application is made of. */
 export type ApplicationOptions = {
@@ -17,6 +17,8 @@
 	readonly address: string;
 	readonly module: DynamicModule;
 	readonly largestBodyBytes: number;
+	/** Answers what reaches no handler: an unknown method, a path that can't be decoded. */
+	readonly refuse: Refuse;
 	/** Says which bodies are read before a handler runs, and adds routes beside Nest's own. */
 	readonly prepare: (adapter: FastifyAdapter) => void;
 };
@@ -61,12 +63,17 @@
 /** Starts to listen. Fails with `unreachable` when the address can't be bound. */
 export async function startApplication(options: ApplicationOptions): Promise<Result<FrontServer, Failure>> {
 	const adapter = new FastifyAdapter({
-		bodyLimit: options.largestBodyBytes, forceCloseConnections: 'idle', clientErrorHandler: answerUnread, frameworkErrors: answerUnreadPath,
+		bodyLimit: options.largestBodyBytes,
+		forceCloseConnections: 'idle',
+		clientErrorHandler: answerUnread,
+		frameworkErrors(error: Error, _request: unknown, reply: RefusableReply) {
+			options.refuse(reply, failure(FailureKind.malformed, error.message));
+		},
 	});
 	const application = await NestFactory.create<NestFastifyApplication>(options.module, adapter, {
 		logger: false, bodyParser: false, abortOnError: false,
 	});
-	application.useGlobalFilters(new ProblemFilter());
+	application.useGlobalFilters(new ProblemFilter(options.refuse));
 	options.prepare(adapter);
 	const {host, port} = splitAddress(options.address);
 	try {
--- a/packages/front/src/operator-server.ts
+++ b/packages/front/src/operator-server.ts
@@ -9,6 +9,7 @@
 import {HealthController} from './health-controller.js';
 import {healthSurfaceToken, operatorSurfaceToken} from './injection.js';
 import {OperatorController} from './operator-controller.js';
+import {refuseWithProblem} from './problem-filter.js';
 import {type FrontServer, type HealthSurface, type OperatorSurface} from './surface.js';
 
 /** The Nest module of the operators' server. */
@@ -32,6 +33,7 @@
 			],
 		},
 		largestBodyBytes: largestOperatorBody,
+		refuse: refuseWithProblem,
 		prepare(adapter) {
 			const fastify = adapter.getInstance();
 			fastify.removeAllContentTypeParsers();
--- a/packages/front/src/problem-filter.ts
+++ b/packages/front/src/problem-filter.ts
@@ -1,6 +1,8 @@
 /**
  * Turns whatever a controller or Fastify throws into a problem body.
  */
+import {Buffer} from 'node:buffer';
+import {type IncomingHttpHeaders, type ServerResponse} from 'node:http';
 import {problemMediaType, problemOfFailure} from '@dogwooddeck/configuration/problem';
 import {
 	failure, type Failure, FailureError, FailureKind,
@@ -8,7 +10,6 @@
 import {
 	type ArgumentsHost, Catch, type ExceptionFilter, HttpException,
 } from '@nestjs/common';
-import {type FastifyReply} from 'fastify';
 
 const kindOfStatus: Readonly<Record<number, FailureKind>> = {
 	400: FailureKind.malformed,
@@ -32,12 +33,35 @@
 	return failure(kind, detail);
 }
 
-/** Answers every failure as `application/problem+json`. */
+/** What Fastify's replies have in common, also those of the version that Nest brings. */
+export type RefusableReply = {
+	readonly raw: ServerResponse;
+	readonly request: {readonly headers: IncomingHttpHeaders};
+	readonly hijack: () => unknown;
+};
+
+/** Answers a request with a failure. */
+export type Refuse = (reply: RefusableReply, why: Failure) => void;
+
+/** Answers as `application/problem+json`. A connection whose request was not read to its end is closed after it. */
+export const refuseWithProblem: Refuse = (reply, why) => {
+	const problem = problemOfFailure(why);
+	const body = Buffer.from(JSON.stringify(problem));
+	const close = reply.raw.req.complete ? {} : {connection: 'close'};
+	reply.hijack();
+	reply.raw.writeHead(problem.status, {'content-type': problemMediaType, 'content-length': body.length, ...close}).end(body);
+};
+
+/** Answers every failure that no handler answered. */
 @Catch()
 export class ProblemFilter implements ExceptionFilter {
+	readonly #refuse: Refuse;
+
+	constructor(refuse: Refuse) {
+		this.#refuse = refuse;
+	}
+
 	catch(thrown: unknown, host: ArgumentsHost): void {
-		const problem = problemOfFailure(failureOf(thrown));
-		const reply = host.switchToHttp().getResponse<FastifyReply>();
-		void reply.status(problem.status).type(problemMediaType).send(JSON.stringify(problem));
+		this.#refuse(host.switchToHttp().getResponse<RefusableReply>(), failureOf(thrown));
 	}
 }
--- a/packages/front/src/unread-request.ts
+++ b/packages/front/src/unread-request.ts
@@ -1,9 +1,7 @@
 /**
- * Answers for requests that never become one: what arrived is no HTTP, too
- * long, or names no path. Fastify meets them before any controller or filter.
+ * Answers for requests that never become one: what arrived is no HTTP, or too
+ * long. Node.js meets them before any controller or filter.
  */
-import {Buffer} from 'node:buffer';
-import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {problemMediaType, problemOfFailure} from '@dogwooddeck/configuration/problem';
 import {failure, FailureKind} from '@dogwooddeck/model/failure';
@@ -38,10 +36,3 @@
 
 	socket.end(answerText(unreadKinds[error.code ?? ''] ?? unread));
 }
-
-/** Answers a request whose path can't be decoded with a problem body. */
-export function answerUnreadPath(error: Error, _request: unknown, reply: {readonly raw: ServerResponse}): void {
-	const problem = problemOfFailure(failure(FailureKind.malformed, error.message));
-	const body = Buffer.from(JSON.stringify(problem));
-	reply.raw.writeHead(problem.status, {'content-type': problemMediaType, 'content-length': body.length}).end(body);
-}
--- /dev/null
+++ b/packages/front/test/test-caller-server.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {test} from 'node:test';
+import {startCallerServer} from '@dogwooddeck/front/caller-server';
+
+type Case = {
+	readonly name: string;
+	readonly line: string;
+	readonly fields?: readonly string[];
+	readonly status: number;
+	/** Absent: the request reaches the handler. */
+	readonly outcome?: 'not-run' | 'unknown';
+};
+
+const cases: readonly Case[] = [
+	{name: 'any path', line: 'GET /a/b?c=%zz', status: 200},
+	{name: 'a whole address', line: 'GET http://host/a', status: 200},
+	{
+		name: 'a body that is no JSON', line: 'POST /a', fields: ['content-type: application/json'], status: 200,
+	},
+	{
+		name: 'bad percent-encoding', line: 'GET /a%zz', status: 400, outcome: 'not-run',
+	},
+	{
+		name: 'bad percent-encoding with an operation key', line: 'POST /a%zz', fields: ['idempotency-key: one'], status: 400, outcome: 'unknown',
+	},
+	{
+		name: 'an unknown method', line: 'PURGE /a', status: 404, outcome: 'not-run',
+	},
+	{
+		name: 'a method that needs a content type', line: 'QUERY /a', status: 400, outcome: 'not-run',
+	},
+];
+
+async function answerTo(address: string, {line, fields = []}: Case): Promise<string> {
+	const [host, port] = address.split(':');
+	const socket = connect(Number(port), host);
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	socket.write([`${line} HTTP/1.1`, 'host: host', 'connection: close', 'content-length: 0', ...fields, '', ''].join('\r\n'));
+	await once(socket, 'close');
+	return text;
+}
+
+for (const entry of cases) {
+	test(`caller server: ${entry.name}`, async () => {
+		const started = await startCallerServer('127.0.0.1:0', (_request, response) => {
+			response.end('handled');
+		});
+		const server = started.unwrapOrElse(why => assert.fail(why.detail));
+		const answer = await answerTo(server.address, entry);
+		await server.close();
+		assert.ok(answer.startsWith(`HTTP/1.1 ${entry.status} `), answer);
+		assert.equal(/^dogwooddeck-outcome: (\S+)/imv.exec(answer)?.[1], entry.outcome, answer);
+		assert.equal(answer.includes('application/problem+json'), entry.outcome !== undefined, answer);
+	});
+}
+
+test('caller server: an address that is in use', async () => {
+	const started = await startCallerServer('127.0.0.1:0', () => undefined);
+	const server = started.unwrapOrElse(why => assert.fail(why.detail));
+	const second = await startCallerServer(server.address, () => undefined);
+	await server.close();
+	assert.equal(second.isErr && second.error.kind, 'unreachable');
+});
--- a/packages/upstream-client/src/forward.ts
+++ b/packages/upstream-client/src/forward.ts
@@ -4,21 +4,18 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Failure, failure, FailureKind} from '@dogwooddeck/model/failure';
-import {HeaderName} from '@dogwooddeck/model/headers';
-import {Outcome} from '@dogwooddeck/model/outcome';
 import {statusOf} from '@dogwooddeck/routing/outcome';
 import {type Forwarder} from './forwarder.js';
 import {Forwarding} from './forwarding.js';
-import {writeProblem} from './problem.js';
+import {outcomeOfRefusedHead, writeProblem} from './problem.js';
 import {type OpenedRequest, type RequestOwner, type RequestPath} from './request-path.js';
 
 /** Nobody can tell a cut answer from a whole one of no length in HTTP/1.0. */
 const oldVersion = failure(FailureKind.malformed, 'HTTP/1.1 is needed');
 
-/** With an operation key nobody has asked yet whether an earlier send of the operation ran. */
 function refuseHead<Opened extends OpenedRequest, Owner extends RequestOwner>(path: RequestPath<Opened, Owner>, response: ServerResponse, why: Failure): void {
 	const status = statusOf(why.kind);
-	const outcome = response.req.headers[HeaderName.idempotencyKey] === undefined ? Outcome.notRun : Outcome.unknown;
+	const outcome = outcomeOfRefusedHead(response.req.headers);
 	writeProblem(response, why, status, outcome);
 	path.requestEnded(undefined, {
 		outcome, status, failure: why, latencyMilliseconds: 0, attempts: 0, bodyBytes: 0,
--- a/packages/upstream-client/src/problem.ts
+++ b/packages/upstream-client/src/problem.ts
@@ -2,10 +2,10 @@
  * How a caller is told a failure: an `application/problem+json` body with the
  * failure's kind and what is known of the request's outcome.
  */
-import {type ServerResponse} from 'node:http';
+import {type IncomingHttpHeaders, type ServerResponse} from 'node:http';
 import {type Failure} from '@dogwooddeck/model/failure';
 import {HeaderName} from '@dogwooddeck/model/headers';
-import {type Outcome} from '@dogwooddeck/model/outcome';
+import {Outcome} from '@dogwooddeck/model/outcome';
 
 const millisecondsPerSecond = 1000;
 
@@ -26,6 +26,11 @@
 	};
 }
 
+/** The outcome of a request that is refused for its head. With an operation key nobody has asked yet whether an earlier send of the operation ran. */
+export function outcomeOfRefusedHead(headers: IncomingHttpHeaders): Outcome {
+	return headers[HeaderName.idempotencyKey] === undefined ? Outcome.notRun : Outcome.unknown;
+}
+
 /** Writes a whole problem answer. A connection whose request was not read to its end is closed after it. */
 export function writeProblem(response: ServerResponse, failure: Failure, status: number, outcome: Outcome): void {
 	const body = JSON.stringify(problemOf(failure, status, outcome));
