Answer what arrives on an open connection while the callers' server closes

Cause: Fastify answers such a request 503 by itself, without the outcome that every failure to a caller tells (found by reading on the branch path). Change: it is handled as any other; the answer asks to close the connection. Conclusion: a planned stop leaves no request without an outcome.

--- a/packages/front/src/application.ts
+++ b/packages/front/src/application.ts
@@ -65,6 +65,8 @@
 	const adapter = new FastifyAdapter({
 		bodyLimit: options.largestBodyBytes,
 		forceCloseConnections: 'idle',
+		// What arrives on an open connection while the server closes still gets its own answer.
+		return503OnClosing: false,
 		clientErrorHandler: answerUnread,
 		frameworkErrors(error: Error, _request: unknown, reply: RefusableReply) {
 			options.refuse(reply, failure(FailureKind.malformed, error.message));
--- a/packages/front/test/test-caller-server.ts
+++ b/packages/front/test/test-caller-server.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {startCallerServer} from '@dogwooddeck/front/caller-server';
 
 type Case = {
@@ -66,3 +67,45 @@
 	await server.close();
 	assert.equal(second.isErr && second.error.kind, 'unreachable');
 });
+
+const closingMilliseconds = 100;
+const pollMilliseconds = 10;
+const pollsAtMost = 500;
+
+async function until(holds: () => boolean): Promise<void> {
+	for (let poll = 0; poll < pollsAtMost && !holds(); poll++) {
+		await pause(pollMilliseconds);
+	}
+
+	assert.ok(holds());
+}
+
+test('caller server: a request behind one in flight is handled while the server closes', async () => {
+	const held: Array<() => void> = [];
+	const started = await startCallerServer('127.0.0.1:0', (_request, response) => {
+		held.push(() => {
+			response.end('handled');
+		});
+	});
+	const server = started.unwrapOrElse(why => assert.fail(why.detail));
+	const [host, port] = server.address.split(':');
+	const socket = connect(Number(port), host);
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	const head = 'GET /a HTTP/1.1\r\nhost: host\r\n\r\n';
+	socket.write(head);
+	await until(() => held.length === 1);
+	const closing = server.close();
+	await pause(closingMilliseconds);
+	socket.write(head);
+	await pause(closingMilliseconds);
+	held[0]!();
+	await until(() => held.length === 2 || text.includes(' 503 '));
+	assert.equal(held.length, 2, text);
+	held[1]!();
+	await until(() => text.split('handled').length === 3);
+	socket.destroy();
+	await closing;
+});
