End a test file that hangs, and close the fake operator after a failed step

Cause: a failed step of the operators' session left its fake server listening; the file then ran on for ten minutes until it was ended by hand. Change: the server is closed in any case; the runner ends a file of unit tests after 10 minutes and one of deployments after 25.

--- a/packages/control-tool/test/test-session.ts
+++ b/packages/control-tool/test/test-session.ts
@@ -233,18 +233,20 @@
 	test(`session: ${name}`, async () => {
 		const folder = await makeFolder();
 		const server = await startFakeOperator(founded(), faults);
-		for (const step of steps) {
-			const parameters = step.parameters.replace('SERVER', server.url).replaceAll('FOLDER', folder).split(/ +/u);
-			const ended = await runTool(parameters);
-			assert.deepEqual({
-				code: ended.code,
-				stdout: linesOf(ended.stdout, server.url, folder),
-				stderr: linesOf(ended.stderr, server.url, folder),
-			}, {code: step.code, stdout: step.stdout ?? [], stderr: step.stderr ?? []}, step.parameters);
-			assert.ok(![operatorToken, teamToken, otherToken].some(token => (ended.stdout + ended.stderr).includes(token)), 'a token was printed');
+		try {
+			for (const step of steps) {
+				const parameters = step.parameters.replace('SERVER', server.url).replaceAll('FOLDER', folder).split(/ +/u);
+				const ended = await runTool(parameters);
+				assert.deepEqual({
+					code: ended.code,
+					stdout: linesOf(ended.stdout, server.url, folder),
+					stderr: linesOf(ended.stderr, server.url, folder),
+				}, {code: step.code, stdout: step.stdout ?? [], stderr: step.stderr ?? []}, step.parameters);
+				assert.ok(![operatorToken, teamToken, otherToken].some(token => (ended.stdout + ended.stderr).includes(token)), 'a token was printed');
+			}
+		} finally {
+			server.close();
+			await rm(folder, {recursive: true});
 		}
-
-		server.close();
-		await rm(folder, {recursive: true});
 	});
 }
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -10,6 +10,7 @@
 const root = new URL('..', import.meta.url).pathname;
 const word = process.argv[2] ?? '';
 const concurrentFiles = 4;
+const millisecondsPerMinute = 60_000;
 
 function testFiles() {
 	return readdirSync(`${root}packages`)
@@ -34,14 +35,15 @@
 
 const pattern = passingOver(red);
 
-function run(some, concurrency) {
+// A file that hangs is ended after so many minutes.
+function run(some, concurrency, longestMinutes) {
 	if (some.length === 0) {
 		return 0;
 	}
 
 	const ended = spawnSync(
 		process.execPath,
-		['--enable-source-maps', '--test', `--test-concurrency=${concurrency}`, '--test-reporter=spec', ...pattern, ...some],
+		['--enable-source-maps', '--test', `--test-concurrency=${concurrency}`, '--test-reporter=spec', `--test-timeout=${longestMinutes * millisecondsPerMinute}`, ...pattern, ...some],
 		{cwd: root, stdio: 'inherit'},
 	);
 	return ended.status ?? 1;
@@ -50,7 +52,7 @@
 // Tests that start whole deployments state times, so each has the machine to itself.
 const startsDeployments = file => /stand-in\/dist\/test\/test-(?:configuration|cuts|failures|remedies|session)\.js$/v.test(file);
 const statuses = [
-	run(files.filter(file => !startsDeployments(file)), concurrentFiles),
-	run(files.filter(file => startsDeployments(file)), 1),
+	run(files.filter(file => !startsDeployments(file)), concurrentFiles, 10),
+	run(files.filter(file => startsDeployments(file)), 1, 25),
 ];
 process.exitCode = Math.max(...statuses);
