Write down that a roster's change was reported, for the next leader

Cause: a zone of two that loses a member together with the leader never had a steward again: the next leader knew of no report of the roster's last change, so it took no seat away, and without a majority there is no steward to report. Ruled out: the new leader's read (operators' changes were accepted), the checks of calls between instances, the due timers. Change: the leader proposes rosterSettled once a zone's steward has reported a change; later leaders may then make the next one. What makes it safe, that no steward can be elected on the roster before, doesn't depend on who leads.

--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -171,6 +171,7 @@
 	keyUnpinned: toOwnership,
 	instanceSeated: toOwnership,
 	instanceUnseated: toOwnership,
+	rosterSettled: toOwnership,
 	zoneReleased: toOwnership,
 	moveWished: takeWish,
 	drainAsked: drain,
--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -11,7 +11,7 @@
 } from '@dogwooddeck/model/identifiers';
 import {type SeatRequest} from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
-import {mayChangeRoster, proposeSeat} from '@dogwooddeck/ownership/seat';
+import {mayChangeRoster, proposeSeat, settleRosters} from '@dogwooddeck/ownership/seat';
 import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {type OwnershipCommand, type ZoneRoster} from '@dogwooddeck/ownership/table';
 import {grantorWait} from '@dogwooddeck/ownership/terms';
@@ -124,7 +124,7 @@
 
 function settlingProposals(state: LeaderState, control: ControlState, now: MonotonicTime): Proposals {
 	const {grantor, commands} = settlePolicies(state.grantor, control.ownership, now);
-	return {state: {...state, grantor}, commands};
+	return {state: {...state, grantor}, commands: [...settleRosters(state.grantor, control.ownership), ...commands]};
 }
 
 /** What to propose now, as one entry. */
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -154,6 +154,20 @@
 			assert.deepEqual(world.members(), ['entry-1#1', 'entry-2#1']);
 		},
 	},
+	{
+		name: 'a member that is lost together with the leader loses its seat under the next one',
+		run() {
+			const world = begun('entry-1', 'entry-2');
+			world.pass(500, [], ['entry-1', 'entry-2']);
+			world.leader = createLeader(world.now, world.control, defaultLeaseTerms, (key, slots) => key.length % slots);
+			for (let count = 0; count < 20; count++) {
+				world.seat(instance('entry-1'));
+				world.pass(300, [], []);
+			}
+
+			assert.deepEqual(world.members(), ['entry-1#1']);
+		},
+	},
 	{
 		name: 'a leaving member gives its seat up at once',
 		run() {
--- a/packages/ownership/src/command.ts
+++ b/packages/ownership/src/command.ts
@@ -73,9 +73,12 @@
 	readonly changedAt?: LogIndex;
 };
 
+/** The zone's steward has reported the change of the roster at `changedAt`, so that the next one may be made, also by a later leader. */
+export type RosterSettled = {readonly kind: 'rosterSettled'; readonly zone: ZoneName; readonly changedAt: LogIndex};
+
 /** Any command to the ownership table. */
 export type OwnershipCommand =
 	| ServiceOpened | ServiceClosed | PolicyChanged | PolicySettled
 	| AssignmentsGranted | AssignmentsRevoked | AssignmentsReleased
 	| KeyPinned | KeyUnpinned
-	| InstanceSeated | InstanceUnseated | ZoneReleased;
+	| InstanceSeated | InstanceUnseated | RosterSettled | ZoneReleased;
--- a/packages/ownership/src/roster.ts
+++ b/packages/ownership/src/roster.ts
@@ -8,7 +8,9 @@
 import {type LogIndex, sameInstance, type ZoneName} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {err, ok, type Result} from 'true-myth/result';
-import {type InstanceSeated, type InstanceUnseated, type ZoneReleased} from './command.js';
+import {
+	type InstanceSeated, type InstanceUnseated, type RosterSettled, type ZoneReleased,
+} from './command.js';
 import {type OwnershipState, type ZoneRoster} from './state.js';
 
 function withRoster(state: OwnershipState, roster: ZoneRoster): OwnershipState {
@@ -67,6 +69,18 @@
 	return ok(withRoster(state, changed(roster, roster.members.filter(other => other !== member), index)));
 }
 
+/** Notes that a roster's last change was reported by the zone's steward. */
+export function settleRoster(command: RosterSettled, state: OwnershipState, _index: LogIndex): Result<OwnershipState, Failure> {
+	const roster = rosterOf(state, command.zone);
+	if (roster === undefined) {
+		return err(failure(FailureKind.notFound, `zone ${command.zone} is unknown`));
+	}
+
+	return roster.changedAt === command.changedAt
+		? ok(withRoster(state, {...roster, settledAt: command.changedAt}))
+		: err(outdated(roster));
+}
+
 /** Empties a roster and notes that the zone holds nothing any more. */
 export function releaseZone(command: ZoneReleased, state: OwnershipState, index: LogIndex): Result<OwnershipState, Failure> {
 	const roster = rosterOf(state, command.zone);
--- a/packages/ownership/src/seat.ts
+++ b/packages/ownership/src/seat.ts
@@ -17,11 +17,25 @@
 /** The seats of a zone. Its other instances get leases, but support no steward. */
 export const seatsPerZone = 9;
 
-/** Whether the zone's steward has reported the last change of its roster. */
-export function mayChangeRoster(grantor: GrantorState, roster: ZoneRoster): boolean {
+function isReported(grantor: GrantorState, roster: ZoneRoster): boolean {
 	return zoneOf(grantor, roster.zone).drained >= roster.changedAt;
 }
 
+/** Whether the zone's steward has reported the last change of its roster, to this leader or to one before. */
+export function mayChangeRoster(grantor: GrantorState, roster: ZoneRoster): boolean {
+	return roster.settledAt === roster.changedAt || isReported(grantor, roster);
+}
+
+/**
+ * What to write down for the next leader, which knows of no report: a zone may
+ * lose its majority, and with it its steward, together with the leader.
+ */
+export function settleRosters(grantor: GrantorState, table: OwnershipState): readonly OwnershipCommand[] {
+	return Object.values(table.rosters)
+		.filter(roster => roster.settledAt !== roster.changedAt && isReported(grantor, roster))
+		.map(({zone, changedAt}) => ({kind: 'rosterSettled', zone, changedAt}));
+}
+
 /**
  * Whether an instance is the next life of a roster's last member. It may take
  * the first seat at once, as it stays silent for as long as the leases of the
--- a/packages/ownership/src/state.ts
+++ b/packages/ownership/src/state.ts
@@ -18,6 +18,8 @@
 	/** The members before the last change: a steward may not have applied it yet. */
 	readonly previousMembers: readonly InstanceRecord[];
 	readonly changedAt: LogIndex;
+	/** The last change that the zone's steward is known to have reported. */
+	readonly settledAt?: LogIndex;
 	/** The last entry that released the zone. */
 	readonly releasedAt?: LogIndex;
 	readonly releaseReason?: ReleaseReason;
--- a/packages/ownership/src/table.ts
+++ b/packages/ownership/src/table.ts
@@ -9,7 +9,9 @@
 import {grantAssignments, releaseAssignments, revokeAssignments} from './assigning.js';
 import {type OwnershipCommand} from './command.js';
 import {pinKey, unpinKey} from './pinning.js';
-import {releaseZone, seatInstance, unseatInstance} from './roster.js';
+import {
+	releaseZone, seatInstance, settleRoster, unseatInstance,
+} from './roster.js';
 import {
 	changePolicy, closeService, openService, settlePolicy,
 } from './services.js';
@@ -27,6 +29,7 @@
 	keyUnpinned: unpinKey,
 	instanceSeated: seatInstance,
 	instanceUnseated: unseatInstance,
+	rosterSettled: settleRoster,
 	zoneReleased: releaseZone,
 };
 
--- a/packages/ownership/test/leadership.ts
+++ b/packages/ownership/test/leadership.ts
@@ -14,7 +14,7 @@
 	clear, createGrantor, type GrantorState, stepGrantor,
 } from '@dogwooddeck/ownership/grantor';
 import {type PolicyTerms} from '@dogwooddeck/ownership/policy';
-import {mayChangeRoster, proposeSeat} from '@dogwooddeck/ownership/seat';
+import {mayChangeRoster, proposeSeat, settleRosters} from '@dogwooddeck/ownership/seat';
 import {settlePolicies} from '@dogwooddeck/ownership/settling';
 import {type OwnershipCommand, type OwnershipState} from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
@@ -173,7 +173,8 @@
 		if (!leading.busy) {
 			const {grantor, commands} = settlePolicies(leading.grantor, table, now);
 			leading.grantor = grantor;
-			this.#propose(voter, leading, [...commands, ...this.#grants(leading, table, now), ...this.#changes(table), ...this.#unseatings(leading, table)].slice(0, 4));
+			const settled = settleRosters(grantor, table);
+			this.#propose(voter, leading, [...commands, ...settled, ...this.#grants(leading, table, now), ...this.#changes(table), ...this.#unseatings(leading, table)].slice(0, 4));
 		}
 	}
 
--- a/packages/ownership/test/test-table.ts
+++ b/packages/ownership/test/test-table.ts
@@ -90,6 +90,9 @@
 	},
 	{name: 'an operator releases whatever the roster is', commands: [seated, {kind: 'zoneReleased', zone: 'a', reason: 'declared-lost'}]},
 	{name: 'only the life that is seated is unseated', commands: [seated, laterUnseated], refused: ['2 not-found']},
+	{name: 'a settled roster names its change', commands: [seated, {kind: 'rosterSettled', zone: 'a', changedAt: 0}], refused: ['2 conflict']},
+	{name: 'a roster is settled at its change', commands: [seated, {kind: 'rosterSettled', zone: 'a', changedAt: 1}]},
+	{name: 'only a known roster is settled', commands: [{kind: 'rosterSettled', zone: 'a', changedAt: 1}], refused: ['1 not-found']},
 	{name: 'only a known zone is released', commands: [{kind: 'zoneReleased', zone: 'a', reason: 'declared-lost'}], refused: ['1 not-found']},
 	{name: 'a settled policy names its change', commands: [opened, {kind: 'policyChanged', service, policy}, {kind: 'policySettled', service, changedAt: 1}], refused: ['3 conflict']},
 ];
