Try for longer than it takes to elect another leader

Ruled out: a lost change (the same operation sent again is accepted), the new leader (elected 0.8 s after the kill). Change: rounds begin at once, after 500 ms and after 2500 ms more; there is no pause after the last. Conclusion: an operator's command outlives the loss of the leader.

--- a/packages/control-tool/src/client.ts
+++ b/packages/control-tool/src/client.ts
@@ -6,6 +6,7 @@
 import {failureOfProblem} from '@dogwooddeck/configuration/problem';
 import {authorHeader, largestOperatorBody, type OperatorPath} from '@dogwooddeck/configuration/messages';
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {err, ok, type Result} from 'true-myth/result';
 import {Agent, request} from 'undici';
 import type * as v from 'valibot';
@@ -25,8 +26,8 @@
 	readonly author?: string;
 };
 
-const rounds = 3;
-const pauseMilliseconds = 250;
+/** The pauses before the first and the later rounds over all servers. Together they are longer than it takes to elect another leader. */
+const pausesMilliseconds: readonly Milliseconds[] = [0, 500, 2500];
 const largestAnswerBytes = 16 * largestOperatorBody;
 
 const notSentCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
@@ -81,7 +82,8 @@
 
 async function attemptAll(agent: Agent, connection: Connection, sent: OperatorRequest): Promise<readonly Attempt[]> {
 	const attempts: Attempt[] = [];
-	for (let round = 0; round < rounds; round += 1) {
+	for (const duration of pausesMilliseconds) {
+		await pause(duration);
 		for (const server of connection.servers) {
 			const next = await attempt(agent, server, connection, sent);
 			attempts.push(next);
@@ -89,8 +91,6 @@
 				return attempts;
 			}
 		}
-
-		await pause(pauseMilliseconds);
 	}
 
 	return attempts;
