Take a limit's share only for the newest demand

An instance could have several demands under way. Each tells control what the instance holds, and control forgets what it gave before beyond that; the answer to an earlier demand, which arrived later, was taken all the same and spent a share that control no longer counted. Ruled out: late answers counted together (the check counts only what lies wholly in a window), the division's own sums (its seeded schedules hold). Change: one demand is under way at a time, made again after 3 s, and only the newest demand's answer is taken.

--- a/packages/daemon/src/limiter.ts
+++ b/packages/daemon/src/limiter.ts
@@ -48,8 +48,11 @@
 	bucket: BucketState;
 	share: number;
 	shareUntil: MonotonicTime;
-	/** The demands that aren't answered yet, by sequence. */
-	readonly asked: Map<number, {readonly at: MonotonicTime; readonly wanted: number}>;
+	/**
+	 * The newest demand, until it is answered. No other answer is taken: by this
+	 * demand control learned which share is in force, and forgot any that it gave before.
+	 */
+	asked: {readonly sequence: number; readonly at: MonotonicTime; readonly wanted: number} | undefined;
 	/** What was wanted by the demand that the share answers. */
 	answeredFor: number;
 	/** The costs that were asked for in this interval and in the one before. */
@@ -64,7 +67,8 @@
 const demandMilliseconds: Milliseconds = 1000;
 /** A limit that no request met for this long is asked for no more. */
 const idleMilliseconds: Milliseconds = 60_000;
-const askedAtMost = 32;
+/** A demand that isn't answered within this is made again. */
+const answerMilliseconds: Milliseconds = 3000;
 const entriesAtMost = 10_000;
 const waitMilliseconds: Milliseconds = 25;
 /** A spent share is refused when no answer about a larger one came within this, as in a cut. */
@@ -130,7 +134,7 @@
 			bucket: createBucket(effective),
 			share: isOwn ? effective.amount : 0,
 			shareUntil: isOwn ? Infinity : -Infinity,
-			asked: new Map(),
+			asked: undefined,
 			answeredFor: 0,
 			wanted: 0,
 			wantedBefore: 0,
@@ -197,14 +201,14 @@
 		return Math.max(1, entry.wanted, entry.wantedBefore);
 	}
 
+	function isAsked({asked}: Entry, now: MonotonicTime): boolean {
+		return asked !== undefined && now < asked.at + answerMilliseconds;
+	}
+
 	function demandOf(entry: Entry, now: MonotonicTime): LimitDemand {
 		sequence += 1;
 		const wanted = wantedOf(entry);
-		entry.asked.set(sequence, {at: now, wanted});
-		if (entry.asked.size > askedAtMost) {
-			entry.asked.delete(entry.asked.keys().next().value!);
-		}
-
+		entry.asked = {sequence, at: now, wanted};
 		const held = shareNow(entry, now);
 		return {
 			service: entry.service,
@@ -300,21 +304,20 @@
 				dropIdle(now);
 			}
 
-			const wanted = [...entries.values()].filter(entry => entry.effective.scope === LimitScope.deployment && (isDue || entry.waits));
-			return wanted.map(entry => demandOf(entry, now));
+			const asking = [...entries.values()].filter(entry =>
+				entry.effective.scope === LimitScope.deployment && (isDue || entry.waits) && !isAsked(entry, now));
+			return asking.map(entry => demandOf(entry, now));
 		},
 		takeShares(shares) {
 			const now = monotonicNow();
 			for (const share of shares) {
 				const entry = entries.get(`${share.service}\n${share.limit}\n${share.caller}`);
-				const asked = entry?.asked.get(share.sequence);
-				if (entry === undefined || asked === undefined) {
+				const asked = entry?.asked;
+				if (entry === undefined || asked?.sequence !== share.sequence) {
 					continue;
 				}
 
-				for (const earlier of [...entry.asked.keys()].filter(key => key <= share.sequence)) {
-					entry.asked.delete(earlier);
-				}
+				entry.asked = undefined;
 
 				entry.bucket = admit(entry.bucket, wallNow(), now, 0, share.amount).state;
 				entry.share = share.amount;
--- /dev/null
+++ b/packages/daemon/test/test-limiter.ts
@@ -0,0 +1,226 @@
+/**
+ * The limiter of an instance against the division of control: demands and
+ * answers that are late, lost or overtaken, on the paused clock.
+ */
+import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {mock, test} from 'node:test';
+import {createSharing, shareOut, type SharingState} from '@dogwooddeck/limits/sharing';
+import {effectiveLimit} from '@dogwooddeck/limits/unit';
+import {
+	Counted, defaultContract, LimitScope, Rounding, type ServiceContract, WindowForm,
+} from '@dogwooddeck/model/contract';
+import {type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createLimiter, type Limiter} from '../src/limiter.js';
+
+const amount = 200;
+const windowMilliseconds = 10_000;
+const head = {method: 'GET', path: '/schedule/verge-1', headers: {}};
+const contract: ServiceContract = {
+	...defaultContract,
+	name: 'team/service',
+	prefix: '/schedule',
+	key: {place: 'path', segment: 0},
+	units: [{
+		name: 'piece', counts: Counted.requests, countedPerUnit: 1, intervalMilliseconds: windowMilliseconds, window: WindowForm.sliding, burst: 1, rounding: Rounding.down, scope: LimitScope.deployment,
+	}],
+	limits: [{
+		name: 'limit', unit: 'piece', amount,
+	}],
+};
+const limit = effectiveLimit(contract.limits[0]!, contract.units).unwrapOrElse(why => assert.fail(why.detail));
+
+let now = 0;
+
+function onPausedClock(run: () => void): void {
+	now = 1_000_000;
+	mock.method(performance, 'now', () => now);
+	mock.method(Date, 'now', () => now);
+	try {
+		run();
+	} finally {
+		mock.reset();
+	}
+}
+
+function limiterOf(name: string): Limiter {
+	return createLimiter({name, incarnation: 1}, () => undefined);
+}
+
+function answer({service, limit: name, caller, holder, sequence}: LimitDemand, granted: number): LimitShare {
+	return {
+		service, limit: name, caller, holder, sequence, amount: granted, validMilliseconds: 15_000,
+	};
+}
+
+function admits(limiter: Limiter): boolean {
+	return limiter.admit(contract, head, true).isOk;
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly run: (limiter: Limiter) => void}> = [
+	{
+		name: 'a request waits for the first share',
+		run(limiter) {
+			assert.equal(admits(limiter), false);
+			const [demand] = limiter.takeDemands();
+			limiter.takeShares([answer(demand!, 1)]);
+			assert.equal(admits(limiter), true);
+			assert.equal(admits(limiter), false);
+		},
+	},
+	{
+		name: 'one demand is under way at a time',
+		run(limiter) {
+			admits(limiter);
+			assert.equal(limiter.takeDemands().length, 1);
+			now += 1000;
+			assert.equal(limiter.takeDemands().length, 0);
+		},
+	},
+	{
+		name: 'a demand without an answer is made again',
+		run(limiter) {
+			admits(limiter);
+			const [first] = limiter.takeDemands();
+			now += 5000;
+			const [second] = limiter.takeDemands();
+			assert.ok(second!.sequence > first!.sequence);
+		},
+	},
+	{
+		name: 'an answer is taken for the newest demand alone: control no longer counts what it gave for the one before',
+		run(limiter) {
+			admits(limiter);
+			const [first] = limiter.takeDemands();
+			now += 5000;
+			const [second] = limiter.takeDemands();
+			limiter.takeShares([answer(first!, 100)]);
+			assert.equal(admits(limiter), false);
+			limiter.takeShares([answer(second!, 1)]);
+			assert.equal(admits(limiter), true);
+			assert.equal(admits(limiter), false);
+		},
+	},
+	{
+		name: 'a spent share that was given for little is asked for anew at once',
+		run(limiter) {
+			admits(limiter);
+			limiter.takeShares([answer(limiter.takeDemands()[0]!, 2)]);
+			assert.deepEqual([admits(limiter), admits(limiter), admits(limiter)], [true, true, false]);
+			assert.equal(limiter.lacksShares(), true);
+			assert.equal(limiter.takeDemands()[0]!.wanted, 3);
+		},
+	},
+];
+
+for (const {name, run} of cases) {
+	test(`limiter: ${name}`, () => {
+		onPausedClock(() => {
+			run(limiterOf('entry-1'));
+		});
+	});
+}
+
+const stepMilliseconds = 20;
+const renewMilliseconds = 240;
+const lackingMilliseconds = 60;
+const durationMilliseconds = 60_000;
+const instances = 4;
+const busyMilliseconds = 7000;
+
+type Faults = {
+	readonly delayMilliseconds: number;
+	/** In hundredths of all messages. */
+	readonly loss: number;
+	/** Another leader begins at this time. */
+	readonly newLeaderAt?: number;
+};
+
+type Mail = {readonly at: number; readonly take: () => void};
+
+/** Instances whose demands travel to one leader; gives the times at which requests were admitted. */
+function play(seed: number, {delayMilliseconds, loss, newLeaderAt = Infinity}: Faults): readonly number[] {
+	const random = xoroshiro128plus(seed);
+	const pick = (below: number) => uniformInt(random, 0, below - 1);
+	const limiters = Array.from({length: instances}, (_, number) => limiterOf(`entry-${number}`));
+	const askedAt = limiters.map(() => -Infinity);
+	const admitted: number[] = [];
+	let sharing: SharingState = createSharing(now, []);
+	let mail: Mail[] = [];
+	const start = now;
+	const send = (take: () => void) => {
+		if (pick(100) >= loss) {
+			mail.push({at: now + pick(delayMilliseconds), take});
+		}
+	};
+
+	const ask = (limiter: Limiter) => {
+		for (const demand of limiter.takeDemands()) {
+			send(() => {
+				const answered = shareOut(sharing, demand, limit, instances, now);
+				sharing = answered.state;
+				if (answered.share !== undefined) {
+					send(() => {
+						limiter.takeShares([answered.share!]);
+					});
+				}
+			});
+		}
+	};
+
+	for (; now < start + durationMilliseconds; now += stepMilliseconds) {
+		if (now - start === newLeaderAt) {
+			sharing = createSharing(now, [contract.name]);
+		}
+
+		const due = mail.filter(({at}) => at <= now);
+		mail = mail.filter(({at}) => at > now);
+		for (const {take} of due) {
+			take();
+		}
+
+		const busy = Math.floor((now - start) / busyMilliseconds) % instances;
+		for (const [number, limiter] of limiters.entries()) {
+			for (let request = pick(number === busy ? 6 : 2); request > 0; request--) {
+				admitted.push(...admits(limiter) ? [now] : []);
+			}
+
+			if (now >= askedAt[number]! + (limiter.lacksShares() ? lackingMilliseconds : renewMilliseconds)) {
+				askedAt[number] = now;
+				ask(limiter);
+			}
+		}
+	}
+
+	return admitted;
+}
+
+function mostInWindow(times: readonly number[]): number {
+	return Math.max(0, ...times.map((time, position) => times.filter((other, index) => index >= position && other < time + windowMilliseconds).length));
+}
+
+const seed = Number(process.env.SEED ?? 1);
+const runs = 5;
+
+const schedules: ReadonlyArray<{readonly name: string; readonly faults: Faults}> = [
+	{name: 'quick answers', faults: {delayMilliseconds: 20, loss: 0}},
+	{name: 'answers that overtake each other', faults: {delayMilliseconds: 800, loss: 0}},
+	{name: 'slow answers', faults: {delayMilliseconds: 4000, loss: 0}},
+	{name: 'loss', faults: {delayMilliseconds: 400, loss: 20}},
+	{name: 'another leader', faults: {delayMilliseconds: 800, loss: 5, newLeaderAt: 20_000}},
+];
+
+for (const {name, faults} of schedules) {
+	test(`limiters: no window has more than the contract: ${name} (seeds from ${seed})`, () => {
+		for (let run = 0; run < runs; run++) {
+			onPausedClock(() => {
+				const admitted = play(seed + run, faults);
+				const most = mostInWindow(admitted);
+				assert.ok(admitted.length > amount && most <= amount, `${most} of ${amount} in one window, seed ${seed + run}`);
+			});
+		}
+	});
+}
