Keep a part of each limit for the zones, which their stewards divide

Cause: an instance's share of a limit holds 15 s, so a zone that was cut off refused every limited request after that, against the promise that it goes on serving what it can.

Change: a limit has a reserve (`cut_reserve`) that is split over the listed zones; control divides the rest and each zone's steward its zone's part, with the same division. A part that grows at the cost of the others waits until their shares are remembered by no window.

--- a/packages/configuration/src/contract-schema.ts
+++ b/packages/configuration/src/contract-schema.ts
@@ -4,7 +4,7 @@
  * (the plain data of the model). Both give the same contract.
  */
 import {
-	Counted, defaultContract, Importance, KeyPlace, LimitScope, Rounding, Weigh, WhenCut, WindowForm, type ServiceContract,
+	Counted, defaultContract, defaultCutReserve, Importance, KeyPlace, LimitScope, Rounding, Weigh, WhenCut, WindowForm, type ServiceContract,
 } from '@dogwooddeck/model/contract';
 import * as v from 'valibot';
 import {
@@ -31,6 +31,7 @@
 	burst: boundedNumber(1, 1000),
 	attempts: wholeNumber(1, 10),
 	budgetRatio: boundedNumber(0, 1),
+	reserve: boundedNumber(0, 1),
 	parallel: wholeNumber(1, 10_000),
 	connections: wholeNumber(1, 1_000_000),
 	statuses: boundedList(statusField, 32),
@@ -71,7 +72,7 @@
 		scope: oneOf(LimitScope),
 	})),
 	limits: boundedList(strictObject({
-		name: nameField, amount: shared.amount, unit: nameField, callerHeader: v.exactOptional(headerField),
+		name: nameField, amount: shared.amount, unit: nameField, callerHeader: v.exactOptional(headerField), cutReserve: v.exactOptional(shared.reserve),
 	})),
 	objectives: boundedList(strictObject({
 		name: nameField,
@@ -132,9 +133,9 @@
 
 const fileLimit = v.pipe(
 	strictObject({
-		name: nameField, amount: shared.amount, unit: nameField, caller_header: v.exactOptional(headerField),
+		name: nameField, amount: shared.amount, unit: nameField, caller_header: v.exactOptional(headerField), cut_reserve: v.optional(shared.reserve, defaultCutReserve),
 	}),
-	v.transform(({caller_header: callerHeader, ...limit}) => ({...limit, ...(callerHeader === undefined ? {} : {callerHeader})})),
+	v.transform(({caller_header: callerHeader, cut_reserve: cutReserve, ...limit}) => ({...limit, cutReserve, ...(callerHeader === undefined ? {} : {callerHeader})})),
 );
 
 const fileObjective = v.pipe(
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -3,11 +3,9 @@
  * tick proposes the commands that the state of the world asks for. Its own
  * state is volatile: the next leader begins anew.
  */
-import {contractOf, contractsOf} from '@dogwooddeck/configuration/tree';
-import {
-	createSharing, shareOut, type SharingState, sweepSharing,
-} from '@dogwooddeck/limits/sharing';
-import {effectiveLimit, type EffectiveLimit} from '@dogwooddeck/limits/unit';
+import {contractsOf} from '@dogwooddeck/configuration/tree';
+import {controlPart} from '@dogwooddeck/limits/reserve';
+import {createSharing, shareOutAll, type SharingState} from '@dogwooddeck/limits/sharing';
 import {advanceWatch, createWatch, type WatchState} from '@dogwooddeck/membership/watch';
 import {
 	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime, type ServiceName, type UpstreamIdentity,
@@ -15,7 +13,6 @@
 import {
 	type DelegationAnswer, type DelegationRequest, type Report, type SeatRequest,
 } from '@dogwooddeck/model/lease';
-import {type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
 import {createGrantor, type GrantorState, stepGrantor} from '@dogwooddeck/ownership/grantor';
 import {seatedInstances} from '@dogwooddeck/ownership/table';
@@ -25,6 +22,7 @@
 import {type PlacementState} from '@dogwooddeck/placement/input';
 import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {type ControlCommand} from './command.js';
+import {demandedPart} from './limit-part.js';
 import {type ServiceLook} from './plan-due.js';
 import {proposals} from './proposals.js';
 import {type ControlState} from './state.js';
@@ -113,26 +111,9 @@
 	return Object.fromEntries(loads);
 }
 
-function limitOf({configuration}: ControlState, demand: LimitDemand): EffectiveLimit | undefined {
-	const contract = contractOf(configuration, demand.service);
-	const limit = contract?.limits.find(({name}) => name === demand.limit);
-	return contract === undefined || limit === undefined ? undefined : effectiveLimit(limit, contract.units).unwrapOr(undefined);
-}
-
 function answerDemands(state: LeaderState, {now, control, request}: EventOf<'delegationRequested'>) {
-	let sharing = sweepSharing(state.sharing, now);
-	const instances = seatedInstances(control.ownership).length;
-	const shares: LimitShare[] = [];
-	for (const demand of request.report.demands) {
-		const limit = limitOf(control, demand);
-		const answered = limit === undefined ? undefined : shareOut(sharing, demand, limit, instances, now);
-		sharing = answered?.state ?? sharing;
-		if (answered?.share !== undefined) {
-			shares.push(answered.share);
-		}
-	}
-
-	return {sharing, shares};
+	const demanded = request.report.demands.map(demand => ({demand, part: demandedPart(control, demand, controlPart)}));
+	return shareOutAll(state.sharing, demanded, seatedInstances(control.ownership).length, now);
 }
 
 function hearAll(state: LeaderState, instances: readonly InstanceIdentity[], now: MonotonicTime): LeaderState['heard'] {
@@ -147,7 +128,7 @@
 	const watch = advanceWatch(state.watch, {
 		kind: 'reportReceived', now, report: request.report, reporter: {zone: request.zone, instance: request.steward.name},
 	}).state;
-	const {sharing, shares} = answerDemands(state, event);
+	const {state: sharing, shares} = answerDemands(state, event);
 	return {
 		state: {
 			...state, sharing, grantor: granted.state, watch, loads: takeLoads(state, event), heard: hearAll(state, request.holders ?? [], now),
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -85,7 +85,7 @@
 	const evidence = createEvidenceRecorder();
 	const measures = createMeasures();
 	const requestMeasures = createRequestMeasures(measures);
-	const limiter = createLimiter(identity, () => {
+	const limiter = createLimiter(self, () => {
 		zone.look();
 	});
 	const ownReports = createReportCollector(identity, () => evidence.take(), () => limiter.takeDemands());
--- /dev/null
+++ b/packages/daemon/src/limit-admission.ts
@@ -0,0 +1,59 @@
+/** Charges a request to all limits that it meets, or to none. */
+import {admit, type Admission} from '@dogwooddeck/limits/bucket';
+import {
+	type ContractedLimit, Counted, type ServiceContract,
+} from '@dogwooddeck/model/contract';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type MonotonicTime, type WallTime} from '@dogwooddeck/model/identifiers';
+import {type RequestHead} from '@dogwooddeck/routing/target';
+import {err, ok, type Result} from 'true-myth/result';
+import {type LimitEntry, shareNow} from './limit-entry.js';
+
+/** A limit that a request meets, and what the request costs under it. */
+export type Charge = {readonly entry: LimitEntry; readonly cost: number};
+
+/** The limit that refuses a request. */
+export type Refusal = {readonly entry: LimitEntry; readonly admission: Admission};
+
+const longestCaller = 128;
+
+type Cost = (contract: ServiceContract, head: RequestHead, idempotent: boolean) => number;
+
+/** What a request costs, in counted things. */
+export const costs: Readonly<Record<Counted, Cost>> = {
+	[Counted.requests]: () => 1,
+	[Counted.changes]: (_contract, _head, idempotent) => idempotent ? 0 : 1,
+	[Counted.bodyBytes](contract, head) {
+		const length = head.headers['content-length'];
+		const isChunked = head.headers['transfer-encoding'] !== undefined;
+		return isChunked ? contract.largestBodyBytes : Number(length ?? 0);
+	},
+};
+
+/** The caller that a limit holds for; empty where all callers share it. */
+export function callerOf({callerHeader}: ContractedLimit, head: RequestHead): string {
+	const value = callerHeader === undefined ? undefined : head.headers[callerHeader];
+	return typeof value === 'string' ? value.slice(0, longestCaller) : '';
+}
+
+/** Charges all limits, where all admit the request; fails with the first that doesn't. */
+export function chargeAll(charges: readonly Charge[], wall: WallTime, now: MonotonicTime): Result<undefined, Refusal> {
+	const admissions = charges.map(({entry, cost}) => ({entry, admission: admit(entry.bucket, wall, now, cost, shareNow(entry, now))}));
+	const refusal = admissions.find(({admission}) => !admission.admitted);
+	if (refusal !== undefined) {
+		return err(refusal);
+	}
+
+	for (const {entry, admission} of admissions) {
+		entry.bucket = admission.state;
+	}
+
+	return ok(undefined);
+}
+
+/** The failure of a request that a spent limit refuses. */
+export function limitReached({entry: {limit, service}, admission}: Refusal): Failure {
+	return failure(FailureKind.limitReached, `the contracted limit ${limit} of ${service} is spent`, {
+		retryAfterMilliseconds: admission.retryAfterMilliseconds,
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/limit-demand.ts
@@ -0,0 +1,99 @@
+/** What an instance asks control and its zone's steward for, and what it takes of their answers. */
+import {usedShare} from '@dogwooddeck/limits/bucket';
+import {mayGrow} from '@dogwooddeck/limits/growth';
+import {LimitScope} from '@dogwooddeck/model/contract';
+import {
+	type Milliseconds, type MonotonicTime, type WallTime,
+} from '@dogwooddeck/model/identifiers';
+import {Divider, type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
+import {
+	type Grant, grantNow, type LimitEntry, noteShare, shareNow, wantedOf,
+} from './limit-entry.js';
+
+/** A demand that isn't answered within this is made again. */
+const answerMilliseconds: Milliseconds = 3000;
+/** By how much the wall clocks of instances may differ. */
+const skewMilliseconds: Milliseconds = 1000;
+
+/** What a demand is made of, beside the entry. */
+export type DemandSource = {
+	readonly holder: string;
+	readonly sequence: number;
+	readonly now: MonotonicTime;
+	readonly wall: WallTime;
+};
+
+function isAsked({asked}: Grant, now: MonotonicTime): boolean {
+	return asked !== undefined && now < asked.at + answerMilliseconds;
+}
+
+/** Whether a spent share may be larger for the asking. */
+export function grantMayGrow(entry: LimitEntry, divider: Divider, now: MonotonicTime): boolean {
+	const grant = entry.grants[divider];
+	return entry.effective.scope === LimitScope.deployment && mayGrow({
+		share: grantNow(grant, now), amount: grant.partAmount, answeredFor: grant.answeredFor, wanted: wantedOf(entry, divider, now),
+	});
+}
+
+type Urgency = (entry: LimitEntry, now: MonotonicTime) => boolean;
+
+/** Whether a divider is asked between the regular demands. */
+const isUrgent: Readonly<Record<Divider, Urgency>> = {
+	[Divider.control]: ({waitsSince}) => waitsSince !== undefined,
+	[Divider.zone]: (entry, now) => entry.waitsSince !== undefined && grantMayGrow(entry, Divider.zone, now),
+};
+
+/** The dividers to ask now. A reserve that is nothing is not asked for. */
+export function dividersToAsk(entry: LimitEntry, isDue: boolean, now: MonotonicTime): readonly Divider[] {
+	if (entry.effective.scope !== LimitScope.deployment) {
+		return [];
+	}
+
+	return Object.values(Divider).filter(divider => {
+		const grant = entry.grants[divider];
+		const holdsAny = grant.partAmount > 0 || divider === Divider.control;
+		return holdsAny && !isAsked(grant, now) && (isDue || isUrgent[divider](entry, now));
+	});
+}
+
+/** Makes the newest demand to a divider. What was used counts fully to each: it may have been used under either share. */
+export function makeDemand(entry: LimitEntry, divider: Divider, {holder, sequence, now, wall}: DemandSource): LimitDemand {
+	const grant = entry.grants[divider];
+	const wanted = wantedOf(entry, divider, now);
+	const held = grantNow(grant, now);
+	grant.asked = {sequence, at: now, wanted};
+	return {
+		service: entry.service,
+		limit: entry.limit,
+		caller: entry.caller,
+		divider,
+		holder,
+		sequence,
+		wanted,
+		held,
+		usable: Math.max(held, usedShare(entry.bucket, wall, now, skewMilliseconds)),
+	};
+}
+
+/** Takes an answer to the newest demand. Tells by whom it was given; nobody, where it answers an older one. */
+export function takeShare(entry: LimitEntry, share: LimitShare, wall: WallTime, now: MonotonicTime): Divider | undefined {
+	const divider = Object.values(Divider).find(one => entry.grants[one].asked?.sequence === share.sequence);
+	if (divider === undefined) {
+		return undefined;
+	}
+
+	const grant = entry.grants[divider];
+	const {at, wanted} = grant.asked!;
+	noteShare(entry, wall, now);
+	grant.asked = undefined;
+	grant.amount = share.amount;
+	grant.until = at + share.validMilliseconds;
+	grant.answeredFor = wanted;
+	noteShare(entry, wall, now);
+	return divider;
+}
+
+/** Whether a request has to wait for the first share: none is held, and control has not answered yet. */
+export function awaitsFirstShare(entry: LimitEntry, now: MonotonicTime): boolean {
+	return entry.grants.control.until === -Infinity && shareNow(entry, now) === 0;
+}
--- a/packages/daemon/src/report-collector.ts
+++ b/packages/daemon/src/report-collector.ts
@@ -45,8 +45,8 @@
 		.map(([key, requests]) => ({service, key, requests}));
 }
 
-function demandKey({service, limit, caller, holder}: LimitDemand): string {
-	return JSON.stringify([service, limit, caller, holder]);
+function demandKey({service, limit, caller, divider, holder}: LimitDemand): string {
+	return JSON.stringify([service, limit, caller, divider, holder]);
 }
 
 /** Makes an empty collector. `takeEvidence` gives the evidence of this instance's own requests. */
--- a/packages/daemon/src/share-post.ts
+++ b/packages/daemon/src/share-post.ts
@@ -3,7 +3,7 @@
  */
 import {type InstanceIdentity} from '@dogwooddeck/model/identifiers';
 import {type LimitShare} from '@dogwooddeck/model/share';
-import {shareHolder} from './limiter.js';
+import {shareHolder} from './share-holder.js';
 
 /** Shares on their way to instances. */
 export type SharePost = {
--- /dev/null
+++ b/packages/daemon/src/zone-limits.ts
@@ -0,0 +1,38 @@
+/**
+ * Divides the zone's reserve of each limit over the zone's instances, while this
+ * instance is the zone's steward, whether the zone is cut off or not.
+ */
+import {demandedPart, type PartOfLimit} from '@dogwooddeck/control/limit-part';
+import {type ControlState} from '@dogwooddeck/control/state';
+import {zonePart} from '@dogwooddeck/limits/reserve';
+import {createZoneSharing, shareOutAll, type SharingState} from '@dogwooddeck/limits/sharing';
+import {type MonotonicTime, type ZoneName} from '@dogwooddeck/model/identifiers';
+import {type Report} from '@dogwooddeck/model/lease';
+import {Divider, type LimitShare} from '@dogwooddeck/model/share';
+
+/** The steward's division. Updated in place. */
+export type ZoneLimits = {
+	/** Answers the demands of a report that are for the zone, and gives the report without them. `electedAt` is the start of the tenure: a later one begins anew. */
+	readonly answer: (report: Report, control: ControlState, electedAt: MonotonicTime, now: MonotonicTime) => {
+		readonly report: Report;
+		readonly shares: readonly LimitShare[];
+	};
+};
+
+/** Makes the division of a zone's steward. */
+export function createZoneLimits(zone: ZoneName): ZoneLimits {
+	let sharing: SharingState = createZoneSharing(-Infinity);
+	const partOf: PartOfLimit = (contract, contracted, limit) => zonePart(contract, contracted, limit, zone);
+	return {
+		answer(report, control, electedAt, now) {
+			sharing = sharing.startedAt === electedAt ? sharing : createZoneSharing(electedAt);
+			const demanded = report.demands.filter(({divider}) => divider === Divider.zone)
+				.map(demand => ({demand, part: demandedPart(control, demand, partOf)}));
+			const members = control.ownership.rosters[zone]?.members.length ?? 0;
+			const answered = shareOutAll(sharing, demanded, members, now);
+			sharing = answered.state;
+			const passedOn = report.demands.filter(({divider}) => divider === Divider.control);
+			return {report: {...report, demands: passedOn}, shares: answered.shares};
+		},
+	};
+}
--- a/packages/daemon/src/zone-runner.ts
+++ b/packages/daemon/src/zone-runner.ts
@@ -33,6 +33,7 @@
 import {type ControlRunner} from './control-runner.js';
 import {type ReportCollector} from './report-collector.js';
 import {createSharePost} from './share-post.js';
+import {createZoneLimits} from './zone-limits.js';
 
 /** This instance's part in its zone. */
 export type ZoneRunner = {
@@ -95,6 +96,7 @@
 	let drained: LogIndex = 0;
 	const notified = new Map<InstanceName, number>();
 	const sharePost = createSharePost();
+	const zoneLimits = createZoneLimits(self.zone);
 	const leaseAskers = new Map<InstanceName, {readonly instance: InstanceRecord; readonly at: MonotonicTime}>();
 
 	function zoneMembers(): readonly InstanceRecord[] {
@@ -184,7 +186,9 @@
 			return err(failure(FailureKind.notLeader, `${self.name} is not the steward of ${self.zone}`, leader === undefined ? {} : {leader}));
 		}
 
-		surroundings.zoneReports.merge(request.report);
+		const limited = zoneLimits.answer(request.report, holder.state(), state.electedAt!, now);
+		surroundings.zoneReports.merge(limited.report);
+		sharePost.put(limited.shares);
 		leaseAskers.set(request.instance.name, {instance: request.instance, at: now});
 		leaseAnswer = undefined;
 		step({kind: 'leaseRequested', now, request});
--- a/packages/daemon/test/test-limiter.ts
+++ b/packages/daemon/test/test-limiter.ts
@@ -11,7 +11,7 @@
 import {
 	Counted, defaultContract, LimitScope, Rounding, type ServiceContract, WindowForm,
 } from '@dogwooddeck/model/contract';
-import {type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
+import {Divider, type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createLimiter, type Limiter} from '../src/limiter.js';
@@ -47,7 +47,7 @@
 }
 
 function limiterOf(name: string): Limiter {
-	return createLimiter({name, incarnation: 1}, () => undefined);
+	return createLimiter({name, incarnation: 1, zone: 'noord-a'}, () => undefined);
 }
 
 function answer({service, limit: name, caller, holder, sequence}: LimitDemand, granted: number): LimitShare {
@@ -160,7 +160,7 @@
 	const ask = (limiter: Limiter) => {
 		for (const demand of limiter.takeDemands()) {
 			send(() => {
-				const answered = shareOut(sharing, demand, limit, instances, now);
+				const answered = shareOut(sharing, demand, {limit, amount}, instances, now);
 				sharing = answered.state;
 				if (answered.share !== undefined) {
 					send(() => {
--- a/packages/limits/test/test-sharing.ts
+++ b/packages/limits/test/test-sharing.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Counted, LimitScope, WindowForm} from '@dogwooddeck/model/contract';
-import {type LimitDemand} from '@dogwooddeck/model/share';
+import {Divider, type LimitDemand} from '@dogwooddeck/model/share';
 import {
 	createSharing, shareMilliseconds, shareOut, type SharingState,
 } from '@dogwooddeck/limits/sharing';
@@ -15,7 +15,7 @@
 
 function demand(holder: string, sequence: number, wanted: number, held = 0): LimitDemand {
 	return {
-		service: 'team/service', limit: 'limit', caller: '', holder, sequence, wanted, held, usable: held,
+		service: 'team/service', limit: 'limit', caller: '', divider: Divider.control, holder, sequence, wanted, held, usable: held,
 	};
 }
 
@@ -24,7 +24,7 @@
 function amounts(state: SharingState, asked: readonly Asked[], instances: number): readonly number[] {
 	let next = state;
 	return asked.map(({at, demand: one}) => {
-		const answered = shareOut(next, one, limit, instances, at);
+		const answered = shareOut(next, one, {limit, amount: limit.amount}, instances, at);
 		next = answered.state;
 		return answered.share?.amount ?? -1;
 	});
--- a/packages/model/src/contract.ts
+++ b/packages/model/src/contract.ts
@@ -156,6 +156,8 @@
 	readonly unit: string;
 	/** The header field whose value names the caller that the limit holds for. Absent: all callers together. */
 	readonly callerHeader?: string;
+	/** The part of the amount, from 0 to 1, that is divided over the zones of `upstream.zones` for the time of a cut. Absent: none. */
+	readonly cutReserve?: number;
 };
 
 /** A service-level objective. */
@@ -169,6 +171,9 @@
 	readonly periodDays: number;
 };
 
+/** The `cutReserve` of a limit whose contract file says nothing else. */
+export const defaultCutReserve = 0.2;
+
 /** All that is contracted about one service. */
 export type ServiceContract = {
 	readonly name: ServiceName;
--- a/packages/wire/src/methods.ts
+++ b/packages/wire/src/methods.ts
@@ -65,7 +65,7 @@
 function reportFrom(wire: generated.Report | undefined): Report {
 	const report = wire ?? emptyWireReport;
 	const evidence = report.evidence.filter(item => item.upstream !== undefined && item.seenBy !== undefined);
-	return {...report, evidence: evidence as Report['evidence']};
+	return {...report, evidence: evidence as Report['evidence'], demands: report.demands as Report['demands']};
 }
 
 function reportTo(report: Report): generated.Report {
--- a/packages/wire/src/request-check.ts
+++ b/packages/wire/src/request-check.ts
@@ -21,6 +21,7 @@
 
 const upstreamName = formed(/^[\w.:\-]{1,128}$/v, 'the name of an upstream');
 const address = formed(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'an address');
+const divider = formed(/^(?:control|zone)$/v, 'a divider of limits');
 const folder = formed(/^[\w\-]{1,64}$/v, 'the identity of a folder');
 
 const voterIdentity = message({name, folder});
@@ -61,7 +62,7 @@
 	seenBy: instanceIdentity,
 });
 const demand = message({
-	service, limit: name, caller: callerText, wanted: amount(), holder: shareHolder, sequence: whole(), held: amount(), usable: amount(),
+	service, limit: name, caller: callerText, divider, wanted: amount(), holder: shareHolder, sequence: whole(), held: amount(), usable: amount(),
 });
 const report = message({
 	announcements: list(announcement),
--- a/packages/wire/test/test-bad-input.ts
+++ b/packages/wire/test/test-bad-input.ts
@@ -97,7 +97,7 @@
 	...upstream, region: 'noord', zone: 'noord-a', address: '127.0.0.1:9', leaving: false, load: 0.5,
 };
 const demand = {
-	service: 'bermrand/schedule', limit: 'viewings', caller: '', wanted: 1, holder: 'entry-1#7', sequence: 1, held: 0, usable: 0,
+	service: 'bermrand/schedule', limit: 'viewings', caller: '', divider: 'zone', wanted: 1, holder: 'entry-1#7', sequence: 1, held: 0, usable: 0,
 };
 const envelope = envelopeToWire({
 	from: voter,
@@ -168,6 +168,7 @@
 	['a latency that is no number', 'renewLease', withReport({evidence: [{...evidence, meanLatencyMilliseconds: Number.NaN}]})],
 	['negative evidence', 'renewLease', withReport({evidence: [{...evidence, answered: -3}]})],
 	['an endless demand', 'renewLease', withReport({demands: [{...demand, wanted: Infinity}]})],
+	['a demand to nobody', 'renewLease', withReport({demands: [{...demand, divider: ''}]})],
 	['a negative demand', 'renewLease', withReport({demands: [{...demand, held: -1}]})],
 	['an announced load over 1', 'renewLease', withReport({announcements: [{...announcement, load: 2}]})],
 	['an announced address that is none', 'renewLease', withReport({announcements: [{...announcement, address: 'localhost'}]})],
