--- a/packages/daemon/test/test-limiter.ts
+++ b/packages/daemon/test/test-limiter.ts
@@ -25,7 +25,14 @@
 	prefix: '/schedule',
 	key: {place: 'path', segment: 0},
 	units: [{
-		name: 'piece', counts: Counted.requests, countedPerUnit: 1, intervalMilliseconds: windowMilliseconds, window: WindowForm.sliding, burst: 1, rounding: Rounding.down, scope: LimitScope.deployment,
+		name: 'piece',
+		counts: Counted.requests,
+		countedPerUnit: 1,
+		intervalMilliseconds: windowMilliseconds,
+		window: WindowForm.sliding,
+		burst: 1,
+		rounding: Rounding.down,
+		scope: LimitScope.deployment,
 	}],
 	limits: [{
 		name: 'limit', unit: 'piece', amount,
@@ -141,61 +148,80 @@
 
 type Mail = {readonly at: number; readonly take: () => void};
 
-/** Instances whose demands travel to one leader; gives the times at which requests were admitted. */
-function play(seed: number, {delayMilliseconds, loss, newLeaderAt = Infinity}: Faults): readonly number[] {
-	const random = xoroshiro128plus(seed);
-	const pick = (below: number) => uniformInt(random, 0, below - 1);
-	const limiters = Array.from({length: instances}, (_, number) => limiterOf(`entry-${number}`));
-	const askedAt = limiters.map(() => -Infinity);
-	const admitted: number[] = [];
-	let sharing: SharingState = createSharing(now, []);
-	let mail: Mail[] = [];
-	const start = now;
-	const send = (take: () => void) => {
-		if (pick(100) >= loss) {
-			mail.push({at: now + pick(delayMilliseconds), take});
-		}
-	};
+/** Instances whose demands travel to one leader. */
+class Instances {
+	/** The times at which requests were admitted. */
+	readonly admitted: number[] = [];
+	readonly #limiters = Array.from({length: instances}, (_, number) => limiterOf(`entry-${number}`));
+	readonly #askedAt = this.#limiters.map(() => -Infinity);
+	readonly #start = now;
+	readonly #faults: Faults;
+	readonly #pick: (below: number) => number;
+	#sharing: SharingState = createSharing(now, []);
+	#mail: Mail[] = [];
+
+	constructor(seed: number, faults: Faults) {
+		const random = xoroshiro128plus(seed);
+		this.#pick = below => uniformInt(random, 0, below - 1);
+		this.#faults = faults;
+	}
 
-	const ask = (limiter: Limiter) => {
-		for (const demand of limiter.takeDemands()) {
-			send(() => {
-				const answered = shareOut(sharing, demand, limit, instances, now);
-				sharing = answered.state;
-				if (answered.share !== undefined) {
-					send(() => {
-						limiter.takeShares([answered.share!]);
-					});
-				}
-			});
+	play(): void {
+		for (; now < this.#start + durationMilliseconds; now += stepMilliseconds) {
+			if (now - this.#start === this.#faults.newLeaderAt) {
+				this.#sharing = createSharing(now, [contract.name]);
+			}
+
+			this.#deliver();
+			for (const number of this.#limiters.keys()) {
+				this.#request(number);
+				this.#renew(number);
+			}
 		}
-	};
+	}
 
-	for (; now < start + durationMilliseconds; now += stepMilliseconds) {
-		if (now - start === newLeaderAt) {
-			sharing = createSharing(now, [contract.name]);
+	#send(take: () => void): void {
+		if (this.#pick(100) >= this.#faults.loss) {
+			this.#mail.push({at: now + this.#pick(this.#faults.delayMilliseconds), take});
 		}
+	}
 
-		const due = mail.filter(({at}) => at <= now);
-		mail = mail.filter(({at}) => at > now);
+	#deliver(): void {
+		const due = this.#mail.filter(({at}) => at <= now);
+		this.#mail = this.#mail.filter(({at}) => at > now);
 		for (const {take} of due) {
 			take();
 		}
+	}
 
-		const busy = Math.floor((now - start) / busyMilliseconds) % instances;
-		for (const [number, limiter] of limiters.entries()) {
-			for (let request = pick(number === busy ? 6 : 2); request > 0; request--) {
-				admitted.push(...admits(limiter) ? [now] : []);
-			}
+	#request(number: number): void {
+		const busy = Math.floor((now - this.#start) / busyMilliseconds) % instances;
+		for (let request = this.#pick(number === busy ? 6 : 2); request > 0; request--) {
+			this.admitted.push(...admits(this.#limiters[number]!) ? [now] : []);
+		}
+	}
 
-			if (now >= askedAt[number]! + (limiter.lacksShares() ? lackingMilliseconds : renewMilliseconds)) {
-				askedAt[number] = now;
-				ask(limiter);
+	#renew(number: number): void {
+		const limiter = this.#limiters[number]!;
+		if (now >= this.#askedAt[number]! + (limiter.lacksShares() ? lackingMilliseconds : renewMilliseconds)) {
+			this.#askedAt[number] = now;
+			for (const demand of limiter.takeDemands()) {
+				this.#send(() => {
+					this.#answer(limiter, demand);
+				});
 			}
 		}
 	}
 
-	return admitted;
+	#answer(limiter: Limiter, demand: LimitDemand): void {
+		const {state, share} = shareOut(this.#sharing, demand, limit, instances, now);
+		this.#sharing = state;
+		if (share !== undefined) {
+			this.#send(() => {
+				limiter.takeShares([share]);
+			});
+		}
+	}
 }
 
 function mostInWindow(times: readonly number[]): number {
@@ -217,7 +243,9 @@
 	test(`limiters: no window has more than the contract: ${name} (seeds from ${seed})`, () => {
 		for (let run = 0; run < runs; run++) {
 			onPausedClock(() => {
-				const admitted = play(seed + run, faults);
+				const deployment = new Instances(seed + run, faults);
+				deployment.play();
+				const {admitted} = deployment;
 				const most = mostInWindow(admitted);
 				assert.ok(admitted.length > amount && most <= amount, `${most} of ${amount} in one window, seed ${seed + run}`);
 			});
