Prove control's and the stewards' divisions together

Cause: nothing ran the limiter, control's division and the zones' divisions against each other.

Change: a steward sees all parts of every changed contract, whether they are asked for or not. Nine seeded schedules: cuts of minutes and of seconds, other stewards and leaders, restarts, loss, delay and reorder, and changes of the reserve and of the listed zones. In a long cut the zone's own windows are checked as well.

Conclusion: holds with all zones connected while the contract changes. A zone that is cut off while its reserve is taken away goes on with the old one.

--- a/packages/control/src/limit-part.ts
+++ b/packages/control/src/limit-part.ts
@@ -1,6 +1,7 @@
 /** Finds what a demand is about in the contracts that an instance has applied. */
-import {contractOf} from '@dogwooddeck/configuration/tree';
+import {contractOf, contractsOf} from '@dogwooddeck/configuration/tree';
 import {type LimitPart} from '@dogwooddeck/limits/reserve';
+import {type NamedPart} from '@dogwooddeck/limits/sharing';
 import {effectiveLimit, type EffectiveLimit} from '@dogwooddeck/limits/unit';
 import {type ContractedLimit, type ServiceContract} from '@dogwooddeck/model/contract';
 import {type LimitDemand} from '@dogwooddeck/model/share';
@@ -9,6 +10,14 @@
 /** The part of a limit that belongs to a divider. */
 export type PartOfLimit = (contract: ServiceContract, contracted: ContractedLimit, limit: EffectiveLimit) => LimitPart;
 
+/** The divider's parts of all limits. */
+export function allParts({configuration}: ControlState, partOf: PartOfLimit): readonly NamedPart[] {
+	return contractsOf(configuration).flatMap(contract => contract.limits.flatMap(contracted =>
+		effectiveLimit(contracted, contract.units)
+			.map(limit => [{service: contract.name, limit: contracted.name, part: partOf(contract, contracted, limit)}])
+			.unwrapOr([])));
+}
+
 /** The divider's part of the demanded limit; none where the contract has no such limit. */
 export function demandedPart({configuration}: ControlState, demand: LimitDemand, partOf: PartOfLimit): LimitPart | undefined {
 	const contract = contractOf(configuration, demand.service);
--- a/packages/daemon/src/zone-limits.ts
+++ b/packages/daemon/src/zone-limits.ts
@@ -2,10 +2,12 @@
  * Divides the zone's reserve of each limit over the zone's instances, while this
  * instance is the zone's steward, whether the zone is cut off or not.
  */
-import {demandedPart, type PartOfLimit} from '@dogwooddeck/control/limit-part';
+import {allParts, demandedPart, type PartOfLimit} from '@dogwooddeck/control/limit-part';
 import {type ControlState} from '@dogwooddeck/control/state';
 import {zonePart} from '@dogwooddeck/limits/reserve';
-import {createZoneSharing, shareOutAll, type SharingState} from '@dogwooddeck/limits/sharing';
+import {
+	createZoneSharing, noteParts, shareOutAll, type SharingState,
+} from '@dogwooddeck/limits/sharing';
 import {type MonotonicTime, type ZoneName} from '@dogwooddeck/model/identifiers';
 import {type Report} from '@dogwooddeck/model/lease';
 import {Divider, type LimitShare} from '@dogwooddeck/model/share';
@@ -22,10 +24,27 @@
 /** Makes the division of a zone's steward. */
 export function createZoneLimits(zone: ZoneName): ZoneLimits {
 	let sharing: SharingState = createZoneSharing(-Infinity);
+	let noted: ControlState['configuration'] | undefined;
 	const partOf: PartOfLimit = (contract, contracted, limit) => zonePart(contract, contracted, limit, zone);
+
+	function begin(electedAt: MonotonicTime): void {
+		if (sharing.startedAt !== electedAt) {
+			sharing = createZoneSharing(electedAt);
+			noted = undefined;
+		}
+	}
+
+	function note(control: ControlState, now: MonotonicTime): void {
+		if (noted !== control.configuration) {
+			noted = control.configuration;
+			sharing = noteParts(sharing, allParts(control, partOf), now);
+		}
+	}
+
 	return {
 		answer(report, control, electedAt, now) {
-			sharing = sharing.startedAt === electedAt ? sharing : createZoneSharing(electedAt);
+			begin(electedAt);
+			note(control, now);
 			const demanded = report.demands.filter(({divider}) => divider === Divider.zone)
 				.map(demand => ({demand, part: demandedPart(control, demand, partOf)}));
 			const members = control.ownership.rosters[zone]?.members.length ?? 0;
--- /dev/null
+++ b/packages/daemon/test/test-cut-reserve.ts
@@ -0,0 +1,342 @@
+/**
+ * Limiters, control's division and the divisions of the zones' stewards
+ * together: zones that are cut off, changes of the steward, the leader and the
+ * contract, with loss, delay and reorder, on the paused clock.
+ */
+import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {mock, test, type TestContext} from 'node:test';
+import {demandedPart} from '@dogwooddeck/control/limit-part';
+import {type ControlState, emptyControl} from '@dogwooddeck/control/state';
+import {controlPart} from '@dogwooddeck/limits/reserve';
+import {createSharing, shareOutAll, type SharingState} from '@dogwooddeck/limits/sharing';
+import {
+	Counted, defaultContract, LimitScope, Rounding, type ServiceContract, WindowForm,
+} from '@dogwooddeck/model/contract';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {emptyReport} from '@dogwooddeck/model/lease';
+import {Divider, type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createLimiter, type Limiter} from '../src/limiter.js';
+import {createZoneLimits} from '../src/zone-limits.js';
+
+const amount = 200;
+const windowMilliseconds = 10_000;
+const zones = ['noord-a', 'noord-b', 'zuid-a'];
+const instancesInZone = 2;
+const stepMilliseconds = 40;
+const renewMilliseconds = 240;
+const lackingMilliseconds = 60;
+const durationMilliseconds = 300_000;
+const busyMilliseconds = 7000;
+/** The longest time until a zone learns of a change of the contract. */
+const learningMilliseconds = 3000;
+const head = {method: 'GET', path: '/schedule/verge-1', headers: {}};
+
+let now = 0;
+
+function contractWith(cutReserve: number, listed: readonly string[]): ServiceContract {
+	return {
+		...defaultContract,
+		name: 'team/service',
+		prefix: '/schedule',
+		key: {place: 'path', segment: 0},
+		upstream: {...defaultContract.upstream, zones: listed},
+		units: [{
+			name: 'piece',
+			counts: Counted.requests,
+			countedPerUnit: 1,
+			intervalMilliseconds: windowMilliseconds,
+			window: WindowForm.sliding,
+			burst: 1,
+			rounding: Rounding.down,
+			scope: LimitScope.deployment,
+		}],
+		limits: [{
+			name: 'limit', unit: 'piece', amount, cutReserve,
+		}],
+	};
+}
+
+function member(zone: string, number: number): InstanceRecord {
+	return {
+		name: `${zone}-${number}`, incarnation: 1, region: 'region', zone, peerAddress: '', callerAddress: '', operatorAddress: '',
+	};
+}
+
+const members = zones.flatMap(zone => Array.from({length: instancesInZone}, (_, number) => member(zone, number)));
+
+function controlWith(contract: ServiceContract): ControlState {
+	const rosters = Object.fromEntries(zones.map(zone => [zone, {
+		zone, region: 'region', members: members.filter(one => one.zone === zone), previousMembers: [], changedAt: 0,
+	}]));
+	const team = {
+		team: 'team', revision: 1, services: [contract], history: [], answers: [],
+	};
+	return {...emptyControl, configuration: {teams: [team]}, ownership: {...emptyControl.ownership, rosters}};
+}
+
+type Change = {readonly at: number; readonly cutReserve: number; readonly zones?: readonly string[]};
+type Cut = {readonly zone: string; readonly from: number; readonly to: number};
+
+type Schedule = {
+	readonly delayMilliseconds: number;
+	/** In hundredths of all messages. */
+	readonly loss: number;
+	readonly changes: readonly Change[];
+	readonly cuts?: readonly Cut[];
+	readonly newLeaders?: readonly number[];
+	readonly newStewards?: ReadonlyArray<{readonly zone: string; readonly at: number}>;
+	readonly restarts?: ReadonlyArray<{readonly instance: string; readonly at: number}>;
+};
+
+type Place = {readonly record: InstanceRecord; limiter: Limiter; askedAt: number; learnsAfter: number};
+type Admitted = {readonly at: number; readonly zone: string};
+type Mail = {readonly at: number; readonly take: () => void};
+
+class Deployment {
+	readonly admitted: Admitted[] = [];
+	readonly #start = now;
+	readonly #schedule: Schedule;
+	readonly #pick: (below: number) => number;
+	readonly #controls: ReadonlyArray<{readonly at: number; readonly control: ControlState}>;
+	readonly #places: readonly Place[];
+	readonly #stewards = new Map(zones.map(zone => [zone, {limits: createZoneLimits(zone), electedAt: now, learnsAfter: 0}]));
+	#sharing: SharingState = createSharing(now, []);
+	#mail: Mail[] = [];
+
+	constructor(seed: number, schedule: Schedule) {
+		const random = xoroshiro128plus(seed);
+		this.#pick = below => uniformInt(random, 0, below - 1);
+		this.#schedule = schedule;
+		this.#controls = schedule.changes.map(({at, cutReserve, zones: listed = zones}) => ({at, control: controlWith(contractWith(cutReserve, listed))}));
+		this.#places = members.map(record => ({
+			record, limiter: createLimiter(record, () => undefined), askedAt: -Infinity, learnsAfter: this.#pick(learningMilliseconds),
+		}));
+		for (const steward of this.#stewards.values()) {
+			steward.learnsAfter = this.#pick(learningMilliseconds);
+		}
+	}
+
+	play(): void {
+		for (; now < this.#start + durationMilliseconds; now += stepMilliseconds) {
+			this.#fail();
+			this.#deliver();
+			for (const [number, place] of this.#places.entries()) {
+				this.#request(place, number);
+				this.#renew(place);
+			}
+		}
+	}
+
+	/** The contracts that were accepted until so long ago. */
+	#control(learnsAfter: number): ControlState {
+		return this.#controls.findLast(({at}) => at === 0 || now - this.#start >= at + learnsAfter)!.control;
+	}
+
+	#isCut(zone: string): boolean {
+		const elapsed = now - this.#start;
+		return (this.#schedule.cuts ?? []).some(cut => cut.zone === zone && elapsed >= cut.from && elapsed < cut.to);
+	}
+
+	#fail(): void {
+		const elapsed = now - this.#start;
+		const {newLeaders = [], newStewards = [], restarts = []} = this.#schedule;
+		if (newLeaders.includes(elapsed)) {
+			this.#sharing = createSharing(now, ['team/service']);
+		}
+
+		for (const {zone} of newStewards.filter(({at}) => at === elapsed)) {
+			this.#stewards.get(zone)!.electedAt = now;
+		}
+
+		for (const {instance} of restarts.filter(({at}) => at === elapsed)) {
+			const place = this.#places.find(({record}) => record.name === instance)!;
+			place.limiter = createLimiter({...place.record, incarnation: now}, () => undefined);
+		}
+	}
+
+	#deliver(): void {
+		const due = this.#mail.filter(({at}) => at <= now);
+		this.#mail = this.#mail.filter(({at}) => at > now);
+		for (const {take} of due) {
+			take();
+		}
+	}
+
+	#send(take: () => void): void {
+		if (this.#pick(100) >= this.#schedule.loss) {
+			this.#mail.push({at: now + this.#pick(this.#schedule.delayMilliseconds), take});
+		}
+	}
+
+	#request({record, limiter, learnsAfter}: Place, number: number): void {
+		const busy = Math.floor((now - this.#start) / busyMilliseconds) % members.length;
+		const [contract] = this.#control(learnsAfter).configuration.teams[0]!.services;
+		const requests = this.#pick(number === busy ? 6 : 3);
+		for (let request = 0; request < requests; request++) {
+			this.admitted.push(...limiter.admit(contract!, head, true).isOk ? [{at: now, zone: record.zone}] : []);
+		}
+	}
+
+	#renew(place: Place): void {
+		const {limiter} = place;
+		if (now >= place.askedAt + (limiter.lacksShares() ? lackingMilliseconds : renewMilliseconds)) {
+			place.askedAt = now;
+			const demands = limiter.takeDemands();
+			this.#send(() => {
+				this.#askSteward(place, demands.filter(({divider}) => divider === Divider.zone));
+			});
+			for (const demand of demands.filter(({divider}) => divider === Divider.control)) {
+				this.#send(() => {
+					this.#askControl(place, demand);
+				});
+			}
+		}
+	}
+
+	#askControl({record: {zone}, limiter}: Place, demand: LimitDemand): void {
+		if (this.#isCut(zone)) {
+			return;
+		}
+
+		const part = demandedPart(this.#control(0), demand, controlPart);
+		const {state, shares} = shareOutAll(this.#sharing, [{demand, part}], members.length, now);
+		this.#sharing = state;
+		this.#answer(limiter, shares);
+	}
+
+	/** A lease request, which the steward is sent whether there are demands or not. */
+	#askSteward({record: {zone}, limiter}: Place, demands: readonly LimitDemand[]): void {
+		const {limits, electedAt, learnsAfter} = this.#stewards.get(zone)!;
+		const {shares} = limits.answer({...emptyReport, demands}, this.#control(learnsAfter), electedAt, now);
+		this.#answer(limiter, shares);
+	}
+
+	#answer(limiter: Limiter, shares: readonly LimitShare[]): void {
+		if (shares.length > 0) {
+			this.#send(() => {
+				limiter.takeShares(shares);
+			});
+		}
+	}
+}
+
+function mostInWindow(admitted: readonly Admitted[]): number {
+	let first = 0;
+	let most = 0;
+	for (const [position, {at}] of admitted.entries()) {
+		while (admitted[first]!.at <= at - windowMilliseconds) {
+			first++;
+		}
+
+		most = Math.max(most, position - first + 1);
+	}
+
+	return most;
+}
+
+const seed = Number(process.env.SEED ?? 1);
+const runs = Number(process.env.RUNS ?? 3);
+const steady = [{at: 0, cutReserve: 0.3}];
+/** What a zone has of the limit of 200 with a reserve of 0.3 over three zones. */
+const zoneReserve = 20;
+const longCut: Cut = {zone: 'zuid-a', from: 60_000, to: 260_000};
+/** Control's shares are over, and forgotten by a window. */
+const afterShares = 26_000;
+
+const schedules: ReadonlyArray<{readonly name: string; readonly schedule: Schedule}> = [
+	{name: 'no reserve', schedule: {delayMilliseconds: 400, loss: 5, changes: [{at: 0, cutReserve: 0}]}},
+	{name: 'no cut', schedule: {delayMilliseconds: 800, loss: 10, changes: steady}},
+	{
+		name: 'a cut of minutes', schedule: {
+			delayMilliseconds: 200, loss: 5, changes: steady, cuts: [longCut],
+		},
+	},
+	{
+		name: 'a cut with another steward', schedule: {
+			delayMilliseconds: 200, loss: 5, changes: steady, cuts: [longCut], newStewards: [{zone: 'zuid-a', at: 120_000}],
+		},
+	},
+	{
+		name: 'a cut with another leader', schedule: {
+			delayMilliseconds: 200, loss: 5, changes: steady, cuts: [longCut], newLeaders: [61_000, 150_000],
+		},
+	},
+	{
+		name: 'short cuts, slow answers, stewards and leaders that change', schedule: {
+			delayMilliseconds: 2500,
+			loss: 20,
+			changes: steady,
+			cuts: [{zone: 'noord-a', from: 50_000, to: 62_000}, {zone: 'zuid-a', from: 58_000, to: 90_000}, {zone: 'noord-b', from: 130_000, to: 170_000}],
+			newStewards: [{zone: 'noord-a', at: 55_000}, {zone: 'zuid-a', at: 59_000}, {zone: 'noord-b', at: 200_000}, {zone: 'noord-b', at: 202_000}],
+			newLeaders: [40_000, 140_000, 145_000],
+		},
+	},
+	{
+		name: 'instances that restart, in the cut and out of it', schedule: {
+			delayMilliseconds: 200,
+			loss: 5,
+			changes: steady,
+			cuts: [longCut],
+			restarts: [{instance: 'zuid-a-0', at: 100_000}, {instance: 'noord-a-1', at: 101_000}, {instance: 'zuid-a-1', at: 270_000}],
+		},
+	},
+	{
+		name: 'a reserve that comes, grows, shrinks and goes', schedule: {
+			delayMilliseconds: 300,
+			loss: 5,
+			changes: [{at: 0, cutReserve: 0}, {at: 60_000, cutReserve: 0.9}, {at: 130_000, cutReserve: 0.3}, {at: 135_000, cutReserve: 0.6}, {at: 220_000, cutReserve: 0}],
+		},
+	},
+	{
+		name: 'zones that are listed no more, and again', schedule: {
+			delayMilliseconds: 300,
+			loss: 5,
+			changes: [{at: 0, cutReserve: 0.9}, {at: 80_000, cutReserve: 0.9, zones: ['zuid-a']}, {at: 160_000, cutReserve: 0.9, zones: ['noord-a', 'noord-b']}, {at: 220_000, cutReserve: 0.9}],
+		},
+	},
+];
+
+/** What the cut zone was admitted from when control's shares were forgotten: in one window at most, and in all as a part of its reserve. */
+function usedInCut(admitted: readonly Admitted[], start: number): {readonly most: number; readonly ratio: number} {
+	const [from, to] = [start + longCut.from + afterShares, start + longCut.to];
+	const inCut = admitted.filter(({at, zone}) => zone === longCut.zone && at >= from && at < to);
+	return {most: mostInWindow(inCut), ratio: inCut.length / (zoneReserve * (to - from) / windowMilliseconds)};
+}
+
+function checkCut(context: TestContext, admitted: readonly Admitted[], start: number): void {
+	const {most, ratio} = usedInCut(admitted, start);
+	context.diagnostic(`the cut zone: at most ${most} of its ${zoneReserve} in one window, ${(100 * ratio).toFixed(1)}% of its reserve in all`);
+	assert.ok(ratio > 0.8, 'the cut zone goes on');
+	assert.ok(most <= zoneReserve, `${most} of the zone's ${zoneReserve} in one window`);
+}
+
+function play(runSeed: number, schedule: Schedule): {readonly admitted: readonly Admitted[]; readonly start: number} {
+	now = 1_000_000;
+	mock.method(performance, 'now', () => now);
+	mock.method(Date, 'now', () => now);
+	try {
+		const deployment = new Deployment(runSeed, schedule);
+		deployment.play();
+		return {admitted: deployment.admitted, start: 1_000_000};
+	} finally {
+		mock.reset();
+	}
+}
+
+for (const {name, schedule} of schedules) {
+	test(`reserves: no window has more than the contract: ${name} (seeds from ${seed})`, context => {
+		for (let run = seed; run < seed + runs; run++) {
+			const {admitted, start} = play(run, schedule);
+			const most = mostInWindow(admitted);
+			context.diagnostic(`seed ${run}: at most ${most} of ${amount} in one window`);
+			assert.ok(admitted.length > amount && most <= amount, `${most} of ${amount} in one window, seed ${run}`);
+			if (schedule.cuts?.includes(longCut)) {
+				checkCut(context, admitted, start);
+			}
+		}
+	});
+}
--- a/packages/limits/src/sharing.ts
+++ b/packages/limits/src/sharing.ts
@@ -48,7 +48,9 @@
 	return {startedAt: now, parts: {}, divisions: {}};
 }
 
-function partKey({service, limit}: LimitDemand): string {
+type LimitName = Pick<LimitDemand, 'service' | 'limit'>;
+
+function partKey({service, limit}: LimitName): string {
 	return JSON.stringify([service, limit]);
 }
 
@@ -68,7 +70,7 @@
 }
 
 /** When nobody else's shares of a limit that is asked for first are remembered any more. */
-function firstFreeAt({startedAt, servicesBefore}: SharingState, {service}: LimitDemand, limit: EffectiveLimit, now: MonotonicTime): MonotonicTime {
+function firstFreeAt({startedAt, servicesBefore}: SharingState, {service}: LimitName, limit: EffectiveLimit, now: MonotonicTime): MonotonicTime {
 	if (servicesBefore === undefined) {
 		return now + memoryMilliseconds(limit) + learningMilliseconds;
 	}
@@ -76,10 +78,10 @@
 	return servicesBefore.includes(service) ? startedAt + memoryMilliseconds(limit) : now;
 }
 
-function partOf(state: SharingState, demand: LimitDemand, part: LimitPart, now: MonotonicTime): PartState {
-	const known = state.parts[partKey(demand)];
+function partOf(state: SharingState, name: LimitName, part: LimitPart, now: MonotonicTime): PartState {
+	const known = state.parts[partKey(name)];
 	return known === undefined
-		? createPart(part, now, firstFreeAt(state, demand, part.limit, now))
+		? createPart(part, now, firstFreeAt(state, name, part.limit, now))
 		: changePart(known, part, now, memoryMilliseconds(part.limit) + learningMilliseconds);
 }
 
@@ -99,6 +101,18 @@
 		: createDivision(options, amount, Infinity, now);
 }
 
+/** A limit and the divider's part of it. */
+export type NamedPart = LimitName & {readonly part: LimitPart};
+
+/**
+ * Sees every part under a changed contract, also those of limits that nobody
+ * asks for: a part that was smaller in between has to wait before it grows.
+ */
+export function noteParts(state: SharingState, parts: readonly NamedPart[], now: MonotonicTime): SharingState {
+	const noted = parts.map(({part, ...name}) => [partKey(name), partOf(state, name, part, now)] as const);
+	return {...state, parts: {...state.parts, ...Object.fromEntries(noted)}};
+}
+
 /** Answers one demand. The sum of the shares in force never exceeds the part; some of it is kept for those of the `instances` that didn't ask yet. */
 export function shareOut(
 	state: SharingState,
