Charge a request once its owner is found, and cut a zone with a limit

Cause: a request was charged to its limits before its owner was looked up, so requests for other zones' keys, refused in a cut, would have spent the zone's reserve. What the reserve costs was not measured, and no trial with real processes had a cut longer than a share.

Change: the owner is looked up first. A trial cuts a zone for 30 s under a limit (folder `reserved`); the strict check of windows is a module that test-failures and test-cuts share, unchanged. test-reserve holds the split, the waits and the measure.

--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -204,17 +204,17 @@
 			.map(operationKey => opened(target, head, key.value, operationKey));
 	}
 
+	/** Only a request that has an owner counts: in a cut, those for other zones' keys would spend what the zone may still use. */
 	function locate(request: Opened): Result<Owner, Failure> {
-		if (!request.isWithinLimits) {
-			const admitted = limiter.admit(request.target.contract, request.head, request.idempotent);
-			if (admitted.isErr) {
-				return err(admitted.error);
-			}
+		const owner = findOwner(request);
+		return owner.isErr || request.isWithinLimits ? owner : charge(request, owner.value);
+	}
 
+	function charge(request: Opened, owner: Owner): Result<Owner, Failure> {
+		return limiter.admit(request.target.contract, request.head, request.idempotent).map(() => {
 			request.isWithinLimits = true;
-		}
-
-		return findOwner(request);
+			return owner;
+		});
 	}
 
 	function findOwner(request: Opened): Result<Owner, Failure> {
--- /dev/null
+++ b/packages/limits/test/test-reserve.ts
@@ -0,0 +1,212 @@
+/** The split of a limit into parts, when a part may grow, and what a reserve costs. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	Counted, defaultContract, defaultCutReserve, LimitScope, type ServiceContract, WindowForm,
+} from '@dogwooddeck/model/contract';
+import {Divider, type LimitDemand} from '@dogwooddeck/model/share';
+import {
+	admit, createBucket, usedShare, type BucketState,
+} from '@dogwooddeck/limits/bucket';
+import {changePart, createPart, amountNow} from '@dogwooddeck/limits/part-change';
+import {controlPart, type LimitPart, zonePart} from '@dogwooddeck/limits/reserve';
+import {
+	createSharing, createZoneSharing, shareOut, type SharingState,
+} from '@dogwooddeck/limits/sharing';
+import {type EffectiveLimit} from '@dogwooddeck/limits/unit';
+
+const zones = ['noord-a', 'zuid-a', 'zuid-b'];
+
+function limitOf(amount: number, scope: LimitScope = LimitScope.deployment): EffectiveLimit {
+	return {
+		amount, intervalMilliseconds: 1000, window: WindowForm.sliding, burst: 1, counts: Counted.requests, scope,
+	};
+}
+
+function contractWith(listed: readonly string[]): ServiceContract {
+	return {
+		...defaultContract, name: 'team/service', prefix: '/', key: {place: 'path', segment: 0}, upstream: {...defaultContract.upstream, zones: listed},
+	};
+}
+
+const contracted = {name: 'limit', amount: 1, unit: 'piece'};
+
+const splits: ReadonlyArray<{
+	readonly name: string;
+	readonly amount: number;
+	readonly cutReserve?: number;
+	readonly listed?: readonly string[];
+	readonly scope?: LimitScope;
+	readonly zone: number;
+	readonly control: number;
+}> = [
+	{
+		name: 'a fifth over three zones, rounded down', amount: 100, cutReserve: 0.2, zone: 6, control: 82,
+	},
+	{
+		name: 'all of it', amount: 100, cutReserve: 1, zone: 33, control: 1,
+	},
+	{
+		name: 'a limit too small for a reserve', amount: 14, cutReserve: 0.2, zone: 0, control: 14,
+	},
+	{
+		name: 'no zone is listed', amount: 100, cutReserve: 0.5, listed: [], zone: 0, control: 100,
+	},
+	{
+		name: 'the zone is not listed', amount: 100, cutReserve: 0.5, listed: ['zuid-a'], zone: 0, control: 50,
+	},
+	{
+		name: 'a zone that is listed twice', amount: 100, cutReserve: 0.5, listed: ['noord-a', 'noord-a'], zone: 50, control: 50,
+	},
+	{
+		name: 'each instance has the whole', amount: 100, cutReserve: 0.5, scope: LimitScope.instance, zone: 0, control: 100,
+	},
+	{
+		name: 'a contract that says nothing', amount: 100, zone: 0, control: 100,
+	},
+];
+
+for (const {
+	name, amount, cutReserve, listed = zones, scope, zone, control,
+} of splits) {
+	test(`reserve: ${name}`, () => {
+		const limit = {...contracted, ...(cutReserve === undefined ? {} : {cutReserve})};
+		const effective = limitOf(amount, scope);
+		assert.equal(zonePart(contractWith(listed), limit, effective, 'noord-a').amount, zone);
+		assert.equal(controlPart(contractWith(listed), limit, effective).amount, control);
+	});
+}
+
+const growths: ReadonlyArray<{readonly name: string; readonly part: LimitPart; readonly at: number; readonly expected: number}> = [
+	{
+		name: 'at the cost of others waits', part: {limit: limitOf(100), amount: 100}, at: 1999, expected: 80,
+	},
+	{
+		name: 'at the cost of others, after the wait', part: {limit: limitOf(100), amount: 100}, at: 2000, expected: 100,
+	},
+	{
+		name: 'with the whole limit is free at once', part: {limit: limitOf(200), amount: 160}, at: 1000, expected: 160,
+	},
+	{
+		name: 'that is none shrinks at once', part: {limit: limitOf(100), amount: 50}, at: 1000, expected: 50,
+	},
+];
+
+for (const {
+	name, part, at, expected,
+} of growths) {
+	test(`reserve: a growth ${name}`, () => {
+		const first = createPart({limit: limitOf(100), amount: 80}, 0, 0);
+		assert.equal(amountNow(changePart(first, part, 1000, 1000), at), expected);
+	});
+}
+
+const stepMilliseconds = 20;
+const demandMilliseconds = 500;
+const instances = 9;
+/** A zone's steward divides nothing before. */
+const measuredFrom = 30_000;
+const measuredMilliseconds = 120_000;
+
+type Grant = {readonly amount: number; readonly until: number};
+type Place = {readonly zone: string; bucket: BucketState; wanted: number; readonly grants: Record<Divider, Grant>};
+
+/** Rates by Zipf's law over the instances, of which the busiest is another each 30 s. */
+function zipfRates(total: number, now: number): readonly number[] {
+	const weights = Array.from({length: instances}, (_, rank) => 1 / ((rank + 1) ** 1.1));
+	const sum = weights.reduce((one, other) => one + other, 0);
+	return weights.map((_, instance) => total * weights[(instance + (4 * Math.floor(now / 30_000))) % instances]! / sum);
+}
+
+/** Nine instances in three zones that use one limit, without faults but for a cut of one zone. */
+class Measure {
+	admitted = 0;
+	admittedInCut = 0;
+	offered = 0;
+	readonly #contract = contractWith(zones);
+	readonly #limit = limitOf(900);
+	readonly #cutReserve: number;
+	readonly #sharings = new Map<string, SharingState>([[Divider.control, createSharing(0, [])], ...zones.map(zone => [zone, createZoneSharing(0)] as const)]);
+	readonly #places: readonly Place[] = Array.from({length: instances}, (_, number) => ({
+		zone: zones[Math.floor(number / 3)]!, bucket: createBucket(this.#limit), wanted: 0, grants: {[Divider.control]: {amount: 0, until: 0}, [Divider.zone]: {amount: 0, until: 0}},
+	}));
+
+	#carry = 0;
+
+	constructor(cutReserve: number) {
+		this.#cutReserve = cutReserve;
+	}
+
+	run(load: number, cutZone: string | undefined): void {
+		for (let now = 1; now < measuredFrom + measuredMilliseconds; now += stepMilliseconds) {
+			for (const [number, rate] of zipfRates(900 * load, now).entries()) {
+				const place = this.#places[number]!;
+				this.#serve(place, rate, now);
+				if ((now + (number * 60)) % demandMilliseconds < stepMilliseconds) {
+					this.#demand(place, `i${number}`, now, cutZone);
+				}
+			}
+		}
+	}
+
+	#held({grants}: Place, divider: Divider, now: number): number {
+		return now < grants[divider].until ? grants[divider].amount : 0;
+	}
+
+	#serve(place: Place, rate: number, now: number): void {
+		this.#carry += rate * stepMilliseconds / 1000;
+		const requests = Math.floor(this.#carry);
+		this.#carry -= requests;
+		const decay = stepMilliseconds / demandMilliseconds;
+		place.wanted = (place.wanted * (1 - decay)) + (rate * decay);
+		const share = this.#held(place, Divider.control, now) + this.#held(place, Divider.zone, now);
+		for (let request = 0; request < requests; request++) {
+			const {state, admitted} = admit(place.bucket, now, now, 1, share);
+			place.bucket = state;
+			const counts = now >= measuredFrom;
+			this.offered += counts ? 1 : 0;
+			this.admitted += counts && admitted ? 1 : 0;
+			this.admittedInCut += counts && admitted && place.zone === 'zuid-b' ? 1 : 0;
+		}
+	}
+
+	#demand(place: Place, holder: string, now: number, cutZone: string | undefined): void {
+		const limit = {...contracted, cutReserve: this.#cutReserve};
+		const isCut = place.zone === cutZone && now >= measuredFrom - 20_000;
+		this.#ask(place, Divider.zone, {sharing: place.zone, part: zonePart(this.#contract, limit, this.#limit, place.zone), count: 3}, holder, now);
+		if (!isCut) {
+			this.#ask(place, Divider.control, {sharing: Divider.control, part: controlPart(this.#contract, limit, this.#limit), count: instances}, holder, now);
+		}
+	}
+
+	#ask(place: Place, divider: Divider, from: {readonly sharing: string; readonly part: LimitPart; readonly count: number}, holder: string, now: number): void {
+		const held = this.#held(place, divider, now);
+		const reserved = divider === Divider.control ? this.#held(place, Divider.zone, now) : 0;
+		const demand: LimitDemand = {
+			service: 'team/service', limit: 'limit', caller: '', divider, holder, sequence: now, held,
+			wanted: Math.max(1, place.wanted - reserved), usable: Math.max(held, usedShare(place.bucket, now, now, 0)),
+		};
+		const {state, share} = shareOut(this.#sharings.get(from.sharing)!, demand, from.part, from.count, now);
+		this.#sharings.set(from.sharing, state);
+		place.grants[divider] = {amount: share!.amount, until: now + share!.validMilliseconds};
+	}
+}
+
+const possible = 900 * measuredMilliseconds / 1000;
+
+for (const cutReserve of [0, 0.1, defaultCutReserve, 0.5]) {
+	test(`reserve: what a reserve of ${cutReserve} costs, and what a cut zone can use`, context => {
+		for (const load of [0.5, 0.9, 2]) {
+			const measure = new Measure(cutReserve);
+			measure.run(load, undefined);
+			const used = measure.admitted / Math.min(possible, measure.offered);
+			context.diagnostic(`reserve ${cutReserve}, load ${load}: ${(100 * used).toFixed(1)}% of what could be admitted`);
+			assert.ok(used > 0.6 && measure.admitted <= possible + 900, `${used}`);
+		}
+
+		const cut = new Measure(cutReserve);
+		cut.run(2, 'zuid-b');
+		context.diagnostic(`reserve ${cutReserve}, zone cut: the zone used ${(100 * cut.admittedInCut / possible).toFixed(1)}% of the limit, all zones ${(100 * cut.admitted / possible).toFixed(1)}%`);
+		assert.ok(cut.admittedInCut <= possible * cutReserve / 3 * 1.01);
+	});
+}
--- a/packages/stand-in/test/test-cuts.ts
+++ b/packages/stand-in/test/test-cuts.ts
@@ -10,6 +10,7 @@
 import {
 	isServed, keys, nine, onePerZone, runTrials, servedEverywhere, settled, type TrialCase, write, zoneOf, zones,
 } from './trial.js';
+import {limit, mostInWindow, windowMilliseconds} from './limit-window.js';
 import {type Deployment, type InstancePlan, type TrialInstance} from '@dogwooddeck/stand-in/deployment';
 import {
 	doubleOwners, type Sighting, startWatcher,
@@ -171,8 +172,37 @@
 	}
 }
 
+const limitedCutMilliseconds = 30_000;
+/** From here on, nothing is left of the shares that control gave before the cut. */
+const afterSharesMilliseconds = 20_000;
+/** A zone's steward waits this long before it divides its zone's reserve for the first time. */
+const firstReserveMilliseconds = 32_000;
+const limitedPauseMilliseconds = 400;
+
+async function servesLimited(deployment: Deployment): Promise<void> {
+	const alone = deployment.instances.find(({zone}) => zone === 'zuid-b')!;
+	const watcher = startWatcher(deployment.instances, keys, limitedPauseMilliseconds);
+	await pause(firstReserveMilliseconds);
+	const cutAt = monotonicNow();
+	deployment.cut((one, other) => one === alone && other !== alone);
+	await pause(limitedCutMilliseconds);
+	const healedAt = monotonicNow();
+	deployment.heal();
+	await pause(windowMilliseconds);
+	const sightings = await watcher.stop();
+	const admitted = sightings.filter(sighting => isServed(sighting));
+	const late = sightings.filter(({instance, sentAt, endedAt}) => instance === alone.name && sentAt > cutAt + afterSharesMilliseconds && endedAt < healedAt);
+	const own = late.filter(sighting => isServed(sighting));
+	const others = [...new Set(late.filter(sighting => !isServed(sighting)).map(({failureKind}) => failureKind))].sort();
+	console.log(`a limit of ${limit} in 10 s: at most ${mostInWindow(admitted)} admitted in any 10 s; the cut zone served ${
+		own.length} of its own after second 20, refused others with ${JSON.stringify(others)}`);
+	assert.deepEqual(doubleOwners(sightings), []);
+	assert.ok(own.length > 0 && own.every(({upstream}) => zoneOf(upstream) === alone.zone), 'the cut zone goes on with its own keys');
+	assert.ok(mostInWindow(admitted) <= limit);
+}
+
 const cases: readonly TrialCase[]
 	= cuts.map(cut => ({
 		name: cut.name, instances: cut.instances, folder: cut.folder, rejoins: true, run: async (deployment: Deployment) => losesEachOther(deployment, cut),
 	}));
-runTrials('cuts', cases);
+runTrials('cuts', [...cases, {name: 'an availability zone is cut off, with a contracted limit', folder: 'reserved', run: servesLimited}]);
--- a/packages/stand-in/test/test-failures.ts
+++ b/packages/stand-in/test/test-failures.ts
@@ -5,6 +5,7 @@
 import {
 	hasHistory, keys, nine, owned, owners, patience, runTrials, served, type TrialCase,
 } from './trial.js';
+import {limit, mostInWindow, windowMilliseconds} from './limit-window.js';
 import {eventually} from '@dogwooddeck/stand-in/child';
 import {type Deployment, type TrialInstance} from '@dogwooddeck/stand-in/deployment';
 import {
@@ -178,15 +179,6 @@
 	assert.deepEqual(doubleOwners(sightings), []);
 }
 
-const limit = 200;
-const windowMilliseconds = 10_000;
-
-/** The most requests that were surely admitted within one window: sent after its start and answered before its end. */
-function mostInWindow(admitted: readonly Sighting[]): number {
-	const inWindow = ({sentAt: from}: Sighting) => admitted.filter(({sentAt, endedAt}) => sentAt >= from && endedAt < from + windowMilliseconds);
-	return Math.max(0, ...admitted.map(sighting => inWindow(sighting).length));
-}
-
 async function spendsLimit(deployment: Deployment): Promise<void> {
 	const [lost, ...others] = deployment.instances as [TrialInstance, ...TrialInstance[]];
 	const watcher = startWatcher(deployment.instances, keys.slice(0, 4));
