Replay loads that reach control late

The load that upstreams announce was read by one function that nobody called. Change: a trace event by which reports of loads arrive late, and the trace lagging of each deployment (60 s for 11 minutes).

--- a/packages/bench/src/generator.ts
+++ b/packages/bench/src/generator.ts
@@ -90,6 +90,17 @@
 		const [lost] = pickSome(deployment, random, 1);
 		return [{kind: 'regionsCut', at: 120, until: 300}, ...loss(lost!, 500, 60)];
 	},
+	/** Loads are heard of late while the hot keys change. */
+	lagging(deployment, random) {
+		const [replaced, lost] = pickSome(deployment, random, 2);
+		return [
+			{
+				kind: 'lagging', at: 120, until: 780, bySeconds: 60,
+			},
+			...restart(replaced!, 250, 30),
+			...loss(lost!, 500, 60),
+		];
+	},
 };
 
 function makeTrace(deployment: string, maker: string, seed: number, whenCut: WhenCut): Trace {
--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -5,7 +5,7 @@
 import {type SlotHash} from '@dogwooddeck/placement/hash';
 import {type PlacementInput, type PlacementState} from '@dogwooddeck/placement/input';
 import {
-	createLoad, type LoadState, ratesOf, receiveLoad,
+	createLoad, type LoadReport, type LoadState, ratesOf, receiveLoad,
 } from '@dogwooddeck/placement/load';
 import {createPlacement} from '@dogwooddeck/placement/plan';
 import {placementPolicies} from '@dogwooddeck/placement/policy';
@@ -27,6 +27,8 @@
 export const settleSeconds = 60;
 const millisecondsPerSecond = 1000;
 
+type LateReport = {readonly arrivesAt: number; readonly report: LoadReport};
+
 /** One service under one policy. */
 export type ServiceReplay = {
 	readonly trace: Trace;
@@ -39,6 +41,8 @@
 	readonly hash: SlotHash;
 	measures: Measures;
 	loads: LoadState;
+	/** Reports of loads that are under way to control, the earliest first. */
+	underWay: readonly LateReport[];
 	state: PlacementState;
 	registry: RegistryChange;
 	/** Requests that each life has answered, by service, name and incarnation. */
@@ -63,6 +67,7 @@
 		}),
 		random: createRandom(trace.seed, service.keys, 7),
 		loads: createLoad(service.name, smoothingMilliseconds, 0),
+		underWay: [],
 		state: createPlacement(0),
 		registry: detection.changes[0]!,
 		answered: {},
@@ -96,6 +101,25 @@
 	return planned;
 }
 
+function lagAt({events}: Trace, seconds: number): number {
+	const lags = events.map(event => event.kind === 'lagging' && seconds >= event.at && seconds < event.until ? event.bySeconds : 0);
+	return Math.max(0, ...lags) * millisecondsPerSecond;
+}
+
+/** A report that set out before another arrives before it, also where the lag has ended. */
+function sendLoads(replay: ServiceReplay, report: LoadReport, now: number): void {
+	const arrivesAt = Math.max(now + lagAt(replay.trace, now / millisecondsPerSecond), replay.underWay.at(-1)?.arrivesAt ?? 0);
+	replay.underWay = [...replay.underWay, {arrivesAt, report}];
+}
+
+function receiveLoads(replay: ServiceReplay, now: number): void {
+	for (const {report} of replay.underWay.filter(({arrivesAt}) => arrivesAt <= now)) {
+		replay.loads = receiveLoad(replay.loads, {...report, now});
+	}
+
+	replay.underWay = replay.underWay.filter(({arrivesAt}) => arrivesAt > now);
+}
+
 function reportLoads(replay: ServiceReplay, now: number): void {
 	const {service, ownership, traffic, random, trace} = replay;
 	const seconds = now / millisecondsPerSecond;
@@ -105,14 +129,16 @@
 	const slots = ownership.slotTraffic(current);
 	for (const [number, region] of regions.entries()) {
 		const share = (firstShare: number) => (number === 0 ? firstShare : 1 - firstShare);
-		replay.loads = receiveLoad(replay.loads, {
+		sendLoads(replay, {
 			now,
 			region,
 			slotLoads: slots.map(({slot, rate, firstShare}) => ({service: service.name, slot, requests: noisyCount(random, rate * scale * share(firstShare))})),
 			keyLoads: current.hot.map(({key, rate, firstShare}) => ({service: service.name, key, requests: noisyCount(random, rate * scale * share(firstShare))})),
 			evidence: number === 0 ? ownership.answers(current, scale) : [],
-		});
+		}, now);
 	}
+
+	receiveLoads(replay, now);
 }
 
 function step(replay: ServiceReplay, now: number): void {
--- a/packages/bench/src/trace.ts
+++ b/packages/bench/src/trace.ts
@@ -19,6 +19,8 @@
 	| {readonly kind: 'lying'; readonly at: number; readonly service: string; readonly name: string}
 	/** It sheds: it carries only half of its load. */
 	| {readonly kind: 'shedding'; readonly at: number; readonly until: number; readonly service: string; readonly name: string}
+	/** Reports of loads reach control late; what it hears in the meantime is as old. */
+	| {readonly kind: 'lagging'; readonly at: number; readonly until: number; readonly bySeconds: number}
 	/** No link leads into or out of a zone. */
 	| {readonly kind: 'zoneCut'; readonly at: number; readonly until: number; readonly zone: string}
 	/** The regions lose each other; control stays in the first. */
--- a/packages/bench/test/test-traces.ts
+++ b/packages/bench/test/test-traces.ts
@@ -15,7 +15,7 @@
 const traces = texts.map(text => JSON.parse(text) as Trace);
 
 test('each trace is small', () => {
-	assert.equal(traces.length, 12);
+	assert.equal(traces.length, 14);
 	assert.ok(texts.every(text => text.length < largestTraceBytes));
 });
 
--- a/packages/membership/src/view.ts
+++ b/packages/membership/src/view.ts
@@ -75,12 +75,6 @@
 	return watch.announcement?.incarnation === upstream.incarnation ? watch.joinedAt : undefined;
 }
 
-/** The upstream's own figure for how busy it is, a hint from 0 to 1 that may lag or mislead. */
-export function announcedLoad(state: WatchState, upstream: UpstreamIdentity): number | undefined {
-	const {announcement} = watchOf(state, upstream.service, upstream.name);
-	return announcement?.incarnation === upstream.incarnation ? announcement.load : undefined;
-}
-
 /** How many of a service's upstreams changed lives several times in a short while. */
 export function flappingCount(state: WatchState, service: ServiceName, now: MonotonicTime): number {
 	const prefix = upstreamKey(service, '');
--- a/packages/membership/src/watch.ts
+++ b/packages/membership/src/watch.ts
@@ -23,7 +23,7 @@
 import {noteEvidence} from './witness.js';
 
 export {
-	announcedLoad, createWatch, flappingCount, joinedAt, type WatchState,
+	createWatch, flappingCount, joinedAt, type WatchState,
 } from './view.js';
 
 /** A proposal that did not take effect is made again after this long. */
