Count unavailable time from the last sign of life of a lost owner

Cause: seen on the rendered burn page: with one of four upstreams killed, 71 moved slots were unavailable for 5.1 s together, 0.07 s each, where callers waited 1.7 s. Ruled out: the follower's sums (its cases hold). Change: the verdict says how long nothing was heard of the life, the registry keeps it, and the follower begins the owner's absence that much earlier. The watch remembers when the life before the announced one was last heard. The two new cases of following can't be written without the new parameter; with a silence of 0 in its place they give 40 and 500 for 390 and 850. An upstream that announces itself and answers nothing still counts from the verdict only, which OPERATING says.

--- a/packages/burn/src/following.ts
+++ b/packages/burn/src/following.ts
@@ -5,7 +5,9 @@
 import {
 	type Assignment, AssignmentPhase, assignmentsInUse, type ServiceAssignments,
 } from '@dogwooddeck/model/assignment';
-import {type Milliseconds, type MonotonicTime, type Slot} from '@dogwooddeck/model/identifiers';
+import {
+	type Milliseconds, type MonotonicTime, type Slot, type UpstreamIdentity,
+} from '@dogwooddeck/model/identifiers';
 import {imbalance} from './load.js';
 import {type OwnershipFigures} from './report.js';
 
@@ -27,6 +29,9 @@
 	readonly moves: number;
 };
 
+/** How long an owner had been silent when it was judged lost. 0: it was not lost. */
+export type SilenceOf = (owner: UpstreamIdentity) => Milliseconds;
+
 /** A service of which nothing was seen yet. */
 export function createFollowed(service: ServiceAssignments['service']): Followed {
 	return {
@@ -38,14 +43,19 @@
 	return assignment.phase === AssignmentPhase.granted ? `${assignment.owner.name}#${assignment.owner.incarnation}` : undefined;
 }
 
-function followPlace(before: Place | undefined, assignment: Assignment, now: MonotonicTime): Place {
+/** A lost owner served nothing from its last sign of life on, not only from the revocation on. */
+function lostSince(before: Place | undefined, silenceOf: SilenceOf, now: MonotonicTime): MonotonicTime {
+	return before?.assignment.phase === AssignmentPhase.granted ? now - silenceOf(before.assignment.owner) : now;
+}
+
+function followPlace(before: Place | undefined, assignment: Assignment, silenceOf: SilenceOf, now: MonotonicTime): Place {
 	const owner = ownerOf(assignment);
 	const lastOwner = owner ?? before?.lastOwner;
 	if (owner !== undefined || lastOwner === undefined) {
 		return lastOwner === undefined ? {assignment} : {assignment, lastOwner};
 	}
 
-	return {assignment, lastOwner, withoutOwnerSince: before?.withoutOwnerSince ?? now};
+	return {assignment, lastOwner, withoutOwnerSince: before?.withoutOwnerSince ?? lostSince(before, silenceOf, now)};
 }
 
 function ended(before: Place | undefined, after: Place, now: MonotonicTime): Milliseconds {
@@ -57,13 +67,16 @@
 	return before?.lastOwner !== undefined && before.lastOwner !== after.lastOwner;
 }
 
-/** Takes in the table as it is now. A service has `slots` slots; a place that no key uses any more is forgotten. */
-export function follow(followed: Followed, table: ServiceAssignments, slots: number, now: MonotonicTime): Followed {
+/** A service's table at one moment. The service has `slots` slots. */
+export type SeenTable = {readonly table: ServiceAssignments; readonly slots: number; readonly silenceOf: SilenceOf};
+
+/** Takes in the table as it is now. A place that no key uses any more is forgotten. */
+export function follow(followed: Followed, {table, slots, silenceOf}: SeenTable, now: MonotonicTime): Followed {
 	const places = new Map<Slot, Place>();
 	let {unavailableMilliseconds, moves} = followed;
 	for (const assignment of assignmentsInUse(table, slots)) {
 		const before = followed.places.get(assignment.slot);
-		const after = before?.assignment === assignment ? before : followPlace(before, assignment, now);
+		const after = before?.assignment === assignment ? before : followPlace(before, assignment, silenceOf, now);
 		unavailableMilliseconds += ended(before, after, now);
 		moves += Number(isMove(before, after));
 		places.set(assignment.slot, after);
--- a/packages/burn/test/test-following.ts
+++ b/packages/burn/test/test-following.ts
@@ -13,6 +13,12 @@
 	};
 }
 
+function revoked(slot: number, name: string): Assignment {
+	return {
+		phase: 'revoking', slot, fence: 1, revokedAt: 2, owner: {service, name, incarnation: 1},
+	};
+}
+
 function free(slot: number): Assignment {
 	return {phase: 'vacant', slot};
 }
@@ -21,7 +27,12 @@
 	return {service, assignments, pinned: pinned.map(slot => ({key: `key-${slot}`, home: 0, slot}))};
 }
 
-type Seen = {readonly at: number; readonly table: ServiceAssignments};
+type Seen = {
+	readonly at: number;
+	readonly table: ServiceAssignments;
+	/** How long the owners that are gone were silent. */
+	readonly silent?: number;
+};
 
 const cases: ReadonlyArray<{readonly name: string; readonly seen: readonly Seen[]; readonly unavailable: number; readonly moves: number; readonly imbalance: number; readonly owners: number}> = [
 	{
@@ -52,6 +63,24 @@
 		seen: [{at: 0, table: table([owned(0, 'one'), owned(1, 'two')])}, {at: 900, table: table([free(0), owned(1, 'two')])}],
 		unavailable: 100, moves: 0, imbalance: 1, owners: 1,
 	},
+	{
+		name: 'a lost owner counts from when it was last heard of',
+		seen: [
+			{at: 0, table: table([owned(0, 'one'), owned(1, 'two')])},
+			{at: 500, table: table([free(0), owned(1, 'two')]), silent: 350},
+			{at: 540, table: table([owned(0, 'two'), owned(1, 'two')]), silent: 350},
+		],
+		unavailable: 390, moves: 1, imbalance: 1, owners: 1,
+	},
+	{
+		name: 'the silence of a lost owner counts once',
+		seen: [
+			{at: 0, table: table([owned(0, 'one'), owned(1, 'two')])},
+			{at: 500, table: table([revoked(0, 'one'), owned(1, 'two')]), silent: 350},
+			{at: 520, table: table([free(0), owned(1, 'two')]), silent: 350},
+		],
+		unavailable: 850, moves: 0, imbalance: 1, owners: 1,
+	},
 	{
 		name: 'the place of a key that is pinned no more is not unavailable',
 		seen: [
@@ -76,8 +105,8 @@
 } of cases) {
 	test(`following ownership: ${name}`, () => {
 		let followed = createFollowed(service);
-		for (const {at, table: now} of seen) {
-			followed = follow(followed, now, slots, at);
+		for (const {at, table: now, silent = 0} of seen) {
+			followed = follow(followed, {table: now, slots, silenceOf: () => silent}, at);
 		}
 
 		assert.deepEqual(figuresOf(followed, endMilliseconds), {
--- a/packages/daemon/src/ownership-figures.ts
+++ b/packages/daemon/src/ownership-figures.ts
@@ -2,10 +2,11 @@
  * Follows the ownership tables of all services for the burn report.
  */
 import {
-	createFollowed, figuresOf, follow, type Followed,
+	createFollowed, figuresOf, follow, type Followed, type SilenceOf,
 } from '@dogwooddeck/burn/following';
 import {type OwnershipFigures} from '@dogwooddeck/burn/report';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {upstreamOf} from '@dogwooddeck/membership/registry';
 import {type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {type ServiceName} from '@dogwooddeck/model/identifiers';
 import {type ControlHolder} from './control-holder.js';
@@ -19,12 +20,13 @@
 export function createOwnershipFigures(holder: ControlHolder): FiguresFollower {
 	const followed = new Map<ServiceName, {readonly table: ServiceAssignments; readonly seen: Followed}>();
 
-	holder.listen(({ownership}) => {
+	holder.listen(({ownership, membership}) => {
+		const silenceOf: SilenceOf = owner => upstreamOf(membership, owner)?.silentMilliseconds ?? 0;
 		for (const table of Object.values(ownership.services)) {
 			const before = followed.get(table.service);
 			if (before?.table !== table) {
 				const slots = ownership.policies[table.service]?.slots ?? table.assignments.length;
-				const seen = follow(before?.seen ?? createFollowed(table.service), table, slots, monotonicNow());
+				const seen = follow(before?.seen ?? createFollowed(table.service), {table, slots, silenceOf}, monotonicNow());
 				followed.set(table.service, {table, seen});
 			}
 		}
--- a/packages/membership/src/registry.ts
+++ b/packages/membership/src/registry.ts
@@ -6,7 +6,7 @@
 	type Failure, FailureKind, failure,
 } from '@dogwooddeck/model/failure';
 import {
-	type Incarnation, type LogIndex, type ServiceName, type UpstreamIdentity, type UpstreamName,
+	type Incarnation, type LogIndex, type Milliseconds, type ServiceName, type UpstreamIdentity, type UpstreamName,
 } from '@dogwooddeck/model/identifiers';
 import {type Announcement, UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
@@ -37,7 +37,13 @@
 export type MembershipCommand =
 	/** An upstream announced itself in an incarnation that the registry doesn't hold. */
 	| {readonly kind: 'upstreamJoined'; readonly record: UpstreamRecord}
-	| {readonly kind: 'upstreamPhaseChanged'; readonly upstream: UpstreamIdentity; readonly phase: UpstreamPhase}
+	| {
+		readonly kind: 'upstreamPhaseChanged';
+		readonly upstream: UpstreamIdentity;
+		readonly phase: UpstreamPhase;
+		/** With `lost`: how long nothing had been heard of it. */
+		readonly silentMilliseconds?: Milliseconds;
+	}
 	/** The record of an upstream that no longer serves is dropped. */
 	| {readonly kind: 'upstreamForgotten'; readonly upstream: UpstreamIdentity};
 
@@ -142,12 +148,15 @@
 		: err(failure(FailureKind.notFound, `no upstream ${upstream.name} of ${upstream.service} with incarnation ${upstream.incarnation}`));
 }
 
-function changePhase(state: MembershipState, record: UpstreamRecord, phase: UpstreamPhase): Result<MembershipState, Failure> {
+type PhaseChange = Extract<MembershipCommand, {readonly kind: 'upstreamPhaseChanged'}>;
+
+function changePhase(state: MembershipState, record: UpstreamRecord, {phase, silentMilliseconds}: PhaseChange): Result<MembershipState, Failure> {
 	if (phaseOrder[phase] < phaseOrder[record.phase]) {
 		return err(superseded(record));
 	}
 
-	return ok(phase === record.phase ? state : withRecord(state, {...record, phase}));
+	const silence = silentMilliseconds === undefined ? {} : {silentMilliseconds};
+	return ok(phase === record.phase ? state : withRecord(state, {...record, phase, ...silence}));
 }
 
 function boundTombstones(tombstones: Readonly<Record<UpstreamName, Tombstone>>): Readonly<Record<UpstreamName, Tombstone>> {
@@ -172,7 +181,7 @@
 
 const handlers: HandlerTable<MembershipCommand, [MembershipState, LogIndex], Result<MembershipState, Failure>> = {
 	upstreamJoined: ({record}, state) => join(state, record),
-	upstreamPhaseChanged: ({upstream, phase}, state) => findStanding(state, upstream).andThen(record => changePhase(state, record, phase)),
+	upstreamPhaseChanged: (change, state) => findStanding(state, change.upstream).andThen(record => changePhase(state, record, change)),
 	upstreamForgotten: ({upstream}, state, index) => findStanding(state, upstream).andThen(record => forget(state, record, index)),
 };
 
--- a/packages/membership/src/verdict.ts
+++ b/packages/membership/src/verdict.ts
@@ -7,7 +7,7 @@
 import {identityOf, UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
 import {type MembershipCommand, type MembershipState, upstreamsOf} from './registry.js';
 import {
-	announcementTimeoutMilliseconds, watchOf, type WatchState, zoneTimeoutMilliseconds,
+	announcementTimeoutMilliseconds, type UpstreamWatch, watchOf, type WatchState, zoneTimeoutMilliseconds,
 } from './view.js';
 import {evidenceSaysLost} from './witness.js';
 
@@ -69,6 +69,26 @@
 	return announcement !== undefined && announcement.incarnation > record.incarnation;
 }
 
+/** The last sign of a life. Absent: this leader never heard of it. */
+function lastHeard({announcement, heardAt, earlier}: UpstreamWatch, {incarnation}: UpstreamRecord): MonotonicTime | undefined {
+	const lives = [announcement === undefined ? undefined : {incarnation: announcement.incarnation, heardAt}, earlier];
+	return lives.find(life => life?.incarnation === incarnation)?.heardAt;
+}
+
+/** How long nothing was heard of a life. Where this leader never heard of it, the time is not less than what is given. */
+function unheardTime(state: WatchState, tick: Judgement, record: UpstreamRecord): Milliseconds {
+	const heardAt = lastHeard(watchOf(state, record.service, record.name), record);
+	const leastSince = isOver(state, record) ? tick.now : state.startedAt;
+	return tick.now - (heardAt ?? leastSince);
+}
+
+function lostCommand(state: WatchState, tick: Judgement, record: UpstreamRecord): MembershipCommand {
+	const silentMilliseconds = Math.round(unheardTime(state, tick, record));
+	return {
+		kind: 'upstreamPhaseChanged', upstream: identityOf(record), phase: UpstreamPhase.lost, silentMilliseconds,
+	};
+}
+
 type ZoneView = {
 	readonly isReachable: boolean;
 	readonly isStorm: boolean;
@@ -111,5 +131,5 @@
 		.filter(record => condemned.has(record)
 			|| isOver(state, record)
 			|| (isMissedByZone(state, tick, record) && silenceSaysLost(silenceOf(state, tick, record), contract, zones.get(record.zone)!)))
-		.map(record => ({kind: 'upstreamPhaseChanged', upstream: identityOf(record), phase: UpstreamPhase.lost}));
+		.map(record => lostCommand(state, tick, record));
 }
--- a/packages/membership/src/view.ts
+++ b/packages/membership/src/view.ts
@@ -3,7 +3,7 @@
  * asked of it.
  */
 import {
-	type Milliseconds, type MonotonicTime, type ServiceName, type UpstreamIdentity, type ZoneName,
+	type Incarnation, type Milliseconds, type MonotonicTime, type ServiceName, type UpstreamIdentity, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
 import {type Announcement} from '@dogwooddeck/model/registry';
 import {flappingUpstreams, type FlapHistory} from './flapping.js';
@@ -19,6 +19,8 @@
 	/** The latest announcement. */
 	readonly announcement?: Announcement;
 	readonly heardAt: MonotonicTime;
+	/** The life before the announced one, and when it was last heard. */
+	readonly earlier?: {readonly incarnation: Incarnation; readonly heardAt: MonotonicTime};
 	/** The number of reports of the upstream's zone when it was heard. */
 	readonly heardInReport: number;
 	/** When this leader proposed that the incarnation joins. Absent: it was in the registry before. */
--- a/packages/membership/src/watch.ts
+++ b/packages/membership/src/watch.ts
@@ -67,8 +67,9 @@
 	}
 
 	const {lostAt: _lostAt, proposedAt: _proposedAt, joinedAt: _joinedAt, ...kept} = watch;
+	const earlier = known === undefined ? {} : {earlier: {incarnation: known.incarnation, heardAt: watch.heardAt}};
 	return {
-		...kept, announcement, heardAt: now, heardInReport, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
+		...kept, ...earlier, announcement, heardAt: now, heardInReport, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
 	};
 }
 
--- /dev/null
+++ b/packages/membership/test/scene.ts
@@ -0,0 +1,145 @@
+/**
+ * A service's upstreams in two availability zones and the instances that hear
+ * them, by small fakes, against the real watch and registry.
+ */
+import {defaultContract, type ServiceContract, WhenCut} from '@dogwooddeck/model/contract';
+import {emptyReport, type Report} from '@dogwooddeck/model/lease';
+import {type Announcement} from '@dogwooddeck/model/registry';
+import {applyMembership, emptyMembership, type MembershipState} from '@dogwooddeck/membership/registry';
+import {
+	advanceWatch, createWatch, flappingCount, type WatchEffect, type WatchEvent,
+} from '@dogwooddeck/membership/watch';
+
+export const service = 'bermrand/schedule';
+export const reportMilliseconds = 250;
+export const tickMilliseconds = 50;
+
+/** What stands for a zone's instances and a service's upstreams: each field says what goes wrong, and from when. */
+export type Scene = {
+	readonly whenCut?: WhenCut;
+	/** Upstreams in each of the zones `n-1` and `n-2`. */
+	readonly upstreams?: number;
+	readonly rosterSize?: number;
+	/** From when an upstream no longer announces itself, by its name. */
+	readonly silentFrom?: Readonly<Record<string, number>>;
+	readonly leavingFrom?: Readonly<Record<string, number>>;
+	/** When an upstream begins its next life, by its name. */
+	readonly restartsAt?: Readonly<Record<string, readonly number[]>>;
+	/** From when these instances of zone `n-1` fail at an upstream, by the upstream's name. */
+	readonly failingFrom?: Readonly<Record<string, {readonly at: number; readonly instances: readonly string[]}>>;
+	/** The only instances that send any requests. Absent: all. */
+	readonly busyInstances?: readonly string[];
+	/** Only one report of so many passes announcements on. */
+	readonly announcedEvery?: number;
+	/** The time in which no report of a zone comes through, by the zone. */
+	readonly cut?: Readonly<Record<string, readonly [from: number, until: number]>>;
+	/** When another leader begins with an empty view. */
+	readonly newLeaderAt?: number;
+	readonly untilMilliseconds: number;
+};
+
+/** What became of a scene. */
+export type Run = {
+	readonly registry: MembershipState;
+	readonly log: ReadonlyArray<{readonly at: number; readonly name: string; readonly change: string}>;
+	/** What the verdicts told of the times in which nothing was heard, in milliseconds. */
+	readonly silences: readonly number[];
+	readonly flapping: number;
+};
+
+export const instances = ['i1', 'i2', 'i3'];
+
+export function contractOf(scene: Scene): ServiceContract {
+	return {
+		...defaultContract, name: service, prefix: '/schedule', key: {place: 'path', segment: 0}, whenCut: scene.whenCut ?? WhenCut.hold,
+	};
+}
+
+export function namesIn(scene: Scene, zone: string): readonly string[] {
+	return Array.from({length: scene.upstreams ?? 4}, (_, number) => `${zone}/u${number}`);
+}
+
+export function announcementsOf(scene: Scene, zone: string, now: number): readonly Announcement[] {
+	const isPassedOn = now % (reportMilliseconds * (scene.announcedEvery ?? 1)) === 0;
+	return namesIn(scene, zone)
+		.filter(() => isPassedOn)
+		.filter(name => now < (scene.silentFrom?.[name] ?? Number.POSITIVE_INFINITY))
+		.map(name => ({
+			service,
+			name,
+			incarnation: 1 + (scene.restartsAt?.[name] ?? []).filter(at => at <= now).length,
+			region: 'noord',
+			zone,
+			address: '127.0.0.1:1',
+			leaving: now >= (scene.leavingFrom?.[name] ?? Number.POSITIVE_INFINITY),
+			load: 0,
+		}));
+}
+
+function evidenceOf(scene: Scene, zone: string, now: number): Report['evidence'] {
+	return Object.entries(scene.failingFrom ?? {})
+		.filter(([name]) => name.startsWith(zone))
+		.flatMap(([name, {at, instances: failing}]) => (scene.busyInstances ?? instances.slice(0, scene.rosterSize ?? 3)).map(instance => {
+			const isFailing = now >= at && failing.includes(instance);
+			return {
+				upstream: {service, name, incarnation: 1},
+				answered: isFailing ? 0 : 5,
+				failed: isFailing ? 2 : 0,
+				timedOut: 0,
+				shed: 0,
+				inFlight: 1,
+				meanLatencyMilliseconds: 5,
+				seenBy: {name: instance, incarnation: 1},
+			};
+		}));
+}
+
+export function isCut(scene: Scene, zone: string, now: number): boolean {
+	const [from, until] = scene.cut?.[zone] ?? [Number.POSITIVE_INFINITY, 0];
+	return now >= from && now < until;
+}
+
+export function play(scene: Scene): Run {
+	let watch = createWatch(0);
+	let registry = emptyMembership;
+	let index = 0;
+	const log: Array<{at: number; name: string; change: string}> = [];
+	const silences: number[] = [];
+	const carryOut = (effect: WatchEffect, at: number) => {
+		const {command} = effect;
+		const name = command.kind === 'upstreamJoined' ? command.record.name : command.upstream.name;
+		log.push({at, name, change: command.kind === 'upstreamPhaseChanged' ? command.phase : command.kind});
+		silences.push(...('silentMilliseconds' in command ? [command.silentMilliseconds] : []));
+		registry = applyMembership(registry, command, ++index).unwrapOr(registry);
+	};
+
+	const feed = (event: WatchEvent) => {
+		const {state, effects} = advanceWatch(watch, event);
+		watch = state;
+		for (const effect of effects) {
+			carryOut(effect, event.now);
+		}
+	};
+
+	const rosterSizes = {'n-1': scene.rosterSize ?? 3, 'n-2': scene.rosterSize ?? 3};
+	for (let now = 0; now <= scene.untilMilliseconds; now += tickMilliseconds) {
+		if (now === scene.newLeaderAt) {
+			watch = createWatch(now);
+		}
+
+		for (const zone of ['n-1', 'n-2'].filter(zone => now % reportMilliseconds === 0 && !isCut(scene, zone, now))) {
+			const report = {...emptyReport, announcements: announcementsOf(scene, zone, now), evidence: evidenceOf(scene, zone, now)};
+			feed({
+				kind: 'reportReceived', now, report, reporter: {zone, instance: 'i1'},
+			});
+		}
+
+		feed({
+			kind: 'ticked', now, registry, contracts: [contractOf(scene)], rosterSizes,
+		});
+	}
+
+	return {
+		registry, log, silences, flapping: flappingCount(watch, service, scene.untilMilliseconds),
+	};
+}
--- a/packages/membership/test/test-watch.ts
+++ b/packages/membership/test/test-watch.ts
@@ -1,145 +1,18 @@
 import assert from 'node:assert/strict';
 import process from 'node:process';
 import {test} from 'node:test';
-import {defaultContract, type ServiceContract, WhenCut} from '@dogwooddeck/model/contract';
-import {emptyReport, type Report} from '@dogwooddeck/model/lease';
-import {type Announcement, UpstreamPhase} from '@dogwooddeck/model/registry';
+import {WhenCut} from '@dogwooddeck/model/contract';
+import {emptyReport} from '@dogwooddeck/model/lease';
+import {UpstreamPhase} from '@dogwooddeck/model/registry';
 import fc from 'fast-check';
 import {
-	applyMembership, emptyMembership, type MembershipState, upstreamsOf,
-} from '@dogwooddeck/membership/registry';
-import {
-	advanceWatch, createWatch, flappingCount, joinedAt, type WatchEffect, type WatchEvent,
-} from '@dogwooddeck/membership/watch';
+	announcementsOf, contractOf, instances, isCut, namesIn, play, reportMilliseconds, type Run, type Scene, service, tickMilliseconds,
+} from './scene.js';
+import {applyMembership, emptyMembership, upstreamsOf} from '@dogwooddeck/membership/registry';
+import {advanceWatch, createWatch, joinedAt} from '@dogwooddeck/membership/watch';
 
-const service = 'bermrand/schedule';
-const reportMilliseconds = 250;
-const tickMilliseconds = 50;
 const seed = Number(process.env.SEED ?? 5);
 
-/** What stands for a zone's instances and a service's upstreams: each field says what goes wrong, and from when. */
-type Scene = {
-	readonly whenCut?: WhenCut;
-	/** Upstreams in each of the zones `n-1` and `n-2`. */
-	readonly upstreams?: number;
-	readonly rosterSize?: number;
-	/** From when an upstream no longer announces itself, by its name. */
-	readonly silentFrom?: Readonly<Record<string, number>>;
-	readonly leavingFrom?: Readonly<Record<string, number>>;
-	/** When an upstream begins its next life, by its name. */
-	readonly restartsAt?: Readonly<Record<string, readonly number[]>>;
-	/** From when these instances of zone `n-1` fail at an upstream, by the upstream's name. */
-	readonly failingFrom?: Readonly<Record<string, {readonly at: number; readonly instances: readonly string[]}>>;
-	/** The only instances that send any requests. Absent: all. */
-	readonly busyInstances?: readonly string[];
-	/** Only one report of so many passes announcements on. */
-	readonly announcedEvery?: number;
-	/** The time in which no report of a zone comes through, by the zone. */
-	readonly cut?: Readonly<Record<string, readonly [from: number, until: number]>>;
-	/** When another leader begins with an empty view. */
-	readonly newLeaderAt?: number;
-	readonly untilMilliseconds: number;
-};
-
-type Run = {
-	readonly registry: MembershipState;
-	readonly log: ReadonlyArray<{readonly at: number; readonly name: string; readonly change: string}>;
-	readonly flapping: number;
-};
-
-const instances = ['i1', 'i2', 'i3'];
-
-function contractOf(scene: Scene): ServiceContract {
-	return {
-		...defaultContract, name: service, prefix: '/schedule', key: {place: 'path', segment: 0}, whenCut: scene.whenCut ?? WhenCut.hold,
-	};
-}
-
-function namesIn(scene: Scene, zone: string): readonly string[] {
-	return Array.from({length: scene.upstreams ?? 4}, (_, number) => `${zone}/u${number}`);
-}
-
-function announcementsOf(scene: Scene, zone: string, now: number): readonly Announcement[] {
-	const isPassedOn = now % (reportMilliseconds * (scene.announcedEvery ?? 1)) === 0;
-	return namesIn(scene, zone)
-		.filter(() => isPassedOn)
-		.filter(name => now < (scene.silentFrom?.[name] ?? Number.POSITIVE_INFINITY))
-		.map(name => ({
-			service,
-			name,
-			incarnation: 1 + (scene.restartsAt?.[name] ?? []).filter(at => at <= now).length,
-			region: 'noord',
-			zone,
-			address: '127.0.0.1:1',
-			leaving: now >= (scene.leavingFrom?.[name] ?? Number.POSITIVE_INFINITY),
-			load: 0,
-		}));
-}
-
-function evidenceOf(scene: Scene, zone: string, now: number): Report['evidence'] {
-	return Object.entries(scene.failingFrom ?? {})
-		.filter(([name]) => name.startsWith(zone))
-		.flatMap(([name, {at, instances: failing}]) => (scene.busyInstances ?? instances.slice(0, scene.rosterSize ?? 3)).map(instance => {
-			const isFailing = now >= at && failing.includes(instance);
-			return {
-				upstream: {service, name, incarnation: 1},
-				answered: isFailing ? 0 : 5,
-				failed: isFailing ? 2 : 0,
-				timedOut: 0,
-				shed: 0,
-				inFlight: 1,
-				meanLatencyMilliseconds: 5,
-				seenBy: {name: instance, incarnation: 1},
-			};
-		}));
-}
-
-function isCut(scene: Scene, zone: string, now: number): boolean {
-	const [from, until] = scene.cut?.[zone] ?? [Number.POSITIVE_INFINITY, 0];
-	return now >= from && now < until;
-}
-
-function play(scene: Scene): Run {
-	let watch = createWatch(0);
-	let registry = emptyMembership;
-	let index = 0;
-	const log: Array<{at: number; name: string; change: string}> = [];
-	const carryOut = (effect: WatchEffect, at: number) => {
-		const {command} = effect;
-		const name = command.kind === 'upstreamJoined' ? command.record.name : command.upstream.name;
-		log.push({at, name, change: command.kind === 'upstreamPhaseChanged' ? command.phase : command.kind});
-		registry = applyMembership(registry, command, ++index).unwrapOr(registry);
-	};
-
-	const feed = (event: WatchEvent) => {
-		const {state, effects} = advanceWatch(watch, event);
-		watch = state;
-		for (const effect of effects) {
-			carryOut(effect, event.now);
-		}
-	};
-
-	const rosterSizes = {'n-1': scene.rosterSize ?? 3, 'n-2': scene.rosterSize ?? 3};
-	for (let now = 0; now <= scene.untilMilliseconds; now += tickMilliseconds) {
-		if (now === scene.newLeaderAt) {
-			watch = createWatch(now);
-		}
-
-		for (const zone of ['n-1', 'n-2'].filter(zone => now % reportMilliseconds === 0 && !isCut(scene, zone, now))) {
-			const report = {...emptyReport, announcements: announcementsOf(scene, zone, now), evidence: evidenceOf(scene, zone, now)};
-			feed({
-				kind: 'reportReceived', now, report, reporter: {zone, instance: 'i1'},
-			});
-		}
-
-		feed({
-			kind: 'ticked', now, registry, contracts: [contractOf(scene)], rosterSizes,
-		});
-	}
-
-	return {registry, log, flapping: flappingCount(watch, service, scene.untilMilliseconds)};
-}
-
 function lostNames(run: Run): readonly string[] {
 	return upstreamsOf(run.registry, service).filter(record => record.phase === UpstreamPhase.lost).map(record => record.name);
 }
@@ -233,6 +106,45 @@
 	});
 }
 
+/** The times from the last sign of life until the verdict. Announcements are passed on each 250 ms. */
+const silenceCases: ReadonlyArray<{readonly name: string; readonly scene: Scene; readonly from: number; readonly until: number}> = [
+	{
+		name: 'one goes silent', scene: {silentFrom: {'n-1/u1': 2000}, untilMilliseconds: 5000}, from: 1000, until: 1300,
+	},
+	{
+		name: 'one died during a cut',
+		scene: {cut: {'n-1': [2000, 9000]}, silentFrom: {'n-1/u1': 4000}, untilMilliseconds: 20_000},
+		from: 8000,
+		until: 8300,
+	},
+	{
+		name: 'one is lost under a leader that never heard it',
+		scene: {silentFrom: {'n-1/u1': 2000}, newLeaderAt: 2500, untilMilliseconds: 6000},
+		from: 1000,
+		until: 1100,
+	},
+	{
+		name: 'one starts anew at once', scene: {restartsAt: {'n-1/u1': [2000]}, untilMilliseconds: 2100}, from: 250, until: 250,
+	},
+	{
+		name: 'one starts anew under a leader that never heard its earlier life',
+		scene: {
+			restartsAt: {'n-1/u1': [3000]}, cut: {'n-1': [2000, 3000]}, newLeaderAt: 2500, untilMilliseconds: 3050,
+		},
+		from: 0,
+		until: 0,
+	},
+];
+
+for (const {
+	name, scene, from, until,
+} of silenceCases) {
+	test(`silence: ${name}`, () => {
+		const [silence] = play(scene).silences;
+		assert.ok(silence !== undefined && silence >= from && silence <= until, `${silence} ms`);
+	});
+}
+
 const lifeCases: ReadonlyArray<{readonly name: string; readonly scene: Scene; readonly expected: ReadonlyArray<readonly [at: number, change: string]>; readonly flapping: number}> = [
 	{
 		name: 'joins when first heard', scene: {untilMilliseconds: 2000}, expected: [[0, 'upstreamJoined']], flapping: 0,
--- a/packages/model/src/registry.ts
+++ b/packages/model/src/registry.ts
@@ -2,7 +2,7 @@
  * The records of instances and upstreams, as they stand in the replicated log.
  */
 import {
-	type Incarnation, type InstanceName, type RegionName, type ServiceName, type UpstreamIdentity, type UpstreamName, type ZoneName,
+	type Incarnation, type InstanceName, type Milliseconds, type RegionName, type ServiceName, type UpstreamIdentity, type UpstreamName, type ZoneName,
 } from './identifiers.js';
 
 /** An instance that belongs to the roster of its availability zone. */
@@ -42,6 +42,8 @@
 	/** Where requests go, as `IP:port`. */
 	readonly address: string;
 	readonly phase: UpstreamPhase;
+	/** How long nothing had been heard of it when it was judged lost. Absent: it is not lost, or that isn't known. */
+	readonly silentMilliseconds?: Milliseconds;
 };
 
 /** The identity within an upstream's record. */
