Tell scrapers the kind of each measure, and quantiles as they are meant

Two measures were named and never counted. Change: quantiles are named constants; the series of a measure stand together after a line with its kind; the two names are gone.

--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -11,12 +11,8 @@
 	requests: 'dogwooddeck_requests_total',
 	/** Time to a whole answer, in milliseconds, by service. */
 	latency: 'dogwooddeck_request_milliseconds',
-	/** Attempts that were sent to upstreams, by service. */
-	attempts: 'dogwooddeck_attempts_total',
 	/** The newest log entry that is applied. */
 	applied: 'dogwooddeck_applied_index',
-	/** Calls to other instances, by call. */
-	peerCalls: 'dogwooddeck_peer_calls_total',
 	/** Announcements that were taken. */
 	announcements: 'dogwooddeck_announcements_total',
 	/** Whether this instance is ready: 1 or 0. */
@@ -48,14 +44,21 @@
 	readonly set: (name: MeasureName, value: number) => void;
 	/** The histogram of a series of durations. Record with `recordDuration`. */
 	readonly histogram: (name: MeasureName, labels: Labels) => Histogram;
-	/** All measures as text, one series a line. */
+	/** All measures as text, one series a line after the kind of its measure. */
 	readonly expose: () => string;
 };
 
 const unitsPerMillisecond = 1000;
 const longestRecordedMilliseconds = 60_000;
 const significantDigits = 2;
-const exposedPercentiles = [50, 90, 99, 99.9];
+const exposedQuantiles = ['0.5', '0.9', '0.99', '0.999'];
+const percentilesInWhole = 100;
+
+/** What a scraper is told of a measure's kind. */
+const SeriesKind = {counter: 'counter', gauge: 'gauge', summary: 'summary'} as const;
+type SeriesKind = (typeof SeriesKind)[keyof typeof SeriesKind];
+
+type Family = {readonly kind: SeriesKind; readonly lines: readonly string[]};
 
 function seriesOf(name: MeasureName, labels: Labels): string {
 	const pairs = Object.entries(labels).map(([key, value]) => `${key}=${JSON.stringify(value)}`);
@@ -81,6 +84,18 @@
 	return made;
 }
 
+function summaryLines(name: MeasureName, labels: Labels, histogram: Histogram): readonly string[] {
+	const quantiles = exposedQuantiles.map(quantile => {
+		const units = histogram.getValueAtPercentile(Number(quantile) * percentilesInWhole);
+		return `${seriesOf(name, {...labels, quantile})} ${units / unitsPerMillisecond}`;
+	});
+	return [...quantiles, `${seriesOf(name, labels).replace(name, `${name}_count`)} ${histogram.totalCount}`];
+}
+
+function familyLines([name, {kind, lines}]: readonly [MeasureName, Family]): readonly string[] {
+	return [`# TYPE ${name} ${kind}`, ...[...lines].sort()];
+}
+
 /** Records a duration in a histogram that `histogram` gave. */
 export function recordDuration(histogram: Histogram, duration: Milliseconds): void {
 	const capped = Math.min(longestRecordedMilliseconds, Math.max(0, duration));
@@ -89,28 +104,33 @@
 
 /** Makes an empty set of measures. */
 export function createMeasures(): Measures {
-	const counters = new Map<string, Counter>();
-	const histograms = new Map<string, {name: MeasureName; labels: Labels; histogram: Histogram}>();
-
-	function histogramLines(): string[] {
-		return [...histograms.values()].flatMap(({name, labels, histogram}) => [
-			...exposedPercentiles.map(percentile => {
-				const series = seriesOf(name, {...labels, quantile: String(percentile / 100)});
-				return `${series} ${histogram.getValueAtPercentile(percentile) / unitsPerMillisecond}`;
-			}),
-			`${seriesOf(name, labels).replace(name, `${name}_count`)} ${histogram.totalCount}`,
-		]);
+	const counters = new Map<string, {readonly name: MeasureName; readonly counter: Counter}>();
+	const gauges = new Map<MeasureName, number>();
+	const histograms = new Map<string, {readonly name: MeasureName; readonly labels: Labels; readonly histogram: Histogram}>();
+
+	function families(): ReadonlyMap<MeasureName, Family> {
+		const all = new Map<MeasureName, Family>([...gauges].map(([name, value]) => [name, {kind: SeriesKind.gauge, lines: [`${name} ${value}`]}]));
+		const add = (name: MeasureName, kind: SeriesKind, lines: readonly string[]) => all.set(name, {kind, lines: [...all.get(name)?.lines ?? [], ...lines]});
+		for (const [series, {name, counter}] of counters) {
+			add(name, SeriesKind.counter, [`${series} ${counter.value}`]);
+		}
+
+		for (const {name, labels, histogram} of histograms.values()) {
+			add(name, SeriesKind.summary, summaryLines(name, labels, histogram));
+		}
+
+		return all;
 	}
 
 	return {
-		counter: (name, labels) => found(counters, seriesOf(name, labels), () => ({value: 0})),
+		counter: (name, labels) => found(counters, seriesOf(name, labels), () => ({name, counter: {value: 0}})).counter,
 		set(name, value) {
-			found(counters, name, () => ({value: 0})).value = value;
+			gauges.set(name, value);
 		},
 		histogram: (name, labels) => found(histograms, seriesOf(name, labels), () => ({name, labels, histogram: createHistogram()})).histogram,
 		expose() {
-			const lines = [...counters].map(([series, {value}]) => `${series} ${value}`);
-			return [...lines, ...histogramLines()].sort().join('\n') + '\n';
+			const ordered = [...families()].sort(([one], [other]) => (one < other ? -1 : 1));
+			return ordered.flatMap(family => familyLines(family)).join('\n') + '\n';
 		},
 	};
 }
