--- a/packages/membership/src/watch.ts
+++ b/packages/membership/src/watch.ts
@@ -23,7 +23,7 @@
 import {noteEvidence} from './witness.js';
 
 export {
-	announcedLoad, createWatch, flappingCount, joinedAt, type WatchState,
+	createWatch, flappingCount, joinedAt, type WatchState,
 } from './view.js';
 
 /** A proposal that did not take effect is made again after this long. */
@@ -67,8 +67,9 @@
 	}
 
 	const {lostAt: _lostAt, proposedAt: _proposedAt, joinedAt: _joinedAt, ...kept} = watch;
+	const earlier = known === undefined ? {} : {earlier: {incarnation: known.incarnation, heardAt: watch.heardAt}};
 	return {
-		...kept, announcement, heardAt: now, heardInReport, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
+		...kept, ...earlier, announcement, heardAt: now, heardInReport, witnesses: {}, flaps: noteLife(watch.flaps, announcement.incarnation, now),
 	};
 }
 
