Play reserves with fixed windows and bursts too

Cause: the schedules had sliding windows alone, while the schedule viewer of the example counts by the fixed minute. The contract of the schedules stood in test-limiter as well, and nothing said which reserves a file may hold.

Change: three schedules with fixed windows and bursts, in which the reserve grows and shrinks between two cuts. The contract is one test module for both files; the cases of test-limiter are as before. Five cases on `cut_reserve`.

--- a/packages/configuration/test/test-surface.ts
+++ b/packages/configuration/test/test-surface.ts
@@ -6,11 +6,13 @@
 import {type ServiceContract} from '@dogwooddeck/model/contract';
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {type Result} from 'true-myth/result';
+import * as v from 'valibot';
 import {applyConfiguration} from '../src/apply.js';
 import {
 	authorityOf, hashToken, requireOperator, requireTeam,
 } from '../src/authority.js';
 import {checkContract, contractProblems} from '../src/contract-check.js';
+import {contractFileSchema} from '../src/contract-schema.js';
 import {
 	parseApplyRequest, parseDrainRequest, parseMoveRequest, parseTokenRequest, parseZoneDeclareLostRequest,
 } from '../src/messages.js';
@@ -161,6 +163,25 @@
 
 const route = {method: 'GET', idempotent: true, importance: 'high'} as const;
 
+const reserves: ReadonlyArray<{readonly value: unknown; readonly isTaken: boolean}> = [
+	{value: 0, isTaken: true},
+	{value: 1, isTaken: true},
+	{value: 1.1, isTaken: false},
+	{value: -0.1, isTaken: false},
+	{value: '0.2', isTaken: false},
+];
+
+for (const {value, isTaken} of reserves) {
+	test(`contract: a reserve of ${JSON.stringify(value)} is ${isTaken ? 'taken' : 'refused'}`, () => {
+		const file = {
+			prefix: '/schedule', key: {place: 'path', segment: 0}, limits: [{
+				name: 'reads', amount: 1, unit: 'leafing', cut_reserve: value,
+			}],
+		};
+		assert.equal(v.safeParse(contractFileSchema, file).success, isTaken);
+	});
+}
+
 const contracts: ReadonlyArray<{readonly name: string; readonly more: Partial<ServiceContract>; readonly expected: readonly string[]}> = [
 	{
 		name: 'a route that stands twice',
--- a/packages/daemon/test/test-cut-reserve.ts
+++ b/packages/daemon/test/test-cut-reserve.ts
@@ -11,9 +11,7 @@
 import {type ControlState, emptyControl} from '@dogwooddeck/control/state';
 import {controlPart} from '@dogwooddeck/limits/reserve';
 import {createSharing, shareOutAll, type SharingState} from '@dogwooddeck/limits/sharing';
-import {
-	Counted, defaultContract, LimitScope, Rounding, type ServiceContract, WindowForm,
-} from '@dogwooddeck/model/contract';
+import {type LegacyUnit, type ServiceContract, WindowForm} from '@dogwooddeck/model/contract';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {emptyReport} from '@dogwooddeck/model/lease';
 import {Divider, type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
@@ -21,6 +19,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createLimiter, type Limiter} from '../src/limiter.js';
 import {createZoneLimits} from '../src/zone-limits.js';
+import {limitedContract} from './limited-contract.js';
 
 const amount = 200;
 const windowMilliseconds = 10_000;
@@ -37,29 +36,6 @@
 
 let now = 0;
 
-function contractWith(cutReserve: number, listed: readonly string[]): ServiceContract {
-	return {
-		...defaultContract,
-		name: 'team/service',
-		prefix: '/schedule',
-		key: {place: 'path', segment: 0},
-		upstream: {...defaultContract.upstream, zones: listed},
-		units: [{
-			name: 'piece',
-			counts: Counted.requests,
-			countedPerUnit: 1,
-			intervalMilliseconds: windowMilliseconds,
-			window: WindowForm.sliding,
-			burst: 1,
-			rounding: Rounding.down,
-			scope: LimitScope.deployment,
-		}],
-		limits: [{
-			name: 'limit', unit: 'piece', amount, cutReserve,
-		}],
-	};
-}
-
 function member(zone: string, number: number): InstanceRecord {
 	return {
 		name: `${zone}-${number}`, incarnation: 1, region: 'region', zone, peerAddress: '', callerAddress: '', operatorAddress: '',
@@ -85,6 +61,7 @@
 	readonly delayMilliseconds: number;
 	/** In hundredths of all messages. */
 	readonly loss: number;
+	readonly unit?: Pick<LegacyUnit, 'window' | 'burst'>;
 	readonly changes: readonly Change[];
 	readonly cuts?: readonly Cut[];
 	readonly newLeaders?: readonly number[];
@@ -111,7 +88,9 @@
 		const random = xoroshiro128plus(seed);
 		this.#pick = below => uniformInt(random, 0, below - 1);
 		this.#schedule = schedule;
-		this.#controls = schedule.changes.map(({at, cutReserve, zones: listed = zones}) => ({at, control: controlWith(contractWith(cutReserve, listed))}));
+		const unit = {intervalMilliseconds: windowMilliseconds, ...schedule.unit};
+		this.#controls = schedule.changes.map(({at, cutReserve, zones: listed = zones}) =>
+			({at, control: controlWith(limitedContract({limit: {amount, cutReserve}, unit, zones: listed}))}));
 		this.#places = members.map(record => ({
 			record, limiter: createLimiter(record, () => undefined), askedAt: -Infinity, learnsAfter: this.#pick(learningMilliseconds),
 		}));
@@ -224,11 +203,13 @@
 	}
 }
 
-function mostInWindow(admitted: readonly Admitted[]): number {
+type MostInWindow = (admitted: readonly Admitted[], burst: number) => number;
+
+function mostInSliding(admitted: readonly Admitted[], burst: number): number {
 	let first = 0;
 	let most = 0;
 	for (const [position, {at}] of admitted.entries()) {
-		while (admitted[first]!.at <= at - windowMilliseconds) {
+		while (admitted[first]!.at <= at - (windowMilliseconds * burst)) {
 			first++;
 		}
 
@@ -238,6 +219,18 @@
 	return most;
 }
 
+function mostInFixed(admitted: readonly Admitted[]): number {
+	const counts = new Map<number, number>();
+	for (const {at} of admitted) {
+		const number = Math.floor(at / windowMilliseconds);
+		counts.set(number, (counts.get(number) ?? 0) + 1);
+	}
+
+	return Math.max(0, ...counts.values());
+}
+
+const mostInWindow: Readonly<Record<WindowForm, MostInWindow>> = {[WindowForm.sliding]: mostInSliding, [WindowForm.fixed]: mostInFixed};
+
 const seed = Number(process.env.SEED ?? 1);
 const runs = Number(process.env.RUNS ?? 3);
 const steady = [{at: 0, cutReserve: 0.3}];
@@ -298,13 +291,25 @@
 			changes: [{at: 0, cutReserve: 0.9}, {at: 80_000, cutReserve: 0.9, zones: ['zuid-a']}, {at: 160_000, cutReserve: 0.9, zones: ['noord-a', 'noord-b']}, {at: 220_000, cutReserve: 0.9}],
 		},
 	},
+	...[{window: WindowForm.fixed, burst: 1}, {window: WindowForm.fixed, burst: 2}, {window: WindowForm.sliding, burst: 2}].map(unit => ({
+		name: `${unit.window} windows, burst ${unit.burst}, with all of it`, schedule: {
+			delayMilliseconds: 800,
+			loss: 10,
+			unit,
+			changes: [...steady, {at: 100_000, cutReserve: 0.9}, {at: 190_000, cutReserve: 0.1}],
+			cuts: [{zone: 'zuid-a', from: 60_000, to: 95_000}, {zone: 'noord-a', from: 240_000, to: 290_000}],
+			newStewards: [{zone: 'zuid-a', at: 70_000}, {zone: 'noord-b', at: 130_000}],
+			newLeaders: [75_000, 160_000],
+			restarts: [{instance: 'zuid-a-0', at: 85_000}, {instance: 'noord-b-0', at: 250_000}],
+		},
+	})),
 ];
 
 /** What the cut zone was admitted from when control's shares were forgotten: in one window at most, and in all as a part of its reserve. */
 function usedInCut(admitted: readonly Admitted[], start: number): {readonly most: number; readonly ratio: number} {
 	const [from, to] = [start + longCut.from + afterShares, start + longCut.to];
 	const inCut = admitted.filter(({at, zone}) => zone === longCut.zone && at >= from && at < to);
-	return {most: mostInWindow(inCut), ratio: inCut.length / (zoneReserve * (to - from) / windowMilliseconds)};
+	return {most: mostInSliding(inCut, 1), ratio: inCut.length / (zoneReserve * (to - from) / windowMilliseconds)};
 }
 
 function checkCut(context: TestContext, admitted: readonly Admitted[], start: number): void {
@@ -331,9 +336,11 @@
 	test(`reserves: no window has more than the contract: ${name} (seeds from ${seed})`, context => {
 		for (let run = seed; run < seed + runs; run++) {
 			const {admitted, start} = play(run, schedule);
-			const most = mostInWindow(admitted);
-			context.diagnostic(`seed ${run}: at most ${most} of ${amount} in one window`);
-			assert.ok(admitted.length > amount && most <= amount, `${most} of ${amount} in one window, seed ${run}`);
+			const {window, burst} = schedule.unit ?? {window: WindowForm.sliding, burst: 1};
+			const most = mostInWindow[window](admitted, burst);
+			const allowed = amount * burst;
+			context.diagnostic(`seed ${run}: at most ${most} of ${allowed} in one window`);
+			assert.ok(admitted.length > allowed && most <= allowed, `${most} of ${allowed} in one window, seed ${run}`);
 			if (schedule.cuts?.includes(longCut)) {
 				checkCut(context, admitted, start);
 			}
--- a/packages/daemon/test/test-limiter.ts
+++ b/packages/daemon/test/test-limiter.ts
@@ -8,36 +8,16 @@
 import {mock, test} from 'node:test';
 import {createSharing, shareOut, type SharingState} from '@dogwooddeck/limits/sharing';
 import {effectiveLimit} from '@dogwooddeck/limits/unit';
-import {
-	Counted, defaultContract, LimitScope, Rounding, type ServiceContract, WindowForm,
-} from '@dogwooddeck/model/contract';
 import {Divider, type LimitDemand, type LimitShare} from '@dogwooddeck/model/share';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createLimiter, type Limiter} from '../src/limiter.js';
+import {limitedContract} from './limited-contract.js';
 
 const amount = 200;
 const windowMilliseconds = 10_000;
 const head = {method: 'GET', path: '/schedule/verge-1', headers: {}};
-const contract: ServiceContract = {
-	...defaultContract,
-	name: 'team/service',
-	prefix: '/schedule',
-	key: {place: 'path', segment: 0},
-	units: [{
-		name: 'piece',
-		counts: Counted.requests,
-		countedPerUnit: 1,
-		intervalMilliseconds: windowMilliseconds,
-		window: WindowForm.sliding,
-		burst: 1,
-		rounding: Rounding.down,
-		scope: LimitScope.deployment,
-	}],
-	limits: [{
-		name: 'limit', unit: 'piece', amount,
-	}],
-};
+const contract = limitedContract({limit: {amount}, unit: {intervalMilliseconds: windowMilliseconds}});
 const limit = effectiveLimit(contract.limits[0]!, contract.units).unwrapOrElse(why => assert.fail(why.detail));
 
 let now = 0;
