Check the time in which keys are served again, in the tool and on the server

Cause: timeToServeAgain bounded the time from the loss of an upstream until its keys are served again, and nothing but a test called it. SETTINGS.md said that the daemon checks the deadline against it, which was not so.

Change: a contract may state `served_again_within`. control/served-again sums the parts (detection: the silence of membership/view) and gives the problem of a contract whose sum is longer. `check`, `plan` and `apply` refuse a contract that its sum does not meet with file, path and reason; the operators' surface refuses it before the change is proposed, so that the replicated state does not depend on a release's terms. control-tool may import control, a lower layer, which alone knows both terms and verdicts. The drain's part is rounded up to whole milliseconds. The examples state 4 s.

Figures: the sum with the default deadline is 3906 ms before and after (1000 detection, 644 revocation, 1531 drain, 157 grant, 574 spread).

Conclusion: the sum is stated, shown and held to. It leaves out the 500 ms that a storm of silences adds; SETTINGS.md says so. An operation that an older release accepted and a newer one's terms refuse would be refused when resent.

--- a/packages/configuration/src/contract-schema.ts
+++ b/packages/configuration/src/contract-schema.ts
@@ -47,6 +47,7 @@
 	weigh: shared.weigh,
 	whenCut: oneOf(WhenCut),
 	longestDeadlineMilliseconds: wholeNumber(...bounds.deadline),
+	servedAgainWithinMilliseconds: v.exactOptional(wholeNumber(...bounds.servedAgain)),
 	largestBodyBytes: wholeNumber(...bounds.body),
 	routes: boundedList(strictObject({...routeEntries, importance: oneOf(Importance)})),
 	upstream: strictObject({
@@ -158,6 +159,7 @@
 		weigh: v.optional(shared.weigh, defaults.weigh),
 		when_cut: v.optional(oneOf(WhenCut), defaults.whenCut),
 		longest_deadline: v.optional(duration(...bounds.deadline), `${defaults.longestDeadlineMilliseconds} ms`),
+		served_again_within: v.exactOptional(duration(...bounds.servedAgain)),
 		largest_body: v.optional(size(...bounds.body), `${defaults.largestBodyBytes} B`),
 		routes: v.optional(boundedList(fileRoute), []),
 		upstream: v.optional(fileUpstream, {}),
@@ -173,6 +175,7 @@
 		weigh: file.weigh,
 		whenCut: file.when_cut,
 		longestDeadlineMilliseconds: file.longest_deadline,
+		...(file.served_again_within === undefined ? {} : {servedAgainWithinMilliseconds: file.served_again_within}),
 		largestBodyBytes: file.largest_body,
 		routes: file.routes,
 		upstream: file.upstream,
--- a/packages/configuration/src/field.ts
+++ b/packages/configuration/src/field.ts
@@ -10,6 +10,7 @@
 export const largestSubtreeServices = 256;
 
 const hourMilliseconds = 3_600_000;
+const dayMilliseconds = 24 * hourMilliseconds;
 const yearMilliseconds = 31_536_000_000;
 const largestBody = 1_073_741_824;
 const largestSlots = 65_536;
@@ -71,6 +72,7 @@
 export const bounds = {
 	slots: [1, largestSlots],
 	deadline: [1, hourMilliseconds],
+	servedAgain: [1, dayMilliseconds],
 	body: [0, largestBody],
 	warmUp: [0, hourMilliseconds],
 	backoff: [0, hourMilliseconds],
--- a/packages/configuration/test/test-surface.ts
+++ b/packages/configuration/test/test-surface.ts
@@ -203,6 +203,24 @@
 	});
 }
 
+const servedAgain: ReadonlyArray<readonly [written: unknown, read: number | string | undefined]> = [
+	[undefined, undefined],
+	['4 s', 4000],
+	['1 d', 86_400_000],
+	['0 ms', 'schedule.toml: served_again_within: expected a duration such as "1500 ms" or "2 s", from 1 to 86400000 ms'],
+	[4000, 'schedule.toml: served_again_within: expected a duration with its unit, such as "1500 ms"'],
+];
+
+for (const [written, expected] of servedAgain) {
+	test(`contract: served_again_within = ${JSON.stringify(written)}`, () => {
+		const content = {prefix: '/schedule', key: {place: 'path', segment: 0}, ...(written === undefined ? {} : {served_again_within: written})};
+		const checked = checkContract({file: 'schedule.toml', service: 'bermrand/schedule', content});
+		assert.equal(checked.match<unknown>({Ok: read => read.servedAgainWithinMilliseconds, Err: refusal => refusal.detail}), expected);
+		const sent = parseApplyRequest({...wanted, services: checked.isOk ? [checked.value] : []});
+		assert.equal(sent.match<unknown>({Ok: ({services}) => services[0]?.servedAgainWithinMilliseconds, Err: () => 'refused'}), checked.isOk ? expected : undefined);
+	});
+}
+
 test('contract: a check that the caller adds is asked too', () => {
 	const content = {prefix: '/schedule', key: {place: 'path', segment: 0}};
 	const checked = checkContract({file: 'schedule.toml', service: 'bermrand/schedule', content}, [
--- a/packages/control-tool/src/command/apply.ts
+++ b/packages/control-tool/src/command/apply.ts
@@ -18,6 +18,7 @@
 import {send} from '../client.js';
 import {type CommandOutput} from '../output.js';
 import {type Connection} from '../profile.js';
+import {servedAgainBounds, servedAgainLines} from '../served-again-lines.js';
 import {readTeamFolder, type TeamFolder} from '../team-folder.js';
 import {
 	announceOperation, authorArgument, chosenOperation, connectionArguments, operationArgument, withConnection, type CommandRun,
@@ -42,10 +43,17 @@
 
 function planOutput(folder: TeamFolder, standing: ConfigurationAnswer): CommandOutput {
 	const changes = compareSubtrees(standing.services, folder.services);
+	const servedAgain = servedAgainBounds(folder);
 	const summary = changes.length === 0 ? 'nothing would change' : `${changes.length} services would change`;
 	return {
-		data: {team: folder.team, base: standing.revision, changes},
-		lines: [...changes.flatMap(change => describeChange(change)), `${folder.team} at revision ${standing.revision}: ${summary}`],
+		data: {
+			team: folder.team, base: standing.revision, changes, servedAgain,
+		},
+		lines: [
+			...changes.flatMap(change => describeChange(change)),
+			...servedAgainLines(servedAgain),
+			`${folder.team} at revision ${standing.revision}: ${summary}`,
+		],
 	};
 }
 
--- a/packages/control-tool/src/command/check.ts
+++ b/packages/control-tool/src/command/check.ts
@@ -4,6 +4,7 @@
 import {type ServiceContract} from '@dogwooddeck/model/contract';
 import {command, positional, string} from 'cmd-ts';
 import {table} from '../output.js';
+import {servedAgainBounds, servedAgainLines} from '../served-again-lines.js';
 import {readTeamFolder, type TeamFolder} from '../team-folder.js';
 import {localArguments, type CommandRun} from './arguments.js';
 
@@ -27,6 +28,7 @@
 function describe(folder: TeamFolder): readonly string[] {
 	return [
 		...table(contractHeads, folder.services.map(contract => contractRow(contract))),
+		...servedAgainLines(servedAgainBounds(folder)),
 		`${folder.team}: ${folder.services.length} services, all checks passed`,
 	];
 }
@@ -38,6 +40,6 @@
 	args: {...localArguments, folder: positional({type: string, displayName: 'folder', description: 'the team\'s folder'})},
 	async handler({format, folder}): Promise<CommandRun> {
 		const read = await readTeamFolder(folder);
-		return {format, result: read.map(content => ({data: content, lines: describe(content)}))};
+		return {format, result: read.map(content => ({data: {...content, servedAgain: servedAgainBounds(content)}, lines: describe(content)}))};
 	},
 });
--- a/packages/control-tool/src/team-folder.ts
+++ b/packages/control-tool/src/team-folder.ts
@@ -7,6 +7,7 @@
 import {checkContract, overlapProblems} from '@dogwooddeck/configuration/contract-check';
 import {nameField} from '@dogwooddeck/configuration/field';
 import {parseStrictly, problemsFailure, strictObject} from '@dogwooddeck/configuration/strict-schema';
+import {servedAgainProblems} from '@dogwooddeck/control/served-again';
 import {type ServiceContract} from '@dogwooddeck/model/contract';
 import {FailureKind, type Failure, type SettingsProblem} from '@dogwooddeck/model/failure';
 import {type TeamName} from '@dogwooddeck/model/identifiers';
@@ -47,7 +48,7 @@
 	}
 
 	const content = await readToml(file);
-	return content.andThen(parsed => checkContract({file, service: `${team}/${stem}`, content: parsed}));
+	return content.andThen(parsed => checkContract({file, service: `${team}/${stem}`, content: parsed}, [servedAgainProblems]));
 }
 
 function joined(failures: readonly Failure[]): Failure {
--- a/packages/control-tool/test/test-session.ts
+++ b/packages/control-tool/test/test-session.ts
@@ -25,6 +25,12 @@
 const apply = 'apply examples/bermrand --server SERVER --token-file FOLDER/bermrand.token --author planner --operation operation-1 --base 0';
 const announced = 'operation operation-1 base 0; to send it again: --operation operation-1 --base 0';
 const head = 'service              prefix       slots  weigh         when cut  deadline  limits  objectives';
+const bounds = [
+	'served again after a loss  at most  detection  revocation  drain    grant   spread  stated',
+	'bermrand/booking           3906 ms  1000 ms    644 ms      1531 ms  157 ms  574 ms  4000 ms',
+	'bermrand/completion        3906 ms  1000 ms    644 ms      1531 ms  157 ms  574 ms  4000 ms',
+	'bermrand/schedule          3906 ms  1000 ms    644 ms      1531 ms  157 ms  574 ms  4000 ms',
+];
 const unknownOutcome = 'outcome-unknown: whether the change was accepted isn\'t known: SERVER gave no whole answer: UND_ERR_SOCKET';
 
 const cases: ReadonlyArray<{readonly name: string; readonly faults: readonly Fault[]; readonly steps: readonly Step[]}> = [
@@ -35,7 +41,7 @@
 			{
 				parameters: 'plan examples/bermrand --server SERVER',
 				code: 0,
-				stdout: ['added bermrand/booking', 'added bermrand/completion', 'added bermrand/schedule', 'bermrand at revision 0: 3 services would change'],
+				stdout: ['added bermrand/booking', 'added bermrand/completion', 'added bermrand/schedule', ...bounds, 'bermrand at revision 0: 3 services would change'],
 			},
 			{
 				parameters: `${apply} --wait`,
@@ -48,7 +54,7 @@
 					'revision 4 in force on 2 of 2 instances; not heard from: entry-2',
 				],
 			},
-			{parameters: 'plan examples/bermrand --server SERVER', code: 0, stdout: ['bermrand at revision 4: nothing would change']},
+			{parameters: 'plan examples/bermrand --server SERVER', code: 0, stdout: [...bounds, 'bermrand at revision 4: nothing would change']},
 			{
 				parameters: 'get --server SERVER --team bermrand',
 				code: 0,
--- a/packages/daemon/src/operator-surface.ts
+++ b/packages/daemon/src/operator-surface.ts
@@ -14,6 +14,7 @@
 	contractOf, type ConfigurationAccepted, type ConfigurationCommand, subtreeOf, teamOf,
 } from '@dogwooddeck/configuration/tree';
 import {type OperatorAsked} from '@dogwooddeck/control/command';
+import {requireServedAgain} from '@dogwooddeck/control/served-again';
 import {type ControlAccepted, type ControlState} from '@dogwooddeck/control/state';
 import {type OperatorSurface, type SurfaceHandler, type SurfaceRequest} from '@dogwooddeck/front/surface';
 import {upstreamOf, upstreamsOf} from '@dogwooddeck/membership/registry';
@@ -70,6 +71,12 @@
 	return value === undefined || value === '' ? err(failure(FailureKind.malformed, `the query lacks "${name}"`)) : ok(value);
 }
 
+function requireAuthor(author: string): Result<string, Failure> {
+	return author.length > longestAuthor
+		? err(failure(FailureKind.malformed, `"${authorHeader}" is longer than ${longestAuthor} characters`))
+		: ok(author);
+}
+
 function ownerAnswer(state: ControlState, assignment: Assignment, pinned: readonly PinnedKey[]): OwnerAnswer {
 	const key = pinned.find(({slot}) => slot === assignment.slot)?.key;
 	const named = key === undefined ? {} : {key};
@@ -171,11 +178,14 @@
 
 	return {
 		announce: surroundings.announce,
-		apply: writing(parseApplyRequest, ({team}) => ofTeam(team), async (read, {author}) => author.length > longestAuthor
-			? err(failure(FailureKind.malformed, `"${authorHeader}" is longer than ${longestAuthor} characters`))
-			: configure({
-				kind: 'subtreeApplied', ...read, author, at: wallNow(),
-			})),
+		apply: writing(parseApplyRequest, ({team}) => ofTeam(team), async (read, {author}) => {
+			const checked = requireAuthor(author).andThen(() => requireServedAgain(read.services));
+			return checked.isErr
+				? err(checked.error)
+				: configure({
+					kind: 'subtreeApplied', ...read, author, at: wallNow(),
+				});
+		}),
 		token: writing(parseTokenRequest, () => (_state, authority) => requireOperator(authority), async ({team, operation, token}) => configure({
 			kind: 'tokenSet', team, operation, tokenHash: hashToken(token), at: wallNow(),
 		})),
--- a/packages/daemon/test/test-bad-requests.ts
+++ b/packages/daemon/test/test-bad-requests.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
+import {defaultContract} from '@dogwooddeck/model/contract';
 import {FailureKind} from '@dogwooddeck/model/failure';
 import {
 	keys, type OneInstance, operatorToken, startOne,
@@ -122,6 +123,13 @@
 	{
 		name: 'a service of another team', where: '/operator/apply', token: valbremboToken, body: {...apply, team: 'valbrembo', services: [service]}, kind: FailureKind.settingsInvalid,
 	},
+	{
+		name: 'a stated time to serve again that the bound does not meet',
+		where: '/operator/apply',
+		token: bermrandToken,
+		body: {...apply, services: [{...defaultContract, ...service, servedAgainWithinMilliseconds: 3905}]},
+		kind: FailureKind.settingsInvalid,
+	},
 	{
 		name: 'a list in place of an object', where: '/operator/apply', token: bermrandToken, body: [apply], kind: FailureKind.settingsInvalid,
 	},
--- a/packages/model/src/contract.ts
+++ b/packages/model/src/contract.ts
@@ -181,6 +181,8 @@
 	readonly whenCut: WhenCut;
 	/** No request of the service is given more time than this. */
 	readonly longestDeadlineMilliseconds: Milliseconds;
+	/** Keys are to be served again within this time of the loss of their upstream. Absent: nothing is stated. */
+	readonly servedAgainWithinMilliseconds?: Milliseconds;
 	/** The largest request body that is taken. */
 	readonly largestBodyBytes: number;
 	readonly routes: readonly RouteContract[];
--- a/packages/ownership/src/terms.ts
+++ b/packages/ownership/src/terms.ts
@@ -42,7 +42,7 @@
 	return duration * (1 + terms.driftRatio) / (1 - terms.driftRatio);
 }
 
-/** The parts of the time from the loss of an upstream until its keys are served again. */
+/** The parts of the time from the loss of an upstream until its keys are served again, in whole milliseconds by the default terms. */
 export type TimeToServeAgain = {
 	readonly detectionMilliseconds: Milliseconds;
 	/** From the verdict until every instance has applied the revocation. */
@@ -86,7 +86,7 @@
 	const parts = {
 		detectionMilliseconds,
 		revocationMilliseconds: transit.acceptMilliseconds + spread,
-		drainMilliseconds: grantorWait(contract.longestDeadlineMilliseconds, terms),
+		drainMilliseconds: Math.ceil(grantorWait(contract.longestDeadlineMilliseconds, terms)),
 		grantMilliseconds: (2 * terms.urgentMilliseconds) + transitOnce + transit.acceptMilliseconds,
 		spreadMilliseconds: spread,
 	};
--- a/xo.config.js
+++ b/xo.config.js
@@ -19,7 +19,8 @@
 	telemetry: ['model'],
 	'upstream-client': ['model', 'routing'],
 	front: ['model', 'routing', 'configuration', 'telemetry', 'burn', 'upstream-client'],
-	'control-tool': ['model', 'configuration', 'burn'],
+	// The tool checks what the server checks before a change is proposed: control's bound on the time to serve again.
+	'control-tool': ['model', 'configuration', 'burn', 'control'],
 	'stand-in': ['model', 'clock'],
 };
 
