--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -10,6 +10,8 @@
 } from '@dogwooddeck/model/identifiers';
 import {type OwnershipCommand} from '@dogwooddeck/ownership/table';
 import {err, ok, type Result} from 'true-myth/result';
+import {type JsonRecord} from './json-record.js';
+import {groupSlots, ungroupSlots} from './slot-group.js';
 
 /** An operator wants a slot to have another owner. */
 export type MoveWished = {
@@ -36,9 +38,41 @@
 /** Any command of the replicated log. */
 export type ControlCommand = ConfigurationCommand | MembershipCommand | OwnershipCommand | MoveWished | DrainAsked | OperatorAsked;
 
+/** The fields that stand once for each slot, by the kind of their command. They are encoded as groups of slots. */
+const slottedFields: Readonly<Record<string, string>> = {
+	assignmentsGranted: 'grants',
+	assignmentsReleased: 'releases',
+} satisfies Partial<Record<ControlCommand['kind'], string>>;
+
+function slottedField({kind}: ControlCommand): string | undefined {
+	return Object.hasOwn(slottedFields, kind) ? slottedFields[kind] : undefined;
+}
+
+function grouped(command: ControlCommand): unknown {
+	const field = slottedField(command);
+	if (field === undefined) {
+		return command;
+	}
+
+	const fields: JsonRecord = command;
+	return {...command, [field]: groupSlots(fields[field] as ReadonlyArray<{readonly slot: Slot}>)};
+}
+
+/** A command whose groups can't be read stays without its items, so that it is refused when it is applied. */
+function ungrouped(command: ControlCommand): ControlCommand {
+	const field = slottedField(command);
+	if (field === undefined) {
+		return command;
+	}
+
+	const fields: JsonRecord = command;
+	const read: ControlCommand = {...command, [field]: ungroupSlots(fields[field])};
+	return read;
+}
+
 /** The payload of an entry. */
 export function encodeCommands(commands: readonly ControlCommand[]): string {
-	return JSON.stringify(commands);
+	return JSON.stringify(commands.map(command => grouped(command)));
 }
 
 function isCommand(value: unknown): value is ControlCommand {
@@ -50,7 +84,7 @@
 	try {
 		const commands: unknown = JSON.parse(payload);
 		if (Array.isArray(commands) && commands.every(command => isCommand(command))) {
-			return ok(commands);
+			return ok(commands.map(command => ungrouped(command)));
 		}
 	} catch {
 		// What can't be parsed is refused below.
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -4,6 +4,7 @@
  */
 import {type ConfigurationAccepted, type ConfigurationState, initialConfiguration} from '@dogwooddeck/configuration/tree';
 import {emptyMembership, type MembershipState} from '@dogwooddeck/membership/registry';
+import {type Assignment, type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {
 	type InstanceIdentity, type LogIndex, type OperationIdentifier, type ZoneName,
@@ -11,6 +12,7 @@
 import {emptyOwnership, type OwnershipState} from '@dogwooddeck/ownership/table';
 import {err, ok, type Result} from 'true-myth/result';
 import {type MoveWished} from './command.js';
+import {groupSlots, ungroupSlots} from './slot-group.js';
 
 /** What whoever sent a command learns of it. */
 export type ControlAccepted = {
@@ -60,9 +62,23 @@
 	seatings: [],
 };
 
-/** The text of a snapshot. */
+/** The text of a snapshot. Assignments are encoded as groups of slots. */
 export function encodeControl(state: ControlState): string {
-	return JSON.stringify(state);
+	const services = Object.entries(state.ownership.services).map(([name, service]) => [name, {...service, assignments: groupSlots(service.assignments)}] as const);
+	return JSON.stringify({...state, ownership: {...state.ownership, services: Object.fromEntries(services)}});
+}
+
+/** The assignments of groups, where each slot from 0 on has one. */
+function assignmentsOf(groups: unknown): readonly Assignment[] | undefined {
+	const items = ungroupSlots(groups);
+	return items?.every(({slot}, position) => slot === position) === true ? items as unknown as readonly Assignment[] : undefined;
+}
+
+/** The state with its assignments slot by slot; undefined where the groups of a service can't be read. */
+function withAssignments(state: ControlState): ControlState | undefined {
+	const read = Object.entries(state.ownership.services).map(([name, service]) => [name, {...service, assignments: assignmentsOf(service.assignments)}] as const);
+	const services = Object.fromEntries(read) as Readonly<Record<string, ServiceAssignments>>;
+	return read.every(([, {assignments}]) => assignments !== undefined) ? {...state, ownership: {...state.ownership, services}} : undefined;
 }
 
 /** Whether a value has the parts of a pattern, each a list, an object or a plain value where the pattern has one. */
@@ -80,8 +96,9 @@
 	try {
 		const read = JSON.parse(data) as ControlState;
 		const state = {...emptyControl, ...read};
-		if (hasForm(read, {}) && hasForm(state, emptyControl)) {
-			return ok(state);
+		const whole = hasForm(read, {}) && hasForm(state, emptyControl) ? withAssignments(state) : undefined;
+		if (whole !== undefined) {
+			return ok(whole);
 		}
 	} catch {
 		// What can't be parsed is refused below.
