Don't send entries again while they are on their way

Cause: a heartbeat overtakes a large entry, each call being a stream of its own. The follower refuses it, as it lacks the entry before, and the leader sent the entry again at each refusal: 4 to 7 times to each voter. A refusal that lacks one of them is passed over until then; a refusal that lacks an earlier entry is answered at once, and so is every one after the member confirmed something of what was on its way.

--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -13,6 +13,9 @@
 } from './message.js';
 import {answeredRound, ownTermCommitted, syncedByMajority} from './quorum.js';
 import {type Leadership, type Progress} from './state.js';
+import {
+	afterConfirming, afterSending, charactersOf, isOnItsWay,
+} from './transit.js';
 import {membersOf, sameVoter} from './voter-set.js';
 
 const entriesInMessage = 256;
@@ -29,7 +32,7 @@
 /** What the leader assumes about a member before its first answer. */
 export function newProgress(peer: VoterIdentity, lastIndex: LogIndex): Progress {
 	return {
-		peer, next: lastIndex + 1, match: 0, probing: true, answeredRound: 0, snapshotSentAt: undefined,
+		peer, next: lastIndex + 1, match: 0, probing: true, answeredRound: 0, snapshotSentAt: undefined, transit: undefined,
 	};
 }
 
@@ -44,8 +47,8 @@
 
 function fitting(entries: readonly LogEntry[]): readonly LogEntry[] {
 	let characters = 0;
-	const end = entries.findIndex(({body}) => {
-		characters += body.kind === 'command' ? body.payload.length : 0;
+	const end = entries.findIndex(entry => {
+		characters += charactersOf(entry);
 		return characters > charactersInMessage;
 	});
 	return end === -1 ? entries : entries.slice(0, Math.max(1, end));
@@ -66,9 +69,9 @@
 }
 
 function sendEntries(draft: Draft, progress: Progress, entries: readonly LogEntry[]): Draft {
-	const {state} = draft;
+	const {state, now} = draft;
 	const previousIndex = progress.next - 1;
-	const moved = changeProgress(draft, {...progress, next: progress.next + entries.length});
+	const moved = changeProgress(draft, {...progress, next: progress.next + entries.length, transit: afterSending(progress.transit, entries, now)});
 	return sendNow(moved, progress.peer, {
 		kind: 'appendRequested',
 		term: state.hardState.term,
@@ -188,12 +191,17 @@
 		next: Math.max(progress.next, match + 1),
 		probing: false,
 		snapshotSentAt: passed ? progress.snapshotSentAt : undefined,
+		transit: afterConfirming(progress.transit, match),
 	});
 	const lags = Math.max(progress.next, match + 1) <= draft.state.log.lastIndex;
 	return inviteSuccessor(advanceCommit(lags ? replicateTo(noted, progress.peer) : noted));
 }
 
 function noteRejected(draft: Draft, progress: Progress, answer: Answer): Draft {
+	if (isOnItsWay(progress.transit, answer.index, draft.now)) {
+		return draft;
+	}
+
 	const next = Math.max(progress.match + 1, Math.min(answer.index, draft.state.log.lastIndex + 1));
 	if (progress.probing && next >= progress.next) {
 		return draft;
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -7,6 +7,7 @@
 	type ConsensusOptions, type HardState, Role,
 } from './machine.js';
 import {type ConsensusEnvelope, type VoterIdentity, type VoterSet} from './message.js';
+import {type Transit} from './transit.js';
 import {includesVoter} from './voter-set.js';
 
 /** A write that the disk has not synced yet, and the messages that wait for it. */
@@ -47,6 +48,8 @@
 	readonly probing: boolean;
 	readonly answeredRound: number;
 	readonly snapshotSentAt: MonotonicTime | undefined;
+	/** Entries that were sent and may not have arrived yet. */
+	readonly transit: Transit | undefined;
 };
 
 /** A read that waits until `round` is answered by a majority. */
