Look through a service's slots once for each change of its assignments

Cause: every announcement was answered by a look at all slots of the service, on every instance; each tick of the leader looked at all slots for revocations. Change: both are derived once for each version of a service's assignments (model/derived: the last answer for an immutable object), the first by owner.

--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -7,6 +7,7 @@
 import {flappingCount, joinedAt} from '@dogwooddeck/membership/watch';
 import {type Assignment, AssignmentPhase, type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {type ServiceContract} from '@dogwooddeck/model/contract';
+import {derived} from '@dogwooddeck/model/derived';
 import {
 	type Milliseconds, type MonotonicTime, sameUpstream, type ServiceName, type Slot, type UpstreamIdentity, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
@@ -37,6 +38,13 @@
 	return assignment.phase === AssignmentPhase.revoking;
 }
 
+function assignmentsOf(control: ControlState, service: ServiceName): ServiceAssignments {
+	return control.ownership.services[service] ?? {service, assignments: [], pinned: []};
+}
+
+/** Ticks ask for them 20 times a second; most services have none. */
+const revocationsOf = derived(({assignments}: ServiceAssignments): readonly Revoking[] => assignments.filter(assignment => isRevoking(assignment)));
+
 function unreachableZones(state: LeaderState, control: ControlState, now: MonotonicTime): readonly ZoneName[] {
 	return Object.values(control.ownership.rosters)
 		.filter(({zone, members}) => members.length > 0 && now >= zoneOf(state.grantor, zone).delegatedUntil)
@@ -72,7 +80,11 @@
  * slot's target or by a release, and takes back those that a cut zone holds up.
  */
 function endRevocations(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): Proposals {
-	const revoking = (control.ownership.services[service]?.assignments ?? []).filter(assignment => isRevoking(assignment));
+	const revoking = revocationsOf(assignmentsOf(control, service));
+	if (revoking.length === 0) {
+		return {state, commands: []};
+	}
+
 	let {grantor} = state;
 	const cleared = new Set<Revoking>();
 	for (const assignment of revoking) {
@@ -116,10 +128,6 @@
 	});
 }
 
-function assignmentsOf(control: ControlState, service: ServiceName): ServiceAssignments {
-	return control.ownership.services[service] ?? {service, assignments: [], pinned: []};
-}
-
 function placementInput(state: LeaderState, control: ControlState, basis: PlanBasis, now: MonotonicTime): PlacementInput {
 	const {contract} = basis;
 	const service = contract.name;
--- a/packages/daemon/src/announcements.ts
+++ b/packages/daemon/src/announcements.ts
@@ -9,19 +9,13 @@
 import {type ControlState} from '@dogwooddeck/control/state';
 import {type SurfaceHandler} from '@dogwooddeck/front/surface';
 import {checkAnnouncement} from '@dogwooddeck/membership/registry';
-import {AssignmentPhase} from '@dogwooddeck/model/assignment';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {
-	type FenceNumber, sameUpstream, type Slot, type UpstreamIdentity,
-} from '@dogwooddeck/model/identifiers';
 import {type Announcement} from '@dogwooddeck/model/registry';
 import {sameSecret} from '@dogwooddeck/wire/secret';
 import {err, ok, type Result} from 'true-myth/result';
 import * as v from 'valibot';
 import {type ControlHolder} from './control-holder.js';
-
-/** The right to serve one slot: an upstream that checks fences refuses requests with a smaller number. */
-export type SlotGrant = {readonly slot: Slot; readonly fence: FenceNumber};
+import {grantsOf, type SlotGrant} from './slot-grants.js';
 
 /** The answer to an announcement that was taken. */
 export type AnnouncementAnswer = {
@@ -40,13 +34,6 @@
 	load: v.pipe(v.number(), v.minValue(0), v.maxValue(1)),
 });
 
-function grantsOf(control: ControlState, upstream: UpstreamIdentity): readonly SlotGrant[] {
-	return (control.ownership.services[upstream.service]?.assignments ?? []).flatMap(assignment =>
-		assignment.phase === AssignmentPhase.granted && sameUpstream(assignment.owner, upstream)
-			? [{slot: assignment.slot, fence: assignment.fence}]
-			: []);
-}
-
 function checked(control: ControlState, body: unknown): Result<Announcement, Failure> {
 	const announcement = parseStrictly(schema, body, 'announcement');
 	return announcement.andThen(read => contractOf(control.configuration, read.service) === undefined
--- /dev/null
+++ b/packages/daemon/test/test-slot-grants.ts
@@ -0,0 +1,48 @@
+/**
+ * Which grants an announcement is answered with.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type ControlState, emptyControl} from '@dogwooddeck/control/state';
+import {type Assignment, AssignmentPhase} from '@dogwooddeck/model/assignment';
+import {type UpstreamIdentity} from '@dogwooddeck/model/identifiers';
+import {grantsOf} from '../src/slot-grants.js';
+
+const service = 'team/service';
+const one = {service, name: 'one', incarnation: 1};
+const two = {service, name: 'two', incarnation: 1};
+
+function granted(slot: number, owner: UpstreamIdentity, fence: number): Assignment {
+	return {
+		phase: AssignmentPhase.granted, slot, owner, fence,
+	};
+}
+
+function revoking(slot: number, owner: UpstreamIdentity, fence: number): Assignment {
+	return {
+		phase: AssignmentPhase.revoking, slot, owner, fence, revokedAt: fence + 1,
+	};
+}
+
+function stateWith(assignments: readonly Assignment[]): ControlState {
+	return {...emptyControl, ownership: {...emptyControl.ownership, services: {[service]: {service, assignments, pinned: []}}}};
+}
+
+const before = stateWith([granted(0, one, 3), granted(1, two, 3), granted(2, one, 3)]);
+const after = stateWith([granted(0, two, 5), revoking(1, two, 3), granted(2, one, 3)]);
+
+const cases: ReadonlyArray<readonly [name: string, state: ControlState, upstream: UpstreamIdentity, fences: ReadonlyArray<readonly [slot: number, fence: number]>]> = [
+	['all slots of an owner', before, one, [[0, 3], [2, 3]]],
+	['of another owner', before, two, [[1, 3]]],
+	['after a slot was taken', after, one, [[2, 3]]],
+	['after one was given and one is being revoked', after, two, [[0, 5]]],
+	['the earlier state once more', before, one, [[0, 3], [2, 3]]],
+	['of a later life', before, {...one, incarnation: 2}, []],
+	['of a service that isn\'t there', emptyControl, one, []],
+];
+
+for (const [name, state, upstream, fences] of cases) {
+	test(`grants of an announcement: ${name}`, () => {
+		assert.deepEqual(grantsOf(state, upstream), fences.map(([slot, fence]) => ({slot, fence})));
+	});
+}
