Split the control runner into parts with one job each

Moved and cut into short functions. A leader that the settings don't list is no longer called at an address that doesn't exist; else no change in behaviour.

--- /dev/null
+++ b/packages/daemon/src/known-leader.ts
@@ -0,0 +1,35 @@
+/**
+ * Who leads control, as far as this process knows.
+ */
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type InstanceName} from '@dogwooddeck/model/identifiers';
+import {type VoterRunner} from './voter-runner.js';
+
+/** The leader that is known here. */
+export type KnownLeader = {
+	readonly leader: () => InstanceName | undefined;
+	/** An instance answered as the leader. */
+	readonly answered: (name: InstanceName) => void;
+	/** What a caller hears that takes this instance for the leader. */
+	readonly notLeader: () => Failure;
+};
+
+/** Knows the leader that the own voter follows, or else the last one that answered. */
+export function createKnownLeader(self: InstanceName, voter: () => VoterRunner | undefined): KnownLeader {
+	let last: InstanceName | undefined;
+
+	function leader(): InstanceName | undefined {
+		return voter()?.leader() ?? last;
+	}
+
+	return {
+		leader,
+		answered(name) {
+			last = name;
+		},
+		notLeader() {
+			const known = leader();
+			return failure(FailureKind.notLeader, `${self} does not lead`, known === undefined ? {} : {leader: known});
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/leader-part.ts
@@ -0,0 +1,167 @@
+/**
+ * Runs the leader's decisions for as long as this process's voter leads: feeds
+ * them requests and ticks, and proposes what they ask for.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
+import {
+	createLeader, type LeaderEffect, type LeaderEvent, type LeaderState, stepLeader,
+} from '@dogwooddeck/control/leader';
+import {type Failure} from '@dogwooddeck/model/failure';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {
+	type DelegationAnswer, type DelegationRequest, type SeatRequest,
+} from '@dogwooddeck/model/lease';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {seatedInstances} from '@dogwooddeck/ownership/table';
+import {type LeaseTerms} from '@dogwooddeck/ownership/terms';
+import {type SlotHash} from '@dogwooddeck/placement/hash';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {type CatchUp, type WithCatchUp} from '@dogwooddeck/wire/methods';
+import {err, ok, type Result} from 'true-myth/result';
+import {type ControlHolder} from './control-holder.js';
+import {type KnownLeader} from './known-leader.js';
+import {checkDelegation, checkLife} from './peer-check.js';
+import {type Committed, type VoterRunner} from './voter-runner.js';
+
+/** The leader's part of this process. */
+export type LeaderPart = {
+	readonly isLeading: () => boolean;
+	/** Fails with `notLeader`, and as the checks of the request do. */
+	readonly takeDelegation: (request: DelegationRequest) => Promise<Result<WithCatchUp<DelegationAnswer>, Failure>>;
+	/** Fails with `notLeader`, and as the checks of the request do. */
+	readonly takeSeat: (request: SeatRequest) => Promise<Result<CatchUp, Failure>>;
+	/** The voter's role has changed. */
+	readonly roleChanged: () => void;
+	readonly stop: () => void;
+};
+
+/** What the leader's part needs. */
+export type LeaderPartSurroundings = {
+	readonly terms: LeaseTerms;
+	readonly hash: SlotHash;
+	readonly holder: ControlHolder;
+	readonly known: KnownLeader;
+	readonly log: Log;
+	readonly voter: () => VoterRunner | undefined;
+};
+
+const tickMilliseconds: Milliseconds = 50;
+/** The pause after a refused proposal. */
+const refusedMilliseconds: Milliseconds = 50;
+
+function refusalsOf(proposed: Result<Committed, Failure>): readonly Failure[] {
+	const results = proposed.isOk ? proposed.value.answers : [proposed];
+	return results.flatMap(result => result.isErr ? [result.error] : []);
+}
+
+/** Starts the leader's part. */
+export function startLeaderPart(surroundings: LeaderPartSurroundings): LeaderPart {
+	const {
+		terms, hash, holder, known, log, voter,
+	} = surroundings;
+	let leading: LeaderState | undefined;
+	/** Runs while this voter leads. */
+	let ticking: NodeJS.Timeout | undefined;
+	let delegationAnswer: DelegationAnswer | undefined;
+
+	function proposalEnded(): void {
+		step({kind: 'proposalEnded', now: monotonicNow(), control: holder.state()});
+	}
+
+	async function propose(commands: readonly ControlCommand[]): Promise<void> {
+		const proposed = await voter()!.propose(encodeCommands(commands));
+		for (const {kind, detail} of refusalsOf(proposed)) {
+			log.warning(EventName.commandRefused, {failure: kind, detail});
+		}
+
+		if (proposed.isOk) {
+			proposalEnded();
+		} else {
+			setTimeout(proposalEnded, refusedMilliseconds);
+		}
+	}
+
+	const effects: HandlerTable<LeaderEffect, [], void> = {
+		propose({commands}) {
+			void propose(commands);
+		},
+		answerDelegation({answer}) {
+			delegationAnswer = answer;
+		},
+	};
+
+	function step(event: LeaderEvent): void {
+		if (leading === undefined) {
+			return;
+		}
+
+		const next = stepLeader(leading, event);
+		leading = next.state;
+		for (const effect of next.effects) {
+			dispatch(effects, effect);
+		}
+	}
+
+	function tick(): void {
+		step({kind: 'ticked', now: monotonicNow(), control: holder.state()});
+	}
+
+	async function begin(elected: VoterRunner): Promise<void> {
+		const read = await elected.read();
+		if (read.isOk && elected.isLeader() && leading === undefined) {
+			leading = createLeader(monotonicNow(), holder.state(), terms, hash);
+			ticking = setInterval(tick, tickMilliseconds);
+		}
+	}
+
+	function delegate(request: DelegationRequest, now: number, quorumHeardAt: number): WithCatchUp<DelegationAnswer> {
+		delegationAnswer = undefined;
+		step({
+			kind: 'delegationRequested', now, quorumHeardAt, control: holder.state(), request,
+		});
+		const answer = delegationAnswer ?? {termMilliseconds: 0, shares: []};
+		return {answer, catchUp: holder.after(request.applied)};
+	}
+
+	function seat(request: SeatRequest): CatchUp {
+		step({
+			kind: 'seatRequested', now: monotonicNow(), control: holder.state(), request,
+		});
+		return holder.after(request.applied);
+	}
+
+	return {
+		isLeading: () => leading !== undefined,
+		async takeDelegation(request) {
+			const now = monotonicNow();
+			const quorumHeardAt = voter()?.quorumHeardAt(now);
+			if (leading === undefined || quorumHeardAt === undefined) {
+				return err(known.notLeader());
+			}
+
+			const {ownership, applied} = holder.state();
+			return checkDelegation(request, ownership, applied).map(() => delegate(request, now, quorumHeardAt));
+		},
+		async takeSeat(request) {
+			if (leading === undefined) {
+				return err(known.notLeader());
+			}
+
+			const seated = seatedInstances(holder.state().ownership);
+			return checkLife(seated, request.instance).map(() => seat(request));
+		},
+		roleChanged() {
+			leading = undefined;
+			clearInterval(ticking);
+			const elected = voter();
+			if (elected?.isLeader() === true) {
+				void begin(elected);
+			}
+		},
+		stop() {
+			clearInterval(ticking);
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/way-to-leader.ts
@@ -0,0 +1,93 @@
+/**
+ * The way to the leader of control: it is looked for among the voters, first
+ * the one that is known, then whom an answer names.
+ */
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type InstanceName, type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {type PeerClients} from '@dogwooddeck/wire/client';
+import {type PeerCalls} from '@dogwooddeck/wire/methods';
+import {err, type Result} from 'true-myth/result';
+import {type KnownLeader} from './known-leader.js';
+
+/** The calls that only the leader answers. */
+export type LeaderCall = 'delegate' | 'seat' | 'propose' | 'joinVoters';
+
+type LeaderAnswer<Call extends LeaderCall> = Promise<Result<PeerCalls[Call]['answer'], Failure>>;
+
+/** What this instance does with the calls if it leads. */
+export type LeaderHandlers = {readonly [Call in LeaderCall]: (request: PeerCalls[Call]['request']) => LeaderAnswer<Call>};
+
+/**
+ * Calls the leader, wherever it is. Fails as the leader does, with `noQuorum`
+ * where none is found, and with `outcomeUnknown` for a proposal that may have
+ * reached one.
+ */
+export type CallLeader = <Call extends LeaderCall>(call: Call, request: PeerCalls[Call]['request']) => LeaderAnswer<Call>;
+
+/** What the way leads over. */
+export type LeaderSurroundings = {
+	readonly self: InstanceName;
+	/** The peer addresses of the voters. */
+	readonly addresses: ReadonlyMap<InstanceName, string>;
+	readonly clients: PeerClients;
+	readonly known: KnownLeader;
+	readonly handlers: LeaderHandlers;
+};
+
+const callMilliseconds: Milliseconds = 1000;
+const proposeMilliseconds: Milliseconds = 5000;
+
+const timeouts: Readonly<Record<LeaderCall, Milliseconds>> = {
+	delegate: callMilliseconds,
+	seat: callMilliseconds,
+	propose: proposeMilliseconds,
+	joinVoters: proposeMilliseconds,
+};
+
+/** After these failures another voter is asked. */
+const passedOn: ReadonlySet<FailureKind> = new Set([FailureKind.notLeader, FailureKind.unreachable, FailureKind.notReady]);
+
+function hintedFirst(waiting: readonly InstanceName[], hint: InstanceName | undefined): readonly InstanceName[] {
+	return hint !== undefined && waiting.includes(hint)
+		? [hint, ...waiting.filter(name => name !== hint)]
+		: waiting;
+}
+
+function notFound(call: LeaderCall, sentUnanswered: boolean): Failure {
+	return call === 'propose' && sentUnanswered
+		? failure(FailureKind.outcomeUnknown, 'no leader answered; send the same operation again')
+		: failure(FailureKind.noQuorum, 'no leader of control can be reached');
+}
+
+/** Makes the way to the leader. */
+export function createCallLeader({
+	self, addresses, clients, known, handlers,
+}: LeaderSurroundings): CallLeader {
+	async function callOne<Call extends LeaderCall>(name: InstanceName, call: Call, request: PeerCalls[Call]['request']): LeaderAnswer<Call> {
+		return name === self
+			? handlers[call](request)
+			: clients.call<Call>(addresses.get(name)!, call, request, timeouts[call]);
+	}
+
+	return async (call, request) => {
+		let waiting = hintedFirst([...addresses.keys()], known.leader());
+		let sentUnanswered = false;
+		while (waiting.length > 0) {
+			const [name, ...others] = waiting as readonly [InstanceName, ...InstanceName[]];
+			const answer = await callOne(name, call, request);
+			if (answer.isOk) {
+				known.answered(name);
+				return answer;
+			}
+
+			if (!passedOn.has(answer.error.kind)) {
+				return answer;
+			}
+
+			sentUnanswered ||= answer.error.kind === FailureKind.unreachable;
+			waiting = hintedFirst(others, answer.error.leader);
+		}
+
+		return err(notFound(call, sentUnanswered));
+	};
+}
