Look at the evidence once for the slots that one entry took from a zone

Cause: while slots wait for evidence, each tick looked at the rosters, the policy and the delegations for each of them. Change: the answer depends on the entry of the revocation and on the owner's zone alone; it is kept for these within one look. The rule itself (clear, in ownership) is as it was. Tests: test-evidence; keyed by the zone alone, or by the entry alone, one of its cases fails each.

--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -75,27 +75,48 @@
 	return revoking.filter(({owner}) => mayOwn(control, owner) && held.has(ownerZone(control, owner)));
 }
 
+type Cleared = {readonly grantor: LeaderState['grantor']; readonly cleared: ReadonlySet<Revoking>};
+
+/** Which revocations of a service have their evidence. It is the same for all slots that one entry took from owners of one zone. */
+function clearRevocations(state: LeaderState, control: ControlState, assignments: ServiceAssignments, now: MonotonicTime): Cleared {
+	const {service} = assignments;
+	let {grantor} = state;
+	const cleared = new Set<Revoking>();
+	const looked = new Map<string, boolean>();
+	for (const assignment of revocationsOf(assignments)) {
+		const {slot, owner, revokedAt} = assignment;
+		const zone = ownerZone(control, owner);
+		if (zone === undefined) {
+			continue;
+		}
+
+		const evidence = `${revokedAt}\n${zone}`;
+		if (!looked.has(evidence)) {
+			const result = clear(grantor, control.ownership, {service, slot, ownerZone: zone}, now);
+			({grantor} = result);
+			looked.set(evidence, result.cleared);
+		}
+
+		if (looked.get(evidence) === true) {
+			cleared.add(assignment);
+		}
+	}
+
+	return {grantor, cleared};
+}
+
 /**
  * Ends the revocations of a service whose evidence is complete, by a grant to the
  * slot's target or by a release, and takes back those that a cut zone holds up.
  */
 function endRevocations(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): Proposals {
-	const revoking = revocationsOf(assignmentsOf(control, service));
+	const assignments = assignmentsOf(control, service);
+	const revoking = revocationsOf(assignments);
 	if (revoking.length === 0) {
 		return {state, commands: []};
 	}
 
-	let {grantor} = state;
-	const cleared = new Set<Revoking>();
-	for (const assignment of revoking) {
-		const zone = ownerZone(control, assignment.owner);
-		const result = zone === undefined ? undefined : clear(grantor, control.ownership, {service, slot: assignment.slot, ownerZone: zone}, now);
-		if (result?.cleared === true) {
-			grantor = result.grantor;
-			cleared.add(assignment);
-		}
-	}
-
+	const {grantor, cleared} = clearRevocations(state, control, assignments, now);
 	const targetOf = (slot: Slot) => state.targets[targetKey(service, slot)];
 	const granted = [...cleared].filter(({slot}) => mayOwn(control, targetOf(slot)));
 	const released = [...cleared].filter(({slot}) => !mayOwn(control, targetOf(slot)));
