Measure the memory and the text that a slot costs

Cause: CAPACITY.md gave 6.4 KB of resident memory a slot, which says nothing of what the state itself takes.

--- a/packages/bench/bin/slopes.js
+++ b/packages/bench/bin/slopes.js
@@ -4,6 +4,9 @@
  * instances and services grow, and prints each figure and its slope.
  */
 import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {measureSlotMemory, slotMemorySizes} from '@dogwooddeck/bench/slot-memory';
 import {
 	baseSize, directions, measureDirection, slopeOf,
 } from '@dogwooddeck/bench/slopes';
@@ -24,3 +27,18 @@
 		console.log(`${direction} | ${decision} | ${figures} | slope ${time.toFixed(3)} us and ${bytes.toFixed(1)} B for one more`);
 	}
 }
+
+setFlagsFromString('--expose-gc');
+const collect = runInNewContext('gc');
+
+function heapAfterCollection() {
+	collect();
+	return process.memoryUsage().heapUsed;
+}
+
+console.log('Memory of the control state; one entry grants all slots of a service with 4 upstreams');
+for (const size of slotMemorySizes) {
+	const {slots, heapBytes, entryCharacters, snapshotCharacters} = measureSlotMemory(size, heapAfterCollection);
+	const each = [heapBytes, entryCharacters, snapshotCharacters].map(figure => (figure / slots).toFixed(1));
+	console.log(`${slots} slots | heap ${each[0]} B a slot | the entry ${each[1]} B a slot | a snapshot ${each[2]} B a slot`);
+}
