--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -7,6 +7,7 @@
 import {flappingCount, joinedAt} from '@dogwooddeck/membership/watch';
 import {type Assignment, AssignmentPhase, type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {type ServiceContract} from '@dogwooddeck/model/contract';
+import {derived} from '@dogwooddeck/model/derived';
 import {
 	type Milliseconds, type MonotonicTime, sameUpstream, type ServiceName, type Slot, type UpstreamIdentity, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
@@ -37,6 +38,13 @@
 	return assignment.phase === AssignmentPhase.revoking;
 }
 
+function assignmentsOf(control: ControlState, service: ServiceName): ServiceAssignments {
+	return control.ownership.services[service] ?? {service, assignments: [], pinned: []};
+}
+
+/** Ticks ask for them 20 times a second; most services have none. */
+const revocationsOf = derived(({assignments}: ServiceAssignments): readonly Revoking[] => assignments.filter(assignment => isRevoking(assignment)));
+
 function unreachableZones(state: LeaderState, control: ControlState, now: MonotonicTime): readonly ZoneName[] {
 	return Object.values(control.ownership.rosters)
 		.filter(({zone, members}) => members.length > 0 && now >= zoneOf(state.grantor, zone).delegatedUntil)
@@ -67,23 +75,48 @@
 	return revoking.filter(({owner}) => mayOwn(control, owner) && held.has(ownerZone(control, owner)));
 }
 
+type Cleared = {readonly grantor: LeaderState['grantor']; readonly cleared: ReadonlySet<Revoking>};
+
+/** Which revocations of a service have their evidence. It is the same for all slots that one entry took from owners of one zone. */
+function clearRevocations(state: LeaderState, control: ControlState, assignments: ServiceAssignments, now: MonotonicTime): Cleared {
+	const {service} = assignments;
+	let {grantor} = state;
+	const cleared = new Set<Revoking>();
+	const looked = new Map<string, boolean>();
+	for (const assignment of revocationsOf(assignments)) {
+		const {slot, owner, revokedAt} = assignment;
+		const zone = ownerZone(control, owner);
+		if (zone === undefined) {
+			continue;
+		}
+
+		const evidence = `${revokedAt}\n${zone}`;
+		if (!looked.has(evidence)) {
+			const result = clear(grantor, control.ownership, {service, slot, ownerZone: zone}, now);
+			({grantor} = result);
+			looked.set(evidence, result.cleared);
+		}
+
+		if (looked.get(evidence) === true) {
+			cleared.add(assignment);
+		}
+	}
+
+	return {grantor, cleared};
+}
+
 /**
  * Ends the revocations of a service whose evidence is complete, by a grant to the
  * slot's target or by a release, and takes back those that a cut zone holds up.
  */
 function endRevocations(state: LeaderState, control: ControlState, service: ServiceName, now: MonotonicTime): Proposals {
-	const revoking = (control.ownership.services[service]?.assignments ?? []).filter(assignment => isRevoking(assignment));
-	let {grantor} = state;
-	const cleared = new Set<Revoking>();
-	for (const assignment of revoking) {
-		const zone = ownerZone(control, assignment.owner);
-		const result = zone === undefined ? undefined : clear(grantor, control.ownership, {service, slot: assignment.slot, ownerZone: zone}, now);
-		if (result?.cleared === true) {
-			grantor = result.grantor;
-			cleared.add(assignment);
-		}
+	const assignments = assignmentsOf(control, service);
+	const revoking = revocationsOf(assignments);
+	if (revoking.length === 0) {
+		return {state, commands: []};
 	}
 
+	const {grantor, cleared} = clearRevocations(state, control, assignments, now);
 	const targetOf = (slot: Slot) => state.targets[targetKey(service, slot)];
 	const granted = [...cleared].filter(({slot}) => mayOwn(control, targetOf(slot)));
 	const released = [...cleared].filter(({slot}) => !mayOwn(control, targetOf(slot)));
@@ -116,10 +149,6 @@
 	});
 }
 
-function assignmentsOf(control: ControlState, service: ServiceName): ServiceAssignments {
-	return control.ownership.services[service] ?? {service, assignments: [], pinned: []};
-}
-
 function placementInput(state: LeaderState, control: ControlState, basis: PlanBasis, now: MonotonicTime): PlacementInput {
 	const {contract} = basis;
 	const service = contract.name;
