Renew support of a steward with the lease exchange

Cause: an idle entry instance made and answered about 8 calls a second, half of them the steward's question for support each 250 ms, beside the lease that the same instance asked the same steward for each 250 ms. Change: a lease answer carries the steward's clock at that moment as a question for support (supportAskedAt); the next lease request to the same life of the same steward sends it back once (supportRenewal), with a promise made when it is sent. The steward counts the support from that moment, which is before the promise, and takes the request's applied for the acknowledgement. It counts nothing that was asked for by another life or before its tenure, and asks for nothing once it resigned. Calls that ask for support remain in elections, for members and newcomers without a renewal for 550 ms (at once then), and each 250 ms after. withdrawnAt was written and never read: gone. The builders of the steward's cases moved to test/steward-events.ts, unchanged, for the new cases; test-steward shows the new effect as nothing; schedules also assert that renewals outnumber calls.

--- a/packages/daemon/src/zone-runner.ts
+++ b/packages/daemon/src/zone-runner.ts
@@ -9,7 +9,7 @@
 	type InstanceIdentity, type InstanceName, type LogIndex, type Milliseconds, type MonotonicTime,
 } from '@dogwooddeck/model/identifiers';
 import {
-	type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
+	type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRenewal, type SupportRequest,
 } from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type LimitShare} from '@dogwooddeck/model/share';
@@ -107,6 +107,7 @@
 
 	let leaseAnswer: LeaseAnswer | undefined;
 	let supportAnswer: SupportAnswer | undefined;
+	let supportRenewal: SupportRenewal | undefined;
 
 	async function askSupport(to: InstanceRecord, sentAt: MonotonicTime, request: SupportRequest): Promise<void> {
 		const answer = await clients.call(to.peerAddress, 'support', request, peerMilliseconds);
@@ -146,6 +147,9 @@
 		answerLease({answer}) {
 			leaseAnswer = answer;
 		},
+		renewSupport({renewal}) {
+			supportRenewal = renewal;
+		},
 		askDelegation({sentAt, request}) {
 			void askDelegation(sentAt, request);
 		},
@@ -196,20 +200,30 @@
 		return ok({answer: {...answer, shares: sharePost.take(request.instance)}, catchUp: holder.after(request.applied)});
 	}
 
+	/** Renews this instance's support with a lease request, if the steward asked for it. */
+	function renewalFor(to: InstanceRecord): SupportRenewal | undefined {
+		supportRenewal = undefined;
+		step({kind: 'leaseSent', now: monotonicNow(), to});
+		return supportRenewal;
+	}
+
 	async function askSteward(request: LeaseRequest): Promise<Result<WithCatchUp<LeaseAnswer>, Failure>> {
 		if (isSteward(state, monotonicNow())) {
 			return takeLeaseRequest(request);
 		}
 
 		const others = zoneMembers().filter(member => member.name !== self.name);
-		const address = (steward ?? others[0])?.peerAddress;
-		if (address === undefined) {
+		const to = steward ?? others[0];
+		if (to === undefined) {
 			return err(failure(FailureKind.unreachable, `no steward of ${self.zone} is known`));
 		}
 
-		const answer = await clients.call(address, 'renewLease', request, peerMilliseconds);
-		if (answer.isErr) {
-			const next = memberNamed(answer.error.leader) ?? others.find(member => member.peerAddress !== address);
+		const renewal = renewalFor(to);
+		const answer = await clients.call(to.peerAddress, 'renewLease', {...request, ...(renewal && {supportRenewal: renewal})}, peerMilliseconds);
+		if (answer.isOk) {
+			step({kind: 'leaseAnswered', now: monotonicNow(), answer: answer.value.answer});
+		} else {
+			const next = memberNamed(answer.error.leader) ?? others.find(member => member.peerAddress !== to.peerAddress);
 			steward = next?.name === self.name ? undefined : next;
 		}
 
--- a/packages/model/src/lease.ts
+++ b/packages/model/src/lease.ts
@@ -4,7 +4,7 @@
  */
 import {type KeyLoad, type SlotLoad, type UpstreamEvidence} from './evidence.js';
 import {
-	type InstanceIdentity, type LogIndex, type Milliseconds, type ZoneName,
+	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, type ZoneName,
 } from './identifiers.js';
 import {type Announcement, type InstanceRecord} from './registry.js';
 import {type LimitDemand, type LimitShare} from './share.js';
@@ -29,6 +29,15 @@
 	 */
 	readonly drained: LogIndex;
 	readonly report: Report;
+	/** The instance renewed its support of this steward when it sent the request. */
+	readonly supportRenewal?: SupportRenewal;
+};
+
+/** An instance's answer to the request for support in a lease answer: it supports for one more term. */
+export type SupportRenewal = {
+	readonly steward: InstanceIdentity;
+	/** `supportAskedAt` of the lease answer, as it came. */
+	readonly askedAt: MonotonicTime;
 };
 
 /** The steward's answer: a routing lease, counted from when the request was sent. */
@@ -39,6 +48,12 @@
 	/** For all other slots. 0: no lease. */
 	readonly controlMilliseconds: Milliseconds;
 	readonly shares: readonly LimitShare[];
+	/**
+	 * The steward asks by it for support with the next lease request. When it
+	 * answered, on its own clock; other instances only send it back. Absent: it
+	 * doesn't ask.
+	 */
+	readonly supportAskedAt?: MonotonicTime;
 };
 
 /** An instance that would be its zone's steward asks for, or renews, another's support. */
--- a/packages/ownership/src/leasing.ts
+++ b/packages/ownership/src/leasing.ts
@@ -7,6 +7,7 @@
 } from '@dogwooddeck/model/identifiers';
 import {emptyReport, type LeaseAnswer, type LeaseRequest} from '@dogwooddeck/model/lease';
 import {countedHolders, withHolder} from './holders.js';
+import {asksWithLeases, withRenewal} from './renewal.js';
 import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
 import {instanceKey, withSupport} from './support.js';
 import {
@@ -27,13 +28,21 @@
 		&& request.applied >= Math.max(state.floor, state.askedDrained);
 }
 
-function answerFor(state: StewardState, hold: Milliseconds, control: Milliseconds): LeaseAnswer {
-	const steward = {name: state.self.name, incarnation: state.self.incarnation};
+function answerFor(state: StewardState, now: MonotonicTime, given: {readonly hold: Milliseconds; readonly control: Milliseconds}): LeaseAnswer {
 	return {
-		steward, holdMilliseconds: hold, controlMilliseconds: control, shares: [],
+		steward: {name: state.self.name, incarnation: state.self.incarnation},
+		holdMilliseconds: given.hold,
+		controlMilliseconds: given.control,
+		shares: [],
+		...(asksWithLeases(state, now) && {supportAskedAt: now}),
 	};
 }
 
+/** What a request says of the instance that sent it: its support, its acknowledgement, and that it is there. */
+function noted(state: StewardState, request: LeaseRequest, now: MonotonicTime): StewardState {
+	return withNewcomer(withAcknowledgement(withRenewal(state, request, now), request, now), request);
+}
+
 /** What a supporter says about its table is an acknowledgement as long as it supports this steward. */
 function withAcknowledgement(state: StewardState, request: LeaseRequest, now: MonotonicTime): StewardState {
 	const record = state.records[instanceKey(request.instance)];
@@ -61,9 +70,9 @@
 /** Gives an instance a lease, or answers that it has none. */
 export function leaseRequested(event: EventOf<'leaseRequested'>, before: StewardState): StewardTransition {
 	const {now, request} = event;
-	const state = withNewcomer(withAcknowledgement(settled(before, now), request, now), request);
+	const state = noted(settled(before, now), request, now);
 	if (!mayHaveLease(state, request, now)) {
-		return {state, effects: [{kind: 'answerLease', answer: answerFor(state, 0, 0)}]};
+		return {state, effects: [{kind: 'answerLease', answer: answerFor(state, now, {hold: 0, control: 0})}]};
 	}
 
 	const hold = remaining(supportEnd(state), now, state.terms.leaseMilliseconds);
@@ -73,7 +82,7 @@
 	};
 	const counted = countedHolders(state.holders, now, state.longestDeadlineMilliseconds, state.terms);
 	const holders = withHolder(counted, given, state.terms);
-	return {state: {...state, holders}, effects: [{kind: 'answerLease', answer: answerFor(state, hold, control)}]};
+	return {state: {...state, holders}, effects: [{kind: 'answerLease', answer: answerFor(state, now, {hold, control})}]};
 }
 
 function drainedNow(state: StewardState, now: MonotonicTime): LogIndex {
--- a/packages/ownership/src/standing.ts
+++ b/packages/ownership/src/standing.ts
@@ -5,13 +5,15 @@
 	type InstanceIdentity, type Milliseconds, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {type SupportAnswer} from '@dogwooddeck/model/lease';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {delegationRequest} from './leasing.js';
+import {renewalLateAt} from './renewal.js';
 import {longestDeadlineOf} from './state.js';
 import {
 	type StewardEffect, type StewardEvent, type StewardState, type StewardTransition,
 } from './steward.js';
 import {
-	freeFrom, support, supportedNow, withdrawn, withSupport,
+	freeFrom, instanceKey, support, supportedNow, withdrawn, withSupport,
 } from './support.js';
 import {
 	elected, isSeated, isSteward, settled,
@@ -46,14 +48,28 @@
 	return {...state, supporter, records: withSupport(state.records, state.self, {until, acknowledged: state.applied})};
 }
 
+/** The instances whose support a steward wants. */
+function others(state: StewardState): readonly InstanceRecord[] {
+	return [...state.members, ...state.newcomers].filter(member => member.name !== state.self.name);
+}
+
+function lateAt(state: StewardState, other: InstanceRecord): MonotonicTime {
+	return renewalLateAt(state.records[instanceKey(other)], state.terms);
+}
+
+/** When the first renewal gets late that wasn't late at the last round. */
+function nextLateAt(state: StewardState): MonotonicTime {
+	return Math.min(...others(state).map(other => lateAt(state, other)).filter(late => late > state.supportAskedAt));
+}
+
 function askOthers(state: StewardState, now: MonotonicTime): readonly StewardEffect[] {
 	const request = {zone: state.self.zone, candidate: identityOf(state), applied: state.applied};
-	const newcomers = isSteward(state, now) ? state.newcomers : [];
-	return [...state.members, ...newcomers]
-		.filter(member => member.name !== state.self.name)
-		.map(to => ({
-			kind: 'askSupport', to, sentAt: now, request,
-		}));
+	const asked = isSteward(state, now)
+		? others(state).filter(other => lateAt(state, other) <= now)
+		: state.members.filter(member => member.name !== state.self.name);
+	return asked.map(to => ({
+		kind: 'askSupport', to, sentAt: now, request,
+	}));
 }
 
 function asked(state: StewardState, now: MonotonicTime): StewardTransition {
@@ -68,7 +84,6 @@
 		...rest,
 		supporter: withdrawn(state.supporter),
 		records: {},
-		withdrawnAt: now,
 		standsFrom: now + state.terms.renewMilliseconds,
 	};
 }
@@ -79,8 +94,10 @@
 		return isSeated(state) ? Math.max(freeFrom(state.supporter), state.standsFrom) + turn(state) : Infinity;
 	}
 
-	const renewal = Math.max(state.supportAskedAt + state.terms.renewMilliseconds, state.standsFrom);
-	return state.electedAt === undefined ? Math.min(renewal, withdrawalAt(state)) : renewal;
+	const renewal = state.supportAskedAt + state.terms.renewMilliseconds;
+	return state.electedAt === undefined
+		? Math.min(Math.max(renewal, state.standsFrom), withdrawalAt(state))
+		: Math.max(Math.min(renewal, nextLateAt(state)), state.standsFrom);
 }
 
 function withdrawalAt({stoodAt = Infinity, terms}: StewardState): MonotonicTime {
--- a/packages/ownership/src/steward.ts
+++ b/packages/ownership/src/steward.ts
@@ -10,10 +10,10 @@
  * far its zone is drained.
  */
 import {
-	type LogIndex, type Milliseconds, type MonotonicTime,
+	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime,
 } from '@dogwooddeck/model/identifiers';
 import {
-	type DelegationAnswer, type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRequest,
+	type DelegationAnswer, type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRenewal, type SupportRequest,
 } from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
@@ -25,6 +25,7 @@
 import {
 	resigned, supportAnswered, supportRequested, tableChanged, ticked,
 } from './standing.js';
+import {type AskedSupport, leaseAnswered, leaseSent} from './renewal.js';
 
 /** An instance as supporter, candidate or steward of its zone. */
 export type StewardState = {
@@ -36,14 +37,14 @@
 	/** The longest deadline of any service. */
 	readonly longestDeadlineMilliseconds: Milliseconds;
 	readonly supporter: Supporter;
+	/** The newest request for support that came with a lease. */
+	readonly askedSupport?: AskedSupport;
 	/** The supports that this instance has as a candidate. */
 	readonly records: SupportRecords;
 	/** When it began to stand. Absent: it doesn't. */
 	readonly stoodAt?: MonotonicTime;
-	/** It doesn't stand before this. */
+	/** It neither stands nor renews before this. */
 	readonly standsFrom: MonotonicTime;
-	/** Answers to requests before this are stale. */
-	readonly withdrawnAt: MonotonicTime;
 	readonly supportAskedAt: MonotonicTime;
 	/** Since when it has been steward without a gap. Absent: it is not. */
 	readonly electedAt?: MonotonicTime;
@@ -67,6 +68,9 @@
 	| {readonly kind: 'supportRequested'; readonly now: MonotonicTime; readonly request: SupportRequest}
 	| {readonly kind: 'supportAnswered'; readonly now: MonotonicTime; readonly sentAt: MonotonicTime; readonly answer: SupportAnswer}
 	| {readonly kind: 'leaseRequested'; readonly now: MonotonicTime; readonly request: LeaseRequest}
+	/** The instance sends a lease request to `to` now. */
+	| {readonly kind: 'leaseSent'; readonly now: MonotonicTime; readonly to: InstanceIdentity}
+	| {readonly kind: 'leaseAnswered'; readonly now: MonotonicTime; readonly answer: LeaseAnswer}
 	/** `applied` is what the request said that was sent at `sentAt`. */
 	| {
 		readonly kind: 'delegationAnswered';
@@ -83,6 +87,8 @@
 	| {readonly kind: 'askSupport'; readonly to: InstanceRecord; readonly sentAt: MonotonicTime; readonly request: SupportRequest}
 	| {readonly kind: 'answerSupport'; readonly answer: SupportAnswer}
 	| {readonly kind: 'answerLease'; readonly answer: LeaseAnswer}
+	/** The lease request that is being sent carries the renewal. */
+	| {readonly kind: 'renewSupport'; readonly renewal: SupportRenewal}
 	| {readonly kind: 'askDelegation'; readonly sentAt: MonotonicTime; readonly request: DelegationRequest};
 
 /** A step of a steward. */
@@ -99,7 +105,6 @@
 		supporter: createSupporter(now, terms),
 		records: {},
 		standsFrom: -Infinity,
-		withdrawnAt: -Infinity,
 		supportAskedAt: -Infinity,
 		floor: 0,
 		holders: {},
@@ -117,6 +122,8 @@
 	supportRequested,
 	supportAnswered,
 	leaseRequested,
+	leaseSent,
+	leaseAnswered,
 	delegationAnswered,
 	resigned,
 };
--- a/packages/ownership/src/tenure.ts
+++ b/packages/ownership/src/tenure.ts
@@ -29,7 +29,7 @@
 	}
 
 	const {electedAt: _electedAt, stoodAt: _stoodAt, ...rest} = state;
-	return {...rest, records: {}, withdrawnAt: now};
+	return {...rest, records: {}};
 }
 
 /** The state after a look at the supports: a majority begins a tenure. */
--- a/packages/ownership/test/schedule.ts
+++ b/packages/ownership/test/schedule.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {FailureKind} from '@dogwooddeck/model/failure';
-import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {type InstanceIdentity, type LogIndex} from '@dogwooddeck/model/identifiers';
 import {emptyReport} from '@dogwooddeck/model/lease';
 import {Leadership} from './leadership.js';
 import {World} from './world.js';
@@ -36,6 +36,10 @@
 	readonly violations: string[] = [];
 	readonly works: Work[] = [];
 	readonly refused: Refusal[] = [];
+	/** Supports that were renewed with a lease request. */
+	renewals = 0;
+	/** Calls that asked for support. */
+	questions = 0;
 	readonly #active = new Map<string, Work[]>();
 
 	constructor(readonly plan: Plan) {
@@ -146,6 +150,7 @@
 
 	#carryOut(instance: Instance, effect: StewardEffect): void {
 		if (effect.kind === 'askSupport') {
+			this.questions += 1;
 			const to = this.instances.find(other => other.name === effect.to.name)!;
 			this.world.call(instance, to, () => {
 				const answers = this.#step(to, {kind: 'supportRequested', now: this.world.now(to), request: effect.request});
@@ -173,10 +178,13 @@
 		}
 
 		instance.lease = requestSent(instance.lease, {now, applied, drained});
+		const steward = this.#stewardFor(instance, now);
+		const sent = steward === instance ? [] : this.#step(instance, {kind: 'leaseSent', now, to: this.#knownLife(instance, steward)});
+		const renewal = sent.find(effect => effect.kind === 'renewSupport')?.renewal;
+		this.renewals += renewal === undefined ? 0 : 1;
 		const request = {
-			instance: instance.record, applied, drained, report: emptyReport,
+			instance: instance.record, applied, drained, report: emptyReport, ...(renewal && {supportRenewal: renewal}),
 		};
-		const steward = this.#stewardFor(instance, now);
 		const ask = () => {
 			const answers = this.#step(steward, {kind: 'leaseRequested', now: this.world.now(steward), request});
 			const answer = answers.find(effect => effect.kind === 'answerLease')?.answer;
@@ -185,6 +193,7 @@
 
 		const take = (result: {readonly answer: Parameters<typeof answered>[1]['answer']; readonly applied: LogIndex}) => {
 			instance.lease = answered(instance.lease, {sentAt: now, answer: result.answer});
+			this.#step(instance, {kind: 'leaseAnswered', now: this.world.now(instance), answer: result.answer});
 			this.#catchUp(instance, result.applied);
 		};
 
@@ -201,6 +210,12 @@
 		return peers.find(other => other.name === name) ?? this.world.pick(peers)!;
 	}
 
+	/** The life of a steward that an instance's table names. */
+	#knownLife(instance: Instance, {name, record}: Instance): InstanceIdentity {
+		const members = this.states[instance.applied]!.rosters[instance.zone]?.members;
+		return members?.find(member => member.name === name) ?? record;
+	}
+
 	#askSeat(instance: Instance): void {
 		this.leadership.askSeat(instance, {instance: instance.record, applied: instance.applied}, applied => {
 			this.#catchUp(instance, applied);
--- /dev/null
+++ b/packages/ownership/test/test-renewal.ts
@@ -0,0 +1,190 @@
+/**
+ * Renewal of support with lease requests, case by case. `a` is steward since
+ * 1601 ms by its own support and that of `b`, both until 3085 ms; its promises
+ * last 1531 ms and what it counts 1485 ms.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {
+	a, asked, b, c, election, granted, lease, record, renewing, table, tick,
+} from './steward-events.js';
+import {stewardDueAt} from '@dogwooddeck/ownership/due';
+import {
+	createSteward, type StewardEffect, type StewardEvent, type StewardState, stepSteward,
+} from '@dogwooddeck/ownership/steward';
+import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
+
+const resigned: StewardEvent = {kind: 'resigned', now: 1602};
+const sent = (now: number, to: InstanceRecord): StewardEvent => ({kind: 'leaseSent', now, to});
+const offered = (now: number, steward: InstanceRecord, supportAskedAt?: number): StewardEvent => ({
+	kind: 'leaseAnswered', now, answer: {
+		steward, holdMilliseconds: 0, controlMilliseconds: 0, shares: [], ...(supportAskedAt !== undefined && {supportAskedAt}),
+	},
+});
+const renewedBy = (now: number, instance: InstanceRecord, askedAt: number, steward = a) => renewing(now, instance, 10, {steward, askedAt});
+
+const rounds = (...moments: readonly number[]) => moments.map(now => tick(now));
+
+function shown(effect: StewardEffect): readonly string[] {
+	const texts = {
+		askSupport: () => effect.kind === 'askSupport' ? [`asks ${effect.to.name}`] : [],
+		answerSupport: () => [effect.kind === 'answerSupport' && effect.answer.granted ? 'supports' : 'refuses'],
+		answerLease: () => effect.kind === 'answerLease' ? [`${Math.round(effect.answer.holdMilliseconds)} asked at ${effect.answer.supportAskedAt ?? 'no time'}`] : [],
+		renewSupport: () => effect.kind === 'renewSupport' ? [`renews ${effect.renewal.askedAt}`] : [],
+		askDelegation: () => effect.kind === 'askDelegation' ? [`drained ${effect.request.drained}`] : [],
+	};
+	return texts[effect.kind]();
+}
+
+function run(events: readonly StewardEvent[]): {readonly state: StewardState; readonly effects: readonly string[]} {
+	let state = createSteward(a, 0, terms);
+	const effects = events.flatMap(event => {
+		const next = stepSteward(state, event);
+		state = next.state;
+		return next.effects.flatMap(effect => shown(effect));
+	});
+	return {state, effects};
+}
+
+type Case = {readonly name: string; readonly events: readonly StewardEvent[]; readonly expected: readonly string[]};
+
+const supporterOfB = [table(0, 10), asked(1600, b, 10)];
+
+const memberCases: readonly Case[] = [
+	{
+		name: 'renews with the next request, and its promise lasts from then',
+		events: [...supporterOfB, offered(1650, b, 77), sent(1900, b), asked(3200, c, 10), asked(3430, c, 10), asked(3431, c, 10)],
+		expected: ['supports', 'renews 77', 'refuses', 'refuses', 'supports'],
+	},
+	{
+		name: 'answers each request once',
+		events: [...supporterOfB, offered(1650, b, 77), sent(1900, b), sent(1925, b), offered(1930, b, 77), sent(2150, b), asked(3431, c, 10)],
+		expected: ['supports', 'renews 77', 'supports'],
+	},
+	{
+		name: 'answers the newest of requests out of order',
+		events: [...supporterOfB, offered(1650, b, 78), offered(1651, b, 77), sent(1900, b), offered(1901, b, 77), sent(1950, b)],
+		expected: ['supports', 'renews 78'],
+	},
+	{
+		name: 'renews no support for another',
+		events: [...supporterOfB, offered(1650, c, 77), sent(1900, c), asked(1901, c, 10)],
+		expected: ['supports', 'refuses'],
+	},
+	{name: 'renews nothing with a request to another', events: [...supporterOfB, offered(1650, b, 77), sent(1900, c)], expected: ['supports']},
+	{
+		name: 'renews nothing with a request to another life',
+		events: [...supporterOfB, offered(1650, b, 77), sent(1900, record('b', 2))],
+		expected: ['supports'],
+	},
+	{
+		name: 'renews nothing once its promise is over',
+		events: [...supporterOfB, offered(1650, b, 77), sent(3131, b), asked(3132, c, 10)],
+		expected: ['supports', 'supports'],
+	},
+	{
+		name: 'renews nothing after it switched',
+		events: [...supporterOfB, offered(1650, b, 77), asked(3200, c, 10), sent(3201, b), asked(3202, b, 10)],
+		expected: ['supports', 'supports', 'refuses'],
+	},
+	{name: 'promises nothing while it is silent', events: [table(0, 10), offered(1, b, 77), sent(250, b), asked(251, b, 10)], expected: ['refuses']},
+	{name: 'renews nothing that was not asked for', events: [...supporterOfB, offered(1650, b), sent(1900, b)], expected: ['supports']},
+];
+
+/** What is left of the support is told by the lease that `a` gives at 3000 ms, when `b` has to have renewed. */
+const left = (...events: readonly StewardEvent[]) => [...election, ...rounds(1850, 2100, 2350), ...events, tick(2600), lease(3000, a, 10)];
+
+const stewardCases: readonly Case[] = [
+	{
+		name: 'asks with each answer',
+		events: [...election, lease(1650, b, 10), lease(1651, c, 9)],
+		expected: ['asks b', 'asks c', '1000 asked at 1650', '0 asked at 1651'],
+	},
+	{
+		name: 'asks for nothing while it is not elected',
+		events: [table(0, 10), tick(1600), lease(1601, b, 10)],
+		expected: ['asks b', 'asks c', '0 asked at no time'],
+	},
+	{
+		name: 'asks for nothing once it resigned',
+		events: [...election, resigned, lease(1603, b, 10)],
+		expected: ['asks b', 'asks c', '1000 asked at no time'],
+	},
+];
+
+const counted = (name: string, events: readonly StewardEvent[], milliseconds: number) => ({name, events, milliseconds});
+const countedCases = [
+	counted('without a renewal', left(), 85),
+	counted('from when it asked, not from when the renewal came', left(renewedBy(2500, b, 1650)), 135),
+	counted('of a member whose support it did not have', left(renewedBy(2500, c, 1700)), 185),
+	counted('twice', left(renewedBy(2500, b, 1700), renewedBy(2510, b, 1700)), 185),
+	counted('out of order', left(renewedBy(2500, b, 1900), renewedBy(2510, b, 1700)), 385),
+	counted('for an earlier life of the steward', left(renewedBy(2500, b, 1900, record('a', 0))), 85),
+	counted('for another steward', left(renewedBy(2500, b, 1900, c)), 85),
+	counted('asked for later than now', left(renewedBy(2500, b, 2501)), 85),
+	counted('by an earlier life of a member', left(renewedBy(2500, record('b', 0), 1900)), 85),
+	counted('by another life of a member', left(renewedBy(2500, record('b', 2), 1900)), 85),
+	counted('after it resigned', left(resigned, renewedBy(2500, b, 1900)), 85),
+	counted('after its tenure', [...election, renewedBy(3100, b, 2900), lease(3101, a, 10)], 0),
+];
+
+/** `b` acknowledged 10 and `c` nothing, so that only the renewal lets a majority have acknowledged 20. */
+const acknowledged = (renewal: StewardEvent) => [...election, table(2400, 20), tick(2401), lease(2402, a, 20), renewal, tick(2700)];
+
+const acknowledgedCases = [
+	{name: 'with the support that it renews', events: acknowledged(renewing(2403, c, 20, {steward: a, askedAt: 1700})), drained: 20},
+	{name: 'with none that was asked for before the tenure', events: acknowledged(renewing(2403, c, 20, {steward: a, askedAt: 1600})), drained: 10},
+	{name: 'with none for an earlier life', events: acknowledged(renewing(2403, c, 20, {steward: record('a', 0), askedAt: 1700})), drained: 10},
+	{name: 'with no support', events: acknowledged(lease(2403, c, 20)), drained: 10},
+];
+
+const roundCases: readonly Case[] = [
+	{name: 'asks all in an election', events: [table(0, 10), tick(1600), tick(1850)], expected: ['asks b', 'asks c', 'asks b', 'asks c']},
+	{name: 'asks only those that have not renewed', events: [...election, ...rounds(1850, 2100)], expected: ['asks b', 'asks c', 'asks c', 'asks c']},
+	{
+		name: 'asks as soon as a renewal is late',
+		events: [...election, ...rounds(1850, 2100, 2149, 2150)],
+		expected: ['asks b', 'asks c', 'asks c', 'asks c', 'asks b', 'asks c'],
+	},
+	{
+		name: 'asks no supporter whose renewals come',
+		events: [...election, granted(1602, 1600, c, 10), ...rounds(1850), renewedBy(2000, b, 1750), renewedBy(2000, c, 1750), ...rounds(2100, 2150, 2299)],
+		expected: ['asks b', 'asks c', '1000 asked at 2000', '1000 asked at 2000'],
+	},
+	{
+		name: 'goes on asking one that is silent, once in a round',
+		events: [...election, ...rounds(1850, 2100, 2150, 2175, 2400)],
+		expected: ['asks b', 'asks c', 'asks c', 'asks c', 'asks b', 'asks c', 'asks b', 'asks c'],
+	},
+	{
+		name: 'asks a newcomer ahead of its seat',
+		events: [...election, lease(1700, record('d'), 10), ...rounds(1850), renewedBy(1851, record('d'), 1700), ...rounds(2100)],
+		expected: ['asks b', 'asks c', '1000 asked at 1700', 'asks c', 'asks d', '1000 asked at 1851', 'asks c'],
+	},
+];
+
+for (const {name, events, expected} of [...memberCases, ...stewardCases, ...roundCases]) {
+	test(`renewal: ${name}`, () => {
+		assert.deepEqual(run(events).effects.filter(effect => !effect.startsWith('drained')), expected);
+	});
+}
+
+for (const {name, events, milliseconds} of countedCases) {
+	test(`renewal: counts support ${name}`, () => {
+		const last = run(events).effects.findLast(effect => effect.includes('asked at'));
+		assert.equal(last?.split(' ')[0], `${milliseconds}`);
+	});
+}
+
+for (const {name, events, drained} of acknowledgedCases) {
+	test(`renewal: acknowledges ${name}`, () => {
+		const last = run(events).effects.findLast(effect => effect.startsWith('drained'));
+		assert.equal(last, `drained ${drained}`);
+	});
+}
+
+test('renewal: a late renewal is due before the next round', () => {
+	const {state} = run([...election, ...rounds(1850, 2100)]);
+	assert.equal(stewardDueAt({...state, delegationAskedAt: Infinity}, 2101), 2150);
+});
--- a/packages/ownership/test/test-schedule.ts
+++ b/packages/ownership/test/test-schedule.ts
@@ -111,6 +111,8 @@
 	test(`schedule: one upstream at a time works on a key: ${name} (seed ${seed}, ${runs} runs)`, () => {
 		let works = 0;
 		let moves = 0;
+		let renewals = 0;
+		let questions = 0;
 		const property = fc.property(fc.integer({min: 1, max: 1e9}), fc.array(faultArbitrary, {maxLength: 10}), (runSeed, faults) => {
 			const schedule = new Schedule({...plan, seed: runSeed});
 			for (const fault of faults) {
@@ -122,12 +124,15 @@
 			schedule.run(20_000);
 			works += schedule.works.length;
 			moves += schedule.states.length;
+			renewals += schedule.renewals;
+			questions += schedule.questions;
 			assert.equal(schedule.violations[0], undefined);
 		});
 		fc.assert(property, {
 			seed, numRuns: runs, endOnFailure: true, includeErrorInReport: true,
 		});
-		console.log(`${name}: ${works} requests sent, ${moves} log entries`);
+		console.log(`${name}: ${works} requests sent, ${moves} log entries, ${renewals} supports renewed with leases, ${questions} questions`);
 		assert.ok(works > runs * 100, 'too little was sent to prove anything');
+		assert.ok(plan.perZone === 1 || renewals > questions, 'too few supports were renewed with leases');
 	});
 }
--- a/packages/ownership/test/test-steward.ts
+++ b/packages/ownership/test/test-steward.ts
@@ -5,66 +5,20 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {WhenCut} from '@dogwooddeck/model/contract';
-import {emptyReport} from '@dogwooddeck/model/lease';
-import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {
+	a, asked, b, c, delegated, election, granted, lease, record, refused, renewal, table, tick,
+} from './steward-events.js';
 import {
 	createSteward, type StewardEffect, type StewardEvent, stepSteward,
 } from '@dogwooddeck/ownership/steward';
-import {emptyOwnership, type OwnershipState} from '@dogwooddeck/ownership/table';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
-function record(name: string, incarnation = 1): InstanceRecord {
-	return {
-		name, incarnation, region: 'n', zone: 'n1', peerAddress: '', callerAddress: '', operatorAddress: '',
-	};
-}
-
-const [a, b, c] = [record('a'), record('b'), record('c')];
-
-function tableOf(members: readonly InstanceRecord[]): OwnershipState {
-	const policy = {
-		service: 's', slots: 1, changedAt: 1, whenCut: WhenCut.hold, longestDeadlineMilliseconds: 800,
-	};
-	const roster = {
-		zone: 'n1', region: 'n', members, previousMembers: [], changedAt: 2,
-	};
-	return {...emptyOwnership, policies: {s: policy}, rosters: {n1: roster}};
-}
-
-const table = (now: number, applied: number, members = [a, b, c]): StewardEvent => ({
-	kind: 'tableChanged', now, applied, table: tableOf(members),
-});
-const tick = (now: number): StewardEvent => ({kind: 'ticked', now});
-const asked = (now: number, candidate: InstanceRecord, applied: number): StewardEvent => ({
-	kind: 'supportRequested', now, request: {zone: 'n1', candidate, applied},
-});
-const granted = (now: number, sentAt: number, supporter: InstanceRecord, applied: number): StewardEvent => ({
-	kind: 'supportAnswered', now, sentAt, answer: {granted: true, supporter, applied},
-});
-const refused = (now: number, sentAt: number, supporter: InstanceRecord, supported: InstanceRecord): StewardEvent => ({
-	kind: 'supportAnswered', now, sentAt, answer: {
-		granted: false, supporter, applied: 10, supported,
-	},
-});
-const lease = (now: number, instance: InstanceRecord, applied: number, drained = applied): StewardEvent => ({
-	kind: 'leaseRequested', now, request: {
-		instance, applied, drained, report: emptyReport,
-	},
-});
-const delegated = (now: number, sentAt: number, applied: number): StewardEvent => ({
-	kind: 'delegationAnswered', now, sentAt, applied, answer: {termMilliseconds: 1500, shares: []},
-});
-
-/** `a` is steward since 1601 ms by its own support and that of `b`, both until 3085 ms. */
-const election = [table(0, 10), tick(1600), granted(1601, 1600, b, 10)];
-const renewal = (now: number, applied: number) => [tick(now), granted(now + 1, now, b, applied)];
-
 function shown(effect: StewardEffect): readonly string[] {
 	const texts = {
 		askSupport: () => [],
 		answerSupport: () => [effect.kind === 'answerSupport' && effect.answer.granted ? 'supports' : 'refuses'],
 		answerLease: () => effect.kind === 'answerLease' ? [`${Math.round(effect.answer.holdMilliseconds)}/${Math.round(effect.answer.controlMilliseconds)}`] : [],
+		renewSupport: () => [],
 		askDelegation: () => effect.kind === 'askDelegation' ? [`drained ${effect.request.drained}`] : [],
 	};
 	return texts[effect.kind]();
--- a/packages/wire/src/answer-check.ts
+++ b/packages/wire/src/answer-check.ts
@@ -24,7 +24,12 @@
 const checks: Readonly<Record<PeerCall, FieldCheck>> = {
 	deliver: nothing,
 	renewLease: message({
-		steward: instanceIdentity, holdMilliseconds: term, controlMilliseconds: term, shares: list(share), catchUp: optional(catchUp),
+		steward: instanceIdentity,
+		holdMilliseconds: term,
+		controlMilliseconds: term,
+		shares: list(share),
+		catchUp: optional(catchUp),
+		supportAskedAt: optional(amount()),
 	}),
 	support: message({supporter: instanceIdentity, applied: whole(), supported: optional(instanceIdentity)}),
 	delegate: message({termMilliseconds: term, shares: list(share), catchUp: optional(catchUp)}),
--- a/packages/wire/src/methods.ts
+++ b/packages/wire/src/methods.ts
@@ -6,7 +6,7 @@
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type InstanceIdentity, type LogIndex} from '@dogwooddeck/model/identifiers';
 import {
-	type DelegationAnswer, type DelegationRequest, type LeaseAnswer, type LeaseRequest, type Report, type SeatRequest, type SupportAnswer, type SupportRequest,
+	type DelegationAnswer, type DelegationRequest, type LeaseAnswer, type LeaseRequest, type Report, type SeatRequest, type SupportAnswer, type SupportRenewal, type SupportRequest,
 } from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {err, ok, type Result} from 'true-myth/result';
@@ -93,22 +93,30 @@
 	answerFromWire: (wire: generated.ClaimMessage): Result<string, Failure> => ok(wire.body),
 };
 
+function renewalFrom(wire: generated.SupportRenewal | undefined): {readonly supportRenewal?: SupportRenewal} {
+	return identified(wire?.steward) ? {supportRenewal: {steward: wire.steward, askedAt: wire.askedAt}} : {};
+}
+
 const renewLease: MethodCodec<'renewLease', generated.LeaseRequest, generated.LeaseAnswer> = {
-	requestToWire: request => ({...request, report: reportTo(request.report)}),
+	requestToWire: request => ({...request, report: reportTo(request.report), supportRenewal: request.supportRenewal}),
 	requestFromWire: wire => recorded(wire.instance)
 		? ok({
-			instance: wire.instance, applied: wire.applied, drained: wire.drained, report: reportFrom(wire.report),
+			instance: wire.instance,
+			applied: wire.applied,
+			drained: wire.drained,
+			report: reportFrom(wire.report),
+			...renewalFrom(wire.supportRenewal),
 		})
 		: missing('instance'),
-	answerToWire: ({answer, catchUp}) => ({...answer, catchUp: catchUpTo(catchUp)}),
+	answerToWire: ({answer, catchUp}) => ({...answer, catchUp: catchUpTo(catchUp), supportAskedAt: answer.supportAskedAt}),
 	answerFromWire(wire) {
 		if (!identified(wire.steward)) {
 			return missing('steward');
 		}
 
-		const {steward, holdMilliseconds, controlMilliseconds, shares} = wire;
+		const {steward, holdMilliseconds, controlMilliseconds, shares, supportAskedAt} = wire;
 		const answer = {
-			steward, holdMilliseconds, controlMilliseconds, shares,
+			steward, holdMilliseconds, controlMilliseconds, shares, ...(supportAskedAt !== undefined && {supportAskedAt}),
 		};
 		return ok({answer, catchUp: catchUpFrom(wire.catchUp)});
 	},
--- a/packages/wire/src/request-check.ts
+++ b/packages/wire/src/request-check.ts
@@ -71,10 +71,12 @@
 	demands: list(demand),
 });
 
+const supportRenewal = message({steward: instanceIdentity, askedAt: amount()});
+
 const checks: Readonly<Record<PeerCall, FieldCheck>> = {
 	deliver: envelope,
 	renewLease: message({
-		instance: instanceRecord, applied: whole(), drained: whole(), report: optional(report),
+		instance: instanceRecord, applied: whole(), drained: whole(), report: optional(report), supportRenewal: optional(supportRenewal),
 	}),
 	support: message({zone: name, candidate: instanceIdentity, applied: whole()}),
 	delegate: message({
--- a/packages/wire/test/test-bad-answers.ts
+++ b/packages/wire/test/test-bad-answers.ts
@@ -56,7 +56,7 @@
 	service: 'bermrand/schedule', limit: 'viewings', caller: '', amount: 3, validMilliseconds: 15_000, holder: 'entry-1#7', sequence: 1,
 };
 const lease = {
-	steward, holdMilliseconds: 900, controlMilliseconds: 0, shares: [share], catchUp,
+	steward, holdMilliseconds: 900, controlMilliseconds: 0, shares: [share], catchUp, supportAskedAt: 12.5,
 };
 const delegation = {termMilliseconds: 1500, shares: [], catchUp};
 const supporting = {
@@ -84,6 +84,8 @@
 	['a lease without end', 'renewLease', encoded('renewLease', {...lease, holdMilliseconds: Infinity}), FailureKind.malformed],
 	['a lease of a day', 'renewLease', encoded('renewLease', {...lease, controlMilliseconds: 86_400_000}), FailureKind.malformed],
 	['a lease of no number', 'renewLease', encoded('renewLease', {...lease, controlMilliseconds: Number.NaN}), FailureKind.malformed],
+	['support asked for at no time', 'renewLease', encoded('renewLease', {...lease, supportAskedAt: Number.NaN}), FailureKind.malformed],
+	['support asked for at the end of time', 'renewLease', encoded('renewLease', {...lease, supportAskedAt: Infinity}), FailureKind.malformed],
 	['an endless share', 'renewLease', encoded('renewLease', {...lease, shares: [{...share, amount: Infinity}]}), FailureKind.malformed],
 	['a negative share', 'delegate', encoded('delegate', {...delegation, shares: [{...share, amount: -1}]}), FailureKind.malformed],
 	['a delegation without end', 'delegate', encoded('delegate', {...delegation, termMilliseconds: Infinity}), FailureKind.malformed],
