Split the zone runner into parts with one job each

Cause: zone-runner.ts was one closure of 270 lines with 18 variables that asked for leases and seats, passed notices on and was the steward. Change: steward-runner (supporter, candidate, steward; takeLeaseRequest is in it), lease-asker, seat-asker, state-fetcher, zone-notices, zone-view (roster and known steward), recent-holders, zone-surroundings; zone-runner puts them together. Answers are read from the effects of a step in place of variables that a handler set. takeLeaseRequest and takeSupportRequest give their results at once: they awaited nothing. The wait for an answer to a call stands once. No behaviour.

--- /dev/null
+++ b/packages/daemon/src/steward-runner.ts
@@ -0,0 +1,158 @@
+/**
+ * Runs this instance's part as supporter, candidate and steward of its
+ * availability zone: the state of `@dogwooddeck/ownership/steward`, and a table
+ * of its effects.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {
+	type DelegationRequest, type LeaseAnswer, type LeaseRequest, type SupportAnswer, type SupportRenewal, type SupportRequest,
+} from '@dogwooddeck/model/lease';
+import {type InstanceRecord} from '@dogwooddeck/model/registry';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {stewardDueAt} from '@dogwooddeck/ownership/due';
+import {
+	createSteward, isSeated, isSteward, type StewardEffect, type StewardEvent, type StewardState, stepSteward,
+} from '@dogwooddeck/ownership/steward';
+import {type OwnershipState} from '@dogwooddeck/ownership/table';
+import {type WithCatchUp} from '@dogwooddeck/wire/methods';
+import {err, ok, type Result} from 'true-myth/result';
+import {createRecentHolders} from './recent-holders.js';
+import {createSharePost} from './share-post.js';
+import {peerMilliseconds, type ZoneSurroundings} from './zone-surroundings.js';
+import {type ZoneView} from './zone-view.js';
+
+/** This instance's part as steward. */
+export type StewardRunner = {
+	readonly isSteward: () => boolean;
+	readonly isSeated: () => boolean;
+	readonly tick: (now: MonotonicTime) => void;
+	/** When the next tick has something to do. */
+	readonly dueAt: (now: MonotonicTime) => MonotonicTime;
+	/** The instance has applied a newer table. */
+	readonly tableChanged: (table: {readonly applied: number; readonly ownership: OwnershipState}) => void;
+	readonly takeLeaseRequest: (request: LeaseRequest) => Result<WithCatchUp<LeaseAnswer>, Failure>;
+	readonly takeSupportRequest: (request: SupportRequest) => Result<SupportAnswer, Failure>;
+	/** Renews the support of the steward that is sent a lease request now, if it asked for it. */
+	readonly renewSupport: (to: InstanceRecord) => SupportRenewal | undefined;
+	/** Another instance answered a lease request. */
+	readonly leaseAnswered: (answer: LeaseAnswer) => void;
+	/** Stands and renews no more. */
+	readonly resign: () => void;
+};
+
+type EffectOf<Kind extends StewardEffect['kind']> = Extract<StewardEffect, {readonly kind: Kind}>;
+
+function effectOf<Kind extends StewardEffect['kind']>(effects: readonly StewardEffect[], kind: Kind): EffectOf<Kind> | undefined {
+	return effects.find((effect): effect is EffectOf<Kind> => effect.kind === kind);
+}
+
+/** An answer goes back to whoever took the event's request: it is found in what `step` gives. */
+const leaveToCaller = (): void => undefined;
+
+/** Starts the part. `changed` is called after each event. */
+export function createStewardRunner(surroundings: ZoneSurroundings, zone: ZoneView, changed: () => void): StewardRunner {
+	const {self, terms, holder, control, clients, zoneReports} = surroundings;
+	const holders = createRecentHolders();
+	const sharePost = createSharePost();
+	let state: StewardState = createSteward(self, monotonicNow(), terms);
+
+	async function askSupport({to, sentAt, request}: EffectOf<'askSupport'>): Promise<void> {
+		const answer = await clients.call(to.peerAddress, 'support', request, peerMilliseconds);
+		if (answer.isOk) {
+			step({
+				kind: 'supportAnswered', now: monotonicNow(), sentAt, answer: answer.value,
+			});
+		}
+	}
+
+	async function askDelegation(sentAt: MonotonicTime, request: DelegationRequest): Promise<void> {
+		const report = zoneReports.take();
+		const answer = await control.callLeader('delegate', {...request, report, holders: holders.list(sentAt)});
+		if (answer.isErr) {
+			return;
+		}
+
+		holder.catchUp(answer.value.catchUp);
+		sharePost.put(answer.value.answer.shares);
+		step({
+			kind: 'delegationAnswered', now: monotonicNow(), sentAt, applied: request.applied, answer: answer.value.answer,
+		});
+	}
+
+	const effects: HandlerTable<StewardEffect, [], void> = {
+		askSupport(effect) {
+			void askSupport(effect);
+		},
+		askDelegation({sentAt, request}) {
+			void askDelegation(sentAt, request);
+		},
+		answerSupport: leaveToCaller,
+		answerLease: leaveToCaller,
+		renewSupport: leaveToCaller,
+	};
+
+	function step(event: StewardEvent): readonly StewardEffect[] {
+		const next = stepSteward(state, event);
+		state = next.state;
+		for (const effect of next.effects) {
+			dispatch(effects, effect);
+		}
+
+		changed();
+		return next.effects;
+	}
+
+	function notSteward(): Failure {
+		const leader = zone.steward()?.name;
+		return failure(FailureKind.notLeader, `${self.name} is not the steward of ${self.zone}`, leader === undefined ? {} : {leader});
+	}
+
+	function takeLeaseRequest(request: LeaseRequest): Result<WithCatchUp<LeaseAnswer>, Failure> {
+		const now = monotonicNow();
+		if (!isSteward(state, now)) {
+			return err(notSteward());
+		}
+
+		zoneReports.merge(request.report);
+		holders.note(request.instance, now);
+		const answer = effectOf(step({kind: 'leaseRequested', now, request}), 'answerLease')?.answer;
+		return answer === undefined
+			? err(failure(FailureKind.notReady, `${self.name} gives no lease now`))
+			: ok({answer: {...answer, shares: sharePost.take(request.instance)}, catchUp: holder.after(request.applied)});
+	}
+
+	function takeSupportRequest(request: SupportRequest): Result<SupportAnswer, Failure> {
+		const answer = effectOf(step({kind: 'supportRequested', now: monotonicNow(), request}), 'answerSupport')?.answer;
+		if (answer === undefined) {
+			return err(failure(FailureKind.notReady, `${self.name} gives no support now`));
+		}
+
+		zone.heardOfSteward(answer.supported?.name);
+		return ok(answer);
+	}
+
+	return {
+		isSteward: () => isSteward(state, monotonicNow()),
+		isSeated: () => isSeated(state),
+		tick(now) {
+			step({kind: 'ticked', now});
+		},
+		dueAt: now => stewardDueAt(state, now),
+		tableChanged({applied, ownership}) {
+			step({
+				kind: 'tableChanged', now: monotonicNow(), applied, table: ownership,
+			});
+		},
+		takeLeaseRequest,
+		takeSupportRequest,
+		renewSupport: to => effectOf(step({kind: 'leaseSent', now: monotonicNow(), to}), 'renewSupport')?.renewal,
+		leaseAnswered(answer) {
+			step({kind: 'leaseAnswered', now: monotonicNow(), answer});
+		},
+		resign() {
+			step({kind: 'resigned', now: monotonicNow()});
+		},
+	};
+}
