--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -79,7 +79,8 @@
 
 /** The operators' token of every trial. */
 export const operatorToken = 'trial-operator-token-0123456789';
-const announceKey = 'trial-announce-key-0123456789';
+/** The key by which upstreams of every trial announce themselves. */
+export const announceKey = 'trial-announce-key-0123456789';
 const peerKey = 'trial-peer-key-0123456789';
 
 /** The folder of the repository. */
--- a/packages/stand-in/test/test-session-faults.ts
+++ b/packages/stand-in/test/test-session-faults.ts
@@ -4,16 +4,14 @@
  * upstreams, so that no verdict about an upstream comes from what they see.
  */
 import assert from 'node:assert/strict';
-import path from 'node:path';
-import {test} from 'node:test';
 import {request} from 'undici';
 import {
-	answerLines, assertGolden, type CallerRequest, receive, type Received,
+	answerLines, applyTrial, type CallerRequest, receive, type Received, runGolden,
 } from './record.js';
 import {patience} from './trial.js';
 import {eventually} from '@dogwooddeck/stand-in/child';
 import {
-	type Deployment, type InstancePlan, repository, startDeployment, type TrialInstance,
+	type Deployment, type InstancePlan, type TrialInstance,
 } from '@dogwooddeck/stand-in/deployment';
 import {Fault, type FaultOrder, noFault} from '@dogwooddeck/stand-in/fault';
 
@@ -172,12 +170,12 @@
 	}
 }
 
-test('golden session: callers whose upstreams fail', {timeout: 180_000}, async () => {
-	const deployment = await startDeployment(plans);
-	try {
-		await deployment.ready();
-		const applied = await deployment.control('apply', path.join(repository, 'packages/stand-in/trial/faulty'), '--wait');
-		assert.equal(applied.code, 0, applied.output);
+runGolden({
+	name: 'callers whose upstreams fail',
+	file: 'session-faults',
+	instances: plans,
+	async run(deployment) {
+		await applyTrial(deployment, 'faulty');
 		const entries = deployment.instances.slice(1);
 		const lines: string[] = [];
 		for (const name of Object.keys(met) as ReadonlyArray<Service['name']>) {
@@ -189,8 +187,6 @@
 			}
 		}
 
-		await assertGolden('session-faults', lines);
-	} finally {
-		await deployment.close();
-	}
+		return lines;
+	},
 });
