--- a/packages/stand-in/src/control-cost.ts
+++ b/packages/stand-in/src/control-cost.ts
@@ -1,6 +1,7 @@
 /**
  * Measures what control costs an idle instance, by its role, as slots,
- * services, upstreams and instances grow. Prints a table.
+ * services, upstreams and instances grow, and what it costs in all to take the
+ * services in. Prints a table and the totals.
  */
 import {mkdir, writeFile} from 'node:fs/promises';
 import path from 'node:path';
@@ -80,6 +81,10 @@
 	};
 }
 
+async function allFigures({instances}: Deployment): Promise<readonly Figures[]> {
+	return Promise.all(instances.map(async instance => figuresOf(instance)));
+}
+
 async function writeTeam(deployment: Deployment, size: Size): Promise<string> {
 	const folder = path.join(deployment.folder, 'sized');
 	await mkdir(folder, {recursive: true});
@@ -152,13 +157,24 @@
 	}
 }
 
+function sumOf(figures: readonly Figures[], pick: (figure: Figures) => number): number {
+	return figures.reduce((sum, figure) => sum + pick(figure), 0);
+}
+
+/** What it cost to take a size in, from before its subtree was applied until the log was at rest. */
+function fillCost({slots, upstreams}: Size, empty: readonly Figures[], settled: readonly Figures[]): string {
+	const processor = sumOf(settled, figure => figure.processorMilliseconds) - sumOf(empty, figure => figure.processorMilliseconds);
+	const bytes = sumOf(settled, figure => figure.peerBytes) - sumOf(empty, figure => figure.peerBytes);
+	return `${settled.length} instances, ${slots} slots, ${upstreams} upstreams, until at rest: ${processor.toFixed(0)} ms of processor time and ${bytes} peer bytes in all\n`;
+}
+
 /** Whether the log came to rest in time. */
 async function settles(deployment: Deployment): Promise<boolean> {
 	const end = monotonicNow() + longestSettleMilliseconds;
 	let restsFrom = monotonicNow();
 	let last = '';
 	while (monotonicNow() < end) {
-		const figures = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
+		const figures = await allFigures(deployment);
 		const applied = figures.map(figure => figure.applied).join(' ');
 		restsFrom = applied === last ? restsFrom : monotonicNow();
 		last = applied;
@@ -172,21 +188,23 @@
 	return false;
 }
 
-async function measure(size: Size): Promise<void> {
+async function measure(size: Size): Promise<string> {
 	const deployment = await startDeployment(Array.from({length: size.instances}, (_, number) => ({
 		...zones[number % zones.length]!, name: `entry-${number}`, voter: number < 3,
 	})));
 	try {
 		await deployment.ready();
+		const empty = await allFigures(deployment);
 		await fill(deployment, size);
 		if (!await settles(deployment)) {
 			process.stdout.write(`not settled within ${longestSettleMilliseconds} ms: `);
 		}
 
-		const before = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
+		const before = await allFigures(deployment);
 		await pause(measureMilliseconds);
-		const after = await Promise.all(deployment.instances.map(async instance => figuresOf(instance)));
+		const after = await allFigures(deployment);
 		report(size, before, after);
+		return fillCost(size, empty, before);
 	} finally {
 		await deployment.close();
 	}
@@ -196,7 +214,10 @@
 export async function main(): Promise<void> {
 	process.stdout.write(line(['instances', 'services', 'slots each', 'upstreams', 'role', 'processor ms/s', 'peer bytes/s', 'resident MiB']));
 	process.stdout.write(line(Array.from({length: 8}, () => '---')));
+	const fills: string[] = [];
 	for (const size of sizes) {
-		await measure(size);
+		fills.push(await measure(size));
 	}
+
+	process.stdout.write(`\n${fills.join('')}`);
 }
