Give each process with a trial deployment ports of its own

Change: a process listens on the first port of its block of 100 for as long as it lives, and takes the next block where that port is taken.

Conclusion: holds among processes that have this change; older trees on the same machine take no notice of the guard's block beyond its first port.

--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -5,7 +5,7 @@
 import {
 	mkdir, mkdtemp, rm, writeFile,
 } from 'node:fs/promises';
-import {createServer} from 'node:net';
+import {createServer, type Server} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -97,27 +97,53 @@
 const portsPerProcess = 100;
 const processesApart = 200;
 
-let nextPort = firstPort + ((process.pid % processesApart) * portsPerProcess);
+/** The first port of this process's block; 0 until it has one. */
+let block = 0;
+/** The next port to try; undefined: the block's second. */
+let nextPort: number | undefined;
 
-async function listens(port: number): Promise<boolean> {
+/** Listens on a port; undefined if it is taken. */
+async function listenOn(port: number): Promise<Server | undefined> {
 	const server = createServer();
 	return new Promise(resolve => {
 		server.once('error', () => {
-			resolve(false);
+			resolve(undefined);
 		});
 		server.listen(port, '127.0.0.1', () => {
-			server.close(() => {
-				resolve(true);
-			});
+			resolve(server);
+		});
+	});
+}
+
+/** Takes a block of ports for this process, which listens on the first of them until it ends, so that no other process takes the block. */
+async function takeBlock(): Promise<number> {
+	for (let turn = 0; turn < processesApart; turn++) {
+		const first = firstPort + (((process.pid + turn) % processesApart) * portsPerProcess);
+		const guard = await listenOn(first);
+		if (guard !== undefined) {
+			guard.unref();
+			return first;
+		}
+	}
+
+	throw new FailureError(failure(FailureKind.internal, 'every block of ports is taken'));
+}
+
+async function isFree(port: number): Promise<boolean> {
+	const server = await listenOn(port);
+	return server !== undefined && new Promise(resolve => {
+		server.close(() => {
+			resolve(true);
 		});
 	});
 }
 
 async function freeAddress(): Promise<string> {
+	block ||= await takeBlock();
 	for (;;) {
-		const port = nextPort;
-		nextPort = port + 1 < firstPort + (processesApart * portsPerProcess) ? port + 1 : firstPort;
-		if (await listens(port)) {
+		const port = nextPort ?? block + 1;
+		nextPort = port + 1 < block + portsPerProcess ? port + 1 : undefined;
+		if (await isFree(port)) {
 			return `127.0.0.1:${port}`;
 		}
 	}
