Forget the holders of earlier claims on evidence, not by time

Cause: the holders of an earlier seating were asked for 10 s after every seated instance knew the next one, and then forgotten. When both holders of an operation were lost before their copies arrived, a resend within the record's hour ran again. Also found by the new schedules: a copy that was answered `taken` counted as arrived, though the other claim recorded there may be removed again when it ends unsent; and one that was refused as `full` did too. Change: a seating is forgotten for an operation once one of its two holders has told, asked after the newest seating became known, that all of its records are answered with `held` by the holders of just that seating; for all operations once no pair without such a report is left, or a record's lifetime after it went out of use. An instance that starts, or missed more seatings than the log keeps, takes over the view of another one as a whole, and claims nothing before if seatings may be missing. A copy that comes by an older seating is copied on. The report is asked for in place of the member report, only while one is missing. A planned stop waits until those that answer no longer miss its report. Refusals for a lost pair tell how long they last. In the tests, FakeClaimNetwork loses its copying time (nothing is forgotten by time), and its copies carry the verdict.

--- a/packages/control/src/apply.ts
+++ b/packages/control/src/apply.ts
@@ -21,7 +21,9 @@
 import {
 	type ControlCommand, decodeCommands, type DrainAsked, type MoveWished, type OperatorAsked,
 } from './command.js';
-import {type ControlAccepted, type ControlState, type KeptAnswer} from './state.js';
+import {
+	type ControlAccepted, type ControlState, type KeptAnswer, keptSeatings,
+} from './state.js';
 
 /** The next state and the answer to one command. */
 export type CommandApplied = {
@@ -86,9 +88,6 @@
 	return state.wishes.length === 0 ? state : {...state, wishes: state.wishes.filter(wish => isOpenWish(state, wish))};
 }
 
-/** How many seatings are kept: more changes than an instance can miss while it holds a lease. */
-const keptSeatings = 8;
-
 function withSeating(state: ControlState, before: OwnershipState, index: LogIndex): ControlState {
 	if (state.ownership.rosters === before.rosters) {
 		return state;
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -49,6 +49,9 @@
 	readonly seats: ReadonlyArray<InstanceIdentity & {readonly zone: ZoneName}>;
 };
 
+/** How many seatings are kept. An instance that missed more asks another one which earlier ones still matter. */
+export const keptSeatings = 8;
+
 /** The state before the first entry. */
 export const emptyControl: ControlState = {
 	applied: 0,
--- a/packages/daemon/src/claim-message.ts
+++ b/packages/daemon/src/claim-message.ts
@@ -3,6 +3,8 @@
  */
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type InstanceIdentity, type LogIndex} from '@dogwooddeck/model/identifiers';
+import {type ClaimsView} from '@dogwooddeck/routing/claim-rosters';
 import {
 	type ClaimAnswer, type ClaimEnded, ClaimPurpose, type ClaimRequest, ClaimVerdict,
 } from '@dogwooddeck/routing/claim';
@@ -12,6 +14,16 @@
 /** A message to a holder of claims. */
 export type ClaimMessage = ClaimRequest | ClaimEnded;
 
+/** What an instance tells of the claims that it holds. */
+export type ClaimReport = {
+	/** Who tells it: another life may answer at an earlier one's address. */
+	readonly instance: InstanceIdentity;
+	/** The newest log entry that it has applied. */
+	readonly applied: LogIndex;
+	/** The roster whose holders have answered copies of all its records; 0 while some are missing. */
+	readonly copiedThrough: LogIndex;
+};
+
 /** The longest header field, and so the longest key, that Node.js takes from a caller. */
 const longestCallerText = 16_384;
 const longestName = 128;
@@ -61,6 +73,12 @@
 	v.object({...answerParts, verdict: v.picklist(Object.values(withoutStatus))}),
 ]);
 
+const seats = v.array(v.object({name, incarnation: whole, zone: name}));
+const reportSchema = v.object({instance: identity, applied: whole, copiedThrough: whole});
+const viewSchema = v.object({
+	newest: whole, earlier: v.array(v.object({roster: v.object({index: whole, seats}), unsettled: seats})),
+});
+
 function parsed(body: string): unknown {
 	try {
 		return JSON.parse(body);
@@ -85,3 +103,13 @@
 export function readClaimAnswer(body: string): Result<ClaimAnswer, Failure> {
 	return read(answerSchema, body, 'the answer to a claim');
 }
+
+/** Reads what an instance told of the claims that it holds, as JSON. Fails with `malformed`. */
+export function readClaimReport(body: string): Result<ClaimReport, Failure> {
+	return read(reportSchema, body, 'the report of claims');
+}
+
+/** Reads the rosters that an instance asks by, as JSON. Fails with `malformed`, also where the instance has no whole view. */
+export function readClaimsView(body: string): Result<ClaimsView, Failure> {
+	return read(viewSchema, body, 'the view of claims');
+}
--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -5,12 +5,13 @@
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {type Seating} from '@dogwooddeck/control/state';
+import {keptSeatings, type Seating} from '@dogwooddeck/control/state';
 import {
 	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {seatedInstances} from '@dogwooddeck/ownership/table';
 import {type ClaimEnded} from '@dogwooddeck/routing/claim';
+import {type ClaimsView} from '@dogwooddeck/routing/claim-rosters';
 import {
 	acknowledgedBy, type ClaimSpread, noteApplied, seatsBehind, spreadOf,
 } from '@dogwooddeck/routing/claim-spread';
@@ -18,41 +19,63 @@
 import {type ClaimDesk, createClaimDesk} from '@dogwooddeck/upstream-client/claim-desk';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {err, ok, type Result} from 'true-myth/result';
-import {type ClaimMessage, readClaimAnswer, readClaimMessage} from './claim-message.js';
+import {
+	type ClaimMessage, type ClaimReport, readClaimAnswer, readClaimMessage, readClaimReport, readClaimsView,
+} from './claim-message.js';
 import {type ControlHolder} from './control-holder.js';
-import {readMemberReport} from './operator-surface.js';
 
 /** The claims of this instance. */
 export type ClaimRunner = {
 	readonly claim: ClaimDesk['claim'];
 	/** Takes a message of another instance, as JSON. */
 	readonly take: (body: string) => Result<string, Failure>;
+	/** What this instance tells of the claims that it holds. */
+	readonly report: () => ClaimReport;
+	/** What this instance tells one that starts; undefined while rosters may be missing. */
+	readonly view: () => ClaimsView | undefined;
+	/** A planned stop: waits until the others know that all records here are copied, or for so long. */
+	readonly handOver: (longest: Milliseconds) => Promise<void>;
 	readonly stop: () => void;
 };
 
 /** How long a claim is remembered. */
 export const claimLifetimeMilliseconds: Milliseconds = 3_600_000;
-/** How long the holders before the last change of the seats are asked beside the present ones. */
-const copyingMilliseconds: Milliseconds = 10_000;
 /** After this long an instance that has lost its seat holds no lease any more. */
 const spreadMilliseconds: Milliseconds = 5000;
 const askMilliseconds: Milliseconds = 400;
 const tellPauses: readonly Milliseconds[] = [0, 500, 2000];
 const sweepMilliseconds: Milliseconds = 1000;
+const handOverMilliseconds: Milliseconds = 100;
+/** After this long an instance that has lost its seat has copied its records, or is most likely gone. */
+const leavingMilliseconds: Milliseconds = 60_000;
+/** An instance that is most likely gone is asked in one of so many sweeps. */
+const seldomSweeps = 30;
 const holderBounds = {records: 200_000, answerBytes: 16_777_216};
 
+function seatText({name, incarnation}: InstanceIdentity): string {
+	return JSON.stringify([name, incarnation]);
+}
+
 /** Starts the claims. */
 export function startClaims(self: InstanceIdentity, control: ControlHolder, clients: PeerClients, hash: TextHash): ClaimRunner {
 	const seenAt = new Map<LogIndex, MonotonicTime>();
 
+	/** Also those of instances that gave up their seats, which may still have copies to send. */
+	const addresses = new Map<string, string>();
+
 	let spread: ClaimSpread = new Map();
+	let isViewWanted = true;
+	let sweeps = 0;
 
-	function addressOf(instance: InstanceIdentity): string | undefined {
-		return seatedInstances(control.state().ownership).find(member => sameInstance(member, instance))?.peerAddress;
+	async function collect(seat: InstanceIdentity, subject: string): Promise<Result<string, Failure>> {
+		const address = addresses.get(seatText(seat));
+		return address === undefined
+			? err(failure(FailureKind.unreachable, `${seat.name} is not seated any more`))
+			: clients.call(address, 'collect', subject, askMilliseconds);
 	}
 
 	async function send(message: ClaimMessage): Promise<Result<string, Failure>> {
-		const address = addressOf(message.holder);
+		const address = addresses.get(seatText(message.holder));
 		return address === undefined
 			? err(failure(FailureKind.unreachable, `${message.holder.name} is not seated any more`))
 			: clients.call(address, 'claim', JSON.stringify(message), askMilliseconds);
@@ -70,7 +93,7 @@
 	}
 
 	const desk = createClaimDesk({
-		self, hash, bounds: holderBounds, lifetimeMilliseconds: claimLifetimeMilliseconds, copyingMilliseconds, rosters: [], rostersComplete: true, now: monotonicNow(),
+		self, hash, bounds: holderBounds, lifetimeMilliseconds: claimLifetimeMilliseconds, rosters: [], rostersComplete: true, now: monotonicNow(),
 	}, {
 		async ask(request) {
 			const answer = await send(request);
@@ -81,32 +104,98 @@
 		},
 	}, monotonicNow);
 
+	function otherSeats(): readonly InstanceIdentity[] {
+		return (control.state().seatings[0]?.seats ?? []).filter(seat => !sameInstance(seat, self));
+	}
+
+	/** An instance that starts takes over what another one knows, once both know the same newest roster. */
+	async function askView(seat: InstanceIdentity): Promise<void> {
+		const told = await collect(seat, 'claims-view');
+		const view = told.andThen(text => readClaimsView(text)).unwrapOr(undefined);
+		if (isViewWanted && view?.newest === desk.standing().newest) {
+			isViewWanted = false;
+			desk.learn({kind: 'view-told', view});
+		}
+	}
+
+	function lookForView(): void {
+		for (const seat of isViewWanted ? otherSeats() : []) {
+			void askView(seat);
+		}
+	}
+
+	function followAddresses(): void {
+		const seated = new Map(seatedInstances(control.state().ownership).map(member => [seatText(member), member.peerAddress]));
+		const awaited = new Set(desk.standing().awaited.map(seat => seatText(seat)));
+		for (const known of addresses.keys()) {
+			if (!seated.has(known) && !awaited.has(known)) {
+				addresses.delete(known);
+			}
+		}
+
+		for (const [seat, address] of seated) {
+			addresses.set(seat, address);
+		}
+	}
+
+	/** Seatings that the log no longer keeps may have come between the last known one and those. */
+	function noteMissed(seatings: readonly Seating[]): void {
+		const oldest = seatings.at(-1)?.index ?? 0;
+		if (seatings.length >= keptSeatings && oldest > desk.standing().newest) {
+			isViewWanted = true;
+			desk.learn({kind: 'rosters-missed'});
+		}
+	}
+
 	function followSeatings(): void {
 		const now = monotonicNow();
-		for (const roster of [...control.state().seatings].reverse()) {
+		const {seatings} = control.state();
+		const [newest] = seatings;
+		if (newest === undefined || seenAt.has(newest.index)) {
+			return;
+		}
+
+		noteMissed(seatings);
+		for (const roster of [...seatings].reverse()) {
 			if (!seenAt.has(roster.index)) {
 				seenAt.set(roster.index, now);
-				desk.rosterApplied(roster);
+				desk.learn({kind: 'roster', roster});
 			}
 		}
+
+		followAddresses();
+		lookForView();
 	}
 
-	async function askApplied(seat: InstanceIdentity): Promise<void> {
-		const address = addressOf(seat);
-		const answer = address === undefined ? undefined : await clients.call(address, 'collect', 'member', askMilliseconds);
-		const report = answer?.isOk === true ? readMemberReport(answer.value) : undefined;
-		if (report !== undefined) {
+	async function askReport(seat: InstanceIdentity): Promise<void> {
+		const asked = desk.standing().newest;
+		const told = await collect(seat, 'claims');
+		const report = told.andThen(text => readClaimReport(text)).unwrapOr(undefined);
+		if (report !== undefined && sameInstance(report.instance, seat)) {
 			spread = noteApplied(spread, seat, report.applied);
+			desk.learn({kind: 'copies-told', report: {seat, asked, copiedThrough: report.copiedThrough}});
 		}
 	}
 
-	/** What all seats have applied; those that are not known to be up to date are asked, for the next sweep. */
-	function acknowledged(newest: Seating): LogIndex {
+	/** Those whose reports are missing. An instance without a seat is most likely gone: it is asked seldom after a while. */
+	function seatsToAsk(newest: Seating, now: MonotonicTime): readonly InstanceIdentity[] {
+		const isSeldom = now - (seenAt.get(newest.index) ?? now) > leavingMilliseconds && sweeps % seldomSweeps !== 0;
+		const seated = new Set(newest.seats.map(seat => seatText(seat)));
+		const awaited = desk.standing().awaited.filter(seat => !isSeldom || seated.has(seatText(seat)));
+		const all = new Map([...seatsBehind(spread, newest), ...awaited].map(seat => [seatText(seat), seat]));
+		all.delete(seatText(self));
+		return [...all.values()];
+	}
+
+	/** What all seats have applied; those whose reports are missing are asked, for the next sweep. */
+	function acknowledged(newest: Seating, now: MonotonicTime): LogIndex {
 		spread = noteApplied(spreadOf(spread, newest), self, control.state().applied);
-		for (const seat of seatsBehind(spread, newest)) {
-			void askApplied(seat);
+		for (const seat of seatsToAsk(newest, now)) {
+			void askReport(seat);
 		}
 
+		const standing = desk.standing();
+		desk.learn({kind: 'copies-told', report: {seat: self, asked: standing.newest, copiedThrough: standing.copiedThrough}});
 		return acknowledgedBy(spread, newest);
 	}
 
@@ -114,7 +203,20 @@
 		const now = monotonicNow();
 		const old = [...seenAt].filter(([, at]) => now - at >= spreadMilliseconds).map(([index]) => index);
 		const [newest] = control.state().seatings;
-		desk.sweep(newest === undefined ? 0 : Math.min(acknowledged(newest), Math.max(0, ...old)));
+		sweeps += 1;
+		desk.sweep(newest === undefined ? 0 : Math.min(acknowledged(newest, now), Math.max(0, ...old)));
+		lookForView();
+	}
+
+	/** Whether another instance still waits for this one's report; one that does not answer is not waited for. */
+	async function isAwaitedBy(seat: InstanceIdentity): Promise<boolean> {
+		const told = await collect(seat, 'claims-view');
+		if (told.isErr) {
+			return false;
+		}
+
+		const view = readClaimsView(told.value).unwrapOr(undefined);
+		return view === undefined || view.newest < desk.standing().newest || view.earlier.some(known => known.unsettled.some(other => sameInstance(other, self)));
 	}
 
 	control.listen(followSeatings);
@@ -130,6 +232,17 @@
 				return answer === undefined ? '' : JSON.stringify(answer);
 			});
 		},
+		report: () => ({instance: self, applied: control.state().applied, copiedThrough: desk.standing().copiedThrough}),
+		view: () => desk.standing().view,
+		async handOver(longest) {
+			const end = monotonicNow() + longest;
+			let awaited = true;
+			while (awaited && monotonicNow() < end) {
+				const answers = await Promise.all(otherSeats().map(async seat => isAwaitedBy(seat)));
+				awaited = answers.includes(true);
+				await pause(awaited ? handOverMilliseconds : 0);
+			}
+		},
 		stop() {
 			clearInterval(sweeping);
 		},
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -181,7 +181,12 @@
 		zone: () => zone,
 		claims,
 		voter: () => voter,
-		collectors: {member: () => JSON.stringify(health.member()), burn: () => JSON.stringify(burn.own())},
+		collectors: {
+			member: () => JSON.stringify(health.member()),
+			burn: () => JSON.stringify(burn.own()),
+			claims: () => JSON.stringify(claims.report()),
+			'claims-view': () => JSON.stringify(claims.view() ?? null),
+		},
 	})));
 	const operators: FrontServer = taken(await startOperatorServer(settings.addresses.operators, surface, health));
 	const callers: FrontServer = taken(await startCallerServer(settings.addresses.callers, createCallerHandler(client, path, () => stopping)));
@@ -204,8 +209,10 @@
 		zone.leave();
 		const closing = callers.close();
 		await until(() => !zone.isSeated() || (holder.state().ownership.rosters[self.zone]?.members.length ?? 0) < 2, leaveMilliseconds);
+		const end = monotonicNow() + settings.stop.longestMilliseconds;
 		await Promise.race([closing, pause(settings.stop.longestMilliseconds)]);
 		accepting = false;
+		await claims.handOver(Math.max(0, end - monotonicNow()));
 		await operators.close();
 		zone.stop();
 		control.stop();
--- a/packages/routing/src/claim-holder.ts
+++ b/packages/routing/src/claim-holder.ts
@@ -53,17 +53,18 @@
 	readonly records: Map<string, ClaimRecord>;
 	/** The texts of the operations with copies that are still to arrive. Changed in place, as `records` is. */
 	readonly copying: Set<string>;
-	/** The seats by the newest roster that this instance has applied; copies go to them alone. */
-	readonly seats: readonly InstanceIdentity[];
+	/** The newest roster that this instance has applied; copies go to its seats alone. */
+	readonly roster: ClaimRoster;
+	readonly hash: TextHash;
 };
 
 /** What a holder meets. `now` is monotonic. */
 export type HolderEvent =
 	| {readonly kind: 'message'; readonly now: MonotonicTime; readonly message: ClaimRequest | ClaimEnded}
 	/** This instance has applied a roster: records are copied to the holders that it brings. */
-	| {readonly kind: 'roster'; readonly now: MonotonicTime; readonly roster: ClaimRoster; readonly hash: TextHash}
-	/** A copy has arrived: its holder answered. */
-	| {readonly kind: 'copied'; readonly request: ClaimRequest}
+	| {readonly kind: 'roster'; readonly now: MonotonicTime; readonly roster: ClaimRoster}
+	/** The holder of a copy answered. */
+	| {readonly kind: 'copied'; readonly request: ClaimRequest; readonly verdict: ClaimVerdict}
 	/** Time to drop what has expired, and to send copies again. */
 	| {readonly kind: 'swept'; readonly now: MonotonicTime};
 
@@ -78,9 +79,9 @@
 const firstCopyPause: Milliseconds = 1000;
 
 /** A holder that knows nothing. */
-export function createHolder(self: InstanceIdentity, bounds: HolderBounds): HolderState {
+export function createHolder(self: InstanceIdentity, bounds: HolderBounds, hash: TextHash, roster: ClaimRoster): HolderState {
 	return {
-		self, bounds, rosterIndex: 0, answerBytes: 0, records: new Map(), copying: new Set(), seats: [],
+		self, bounds, hash, roster, rosterIndex: roster.index, answerBytes: 0, records: new Map(), copying: new Set(),
 	};
 }
 
@@ -166,7 +167,14 @@
 		return answered(state, request, ClaimVerdict.full);
 	}
 
-	return answered(put(state, operationText(request.operation), recordOf(request, now)), request, ClaimVerdict.held);
+	const text = operationText(request.operation);
+	const kept = answered(put(state, text, recordOf(request, now)), request, ClaimVerdict.held);
+	return isLateCopy(state, request) ? {state: kept.state, effects: [...kept.effects, ...copiesBegun(kept.state, text, now)]} : kept;
+}
+
+/** Whether a copy was sent by an older roster than this instance has applied, so that it must be copied on. */
+function isLateCopy(state: HolderState, request: ClaimRequest): boolean {
+	return request.purpose === ClaimPurpose.copy && request.rosterIndex < state.roster.index;
 }
 
 function whenRequested(request: ClaimRequest, before: HolderState, now: MonotonicTime): Step {
@@ -227,61 +235,81 @@
 		fingerprint: record.fingerprint,
 		token: record.token,
 		holder,
-		rosterIndex: state.rosterIndex,
+		rosterIndex: state.roster.index,
 		status: statusOfRecord(record, now),
 		lifetimeMilliseconds: record.expiresAt - now,
 	};
 }
 
-function newHolders(self: InstanceIdentity, record: ClaimRecord, event: Extract<HolderEvent, {kind: 'roster'}>): InstanceIdentity[] {
-	return holdersOf(event.roster, operationText(record.operation), event.hash)
+function isSeated(state: HolderState, holder: InstanceIdentity): boolean {
+	return state.roster.seats.some(seat => sameInstance(seat, holder));
+}
+
+function hasArrived(copy: ClaimCopy): boolean {
+	return copy.sendAgainAt === Number.POSITIVE_INFINITY;
+}
+
+function newHolders(state: HolderState, record: ClaimRecord): InstanceIdentity[] {
+	return holdersOf(state.roster, operationText(record.operation), state.hash)
 		.map(seat => ({name: seat.name, incarnation: seat.incarnation}))
-		.filter(seat => !sameInstance(seat, self) && !record.copies.some(copy => sameInstance(copy.holder, seat)));
+		.filter(seat => !sameInstance(seat, state.self) && !record.copies.some(copy => sameInstance(copy.holder, seat)));
+}
+
+/** Keeps the copies of a record; it is done with when all have arrived. */
+function keepCopies(state: HolderState, text: string, record: ClaimRecord, copies: readonly ClaimCopy[]): void {
+	state.records.set(text, {...record, copies});
+	if (copies.every(copy => hasArrived(copy))) {
+		state.copying.delete(text);
+	} else {
+		state.copying.add(text);
+	}
 }
 
 /** Sends the copies of a record that are due; those to instances without a seat are over. */
 function copiesDue(state: HolderState, text: string, now: MonotonicTime): HolderEffect[] {
 	const record = state.records.get(text)!;
-	const isDue = (copy: ClaimCopy) => copy.sendAgainAt <= now && state.seats.some(seat => sameInstance(seat, copy.holder));
-	const due = record.copies.filter(copy => isDue(copy));
-	const copies = record.copies.map(copy => isDue(copy) ? {...copy, sendAgainAt: now + copy.pause, pause: copy.pause * 2} : copy);
-	state.records.set(text, {...record, copies});
+	const wanted = record.copies.filter(copy => hasArrived(copy) || isSeated(state, copy.holder));
+	const due = wanted.filter(copy => copy.sendAgainAt <= now);
+	keepCopies(state, text, record, wanted.map(copy => copy.sendAgainAt <= now ? {...copy, sendAgainAt: now + copy.pause, pause: copy.pause * 2} : copy));
 	return due.map(copy => ({kind: 'send', message: copyOf(state, record, copy.holder, now)}));
 }
 
+/** Copies a record to the holders by the newest roster that don't have it from here. */
+function copiesBegun(state: HolderState, text: string, now: MonotonicTime): HolderEffect[] {
+	const record = state.records.get(text)!;
+	const copies = newHolders(state, record).map(holder => ({holder, sendAgainAt: now, pause: firstCopyPause}));
+	if (copies.length === 0 && !state.copying.has(text)) {
+		return [];
+	}
+
+	state.records.set(text, {...record, copies: [...record.copies, ...copies]});
+	return copiesDue(state, text, now);
+}
+
 /** Copies every live record to the holders by the new roster, so that the loss of the last old holder loses nothing. */
 function whenRoster(event: Extract<HolderEvent, {kind: 'roster'}>, before: HolderState): Step {
 	const {now, roster} = event;
-	const state = {...before, rosterIndex: Math.max(before.rosterIndex, roster.index), seats: roster.seats};
-	const effects: HolderEffect[] = [];
-	for (const [text, record] of [...state.records].filter(([, {expiresAt}]) => expiresAt > now)) {
-		const copies = newHolders(state.self, record, event).map(holder => ({holder, sendAgainAt: now, pause: firstCopyPause}));
-		if (copies.length > 0) {
-			state.records.set(text, {...record, copies: [...record.copies, ...copies]});
-			state.copying.add(text);
-			effects.push(...copiesDue(state, text, now));
-		}
-	}
-
-	return {state, effects};
+	const state = {...before, rosterIndex: Math.max(before.rosterIndex, roster.index), roster};
+	const live = [...state.records].filter(([, {expiresAt}]) => expiresAt > now);
+	return {state, effects: live.flatMap(([text]) => copiesBegun(state, text, now))};
 }
 
-function whenCopied(request: ClaimRequest, state: HolderState): Step {
+/** A copy has arrived once its holder says `held`: what another claim recorded there may be removed again when that ends unsent. */
+function whenCopied({request, verdict}: Extract<HolderEvent, {kind: 'copied'}>, state: HolderState): Step {
 	const text = operationText(request.operation);
 	const record = state.records.get(text);
-	if (record === undefined || !sameToken(record.token, request.token)) {
-		return {state, effects: []};
-	}
-
-	const copies = record.copies.map(copy => sameInstance(copy.holder, request.holder) ? {...copy, sendAgainAt: Number.POSITIVE_INFINITY} : copy);
-	state.records.set(text, {...record, copies});
-	if (copies.every(copy => copy.sendAgainAt === Number.POSITIVE_INFINITY)) {
-		state.copying.delete(text);
+	if (record !== undefined && sameToken(record.token, request.token) && verdict === ClaimVerdict.held) {
+		keepCopies(state, text, record, record.copies.map(copy => sameInstance(copy.holder, request.holder) ? {...copy, sendAgainAt: Number.POSITIVE_INFINITY} : copy));
 	}
 
 	return {state, effects: []};
 }
 
+/** The roster whose holders have answered copies of all records that are kept here; 0 while some are missing. */
+export function copiedThrough(state: HolderState): LogIndex {
+	return state.copying.size === 0 ? state.roster.index : 0;
+}
+
 function whenSwept(before: HolderState, now: MonotonicTime): Step {
 	const state = withoutExpired(before, now);
 	return {state, effects: [...state.copying].flatMap(text => copiesDue(state, text, now))};
@@ -290,7 +318,7 @@
 const handlers: HandlerTable<HolderEvent, [HolderState], Step> = {
 	message: (event, state) => dispatch(messageHandlers, event.message, state, event.now),
 	roster: whenRoster,
-	copied: (event, state) => whenCopied(event.request, state),
+	copied: whenCopied,
 	swept: (event, state) => whenSwept(state, event.now),
 };
 
--- a/packages/routing/src/claim-holders.ts
+++ b/packages/routing/src/claim-holders.ts
@@ -2,6 +2,8 @@
  * Which instances hold a claim: rendezvous hashing over the seats of a roster.
  * Every instance that knows the same roster comes to the same holders.
  */
+import {type Milliseconds, sameInstance} from '@dogwooddeck/model/identifiers';
+import {type KnownRoster} from './claim-rosters.js';
 import {type ClaimRoster, type ClaimSeat} from './claim.js';
 import {type TextHash} from './text-hash.js';
 
@@ -42,13 +44,31 @@
 	return one.length === other.length && one.every((seat, position) => seatText(seat) === seatText(other[position]!));
 }
 
+function isAsked(known: KnownRoster, group: readonly ClaimSeat[]): boolean {
+	return group.every(seat => known.unsettled.some(other => sameInstance(other, seat)));
+}
+
 /**
  * The holders by the newest roster and by each earlier one. Rosters come newest
- * first and hold every roster that a live instance may have used within a
- * claim's lifetime; groups that are equal to an earlier one of the list are left out.
+ * first. A group is left out if it is equal to one that comes before, or if one
+ * of it has told that its records are copied.
  */
-export function claimHolders(rosters: readonly ClaimRoster[], operation: string, hash: TextHash): ClaimHolders {
-	const groups = rosters.map(roster => holdersOf(roster, operation, hash));
+export function claimHolders(rosters: readonly KnownRoster[], operation: string, hash: TextHash): ClaimHolders {
+	const groups = rosters
+		.map((known, position) => ({known, position, group: holdersOf(known.roster, operation, hash)}))
+		.filter(({known, position, group}) => position === 0 || isAsked(known, group))
+		.map(({group}) => group);
 	const different = groups.filter((group, position) => groups.findIndex(other => sameSeats(other, group)) === position);
 	return {current: different[0] ?? [], earlier: different.slice(1)};
 }
+
+/**
+ * How long an operation stays refused at most because all of its holders by an
+ * earlier roster have lost their seats; undefined if that is so of none.
+ */
+export function refusedFor(rosters: readonly KnownRoster[], holders: ClaimHolders, remaining: (known: KnownRoster) => Milliseconds): Milliseconds | undefined {
+	const seats = rosters[0]?.roster.seats ?? [];
+	const lost = holders.earlier.filter(group => !group.some(seat => seats.some(other => sameInstance(other, seat))));
+	const asked = rosters.slice(1).filter(known => lost.some(group => group.every(seat => known.unsettled.some(other => sameInstance(other, seat)))));
+	return asked.length === 0 ? undefined : Math.max(...asked.map(known => remaining(known)));
+}
--- a/packages/routing/src/claimant.ts
+++ b/packages/routing/src/claimant.ts
@@ -37,6 +37,8 @@
 	/** From now until nothing of the operation is in flight any more. */
 	readonly runsForMilliseconds: Milliseconds;
 	readonly lifetimeMilliseconds: Milliseconds;
+	/** With holders that are lost: how long the operation stays refused at most. */
+	readonly refusedForMilliseconds?: Milliseconds | undefined;
 };
 
 /** One claim of an entry instance. */
@@ -114,7 +116,9 @@
 
 /** Nothing is sent now, but an earlier send of the operation may have run. */
 function unavailable(state: ClaimantState, detail: string): Step {
-	return endedUnsent(state, {kind: 'refuse', failure: failure(FailureKind.claimUnavailable, detail), outcome: Outcome.unknown});
+	const {refusedForMilliseconds} = state;
+	const details = refusedForMilliseconds === undefined ? {} : {retryAfterMilliseconds: Math.ceil(refusedForMilliseconds)};
+	return endedUnsent(state, {kind: 'refuse', failure: failure(FailureKind.claimUnavailable, detail, details), outcome: Outcome.unknown});
 }
 
 /** Begins a claim: asks every holder. Fails at once where there are not two holders in different zones. */
--- a/packages/routing/src/claims.ts
+++ b/packages/routing/src/claims.ts
@@ -11,9 +11,12 @@
 import {
 	createHolder, type HolderBounds, type HolderEffect, type HolderEvent, type HolderState, stepHolder,
 } from './claim-holder.js';
-import {claimHolders} from './claim-holders.js';
+import {claimHolders, refusedFor} from './claim-holders.js';
 import {
-	type ClaimAnswer, type ClaimDecision, type ClaimEnded, type ClaimRequest, type ClaimRoster, type Operation, operationText, type StoredAnswer,
+	adopted, afterReport, afterTime, type ClaimsView, type CopyReport, knownRoster, type KnownRoster, remainingOf, unsettledSeats, viewOf,
+} from './claim-rosters.js';
+import {
+	type ClaimAnswer, type ClaimDecision, type ClaimEnded, type ClaimRequest, type ClaimRoster, type ClaimSeat, type ClaimVerdict, type Operation, operationText, type StoredAnswer,
 } from './claim.js';
 import {
 	beginClaim, type ClaimantEffect, type ClaimantEvent, type ClaimantState, ClaimPhase, stepClaimant,
@@ -27,11 +30,6 @@
 	readonly bounds: HolderBounds;
 	/** How long a claim is kept. A resend that comes later runs anew. */
 	readonly lifetimeMilliseconds: Milliseconds;
-	/**
-	 * How long the holders of an earlier roster are asked after the roster went out of
-	 * use. By then their records must have been copied. Absent: for one lifetime.
-	 */
-	readonly copyingMilliseconds?: Milliseconds;
 	/** Every roster that a live instance may have used within that time, newest first. */
 	readonly rosters: readonly ClaimRoster[];
 	/** Whether `rosters` is known to hold them all. If not, nothing is claimed for one lifetime. */
@@ -39,20 +37,14 @@
 	readonly now: MonotonicTime;
 };
 
-type KnownRoster = {
-	readonly roster: ClaimRoster;
-	/** Since when every live instance knows a newer one. */
-	readonly outOfUseSince?: MonotonicTime;
-};
-
 /** All claims of one instance. */
 export type ClaimsState = {
 	readonly self: InstanceIdentity;
 	readonly hash: TextHash;
 	readonly lifetimeMilliseconds: Milliseconds;
-	readonly copyingMilliseconds: Milliseconds;
 	/** Newest first. */
 	readonly rosters: readonly KnownRoster[];
+	/** Before this time rosters may be missing, and nothing is claimed. */
 	readonly claimsFrom: MonotonicTime;
 	readonly holder: HolderState;
 	/** The claims that this instance asked for, by sequence. Changed in place by this module alone, twice for each claim. */
@@ -74,12 +66,18 @@
 	| {readonly kind: 'answered'; readonly now: MonotonicTime; readonly answer: ClaimAnswer}
 	/** A holder could not be reached, or did not answer in time. */
 	| {readonly kind: 'unreachable'; readonly now: MonotonicTime; readonly request: ClaimRequest}
-	/** A holder answered a copy. Until then it is sent again with growing pauses. */
-	| {readonly kind: 'copied'; readonly now: MonotonicTime; readonly request: ClaimRequest}
+	/** A holder answered a copy. Until it says `held`, the copy is sent again with growing pauses. */
+	| {readonly kind: 'copied'; readonly now: MonotonicTime; readonly request: ClaimRequest; readonly verdict: ClaimVerdict}
 	| {readonly kind: 'given-up'; readonly now: MonotonicTime; readonly sequence: number}
 	| {readonly kind: 'finished'; readonly now: MonotonicTime; readonly sequence: number; readonly outcome: Outcome; readonly answer?: StoredAnswer}
 	/** This instance has applied a newer roster. */
 	| {readonly kind: 'roster'; readonly now: MonotonicTime; readonly roster: ClaimRoster}
+	/** This instance missed rosters before the newest that it knows. Nothing is claimed until a view is adopted, or for one lifetime. */
+	| {readonly kind: 'rosters-missed'; readonly now: MonotonicTime}
+	/** An instance that was asked for it told its view. */
+	| {readonly kind: 'view-told'; readonly now: MonotonicTime; readonly view: ClaimsView}
+	/** An instance told of its records. */
+	| {readonly kind: 'copies-told'; readonly now: MonotonicTime; readonly report: CopyReport}
 	/** Comes now and then. Every live instance has applied the entry `acknowledged`. */
 	| {readonly kind: 'swept'; readonly now: MonotonicTime; readonly acknowledged: LogIndex};
 
@@ -95,16 +93,13 @@
 
 /** The claims of an instance that has just started. */
 export function createClaims(input: ClaimsInput): ClaimsState {
-	const holder = createHolder(input.self, input.bounds);
-	const copyingMilliseconds = input.copyingMilliseconds ?? input.lifetimeMilliseconds;
 	return {
 		self: input.self,
 		hash: input.hash,
 		lifetimeMilliseconds: input.lifetimeMilliseconds,
-		copyingMilliseconds,
-		rosters: input.rosters.map(roster => ({roster})),
-		claimsFrom: input.rostersComplete ? input.now : input.now + copyingMilliseconds,
-		holder: {...holder, rosterIndex: input.rosters[0]?.index ?? 0, seats: input.rosters[0]?.seats ?? []},
+		rosters: input.rosters.map(roster => knownRoster(roster)),
+		claimsFrom: input.rostersComplete ? input.now : input.now + input.lifetimeMilliseconds,
+		holder: createHolder(input.self, input.bounds, input.hash, input.rosters[0] ?? {index: 0, seats: []}),
 		open: new Map(),
 		sequence: 0,
 	};
@@ -166,19 +161,23 @@
 	const state = {...before, sequence};
 	if (event.now < state.claimsFrom) {
 		const decision: ClaimDecision = {
-			kind: 'refuse', failure: failure(FailureKind.claimUnavailable, 'this instance does not know all holders of earlier claims yet'), outcome: Outcome.unknown,
+			kind: 'refuse',
+			failure: failure(FailureKind.claimUnavailable, 'this instance does not know all holders of earlier claims yet', {retryAfterMilliseconds: Math.ceil(state.claimsFrom - event.now)}),
+			outcome: Outcome.unknown,
 		};
 		return {state, effects: [{kind: 'decide', sequence, decision}]};
 	}
 
+	const holders = claimHolders(state.rosters, operationText(event.operation), state.hash);
 	const step = beginClaim({
 		operation: event.operation,
 		fingerprint: event.fingerprint,
 		token: {claimant: state.self, sequence},
-		holders: claimHolders(state.rosters.map(known => known.roster), operationText(event.operation), state.hash),
+		holders,
 		rosterIndex: state.rosters[0]?.roster.index ?? 0,
 		runsForMilliseconds: event.runsForMilliseconds,
 		lifetimeMilliseconds: state.lifetimeMilliseconds,
+		refusedForMilliseconds: refusedFor(state.rosters, holders, known => remainingOf(known, event.now, state.lifetimeMilliseconds)),
 	});
 	return carriedOut(state, sequence, step, event.now);
 }
@@ -188,24 +187,20 @@
 		return {state: before, effects: []};
 	}
 
-	const state = {...before, rosters: [{roster: event.roster}, ...before.rosters]};
+	const state = {...before, rosters: [knownRoster(event.roster), ...before.rosters]};
 	return heldHere(state, {
-		kind: 'roster', now: event.now, roster: event.roster, hash: state.hash,
+		kind: 'roster', now: event.now, roster: event.roster,
 	}, event.now);
 }
 
-/** Forgets a roster some time after the last instance may have used it. */
-function rostersInUse(state: ClaimsState, now: MonotonicTime, acknowledged: LogIndex): readonly KnownRoster[] {
-	const [newest, ...earlier] = state.rosters;
-	if (newest === undefined) {
-		return [];
-	}
+function whenViewTold(event: Extract<ClaimsEvent, {kind: 'view-told'}>, state: ClaimsState): Step {
+	const rosters = adopted(state.rosters, event.view);
+	return {state: rosters === undefined ? state : {...state, rosters, claimsFrom: Math.min(state.claimsFrom, event.now)}, effects: []};
+}
 
-	const marked = earlier.map((known, position) => {
-		const replacedAt = position === 0 ? newest.roster.index : earlier[position - 1]!.roster.index;
-		return known.outOfUseSince === undefined && replacedAt <= acknowledged ? {...known, outOfUseSince: now} : known;
-	});
-	return [newest, ...marked.filter(known => known.outOfUseSince === undefined || now - known.outOfUseSince < state.copyingMilliseconds)];
+function whenSwept(event: Extract<ClaimsEvent, {kind: 'swept'}>, before: ClaimsState): Step {
+	const rosters = afterTime(before.rosters, event.now, event.acknowledged, before.lifetimeMilliseconds);
+	return heldHere({...before, rosters}, {kind: 'swept', now: event.now}, event.now);
 }
 
 const handlers: HandlerTable<ClaimsEvent, [ClaimsState], Step> = {
@@ -217,10 +212,23 @@
 	'given-up': (event, state) => claimed(state, event.sequence, {kind: 'given-up'}, event.now),
 	finished: (event, state) => claimed(state, event.sequence, event, event.now),
 	roster: whenRoster,
-	swept: (event, state) => heldHere({...state, rosters: rostersInUse(state, event.now, event.acknowledged)}, {kind: 'swept', now: event.now}, event.now),
+	'rosters-missed': (event, state) => ({state: {...state, claimsFrom: event.now + state.lifetimeMilliseconds}, effects: []}),
+	'view-told': whenViewTold,
+	'copies-told': (event, state) => ({state: {...state, rosters: afterReport(state.rosters, event.report)}, effects: []}),
+	swept: whenSwept,
 };
 
 /** The next state of an instance's claims and what the edge does. */
 export function stepClaims(state: ClaimsState, event: ClaimsEvent): Step {
 	return dispatch(handlers, event, state);
 }
+
+/** The view that this instance tells to one that starts; undefined while rosters may be missing. */
+export function claimsView(state: ClaimsState, now: MonotonicTime): ClaimsView | undefined {
+	return now < state.claimsFrom ? undefined : viewOf(state.rosters);
+}
+
+/** The instances that have not told whether their records are copied, where claims wait for it. */
+export function awaitedReports(state: ClaimsState): readonly ClaimSeat[] {
+	return unsettledSeats(state.rosters);
+}
--- a/packages/routing/test/fake-claim-network.ts
+++ b/packages/routing/test/fake-claim-network.ts
@@ -8,8 +8,9 @@
 	type Operation, type ClaimEnded, ClaimPurpose, type ClaimRequest, type ClaimAnswer, type ClaimDecision, type ClaimRoster, type StoredAnswer,
 } from '@dogwooddeck/routing/claim';
 import {
-	type ClaimsEffect, type ClaimsEvent, type ClaimsState, createClaims, stepClaims,
+	awaitedReports, type ClaimsEffect, type ClaimsEvent, type ClaimsState, createClaims, stepClaims,
 } from '@dogwooddeck/routing/claims';
+import {copiedThrough} from '@dogwooddeck/routing/claim-holder';
 import {acknowledgedBy, type ClaimSpread, noteApplied} from '@dogwooddeck/routing/claim-spread';
 import {type TextHash} from '@dogwooddeck/routing/text-hash';
 
@@ -46,16 +47,14 @@
 	packets: Packet[] = [];
 	readonly #members = new Map<string, Member>();
 	readonly #hash: TextHash;
-	readonly #copyingMilliseconds: number;
 	#inside: ReadonlySet<string> = new Set();
 
 	readonly #rostersAtStart: number;
 
 	/** `rostersAtStart`: how many of the newest rosters an instance that starts knows. */
-	constructor(hash: TextHash, copyingMilliseconds = lifetimeMilliseconds, rostersAtStart = Infinity) {
+	constructor(hash: TextHash, rostersAtStart = Infinity) {
 		this.#rostersAtStart = rostersAtStart;
 		this.#hash = hash;
-		this.#copyingMilliseconds = copyingMilliseconds;
 		this.rosters = [{index: 1, seats: seats.map(seat => ({...seat, incarnation: 1}))}];
 		for (const seat of seats) {
 			this.#start(seat.name, 1);
@@ -116,8 +115,10 @@
 
 		if (member === undefined) {
 			this.#unreachable(packet);
-		} else if (packet.copied !== undefined) {
-			this.#step(packet.to.name, {kind: 'copied', now: this.now, request: packet.copied});
+		} else if (packet.content.kind === 'claim-answer' && packet.copied !== undefined) {
+			this.#step(packet.to.name, {
+				kind: 'copied', now: this.now, request: packet.copied, verdict: packet.content.verdict,
+			});
 		} else if (packet.content.kind === 'claim-answer') {
 			this.#step(packet.to.name, {kind: 'answered', now: this.now, answer: packet.content});
 		} else {
@@ -164,15 +165,30 @@
 		}
 	}
 
-	/** Time passes: claims that were asked for too long are given up, runs that are over have ended, and everyone sweeps. */
+	/** Time passes: claims that were asked for too long are given up, runs that are over have ended, and everyone sweeps and asks for reports. */
 	advance(milliseconds: number): void {
 		this.now += milliseconds;
 		for (const name of this.live) {
 			this.#giveUpOld(name);
 			this.#step(name, {kind: 'swept', now: this.now, acknowledged: this.#acknowledged(name)});
+			this.report(name);
+		}
+	}
+
+	/** One instance asks all that it reaches whether their records are copied, as the sweep does. */
+	report(name: string): void {
+		const asked = this.#members.get(name)!.claims.rosters[0]!.roster.index;
+		for (const other of this.#reached(name)) {
+			const {self, holder} = other.claims;
+			this.#step(name, {kind: 'copies-told', now: this.now, report: {seat: self, asked, copiedThrough: copiedThrough(holder)}});
 		}
 	}
 
+	/** The instances that still wait for evidence of others, by what one knows. */
+	awaited(name: string): readonly string[] {
+		return awaitedReports(this.#members.get(name)!.claims).map(seat => seat.name);
+	}
+
 	/** Delivers everything, in order. */
 	settle(): void {
 		while (this.packets.length > 0) {
@@ -183,11 +199,14 @@
 	/** Each instance asks the seats that it reaches how far they are. */
 	#acknowledged(name: string): number {
 		const member = this.#members.get(name)!;
-		const reached = [...this.#members].filter(([other]) => this.isInside(other) === this.isInside(name)).map(([, other]) => other);
-		member.spread = reached.reduce((spread, {claims, applied}) => noteApplied(spread, claims.self, applied), member.spread);
+		member.spread = this.#reached(name).reduce((spread, {claims, applied}) => noteApplied(spread, claims.self, applied), member.spread);
 		return acknowledgedBy(member.spread, member.claims.rosters[0]!.roster);
 	}
 
+	#reached(name: string): Member[] {
+		return [...this.#members].filter(([other]) => this.isInside(other) === this.isInside(name)).map(([, other]) => other);
+	}
+
 	#giveUpOld(name: string): void {
 		for (const [sequence, claim] of this.#members.get(name)!.begun) {
 			if (!claim.decided && this.now - claim.at >= runsForMilliseconds) {
@@ -206,7 +225,6 @@
 				hash: this.#hash,
 				bounds: {records: 1000, answerBytes: 10_000},
 				lifetimeMilliseconds,
-				copyingMilliseconds: this.#copyingMilliseconds,
 				rosters: this.rosters.slice(0, this.#rostersAtStart),
 				rostersComplete: true,
 				now: this.now,
--- a/packages/routing/test/test-claims-in-cuts.ts
+++ b/packages/routing/test/test-claims-in-cuts.ts
@@ -69,7 +69,7 @@
 	test(`claims: ${name}, the seats change on one side alone, and nothing runs on both`, () => {
 		let ran = 0;
 		fc.assert(fc.property(fc.array(change, {minLength: 1, maxLength: 2}), fc.constantFrom(...names), fc.boolean(), (changes, entry, isBefore) => {
-			const network = new FakeClaimNetwork(hash, settlingMilliseconds / 4);
+			const network = new FakeClaimNetwork(hash);
 			if (isBefore) {
 				network.begin(entry, operations[0]);
 				network.settle();
--- a/packages/routing/test/test-claims.ts
+++ b/packages/routing/test/test-claims.ts
@@ -244,7 +244,7 @@
 test('claims: one change of the seats at a time, each after the copies arrived, needs no earlier rosters', () => {
 	let replayed = 0;
 	fc.assert(fc.property(fc.array(change, {minLength: 2, maxLength: 12}), changes => {
-		const network = new FakeClaimNetwork(hash, 1, 1);
+		const network = new FakeClaimNetwork(hash, 1);
 		for (const next of changes) {
 			for (const entry of network.live) {
 				network.begin(entry, next.operation);
--- a/packages/upstream-client/src/claim-desk.ts
+++ b/packages/upstream-client/src/claim-desk.ts
@@ -6,10 +6,12 @@
 import {type LogIndex, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {
-	type ClaimAnswer, type ClaimDecision, type ClaimEnded, ClaimPurpose, type ClaimRequest, type ClaimRoster, type Operation,
+	type ClaimAnswer, type ClaimDecision, type ClaimEnded, ClaimPurpose, type ClaimRequest, type ClaimSeat, type Operation,
 } from '@dogwooddeck/routing/claim';
+import {copiedThrough} from '@dogwooddeck/routing/claim-holder';
+import {type ClaimsView} from '@dogwooddeck/routing/claim-rosters';
 import {
-	type ClaimsEffect, type ClaimsEvent, type ClaimsInput, type ClaimsState, createClaims, stepClaims,
+	awaitedReports, type ClaimsEffect, type ClaimsEvent, type ClaimsInput, type ClaimsState, claimsView, createClaims, stepClaims,
 } from '@dogwooddeck/routing/claims';
 import {type Result} from 'true-myth';
 import {type OpenClaim} from './request-path.js';
@@ -30,14 +32,34 @@
 	readonly runsForMilliseconds: Milliseconds;
 };
 
+type RosterEvent = Extract<ClaimsEvent, {readonly kind: 'roster' | 'rosters-missed' | 'view-told' | 'copies-told'}>;
+type Timeless<Event> = Event extends unknown ? Omit<Event, 'now'> : never;
+
+/** What becomes known of the rosters and their holders. */
+export type ClaimNews = Timeless<RosterEvent>;
+
+/** Where the claims of an instance stand. */
+export type ClaimStanding = {
+	/** The newest roster that is known; 0 for none. */
+	readonly newest: LogIndex;
+	/** The roster whose holders have answered copies of all records that are held here; 0 while some are missing. */
+	readonly copiedThrough: LogIndex;
+	/** The instances that have not told whether their records are copied, where claims wait for it. */
+	readonly awaited: readonly ClaimSeat[];
+	/** What an instance that starts is told; undefined while rosters may be missing. */
+	readonly view: ClaimsView | undefined;
+};
+
 /** The claims of one instance. */
 export type ClaimDesk = {
 	/** Claims an operation and calls `decided` once. */
 	claim(wish: ClaimWish, decided: (decision: ClaimDecision) => void): OpenClaim;
 	/** Takes a message of another instance; a request is answered at once. */
 	receive(message: ClaimRequest | ClaimEnded): ClaimAnswer | undefined;
-	/** This instance has applied a newer roster. */
-	rosterApplied(roster: ClaimRoster): void;
+	/** Takes in what became known of the rosters and their holders. */
+	learn(news: ClaimNews): void;
+	/** What this instance can tell others of its records and rosters. */
+	standing(): ClaimStanding;
 	/** Drops what has expired. Every live instance has applied the entry `acknowledged`. */
 	sweep(acknowledged: LogIndex): void;
 };
@@ -92,8 +114,18 @@
 		return this.#answer;
 	}
 
-	rosterApplied(roster: ClaimRoster): void {
-		this.#step({kind: 'roster', now: this.#now(), roster});
+	learn(news: ClaimNews): void {
+		this.#step({...news, now: this.#now()});
+	}
+
+	standing(): ClaimStanding {
+		const state = this.#state;
+		return {
+			newest: state.rosters[0]?.roster.index ?? 0,
+			copiedThrough: copiedThrough(state.holder),
+			awaited: awaitedReports(state),
+			view: claimsView(state, this.#now()),
+		};
 	}
 
 	sweep(acknowledged: LogIndex): void {
@@ -119,7 +151,11 @@
 		if (answer.isErr) {
 			this.#step({kind: 'unreachable', now, request: message});
 		} else {
-			this.#step(message.purpose === ClaimPurpose.copy ? {kind: 'copied', now, request: message} : {kind: 'answered', now, answer: answer.value});
+			this.#step(message.purpose === ClaimPurpose.copy
+				? {
+					kind: 'copied', now, request: message, verdict: answer.value.verdict,
+				}
+				: {kind: 'answered', now, answer: answer.value});
 		}
 	}
 }
