--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -4,7 +4,7 @@
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
-import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type Failure} from '@dogwooddeck/model/failure';
 import {keptSeatings, type Seating} from '@dogwooddeck/control/state';
 import {
 	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
@@ -18,10 +18,9 @@
 import {type TextHash} from '@dogwooddeck/routing/text-hash';
 import {type ClaimDesk, createClaimDesk} from '@dogwooddeck/upstream-client/claim-desk';
 import {type PeerClients} from '@dogwooddeck/wire/client';
-import {err, ok, type Result} from 'true-myth/result';
-import {
-	type ClaimMessage, type ClaimReport, readClaimAnswer, readClaimMessage, readClaimReport, readClaimsView,
-} from './claim-message.js';
+import {type Result} from 'true-myth/result';
+import {type ClaimReport, readClaimAnswer, readClaimMessage} from './claim-message.js';
+import {ClaimPeers, seatText} from './claim-peers.js';
 import {type ControlHolder} from './control-holder.js';
 
 /** The claims of this instance. */
@@ -42,7 +41,6 @@
 export const claimLifetimeMilliseconds: Milliseconds = 3_600_000;
 /** After this long an instance that has lost its seat holds no lease any more. */
 const spreadMilliseconds: Milliseconds = 5000;
-const askMilliseconds: Milliseconds = 400;
 const tellPauses: readonly Milliseconds[] = [0, 500, 2000];
 const sweepMilliseconds: Milliseconds = 1000;
 const handOverMilliseconds: Milliseconds = 100;
@@ -52,40 +50,21 @@
 const seldomSweeps = 30;
 const holderBounds = {records: 200_000, answerBytes: 16_777_216};
 
-function seatText({name, incarnation}: InstanceIdentity): string {
-	return JSON.stringify([name, incarnation]);
-}
-
 /** Starts the claims. */
 export function startClaims(self: InstanceIdentity, control: ControlHolder, clients: PeerClients, hash: TextHash): ClaimRunner {
 	const seenAt = new Map<LogIndex, MonotonicTime>();
 
-	/** Also those of instances that gave up their seats, which may still have copies to send. */
-	const addresses = new Map<string, string>();
+	const peers = new ClaimPeers(clients);
 
 	let spread: ClaimSpread = new Map();
 	let isViewWanted = true;
 	let sweeps = 0;
 
-	async function collect(seat: InstanceIdentity, subject: string): Promise<Result<string, Failure>> {
-		const address = addresses.get(seatText(seat));
-		return address === undefined
-			? err(failure(FailureKind.unreachable, `${seat.name} is not seated any more`))
-			: clients.call(address, 'collect', subject, askMilliseconds);
-	}
-
-	async function send(message: ClaimMessage): Promise<Result<string, Failure>> {
-		const address = addresses.get(seatText(message.holder));
-		return address === undefined
-			? err(failure(FailureKind.unreachable, `${message.holder.name} is not seated any more`))
-			: clients.call(address, 'claim', JSON.stringify(message), askMilliseconds);
-	}
-
 	/** Ends are sent again until they arrive: resends rest on them. */
 	async function insist(ended: ClaimEnded): Promise<void> {
 		for (const duration of tellPauses) {
 			await pause(duration);
-			const told = await send(ended);
+			const told = await peers.send(ended);
 			if (told.isOk) {
 				return;
 			}
@@ -96,7 +75,7 @@
 		self, hash, bounds: holderBounds, lifetimeMilliseconds: claimLifetimeMilliseconds, rosters: [], rostersComplete: true, now: monotonicNow(),
 	}, {
 		async ask(request) {
-			const answer = await send(request);
+			const answer = await peers.send(request);
 			return answer.andThen(text => readClaimAnswer(text));
 		},
 		tell(ended) {
@@ -110,8 +89,8 @@
 
 	/** An instance that starts takes over what another one knows, once both know the same newest roster. */
 	async function askView(seat: InstanceIdentity): Promise<void> {
-		const told = await collect(seat, 'claims-view');
-		const view = told.andThen(text => readClaimsView(text)).unwrapOr(undefined);
+		const told = await peers.view(seat);
+		const view = told.unwrapOr(undefined);
 		if (isViewWanted && view?.newest === desk.standing().newest) {
 			isViewWanted = false;
 			desk.learn({kind: 'view-told', view});
@@ -124,20 +103,6 @@
 		}
 	}
 
-	function followAddresses(): void {
-		const seated = new Map(seatedInstances(control.state().ownership).map(member => [seatText(member), member.peerAddress]));
-		const awaited = new Set(desk.standing().awaited.map(seat => seatText(seat)));
-		for (const known of addresses.keys()) {
-			if (!seated.has(known) && !awaited.has(known)) {
-				addresses.delete(known);
-			}
-		}
-
-		for (const [seat, address] of seated) {
-			addresses.set(seat, address);
-		}
-	}
-
 	/** Seatings that the log no longer keeps may have come between the last known one and those. */
 	function noteMissed(seatings: readonly Seating[]): void {
 		const oldest = seatings.at(-1)?.index ?? 0;
@@ -163,23 +128,27 @@
 			}
 		}
 
-		followAddresses();
+		peers.follow(seatedInstances(control.state().ownership), desk.standing().awaited);
 		lookForView();
 	}
 
 	async function askReport(seat: InstanceIdentity): Promise<void> {
 		const asked = desk.standing().newest;
-		const told = await collect(seat, 'claims');
-		const report = told.andThen(text => readClaimReport(text)).unwrapOr(undefined);
-		if (report !== undefined && sameInstance(report.instance, seat)) {
+		const report = await peers.report(seat);
+		if (report !== undefined) {
 			spread = noteApplied(spread, seat, report.applied);
 			desk.learn({kind: 'copies-told', report: {seat, asked, copiedThrough: report.copiedThrough}});
 		}
 	}
 
-	/** Those whose reports are missing. An instance without a seat is most likely gone: it is asked seldom after a while. */
+	/** Whether this sweep leaves out the instances without a seat: after a while they are most likely gone. */
+	function isBrief(newest: Seating, now: MonotonicTime): boolean {
+		return now - (seenAt.get(newest.index) ?? now) > leavingMilliseconds && sweeps % seldomSweeps !== 0;
+	}
+
+	/** Those whose reports are missing. */
 	function seatsToAsk(newest: Seating, now: MonotonicTime): readonly InstanceIdentity[] {
-		const isSeldom = now - (seenAt.get(newest.index) ?? now) > leavingMilliseconds && sweeps % seldomSweeps !== 0;
+		const isSeldom = isBrief(newest, now);
 		const seated = new Set(newest.seats.map(seat => seatText(seat)));
 		const awaited = desk.standing().awaited.filter(seat => !isSeldom || seated.has(seatText(seat)));
 		const all = new Map([...seatsBehind(spread, newest), ...awaited].map(seat => [seatText(seat), seat]));
@@ -205,18 +174,16 @@
 		const [newest] = control.state().seatings;
 		sweeps += 1;
 		desk.sweep(newest === undefined ? 0 : Math.min(acknowledged(newest, now), Math.max(0, ...old)));
+		isViewWanted ||= newest !== undefined && !isBrief(newest, now) && desk.standing().awaited.some(seat => !peers.knows(seat));
 		lookForView();
 	}
 
 	/** Whether another instance still waits for this one's report; one that does not answer is not waited for. */
 	async function isAwaitedBy(seat: InstanceIdentity): Promise<boolean> {
-		const told = await collect(seat, 'claims-view');
-		if (told.isErr) {
-			return false;
-		}
-
-		const view = readClaimsView(told.value).unwrapOr(undefined);
-		return view === undefined || view.newest < desk.standing().newest || view.earlier.some(known => known.unsettled.some(other => sameInstance(other, self)));
+		const told = await peers.view(seat);
+		return told.isOk && (told.value === undefined
+			|| told.value.newest < desk.standing().newest
+			|| told.value.earlier.some(known => known.unsettled.some(other => sameInstance(other, self))));
 	}
 
 	control.listen(followSeatings);
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -25,6 +25,7 @@
 import {createCallerHandler} from './caller-handler.js';
 import {createAnnouncements} from './announcements.js';
 import {startBurn} from './burn-runner.js';
+import {ClaimSubject} from './claim-peers.js';
 import {startClaims} from './claim-runner.js';
 import {createControlHolder} from './control-holder.js';
 import {startControl} from './control-runner.js';
@@ -184,8 +185,8 @@
 		collectors: {
 			member: () => JSON.stringify(health.member()),
 			burn: () => JSON.stringify(burn.own()),
-			claims: () => JSON.stringify(claims.report()),
-			'claims-view': () => JSON.stringify(claims.view() ?? null),
+			[ClaimSubject.report]: () => JSON.stringify(claims.report()),
+			[ClaimSubject.view]: () => JSON.stringify(claims.view() ?? null),
 		},
 	})));
 	const operators: FrontServer = taken(await startOperatorServer(settings.addresses.operators, surface, health));
