--- a/packages/routing/src/claim-holder.ts
+++ b/packages/routing/src/claim-holder.ts
@@ -102,6 +102,14 @@
 	return {state, effects: [{kind: 'answer', answer}]};
 }
 
+/** Answers in the name of the life that was asked, which the claimant waits for. */
+function notHeldHere(state: HolderState, request: ClaimRequest): Step {
+	const answer: ClaimAnswer = {
+		kind: 'claim-answer', token: request.token, holder: request.holder, verdict: ClaimVerdict.notHolder, rosterIndex: state.rosterIndex,
+	};
+	return {state, effects: [{kind: 'answer', answer}]};
+}
+
 function recordOf(request: ClaimRequest, now: MonotonicTime): ClaimRecord {
 	const {status} = request;
 	const runsUntil = status.kind === 'running' ? now + status.remainingMilliseconds : now;
@@ -179,7 +187,7 @@
 
 function whenRequested(request: ClaimRequest, before: HolderState, now: MonotonicTime): Step {
 	if (!sameInstance(request.holder, before.self)) {
-		return answered(before, request, ClaimVerdict.notHolder);
+		return notHeldHere(before, request);
 	}
 
 	const state = request.rosterIndex > before.rosterIndex ? {...before, rosterIndex: request.rosterIndex} : before;
--- a/packages/routing/src/claim.ts
+++ b/packages/routing/src/claim.ts
@@ -107,6 +107,7 @@
 export type ClaimAnswer = {
 	readonly kind: 'claim-answer';
 	readonly token: ClaimToken;
+	/** The life that was asked, also where another one answers with `not-holder`. */
 	readonly holder: InstanceIdentity;
 	readonly verdict: ClaimVerdict;
 	/** With `taken`: what is recorded. */
--- a/packages/routing/test/test-claims-beyond-copies.ts
+++ b/packages/routing/test/test-claims-beyond-copies.ts
@@ -87,6 +87,36 @@
 	});
 }
 
+for (const [wait, expected] of [[10_000, FailureKind.claimUnavailable], [60_000, 'run']] as const) {
+	test(`claims beyond copies: all instances are restarted at once, and a resend comes ${wait} ms later`, () => {
+		const network = new FakeClaimNetwork(hash, 2, true);
+		runOnce(network, 'a', 'one');
+		for (const name of names) {
+			network.kill(name);
+		}
+
+		for (const name of names) {
+			network.restart(name);
+		}
+
+		for (const name of names) {
+			for (const _roster of network.rosters) {
+				network.learn(name);
+			}
+		}
+
+		for (const step of [1000, 1000, 1000, wait]) {
+			network.advance(step);
+		}
+
+		network.begin('a', 'one');
+		network.settle();
+		const {decision} = network.decisions.at(-1)!;
+		assert.equal(decision.kind === 'refuse' ? decision.failure.kind : decision.kind, expected);
+		assert.ok(decision.kind !== 'refuse' || (decision.failure.retryAfterMilliseconds ?? 0) > 40_000);
+	});
+}
+
 type Loss = {
 	readonly name: string;
 	readonly kind: 'restart' | 'unseat';
