Clear the revocation of an owner that started anew

The evidence for a revocation was looked at only where the registry still had the owner's record; a later life takes its place, and the slots of the earlier one were never cleared. It took no slow zone: an upstream that is killed and starts at once left its keys without an owner for good. Ruled out: the claims, and the rosters of the stopped instances. Change: an owner whose zone is not known any more may have been in any: reports of all zones are evidence, the end of a delegation is not for services that hold. The later life's zone is not taken for it, since it may be another.

--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -13,7 +13,7 @@
 } from '@dogwooddeck/model/identifiers';
 import {identityOf, UpstreamPhase} from '@dogwooddeck/model/registry';
 import {type Grant} from '@dogwooddeck/ownership/command';
-import {clear, zoneOf} from '@dogwooddeck/ownership/grantor';
+import {clear, type Revocation, zoneOf} from '@dogwooddeck/ownership/grantor';
 import {someMayHold} from '@dogwooddeck/ownership/policy';
 import {noRates, ratesOf} from '@dogwooddeck/placement/load';
 import {type PlacementInput} from '@dogwooddeck/placement/input';
@@ -75,24 +75,24 @@
 	return revoking.filter(({owner}) => mayOwn(control, owner) && held.has(ownerZone(control, owner)));
 }
 
+/** The record of an owner that started anew is that of its later life, which may stand in another zone. */
+function revocationOf(control: ControlState, {owner, slot}: Revoking): Revocation {
+	const zone = ownerZone(control, owner);
+	return {service: owner.service, slot, ...(zone !== undefined && {ownerZone: zone})};
+}
+
 type Cleared = {readonly grantor: LeaderState['grantor']; readonly cleared: ReadonlySet<Revoking>};
 
 /** Which revocations of a service have their evidence. It is the same for all slots that one entry took from owners of one zone. */
 function clearRevocations(state: LeaderState, control: ControlState, assignments: ServiceAssignments, now: MonotonicTime): Cleared {
-	const {service} = assignments;
 	let {grantor} = state;
 	const cleared = new Set<Revoking>();
 	const looked = new Map<string, boolean>();
 	for (const assignment of revocationsOf(assignments)) {
-		const {slot, owner, revokedAt} = assignment;
-		const zone = ownerZone(control, owner);
-		if (zone === undefined) {
-			continue;
-		}
-
-		const evidence = `${revokedAt}\n${zone}`;
+		const revocation = revocationOf(control, assignment);
+		const evidence = `${assignment.revokedAt}\n${revocation.ownerZone}`;
 		if (!looked.has(evidence)) {
-			const result = clear(grantor, control.ownership, {service, slot, ownerZone: zone}, now);
+			const result = clear(grantor, control.ownership, revocation, now);
 			({grantor} = result);
 			looked.set(evidence, result.cleared);
 		}
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -101,6 +101,10 @@
 		return this.control.ownership.services[contract.name]!.assignments[slot]!.phase;
 	}
 
+	phases(): readonly string[] {
+		return this.control.ownership.services[contract.name]!.assignments.map(({phase}) => phase);
+	}
+
 	owners(): readonly string[] {
 		const {assignments} = this.control.ownership.services[contract.name]!;
 		return assignments.map(assignment => assignment.phase === 'vacant' ? '' : assignment.owner.name);
@@ -242,6 +246,28 @@
 			assert.equal(world.owners()[slot], 'two');
 		},
 	},
+	{
+		name: 'the keys of an upstream that starts anew have owners again once its zone has drained',
+		run() {
+			const world = begun('entry-1');
+			world.pass(3000, [announcement('one'), announcement('two')], ['entry-1']);
+			world.drains = false;
+			world.pass(2000, [announcement('one', 2), announcement('two')], ['entry-1']);
+			assert.ok(world.phases().includes('revoking'));
+			world.drains = true;
+			world.pass(2000, [announcement('one', 2), announcement('two')], ['entry-1']);
+			assert.deepEqual(new Set(world.phases()), new Set(['granted']));
+		},
+	},
+	{
+		name: 'the keys of an upstream that starts anew at once have owners again',
+		run() {
+			const world = begun('entry-1');
+			world.pass(3000, [announcement('one'), announcement('two')], ['entry-1']);
+			world.pass(1000, [announcement('one', 2), announcement('two')], ['entry-1']);
+			assert.deepEqual(new Set(world.phases()), new Set(['granted']));
+		},
+	},
 	{
 		name: 'a proposal without an end holds the leader up for a bounded time',
 		run() {
--- a/packages/ownership/src/grantor.ts
+++ b/packages/ownership/src/grantor.ts
@@ -154,14 +154,14 @@
 export type Revocation = {
 	readonly service: ServiceName;
 	readonly slot: Slot;
-	/** The zone of the owner that loses the slot. */
-	readonly ownerZone: ZoneName;
+	/** The zone of the owner that loses the slot. Absent: it is not known any more, and may be any. */
+	readonly ownerZone?: ZoneName;
 };
 
 type Case = {
 	readonly policy: ServicePolicy;
 	readonly revokedAt: LogIndex;
-	readonly ownerZone: ZoneName;
+	readonly ownerZone?: ZoneName;
 	readonly now: MonotonicTime;
 };
 
@@ -171,7 +171,7 @@
 }
 
 function clearedByExpiry(grantor: GrantorState, roster: ZoneRoster, {policy, ownerZone, now}: Case): boolean {
-	const holds = roster.zone === ownerZone && someMayHold(policy);
+	const holds = roster.zone === (ownerZone ?? roster.zone) && someMayHold(policy);
 	const wait = grantorWait(waitedDeadline(policy), grantor.terms);
 	return !holds && now >= zoneOf(grantor, roster.zone).delegatedUntil + wait;
 }
@@ -186,7 +186,7 @@
 	}
 
 	const wanted = {
-		policy, revokedAt, ownerZone: revocation.ownerZone, now,
+		...revocation, policy, revokedAt, now,
 	};
 	return zones
 		.filter(roster => zoneOf(grantor, roster.zone).drained < revokedAt
--- a/packages/ownership/test/test-grantor.ts
+++ b/packages/ownership/test/test-grantor.ts
@@ -95,9 +95,9 @@
 	};
 }
 
-function clears(now: number, service: string): Step {
+function clears(now: number, service: string, isZoneKnown = true): Step {
 	return (grantor, table) => {
-		const revocation = {service, slot: 0, ownerZone: 'n1'};
+		const revocation = {service, slot: 0, ...(isZoneKnown && {ownerZone: 'n1'})};
 		const result = clear(grantor, table, revocation, now);
 		return {grantor: result.grantor, shown: result.cleared ? 'cleared' : zonesInTheWay(grantor, table, revocation, now).join(' ')};
 	};
@@ -118,6 +118,11 @@
 		steps: [asks(10, 'n1', 25, 20), asks(10, 'n2', 25, 19), clears(20, 'held'), asks(30, 'n2', 25, 20), clears(30, 'held')],
 		expected: ['1500', '1500', 'n2', '1500', 'cleared'],
 	},
+	{
+		name: 'an owner whose zone is not known may have been in any', table: usual,
+		steps: [clears(2350, 'taken', false), clears(99_999, 'held', false), asks(100_000, 'n1', 25, 20), clears(100_000, 'held', false), asks(100_001, 'n2', 25, 20), clears(100_001, 'held', false)],
+		expected: ['cleared', 'n1 n2', '1500', 'n2', '1500', 'cleared'],
+	},
 	{
 		name: 'a report stands when an older one comes late', table: usual,
 		steps: [asks(10, 'n1', 25, 20), asks(10, 'n2', 25, 20), asks(20, 'n2', 25, 15), clears(30, 'held')],
--- a/packages/stand-in/test/test-failures.ts
+++ b/packages/stand-in/test/test-failures.ts
@@ -3,7 +3,7 @@
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {
-	hasHistory, keys, nine, owned, owners, patience, runTrials, served, type TrialCase,
+	hasHistory, keys, nine, owned, owners, patience, runTrials, served, startViewer, type TrialCase,
 } from './trial.js';
 import {limit, mostInWindow, windowMilliseconds} from './limit-window.js';
 import {eventually} from '@dogwooddeck/stand-in/child';
@@ -36,6 +36,24 @@
 	assert.deepEqual(doubleOwners(sightings), []);
 }
 
+async function restartsUpstream(deployment: Deployment): Promise<void> {
+	const instance = deployment.instances.find(({zone}) => zone === 'noord-b')!;
+	const watcher = startWatcher(deployment.instances, keys);
+	await pause(500);
+	const since = monotonicNow();
+	await deployment.upstreams.get('viewer-noord-b')!.kill();
+	startViewer(deployment, instance);
+	await served(watcher, since);
+	const servedAt = monotonicNow();
+	await eventually('every slot has an owner', patience, async () => {
+		const all = await owners(deployment, deployment.instances[0]!);
+		return all.every(({phase}) => phase === 'granted');
+	});
+	const sightings = await watcher.stop();
+	console.log(`upstream started anew at once: every key was served again after ${Math.round(servedAt - since)} ms`);
+	assert.deepEqual(doubleOwners(sightings), []);
+}
+
 async function losesLeader(deployment: Deployment): Promise<void> {
 	const status = await deployment.read(deployment.instances[0]!, '/operator/status') as {readonly leader: string};
 	const leader = deployment.instances.find(({name}) => name === status.leader)!;
@@ -221,6 +239,7 @@
 	{name: 'every one of nine instances is stopped in turn under load', instances: nine, run: stopsInstances},
 	{name: 'an upstream is killed', run: async deployment => losesUpstream(deployment, 'SIGKILL')},
 	{name: 'an upstream freezes and returns', run: async deployment => losesUpstream(deployment, 'SIGSTOP')},
+	{name: 'an upstream is killed and starts anew at once', run: restartsUpstream},
 	{name: 'the leader is killed', run: losesLeader},
 	{name: 'an entry instance freezes while keys move, and returns', run: freezesRouter},
 	{name: 'a voter loses its folder, and the leader is lost right after the repair', run: losesFolder},
