Take over another instance's view of claims while reports of lost ones are missing

A dump of the views at the refusal: the instance that had just started waited for reports of two earlier lives that all others had long had, and knew their addresses from the log that it applied, so that it looked for no other view. Ruled out: copies (all told copiedThrough 28), the other instances' views. Change: a view is looked for while rosters may be missing or a seat is awaited that is gone, and taken over where it misses fewer reports. Also: an instance that stops refuses announcements, which it might not pass on any more.

--- a/packages/daemon/src/announcements.ts
+++ b/packages/daemon/src/announcements.ts
@@ -41,17 +41,26 @@
 		: checkAnnouncement(control.membership, read));
 }
 
-/** Makes the handler of announcements. Fails with `unauthenticated`, `settingsInvalid`, `notFound` and `superseded`. */
-export function createAnnouncements(
-	holder: ControlHolder,
-	key: string,
-	taken: (announcement: Announcement) => void,
-): SurfaceHandler {
+/** What announcements are taken by. */
+export type AnnouncementSurroundings = {
+	readonly holder: Pick<ControlHolder, 'state'>;
+	readonly key: string;
+	/** Whether this instance stops: what it took now might not be passed on any more. */
+	readonly isStopping: () => boolean;
+	readonly taken: (announcement: Announcement) => void;
+};
+
+/** Makes the handler of announcements. Fails with `unauthenticated`, `notReady`, `settingsInvalid`, `notFound` and `superseded`. */
+export function createAnnouncements({holder, key, isStopping, taken}: AnnouncementSurroundings): SurfaceHandler {
 	return async ({token, body}) => {
 		if (!sameSecret(token, key)) {
 			return err(failure(FailureKind.unauthenticated, 'the announcement carries no right token'));
 		}
 
+		if (isStopping()) {
+			return err(failure(FailureKind.notReady, 'the instance stops; another one takes announcements'));
+		}
+
 		const control = holder.state();
 		return checked(control, body).map((announcement): AnnouncementAnswer => {
 			taken(announcement);
--- a/packages/daemon/src/claim-peers.ts
+++ b/packages/daemon/src/claim-peers.ts
@@ -50,11 +50,6 @@
 		}
 	}
 
-	/** Whether the address of an instance is known. */
-	knows(seat: InstanceIdentity): boolean {
-		return this.#addresses.has(seatText(seat));
-	}
-
 	/** Brings a message to its holder. Fails where that can't be reached in time. */
 	async send(message: ClaimMessage): Promise<Result<string, Failure>> {
 		return this.#call(message.holder, 'claim', JSON.stringify(message));
--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -50,6 +50,11 @@
 const seldomSweeps = 30;
 const holderBounds = {records: 200_000, answerBytes: 16_777_216};
 
+/** How many reports the instance that told a view still waits for. */
+function missingReports({earlier}: ClaimsView): number {
+	return earlier.reduce((sum, {unsettled}) => sum + unsettled.length, 0);
+}
+
 /** Starts the claims. */
 export function startClaims(self: InstanceIdentity, control: ControlHolder, clients: PeerClients, hash: TextHash): ClaimRunner {
 	const seenAt = new Map<LogIndex, MonotonicTime>();
@@ -57,7 +62,6 @@
 	const peers = new ClaimPeers(clients);
 
 	let spread: ClaimSpread = new Map();
-	let isViewWanted = true;
 	let sweeps = 0;
 
 	/** Ends are sent again until they arrive: resends rest on them. */
@@ -87,18 +91,28 @@
 		return (control.state().seatings[0]?.seats ?? []).filter(seat => !sameInstance(seat, self));
 	}
 
-	/** An instance that starts takes over what another one knows, once both know the same newest roster. */
+	/**
+	 * Takes over what another instance knows, where both know the same newest roster
+	 * and it misses fewer reports: those of an instance that is gone come no more.
+	 */
 	async function askView(seat: InstanceIdentity): Promise<void> {
 		const told = await peers.view(seat);
 		const view = told.unwrapOr(undefined);
-		if (isViewWanted && view?.newest === desk.standing().newest) {
-			isViewWanted = false;
+		const {newest, view: own} = desk.standing();
+		if (view?.newest === newest && (own === undefined || missingReports(view) < missingReports(own))) {
 			desk.learn({kind: 'view-told', view});
 		}
 	}
 
-	function lookForView(): void {
-		for (const seat of isViewWanted ? otherSeats() : []) {
+	/** Whether rosters may be missing, or reports of instances that have no seat any more. */
+	function isViewWanted(newest: Seating, now: MonotonicTime): boolean {
+		const {view, awaited} = desk.standing();
+		const isGone = (seat: InstanceIdentity) => !newest.seats.some(other => sameInstance(other, seat));
+		return view === undefined || (!isBrief(newest, now) && awaited.some(seat => isGone(seat)));
+	}
+
+	function lookForView(newest: Seating, now: MonotonicTime): void {
+		for (const seat of isViewWanted(newest, now) ? otherSeats() : []) {
 			void askView(seat);
 		}
 	}
@@ -107,7 +121,6 @@
 	function noteMissed(seatings: readonly Seating[]): void {
 		const oldest = seatings.at(-1)?.index ?? 0;
 		if (seatings.length >= keptSeatings && oldest > desk.standing().newest) {
-			isViewWanted = true;
 			desk.learn({kind: 'rosters-missed'});
 		}
 	}
@@ -129,7 +142,7 @@
 		}
 
 		peers.follow(seatedInstances(control.state().ownership), desk.standing().awaited);
-		lookForView();
+		lookForView(newest, now);
 	}
 
 	async function askReport(seat: InstanceIdentity): Promise<void> {
@@ -174,8 +187,9 @@
 		const [newest] = control.state().seatings;
 		sweeps += 1;
 		desk.sweep(newest === undefined ? 0 : Math.min(acknowledged(newest, now), Math.max(0, ...old)));
-		isViewWanted ||= newest !== undefined && !isBrief(newest, now) && desk.standing().awaited.some(seat => !peers.knows(seat));
-		lookForView();
+		if (newest !== undefined) {
+			lookForView(newest, now);
+		}
 	}
 
 	/** Whether another instance still waits for this one's report; one that does not answer is not waited for. */
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -126,9 +126,14 @@
 			const answer = await clients.call(record.peerAddress, 'collect', 'member', memberMilliseconds);
 			return answer.isOk ? readMemberReport(answer.value) : undefined;
 		},
-		announce: createAnnouncements(holder, settings.keys.announce, announcement => {
-			measures.counter(MeasureName.announcements, {service: announcement.service}).value += 1;
-			ownReports.announced(announcement);
+		announce: createAnnouncements({
+			holder,
+			key: settings.keys.announce,
+			isStopping: () => stopping,
+			taken(announcement) {
+				measures.counter(MeasureName.announcements, {service: announcement.service}).value += 1;
+				ownReports.announced(announcement);
+			},
 		}),
 		burn: async () => ok(await burn.input()),
 	});
