--- a/packages/daemon/src/known-leader.ts
+++ b/packages/daemon/src/known-leader.ts
@@ -14,12 +14,12 @@
 	readonly notLeader: () => Failure;
 };
 
-/** Knows the leader that the own voter follows, or else the last one that answered. */
-export function createKnownLeader(self: InstanceName, voter: () => VoterRunner | undefined): KnownLeader {
+/** Knows the leader that the own voter follows, or else the last other one that answered: a voter that leads knows it. */
+export function createKnownLeader(self: InstanceName, voter: () => Pick<VoterRunner, 'leader'> | undefined): KnownLeader {
 	let last: InstanceName | undefined;
 
 	function leader(): InstanceName | undefined {
-		return voter()?.leader() ?? last;
+		return voter()?.leader() ?? (last === self ? undefined : last);
 	}
 
 	return {
--- /dev/null
+++ b/packages/daemon/test/test-known-leader.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createKnownLeader} from '@dogwooddeck/daemon/known-leader';
+
+const cases: ReadonlyArray<{readonly name: string; readonly answered?: string; readonly followed?: string; readonly expected: string | undefined}> = [
+	{name: 'nobody answered yet', expected: undefined},
+	{name: 'the last that answered, where the voter follows none', answered: 'entry-2', expected: 'entry-2'},
+	{
+		name: 'whom the voter follows, before one that answered', answered: 'entry-2', followed: 'entry-3', expected: 'entry-3',
+	},
+	{
+		name: 'itself while it leads', answered: 'entry-1', followed: 'entry-1', expected: 'entry-1',
+	},
+	{name: 'not itself after it has stepped down', answered: 'entry-1', expected: undefined},
+];
+
+for (const {
+	name, answered, followed, expected,
+} of cases) {
+	test(`known leader: ${name}`, () => {
+		const known = createKnownLeader('entry-1', () => ({leader: () => followed}));
+		if (answered !== undefined) {
+			known.answered(answered);
+		}
+
+		assert.equal(known.leader(), expected);
+	});
+}
