Pass announcements on again whose report did not arrive, and a stop in its module

A report is taken before the call that carries it, and was gone when the call failed: to a steward that is not known yet, or to no leader. Two such calls of 500 ms are the whole second after which an upstream counts as silent. Change: announcements of a report that did not arrive go with the next one, for as long as they are younger than 500 ms, so that a lost upstream is judged at most that much later.

--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -1,8 +1,7 @@
 /**
  * One instance: all parts put together, started and stopped in order.
  */
-import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
-import {pause} from '@dogwooddeck/clock/pause';
+import {wallNow} from '@dogwooddeck/clock/monotonic';
 import {startCallerServer} from '@dogwooddeck/front/caller-server';
 import {startOperatorServer} from '@dogwooddeck/front/operator-server';
 import {type FrontServer} from '@dogwooddeck/front/surface';
@@ -34,6 +33,7 @@
 import {createOperatorSurface, readMemberReport} from './operator-surface.js';
 import {startOwnVoter} from './own-voter.js';
 import {createPeerHandlers} from './peer-service.js';
+import {stopAsPlanned} from './planned-stop.js';
 import {createReportCollector} from './report-collector.js';
 import {createRequestMeasures} from './request-measures.js';
 import {createRequestPath} from './request-path.js';
@@ -51,16 +51,6 @@
 const memberMilliseconds: Milliseconds = 500;
 const connectTimeoutMilliseconds: Milliseconds = 1000;
 const idleMilliseconds: Milliseconds = 30_000;
-const leaveMilliseconds: Milliseconds = 4000;
-const pollMilliseconds: Milliseconds = 20;
-
-async function until(holds: () => boolean, longest: Milliseconds): Promise<void> {
-	const end = monotonicNow() + longest;
-	while (!holds() && monotonicNow() < end) {
-		await pause(pollMilliseconds);
-	}
-}
-
 function recordOf({name, region, zone, addresses}: InstanceSettings): InstanceRecord {
 	return {
 		name,
@@ -206,31 +196,28 @@
 		region: settings.region, zone: settings.zone, callers: callers.address, operators: operators.address, peers: peers.address,
 	});
 
-	async function stop(): Promise<void> {
-		stopping = true;
-		log.event(EventName.stopRequested);
-		log.event(EventName.instanceNotReady, {reason: 'the instance stops'});
-		await pause(settings.stop.balancerDelayMilliseconds);
-		voter?.handOver();
-		zone.leave();
-		const closing = callers.close();
-		await until(() => !zone.isSeated() || (holder.state().ownership.rosters[self.zone]?.members.length ?? 0) < 2, leaveMilliseconds);
-		const end = monotonicNow() + settings.stop.longestMilliseconds;
-		await Promise.race([closing, pause(settings.stop.longestMilliseconds)]);
-		accepting = false;
-		await claims.handOver(Math.max(0, end - monotonicNow()));
-		await operators.close();
-		zone.stop();
-		control.stop();
-		claims.stop();
-		await burn.stop();
-		await burnLock?.release();
-		await client.close();
-		await peers.close();
-		await voter?.stop();
-		clients.close();
-		log.event(EventName.instanceStopped);
-	}
-
-	return {stop};
+	return {
+		async stop() {
+			stopping = true;
+			await stopAsPlanned({
+				durations: settings.stop,
+				log,
+				voter,
+				zone,
+				seats: () => holder.state().ownership.rosters[self.zone]?.members.length ?? 0,
+				callers,
+				refuseCallers() {
+					accepting = false;
+				},
+				claims,
+				operators,
+				control,
+				burn,
+				releaseFolder: async () => burnLock?.release(),
+				client,
+				peers,
+				clients,
+			});
+		},
+	};
 }
--- a/packages/daemon/src/lease-asker.ts
+++ b/packages/daemon/src/lease-asker.ts
@@ -75,13 +75,16 @@
 		const {applied} = holder.state();
 		asking = true;
 		lease = requestSent(lease, {now, applied, drained});
+		const report = surroundings.ownReports.take();
 		const answer = await askSteward({
-			instance: self, applied, drained, report: surroundings.ownReports.take(),
+			instance: self, applied, drained, report,
 		});
 		asking = false;
 		lacking = answer.isErr || answer.value.answer.controlMilliseconds === 0;
 		if (answer.isOk) {
 			take(now, answer.value);
+		} else {
+			surroundings.ownReports.giveBack(report);
 		}
 
 		changed();
--- /dev/null
+++ b/packages/daemon/src/planned-stop.ts
@@ -0,0 +1,88 @@
+/**
+ * The planned stop of an instance: what it leads, holds and serves passes on to
+ * others before its parts end, so that no request in flight is cut off.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {pause} from '@dogwooddeck/clock/pause';
+import {type FrontServer} from '@dogwooddeck/front/surface';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {type UpstreamClient} from '@dogwooddeck/upstream-client/client';
+import {type PeerClients} from '@dogwooddeck/wire/client';
+import {type PeerServer} from '@dogwooddeck/wire/server';
+import {type BurnRunner} from './burn-runner.js';
+import {type ClaimRunner} from './claim-runner.js';
+import {type ControlRunner} from './control-runner.js';
+import {type InstanceSettings} from './settings.js';
+import {type VoterRunner} from './voter-runner.js';
+import {type ZoneRunner} from './zone-runner.js';
+
+/** The parts of an instance that stops. */
+export type StoppingInstance = {
+	readonly durations: InstanceSettings['stop'];
+	readonly log: Log;
+	/** Absent on an instance that doesn't vote. */
+	readonly voter: Pick<VoterRunner, 'handOver' | 'stop'> | undefined;
+	readonly zone: Pick<ZoneRunner, 'leave' | 'isSeated' | 'stop'>;
+	/** The number of seats of the instance's zone. */
+	readonly seats: () => number;
+	readonly callers: FrontServer;
+	/** From now on, requests that still arrive are refused. */
+	readonly refuseCallers: () => void;
+	readonly claims: Pick<ClaimRunner, 'handOver' | 'stop'>;
+	readonly operators: FrontServer;
+	readonly control: Pick<ControlRunner, 'stop'>;
+	readonly burn: Pick<BurnRunner, 'stop'>;
+	/** Gives the data folder up where no voter holds it. */
+	readonly releaseFolder: () => Promise<void>;
+	readonly client: UpstreamClient;
+	readonly peers: PeerServer;
+	readonly clients: PeerClients;
+};
+
+const leaveMilliseconds: Milliseconds = 4000;
+const pollMilliseconds: Milliseconds = 20;
+
+async function until(holds: () => boolean, longest: Milliseconds): Promise<void> {
+	const end = monotonicNow() + longest;
+	while (!holds() && monotonicNow() < end) {
+		await pause(pollMilliseconds);
+	}
+}
+
+/** Waits for the balancer, gives leadership and the seat up, and lets requests in flight and copies of claims end. */
+async function passOn({durations, voter, zone, seats, callers, refuseCallers, claims}: StoppingInstance): Promise<void> {
+	await pause(durations.balancerDelayMilliseconds);
+	voter?.handOver();
+	zone.leave();
+	const closing = callers.close();
+	await until(() => !zone.isSeated() || seats() < 2, leaveMilliseconds);
+	const end = monotonicNow() + durations.longestMilliseconds;
+	await Promise.race([closing, pause(durations.longestMilliseconds)]);
+	refuseCallers();
+	await claims.handOver(Math.max(0, end - monotonicNow()));
+}
+
+async function endParts(parts: StoppingInstance): Promise<void> {
+	await parts.operators.close();
+	parts.zone.stop();
+	parts.control.stop();
+	parts.claims.stop();
+	await parts.burn.stop();
+	await parts.releaseFolder();
+	await parts.client.close();
+	await parts.peers.close();
+	await parts.voter?.stop();
+	parts.clients.close();
+}
+
+/** Stops an instance that is no longer ready. Ends when all of its parts have ended. */
+export async function stopAsPlanned(instance: StoppingInstance): Promise<void> {
+	const {log} = instance;
+	log.event(EventName.stopRequested);
+	log.event(EventName.instanceNotReady, {reason: 'the instance stops'});
+	await passOn(instance);
+	await endParts(instance);
+	log.event(EventName.instanceStopped);
+}
--- a/packages/daemon/src/report-collector.ts
+++ b/packages/daemon/src/report-collector.ts
@@ -1,8 +1,11 @@
 /**
  * Collects what an instance saw, and what others told it, between two reports.
  */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {type KeyLoad, type SlotLoad, type UpstreamEvidence} from '@dogwooddeck/model/evidence';
-import {type InstanceIdentity, type ServiceName, type Slot} from '@dogwooddeck/model/identifiers';
+import {
+	type InstanceIdentity, type Milliseconds, type MonotonicTime, type ServiceName, type Slot,
+} from '@dogwooddeck/model/identifiers';
 import {type Report} from '@dogwooddeck/model/lease';
 import {type Announcement} from '@dogwooddeck/model/registry';
 import {type LimitDemand} from '@dogwooddeck/model/share';
@@ -17,17 +20,27 @@
 	readonly merge: (report: Report) => void;
 	/** Everything since the last call. */
 	readonly take: () => Report;
+	/** A report that was taken may not have arrived: its announcements that are still fresh are passed on with the next. */
+	readonly giveBack: (report: Report) => void;
 };
 
 /** Keys that are counted between two reports. When there are more, the coolest half is dropped. */
 const countedKeys = 4096;
 /** Keys that are reported of each service. */
 const reportedKeys = 16;
+/** An announcement that is older than this isn't passed on again: the upstream may be gone since. */
+const freshMilliseconds: Milliseconds = 500;
 /** A key is reported if it had at least this share of its service's requests. */
 const reportedShare = 0.005;
 
 type Counts = {slots: Map<Slot, number>; keys: Map<string, number>; total: number};
 
+type Heard = {readonly announcement: Announcement; readonly at: MonotonicTime};
+
+function announcementKey({service, name}: Announcement): string {
+	return `${service}\n${name}`;
+}
+
 function increase<Key>(counts: Map<Key, number>, key: Key, amount: number): void {
 	counts.set(key, (counts.get(key) ?? 0) + amount);
 }
@@ -56,7 +69,8 @@
 	takeDemands: () => readonly LimitDemand[],
 ): ReportCollector {
 	const services = new Map<ServiceName, Counts>();
-	const announcements = new Map<string, Announcement>();
+	const announcements = new Map<string, Heard>();
+	let passedOn = new Map<string, Heard>();
 	let evidence: Array<Report['evidence'][number]> = [];
 	const demands = new Map<string, LimitDemand>();
 
@@ -78,10 +92,10 @@
 	}
 
 	function announced(announcement: Announcement): void {
-		const key = `${announcement.service}\n${announcement.name}`;
-		const known = announcements.get(key);
+		const key = announcementKey(announcement);
+		const known = announcements.get(key)?.announcement;
 		if (known === undefined || known.incarnation <= announcement.incarnation) {
-			announcements.set(key, announcement);
+			announcements.set(key, {announcement, at: monotonicNow()});
 		}
 	}
 
@@ -132,17 +146,29 @@
 
 			const own = takeEvidence().map(item => ({...item, seenBy: self}));
 			const report: Report = {
-				announcements: [...announcements.values()],
+				announcements: [...announcements.values()].map(({announcement}) => announcement),
 				evidence: [...evidence, ...own],
 				slotLoads: slotLoads(),
 				keyLoads: [...services].flatMap(([service, counts]) => hotKeys(service, counts)),
 				demands: [...demands.values()],
 			};
+			const now = monotonicNow();
+			const fresh = [...passedOn].filter(([, {at}]) => now - at < freshMilliseconds);
+			passedOn = new Map([...fresh, ...announcements]);
 			services.clear();
 			announcements.clear();
 			demands.clear();
 			evidence = [];
 			return report;
 		},
+		giveBack(report) {
+			const now = monotonicNow();
+			for (const key of report.announcements.map(announcement => announcementKey(announcement))) {
+				const heard = passedOn.get(key);
+				if (heard !== undefined && now - heard.at < freshMilliseconds && !announcements.has(key)) {
+					announcements.set(key, heard);
+				}
+			}
+		},
 	};
 }
--- /dev/null
+++ b/packages/daemon/test/test-report-collector.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
+import {mock, test} from 'node:test';
+import {type Announcement} from '@dogwooddeck/model/registry';
+import {createReportCollector, type ReportCollector} from '@dogwooddeck/daemon/report-collector';
+
+function announcement(name: string, incarnation = 1): Announcement {
+	return {
+		service: 'team/service', name, incarnation, region: 'noord', zone: 'noord-a', address: '127.0.0.1:4000', leaving: false, load: 0,
+	};
+}
+
+let now = 0;
+
+/** The announcements of the next report. */
+function told(collector: ReportCollector): readonly string[] {
+	return collector.take().announcements.map(({name, incarnation}) => `${name}#${incarnation}`);
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly run: (collector: ReportCollector) => void}> = [
+	{
+		name: 'an announcement is told once',
+		run(collector) {
+			collector.announced(announcement('one'));
+			assert.deepEqual([told(collector), told(collector)], [['one#1'], []]);
+		},
+	},
+	{
+		name: 'one of a report that did not arrive is told again',
+		run(collector) {
+			collector.announced(announcement('one'));
+			const report = collector.take();
+			now += 300;
+			collector.giveBack(report);
+			assert.deepEqual([told(collector), told(collector)], [['one#1'], []]);
+		},
+	},
+	{
+		name: 'one that is no longer fresh is not told again, however often its report came back',
+		run(collector) {
+			collector.announced(announcement('one'));
+			const report = collector.take();
+			now += 300;
+			collector.giveBack(report);
+			const again = collector.take();
+			now += 300;
+			collector.giveBack(again);
+			assert.deepEqual(told(collector), []);
+		},
+	},
+	{
+		name: 'a newer one stands',
+		run(collector) {
+			collector.announced(announcement('one'));
+			const report = collector.take();
+			collector.announced(announcement('one', 2));
+			collector.giveBack(report);
+			assert.deepEqual(told(collector), ['one#2']);
+		},
+	},
+];
+
+function onPausedClock(run: () => void): void {
+	now = 1000;
+	mock.method(performance, 'now', () => now);
+	try {
+		run();
+	} finally {
+		mock.reset();
+	}
+}
+
+for (const {name, run} of cases) {
+	test(`reports: ${name}`, () => {
+		onPausedClock(() => {
+			run(createReportCollector({name: 'entry-1', incarnation: 1}, () => [], () => []));
+		});
+	});
+}
