--- a/packages/stand-in/src/watcher.ts
+++ b/packages/stand-in/src/watcher.ts
@@ -17,6 +17,8 @@
 	readonly status: number;
 	/** The kind of the failure that was told; empty: none. */
 	readonly failureKind: string;
+	/** What was told of the failure beside its kind; empty: nothing. */
+	readonly failureDetail: string;
 	/** Empty: none, or it is not known. */
 	readonly upstream: string;
 	/** The fence number that the upstream was sent; 0: none is known. */
@@ -38,17 +40,19 @@
 const shortPauseMilliseconds: Milliseconds = 20;
 const refused: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
 
-type Told = Pick<Sighting, 'upstream' | 'fence' | 'failureKind'>;
+type Told = Pick<Sighting, 'upstream' | 'fence' | 'failureKind' | 'failureDetail'>;
 
-const nothingTold: Told = {upstream: '', fence: 0, failureKind: ''};
+const nothingTold: Told = {
+	upstream: '', fence: 0, failureKind: '', failureDetail: '',
+};
 
 function told(status: number, mediaType: string, text: string): Told {
 	if (!mediaType.includes('json')) {
 		return nothingTold;
 	}
 
-	const {upstream = '', fence = 0, kind = ''} = JSON.parse(text) as {readonly upstream?: string; readonly fence?: number; readonly kind?: string};
-	return status === 200 ? {upstream, fence, failureKind: ''} : {...nothingTold, failureKind: kind};
+	const {upstream = '', fence = 0, kind = '', detail = ''} = JSON.parse(text) as {readonly upstream?: string; readonly fence?: number; readonly kind?: string; readonly detail?: string};
+	return status === 200 ? {...nothingTold, upstream, fence} : {...nothingTold, failureKind: kind, failureDetail: detail};
 }
 
 async function ask(pool: Pool, instance: string, key: string): Promise<Sighting> {
--- a/packages/stand-in/test/test-cuts.ts
+++ b/packages/stand-in/test/test-cuts.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
+import {FailureKind} from '@dogwooddeck/model/failure';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {
 	isServed, keys, nine, onePerZone, runTrials, servedEverywhere, settled, type TrialCase, write, zoneOf, zones,
@@ -134,6 +135,16 @@
 	assert.ok(longest < cut.takenOverMilliseconds!, `others serve the keys within ${cut.takenOverMilliseconds} ms`);
 }
 
+/** Prints what is known of requests that were refused as too much work, where none should be. */
+function showOverloads(sightings: readonly Sighting[], since: MonotonicTime): void {
+	const overloads = sightings.filter(({failureKind}) => failureKind === FailureKind.overloaded);
+	for (const {instance, key, sentAt, endedAt, failureDetail} of overloads.slice(0, 10)) {
+		console.log(`overloaded: ${key} at ${instance}, ${Math.round(sentAt - since)} ms after settling, for ${Math.round(endedAt - sentAt)} ms: ${failureDetail}`);
+	}
+
+	console.log(`${overloads.length} of ${sightings.length} requests overloaded`);
+}
+
 async function losesEachOther(deployment: Deployment, cut: Cut): Promise<void> {
 	const {instances} = deployment;
 	const isInside = ({zone}: TrialInstance) => cut.inside.includes(zone);
@@ -162,6 +173,7 @@
 	const seen = observe(cut, during.filter(({sentAt}) => sentAt > settledAt), home);
 	console.log(`${cut.name}: ${JSON.stringify(seen)}; changes inside ${JSON.stringify(refused)}, outside ${JSON.stringify(accepted)}; every key served everywhere ${
 		Math.round(healedAfter)} ms after the healing, all upstreams own keys after ${Math.round(sharedAfter)} ms`);
+	showOverloads(during.filter(({sentAt}) => sentAt > settledAt), settledAt);
 	assert.deepEqual(doubleOwners(sightings), []);
 	assert.deepEqual(seen, expected[cut.folder]);
 	assert.equal(accepted.status, 200);
