--- a/packages/stand-in/src/upstream-command.ts
+++ b/packages/stand-in/src/upstream-command.ts
@@ -8,7 +8,7 @@
 import {wallNow} from '@dogwooddeck/clock/monotonic';
 import {startUpstream, type StandInUpstream} from './upstream.js';
 
-const announceIntervalMilliseconds = 300;
+const announceIntervalMilliseconds = 200;
 
 function splitAddress(address: string): {readonly host: string; readonly port: number} {
 	const colon = address.lastIndexOf(':');
