--- a/packages/burn/src/load.ts
+++ b/packages/burn/src/load.ts
@@ -12,25 +12,31 @@
 /** Counts go back by one to two of these. */
 export const loadWindowMilliseconds: Milliseconds = 300_000;
 
-type LoadWindow = Map<string, UpstreamLoad>;
+/** Counts by service and upstream. */
+type LoadWindow = Map<ServiceName, Map<UpstreamName, number>>;
 
-function keyOf({service, upstream}: Omit<UpstreamLoad, 'requests'>): string {
-	return `${service}\n${upstream}`;
+function add(window: LoadWindow, service: ServiceName, upstream: UpstreamName, requests: number): void {
+	let counts = window.get(service);
+	if (counts === undefined) {
+		counts = new Map();
+		window.set(service, counts);
+	}
+
+	counts.set(upstream, (counts.get(upstream) ?? 0) + requests);
 }
 
-function add(window: LoadWindow, load: UpstreamLoad): void {
-	const known = window.get(keyOf(load))?.requests ?? 0;
-	window.set(keyOf(load), {...load, requests: known + load.requests});
+function loadsOf(window: LoadWindow): readonly UpstreamLoad[] {
+	return [...window].flatMap(([service, counts]) => [...counts].map(([upstream, requests]) => ({service, upstream, requests})));
 }
 
 /** Adds up loads of the same upstream. */
 export function mergeLoads(loads: Iterable<UpstreamLoad>): readonly UpstreamLoad[] {
-	const merged: LoadWindow = new Map<string, UpstreamLoad>();
-	for (const load of loads) {
-		add(merged, load);
+	const merged: LoadWindow = new Map();
+	for (const {service, upstream, requests} of loads) {
+		add(merged, service, upstream, requests);
 	}
 
-	return [...merged.values()];
+	return loadsOf(merged);
 }
 
 /** The greatest count as a multiple of the mean over so many owners. 0 where nothing is counted. */
@@ -48,8 +54,8 @@
 /** Counts the requests of the present window and keeps the one before. It changes in place, since it runs for every request. */
 export class LoadRecorder {
 	#beganAt: MonotonicTime;
-	#present: LoadWindow = new Map<string, UpstreamLoad>();
-	#before: LoadWindow = new Map<string, UpstreamLoad>();
+	#present: LoadWindow = new Map();
+	#before: LoadWindow = new Map();
 
 	constructor(now: MonotonicTime) {
 		this.#beganAt = now;
@@ -58,20 +64,20 @@
 	/** Counts one request. */
 	record(service: ServiceName, upstream: UpstreamName, now: MonotonicTime): void {
 		this.#turn(now);
-		add(this.#present, {service, upstream, requests: 1});
+		add(this.#present, service, upstream, 1);
 	}
 
 	/** The requests of the present window and the one before. */
 	loads(now: MonotonicTime): readonly UpstreamLoad[] {
 		this.#turn(now);
-		return mergeLoads([...this.#before.values(), ...this.#present.values()]);
+		return mergeLoads([...loadsOf(this.#before), ...loadsOf(this.#present)]);
 	}
 
 	#turn(now: MonotonicTime): void {
 		const passed = Math.floor((now - this.#beganAt) / loadWindowMilliseconds);
 		if (passed > 0) {
-			this.#before = passed === 1 ? this.#present : new Map<string, UpstreamLoad>();
-			this.#present = new Map<string, UpstreamLoad>();
+			this.#before = passed === 1 ? this.#present : new Map<ServiceName, Map<UpstreamName, number>>();
+			this.#present = new Map();
 			this.#beganAt += passed * loadWindowMilliseconds;
 		}
 	}
