Name one life of an instance or upstream in one place

Members and newcomers were looked through by the same expression in two modules. A check for JSON objects stood in burn and, new, in control. Change: lifeKey and includesInstance in model, isKnown in ownership's renewal, isRecord in model/json-record; the copies are gone.

--- a/packages/burn/src/encoding.ts
+++ b/packages/burn/src/encoding.ts
@@ -3,6 +3,7 @@
  * surface. What is read back is checked, also the histograms.
  */
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {isRecord} from '@dogwooddeck/model/json-record';
 import {err, ok, type Result} from 'true-myth/result';
 import {type UpstreamLoad} from './load.js';
 import {summariseLatency, type ServiceLatency} from './latency.js';
@@ -13,10 +14,6 @@
 const largestHistogramCharacters = 65_536;
 const largestNameCharacters = 256;
 
-function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
-	return typeof value === 'object' && value !== null && !Array.isArray(value);
-}
-
 function isCount(value: unknown): value is number {
 	return Number.isSafeInteger(value) && (value as number) >= 0;
 }
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -8,9 +8,9 @@
 import {
 	type OperationIdentifier, type ServiceName, type Slot, type UpstreamName,
 } from '@dogwooddeck/model/identifiers';
+import {type JsonRecord} from '@dogwooddeck/model/json-record';
 import {type OwnershipCommand} from '@dogwooddeck/ownership/table';
 import {err, ok, type Result} from 'true-myth/result';
-import {type JsonRecord} from './json-record.js';
 import {groupSlots, ungroupSlots} from './slot-group.js';
 
 /** An operator wants a slot to have another owner. */
--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -7,7 +7,7 @@
 import {advanceWatch} from '@dogwooddeck/membership/watch';
 import {AssignmentPhase} from '@dogwooddeck/model/assignment';
 import {
-	type Milliseconds, type MonotonicTime, sameInstance, sameUpstream, type UpstreamIdentity, type ZoneName,
+	includesInstance, type Milliseconds, type MonotonicTime, sameInstance, sameUpstream, type UpstreamIdentity, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
 import {type SeatRequest} from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
@@ -58,7 +58,7 @@
 
 function isMember(control: ControlState, {instance}: SeatRequest): boolean {
 	const members = control.ownership.rosters[instance.zone]?.members ?? [];
-	return members.some(member => sameInstance(member, instance));
+	return includesInstance(members, instance);
 }
 
 function isHeard(state: LeaderState, {name}: InstanceRecord, now: MonotonicTime): boolean {
--- a/packages/control/src/slot-group.ts
+++ b/packages/control/src/slot-group.ts
@@ -5,7 +5,7 @@
  * each of its slots, and after decoding its slots share one object.
  */
 import {type Slot} from '@dogwooddeck/model/identifiers';
-import {type JsonRecord, isRecord} from './json-record.js';
+import {type JsonRecord, isRecord} from '@dogwooddeck/model/json-record';
 
 /** The slots that share all other fields. */
 export type SlotGroup<Common> = {
--- a/packages/daemon/src/claim-peers.ts
+++ b/packages/daemon/src/claim-peers.ts
@@ -3,7 +3,9 @@
  * and may still have copies to send.
  */
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
-import {type InstanceIdentity, type Milliseconds, sameInstance} from '@dogwooddeck/model/identifiers';
+import {
+	type InstanceIdentity, lifeKey, type Milliseconds, sameInstance,
+} from '@dogwooddeck/model/identifiers';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type ClaimsView} from '@dogwooddeck/routing/claim-rosters';
 import {type PeerClients} from '@dogwooddeck/wire/client';
@@ -22,11 +24,6 @@
 	view: 'claims-view',
 } as const;
 
-/** The text of an instance's name and life. */
-export function seatText({name, incarnation}: InstanceIdentity): string {
-	return JSON.stringify([name, incarnation]);
-}
-
 /** The other instances, as far as their addresses are known. */
 export class ClaimPeers {
 	readonly #clients: PeerClients;
@@ -38,7 +35,7 @@
 
 	/** Takes the addresses of the seated instances in; of the others, those of the instances that are awaited are kept. */
 	follow(seated: readonly InstanceRecord[], awaited: readonly InstanceIdentity[]): void {
-		const wanted = new Set([...seated, ...awaited].map(seat => seatText(seat)));
+		const wanted = new Set([...seated, ...awaited].map(seat => lifeKey(seat)));
 		for (const known of this.#addresses.keys()) {
 			if (!wanted.has(known)) {
 				this.#addresses.delete(known);
@@ -46,7 +43,7 @@
 		}
 
 		for (const member of seated) {
-			this.#addresses.set(seatText(member), member.peerAddress);
+			this.#addresses.set(lifeKey(member), member.peerAddress);
 		}
 	}
 
@@ -69,7 +66,7 @@
 	}
 
 	async #call(seat: InstanceIdentity, call: 'claim' | 'collect', body: string): Promise<Result<string, Failure>> {
-		const address = this.#addresses.get(seatText(seat));
+		const address = this.#addresses.get(lifeKey(seat));
 		return address === undefined
 			? err(failure(FailureKind.unreachable, `${seat.name} is not seated any more`))
 			: this.#clients.call(address, call, body, askMilliseconds);
--- a/packages/daemon/src/claim-runner.ts
+++ b/packages/daemon/src/claim-runner.ts
@@ -7,7 +7,7 @@
 import {type Failure} from '@dogwooddeck/model/failure';
 import {keptSeatings, type Seating} from '@dogwooddeck/control/state';
 import {
-	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+	includesInstance, type InstanceIdentity, lifeKey, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {seatedInstances} from '@dogwooddeck/ownership/table';
 import {type ClaimEnded} from '@dogwooddeck/routing/claim';
@@ -20,7 +20,7 @@
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {type Result} from 'true-myth/result';
 import {type ClaimReport, readClaimAnswer, readClaimMessage} from './claim-message.js';
-import {ClaimPeers, seatText} from './claim-peers.js';
+import {ClaimPeers} from './claim-peers.js';
 import {type ControlHolder} from './control-holder.js';
 
 /** The claims of this instance. */
@@ -107,8 +107,7 @@
 	/** Whether rosters may be missing, or reports of instances that have no seat any more. */
 	function isViewWanted(newest: Seating, now: MonotonicTime): boolean {
 		const {view, awaited} = desk.standing();
-		const isGone = (seat: InstanceIdentity) => !newest.seats.some(other => sameInstance(other, seat));
-		return view === undefined || (!isBrief(newest, now) && awaited.some(seat => isGone(seat)));
+		return view === undefined || (!isBrief(newest, now) && awaited.some(seat => !includesInstance(newest.seats, seat)));
 	}
 
 	function lookForView(newest: Seating, now: MonotonicTime): void {
@@ -162,10 +161,9 @@
 	/** Those whose reports are missing. */
 	function seatsToAsk(newest: Seating, now: MonotonicTime): readonly InstanceIdentity[] {
 		const isSeldom = isBrief(newest, now);
-		const seated = new Set(newest.seats.map(seat => seatText(seat)));
-		const awaited = desk.standing().awaited.filter(seat => !isSeldom || seated.has(seatText(seat)));
-		const all = new Map([...seatsBehind(spread, newest), ...awaited].map(seat => [seatText(seat), seat]));
-		all.delete(seatText(self));
+		const awaited = desk.standing().awaited.filter(seat => !isSeldom || includesInstance(newest.seats, seat));
+		const all = new Map([...seatsBehind(spread, newest), ...awaited].map(seat => [lifeKey(seat), seat]));
+		all.delete(lifeKey(self));
 		return [...all.values()];
 	}
 
@@ -197,7 +195,7 @@
 		const told = await peers.view(seat);
 		return told.isOk && (told.value === undefined
 			|| told.value.newest < desk.standing().newest
-			|| told.value.earlier.some(known => known.unsettled.some(other => sameInstance(other, self))));
+			|| told.value.earlier.some(known => includesInstance(known.unsettled, self)));
 	}
 
 	control.listen(followSeatings);
--- a/packages/daemon/src/share-post.ts
+++ b/packages/daemon/src/share-post.ts
@@ -1,9 +1,8 @@
 /**
  * Keeps the shares of limits that control gave until their holders ask again.
  */
-import {type InstanceIdentity} from '@dogwooddeck/model/identifiers';
+import {type InstanceIdentity, lifeKey} from '@dogwooddeck/model/identifiers';
 import {type LimitShare} from '@dogwooddeck/model/share';
-import {shareHolder} from './share-holder.js';
 
 /** Shares on their way to instances. */
 export type SharePost = {
@@ -27,7 +26,7 @@
 			}
 		},
 		take(instance) {
-			const holder = shareHolder(instance);
+			const holder = lifeKey(instance);
 			const shares = waitingShares.get(holder) ?? [];
 			waitingShares.delete(holder);
 			return shares;
--- a/packages/daemon/src/slot-grants.ts
+++ b/packages/daemon/src/slot-grants.ts
@@ -6,20 +6,18 @@
 import {type ControlState} from '@dogwooddeck/control/state';
 import {AssignmentPhase, type ServiceAssignments} from '@dogwooddeck/model/assignment';
 import {derived} from '@dogwooddeck/model/derived';
-import {type FenceNumber, type Slot, type UpstreamIdentity} from '@dogwooddeck/model/identifiers';
+import {
+	type FenceNumber, lifeKey, type Slot, type UpstreamIdentity,
+} from '@dogwooddeck/model/identifiers';
 
 /** The right to serve one slot: an upstream that checks fences refuses requests with a smaller number. */
 export type SlotGrant = {readonly slot: Slot; readonly fence: FenceNumber};
 
-function ownerKey({name, incarnation}: UpstreamIdentity): string {
-	return `${name}\n${incarnation}`;
-}
-
 const grantsByOwner = derived(({assignments}: ServiceAssignments): ReadonlyMap<string, readonly SlotGrant[]> => {
 	const grants = new Map<string, SlotGrant[]>();
 	for (const assignment of assignments) {
 		if (assignment.phase === AssignmentPhase.granted) {
-			const key = ownerKey(assignment.owner);
+			const key = lifeKey(assignment.owner);
 			const owned = grants.get(key) ?? [];
 			grants.set(key, owned);
 			owned.push({slot: assignment.slot, fence: assignment.fence});
@@ -32,5 +30,5 @@
 /** The slots that an upstream owns, in their order. */
 export function grantsOf({ownership}: ControlState, upstream: UpstreamIdentity): readonly SlotGrant[] {
 	const assignments = ownership.services[upstream.service];
-	return assignments === undefined ? [] : grantsByOwner(assignments).get(ownerKey(upstream)) ?? [];
+	return assignments === undefined ? [] : grantsByOwner(assignments).get(lifeKey(upstream)) ?? [];
 }
--- a/packages/model/src/identifiers.ts
+++ b/packages/model/src/identifiers.ts
@@ -63,11 +63,21 @@
 	readonly incarnation: Incarnation;
 };
 
+/** Names one life of an instance, or of an upstream within its service, as a text: names hold no "#". */
+export function lifeKey({name, incarnation}: Pick<UpstreamIdentity, 'name' | 'incarnation'>): string {
+	return `${name}#${incarnation}`;
+}
+
 /** Whether two identities name the same life of the same instance. */
 export function sameInstance(one: InstanceIdentity, other: InstanceIdentity): boolean {
 	return one.name === other.name && one.incarnation === other.incarnation;
 }
 
+/** Whether one life of an instance is among others. */
+export function includesInstance(instances: readonly InstanceIdentity[], wanted: InstanceIdentity): boolean {
+	return instances.some(instance => sameInstance(instance, wanted));
+}
+
 /** Whether two identities name the same life of the same upstream. */
 export function sameUpstream(one: UpstreamIdentity, other: UpstreamIdentity): boolean {
 	return one.service === other.service && one.name === other.name && one.incarnation === other.incarnation;
--- a/packages/ownership/src/holders.ts
+++ b/packages/ownership/src/holders.ts
@@ -3,9 +3,8 @@
  * counts until its lease has run out and what it had in flight is past its deadline.
  */
 import {
-	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime,
+	type InstanceIdentity, lifeKey, type LogIndex, type Milliseconds, type MonotonicTime,
 } from '@dogwooddeck/model/identifiers';
-import {instanceKey} from './support.js';
 import {grantorWait, type LeaseTerms} from './terms.js';
 
 /** One holder of a lease. */
@@ -15,7 +14,7 @@
 	readonly leaseUntil: MonotonicTime;
 };
 
-/** The holders of a zone's leases, by `instanceKey`. */
+/** The holders of a zone's leases, by `lifeKey`. */
 export type LeaseHolders = Readonly<Record<string, LeaseHolder>>;
 
 /** What a steward gives to a holder, and what the holder said. */
@@ -28,7 +27,7 @@
 
 /** Notes a lease. A later report never takes an earlier one back. */
 export function withHolder(holders: LeaseHolders, given: GivenLease, terms: LeaseTerms): LeaseHolders {
-	const key = instanceKey(given.instance);
+	const key = lifeKey(given.instance);
 	const before = holders[key];
 	return {
 		...holders,
--- a/packages/ownership/src/leasing.ts
+++ b/packages/ownership/src/leasing.ts
@@ -3,13 +3,13 @@
  * and the zone's delegation from control.
  */
 import {
-	type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+	lifeKey, type LogIndex, type Milliseconds, type MonotonicTime,
 } from '@dogwooddeck/model/identifiers';
 import {emptyReport, type LeaseAnswer, type LeaseRequest} from '@dogwooddeck/model/lease';
 import {countedHolders, withHolder} from './holders.js';
-import {asksWithLeases, withRenewal} from './renewal.js';
+import {asksWithLeases, isKnown, withRenewal} from './renewal.js';
 import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
-import {instanceKey, withSupport} from './support.js';
+import {withSupport} from './support.js';
 import {
 	isSteward, settled, supportEnd, zoneDrained,
 } from './tenure.js';
@@ -45,7 +45,7 @@
 
 /** What a supporter says about its table is an acknowledgement as long as it supports this steward. */
 function withAcknowledgement(state: StewardState, request: LeaseRequest, now: MonotonicTime): StewardState {
-	const record = state.records[instanceKey(request.instance)];
+	const record = state.records[lifeKey(request.instance)];
 	if (record === undefined || now >= record.until) {
 		return state;
 	}
@@ -58,8 +58,7 @@
 const newcomersAtMost = 9;
 
 function withNewcomer(state: StewardState, {instance}: LeaseRequest): StewardState {
-	const isKnown = [...state.members, ...state.newcomers].some(known => sameInstance(known, instance));
-	if (isKnown || instance.zone !== state.self.zone) {
+	if (isKnown(state, instance) || instance.zone !== state.self.zone) {
 		return state;
 	}
 
--- a/packages/ownership/src/renewal.ts
+++ b/packages/ownership/src/renewal.ts
@@ -6,7 +6,7 @@
  * steward counts the support from that time, which is before the promise.
  */
 import {
-	type InstanceIdentity, type MonotonicTime, sameInstance,
+	includesInstance, type InstanceIdentity, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {type LeaseRequest, type SupportRenewal} from '@dogwooddeck/model/lease';
 import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
@@ -33,8 +33,9 @@
 	return sameInstance(steward, state.self) && askedAt >= (state.electedAt ?? Infinity) && askedAt <= now;
 }
 
-function mayCount(state: StewardState, instance: InstanceIdentity): boolean {
-	return [...state.members, ...state.newcomers].some(known => sameInstance(known, instance));
+/** Whether an instance belongs to the roster, or asked for a lease before it got its seat. */
+export function isKnown({members, newcomers}: StewardState, instance: InstanceIdentity): boolean {
+	return includesInstance(members, instance) || includesInstance(newcomers, instance);
 }
 
 /**
@@ -45,7 +46,7 @@
 	const counts = supportRenewal !== undefined
 		&& asksWithLeases(state, now)
 		&& isAskedBy(state, supportRenewal, now)
-		&& mayCount(state, instance);
+		&& isKnown(state, instance);
 	if (!counts) {
 		return state;
 	}
--- a/packages/ownership/src/support.ts
+++ b/packages/ownership/src/support.ts
@@ -9,7 +9,7 @@
  * therefore known to every later steward.
  */
 import {
-	type InstanceIdentity, type LogIndex, type MonotonicTime, sameInstance,
+	type InstanceIdentity, lifeKey, type LogIndex, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {majorityOf} from './quorum.js';
 import {grantorWait, type LeaseTerms} from './terms.js';
@@ -82,16 +82,11 @@
 	readonly acknowledged: LogIndex;
 };
 
-/** What a candidate knows of the members, by `instanceKey`. */
+/** What a candidate knows of the members, by `lifeKey`. */
 export type SupportRecords = Readonly<Record<string, SupportRecord>>;
 
-/** Names one life of an instance within a record. */
-export function instanceKey(instance: InstanceIdentity): string {
-	return `${instance.name}#${instance.incarnation}`;
-}
-
 function majorityValue(members: readonly InstanceIdentity[], valueOf: (key: string) => number): number {
-	const values = members.map(member => valueOf(instanceKey(member))).sort((one, other) => other - one);
+	const values = members.map(member => valueOf(lifeKey(member))).sort((one, other) => other - one);
 	return values[majorityOf(members.length) - 1] ?? -Infinity;
 }
 
@@ -107,7 +102,7 @@
 
 /** Notes a support that was asked for at `sentAt`, or what a supporter acknowledged. */
 export function withSupport(records: SupportRecords, member: InstanceIdentity, news: SupportRecord): SupportRecords {
-	const key = instanceKey(member);
+	const key = lifeKey(member);
 	const before = records[key];
 	return {
 		...records,
--- a/packages/ownership/src/tenure.ts
+++ b/packages/ownership/src/tenure.ts
@@ -1,7 +1,7 @@
 /**
  * Whether an instance is steward, and how far its zone is drained.
  */
-import {type LogIndex, type MonotonicTime, sameInstance} from '@dogwooddeck/model/identifiers';
+import {includesInstance, type LogIndex, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {countedHolders, lowestDrained} from './holders.js';
 import {type StewardState} from './steward.js';
 import {acknowledgedIndex, supportedUntil} from './support.js';
@@ -9,7 +9,7 @@
 
 /** Whether an instance belongs to the roster in the table that it has applied. */
 export function isSeated(state: StewardState): boolean {
-	return state.members.some(member => sameInstance(member, state.self));
+	return includesInstance(state.members, state.self);
 }
 
 /** When the steward's support ends. */
--- a/packages/placement/src/book.ts
+++ b/packages/placement/src/book.ts
@@ -6,11 +6,10 @@
 	type Assignment, AssignmentPhase, assignmentsInUse, type PinnedKey,
 } from '@dogwooddeck/model/assignment';
 import {
-	type RegionName, sameUpstream, type Slot, type UpstreamIdentity,
+	lifeKey, type RegionName, sameUpstream, type Slot, type UpstreamIdentity,
 } from '@dogwooddeck/model/identifiers';
 import {identityOf, UpstreamPhase, type UpstreamRecord} from '@dogwooddeck/model/registry';
 import {type PlacementInput, type PlacementUpstream} from './input.js';
-import {answererKey} from './load.js';
 import {type PlacementPolicy} from './policy.js';
 
 /** An upstream that may be granted slots, and what it owns. */
@@ -65,7 +64,7 @@
 	}
 
 	const byTime = policy.coldShare + ((1 - policy.coldShare) * Math.min(1, age / Math.max(1, warmUp)));
-	const carried = (input.loads.answered[answererKey(identityOf(upstream.record))] ?? 0) / fairLoad;
+	const carried = (input.loads.answered[lifeKey(upstream.record)] ?? 0) / fairLoad;
 	return Math.min(1, byTime, policy.coldShare + (policy.coldGrowth * carried));
 }
 
--- a/packages/placement/src/load.ts
+++ b/packages/placement/src/load.ts
@@ -5,7 +5,7 @@
  */
 import {type KeyLoad, type SlotLoad, type UpstreamEvidence} from '@dogwooddeck/model/evidence';
 import {
-	type Milliseconds, type MonotonicTime, type RegionName, type ServiceName, type Slot, type UpstreamIdentity,
+	lifeKey, type Milliseconds, type MonotonicTime, type RegionName, type ServiceName, type Slot,
 } from '@dogwooddeck/model/identifiers';
 
 /** Rates below this many requests a second are dropped. */
@@ -25,7 +25,7 @@
 	readonly keys: Readonly<Record<string, number>>;
 	/** By the region that requests came in at, then by slot. */
 	readonly origins: Readonly<Record<RegionName, readonly number[]>>;
-	/** Whole answers a second, by `answererKey`. */
+	/** Whole answers a second, by `lifeKey`. */
 	readonly answered: Readonly<Record<string, number>>;
 };
 
@@ -51,11 +51,6 @@
 	slots: {}, keys: {}, origins: {}, answered: {},
 };
 
-/** The key of one life of an upstream among the rates of answers. */
-export function answererKey({name, incarnation}: UpstreamIdentity): string {
-	return `${name}#${incarnation}`;
-}
-
 const millisecondsPerSecond = 1000;
 
 /** The smoothing of one service's reports, from now on. */
@@ -105,7 +100,7 @@
 	const slotLoads = report.slotLoads.filter(load => load.service === state.service);
 	const keyCounts = report.keyLoads.filter(load => load.service === state.service).map(load => [load.key, load.requests] as const);
 	const answers = report.evidence.filter(({upstream}) => upstream.service === state.service)
-		.map(({upstream, answered}) => [answererKey(upstream), answered] as const);
+		.map(({upstream, answered}) => [lifeKey(upstream), answered] as const);
 	const origins = {...state.origins, [report.region]: state.origins[report.region] ?? []};
 	return {
 		...state,
--- a/packages/routing/src/claim-holder.ts
+++ b/packages/routing/src/claim-holder.ts
@@ -3,7 +3,7 @@
  * a holder that is full refuses new claims.
  */
 import {
-	type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
+	includesInstance, type InstanceIdentity, type LogIndex, type Milliseconds, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
@@ -250,7 +250,7 @@
 }
 
 function isSeated(state: HolderState, holder: InstanceIdentity): boolean {
-	return state.roster.seats.some(seat => sameInstance(seat, holder));
+	return includesInstance(state.roster.seats, holder);
 }
 
 function hasArrived(copy: ClaimCopy): boolean {
--- a/packages/routing/src/claim-holders.ts
+++ b/packages/routing/src/claim-holders.ts
@@ -2,7 +2,7 @@
  * Which instances hold a claim: rendezvous hashing over the seats of a roster.
  * Every instance that knows the same roster comes to the same holders.
  */
-import {type Milliseconds, sameInstance} from '@dogwooddeck/model/identifiers';
+import {includesInstance, type Milliseconds, sameInstance} from '@dogwooddeck/model/identifiers';
 import {type KnownRoster} from './claim-rosters.js';
 import {type ClaimRoster, type ClaimSeat} from './claim.js';
 import {type TextHash} from './text-hash.js';
@@ -36,16 +36,12 @@
 	return [first, second].filter(seat => seat !== undefined);
 }
 
-function seatText(seat: ClaimSeat): string {
-	return `${seat.name} ${seat.incarnation}`;
-}
-
 function sameSeats(one: readonly ClaimSeat[], other: readonly ClaimSeat[]): boolean {
-	return one.length === other.length && one.every((seat, position) => seatText(seat) === seatText(other[position]!));
+	return one.length === other.length && one.every((seat, position) => sameInstance(seat, other[position]!));
 }
 
 function isAsked(known: KnownRoster, group: readonly ClaimSeat[]): boolean {
-	return group.every(seat => known.unsettled.some(other => sameInstance(other, seat)));
+	return group.every(seat => includesInstance(known.unsettled, seat));
 }
 
 /**
@@ -68,7 +64,7 @@
  */
 export function refusedFor(rosters: readonly KnownRoster[], holders: ClaimHolders, remaining: (known: KnownRoster) => Milliseconds): Milliseconds | undefined {
 	const seats = rosters[0]?.roster.seats ?? [];
-	const lost = holders.earlier.filter(group => !group.some(seat => seats.some(other => sameInstance(other, seat))));
-	const asked = rosters.slice(1).filter(known => lost.some(group => group.every(seat => known.unsettled.some(other => sameInstance(other, seat)))));
+	const lost = holders.earlier.filter(group => !group.some(seat => includesInstance(seats, seat)));
+	const asked = rosters.slice(1).filter(known => lost.some(group => isAsked(known, group)));
 	return asked.length === 0 ? undefined : Math.max(...asked.map(known => remaining(known)));
 }
--- a/packages/routing/src/claim.ts
+++ b/packages/routing/src/claim.ts
@@ -5,7 +5,7 @@
  */
 import {type Failure} from '@dogwooddeck/model/failure';
 import {
-	type InstanceIdentity, type LogIndex, type Milliseconds, type ServiceName, type ZoneName,
+	type InstanceIdentity, type LogIndex, type Milliseconds, sameInstance, type ServiceName, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
 import {type Outcome} from '@dogwooddeck/model/outcome';
 
@@ -137,7 +137,7 @@
 
 /** Whether two tokens name the same claim. */
 export function sameToken(one: ClaimToken, other: ClaimToken): boolean {
-	return one.sequence === other.sequence && one.claimant.name === other.claimant.name && one.claimant.incarnation === other.claimant.incarnation;
+	return one.sequence === other.sequence && sameInstance(one.claimant, other.claimant);
 }
 
 /** The text that names an operation; different operations have different texts. */
--- a/packages/routing/src/claimant.ts
+++ b/packages/routing/src/claimant.ts
@@ -5,7 +5,7 @@
  */
 import {failure, FailureKind} from '@dogwooddeck/model/failure';
 import {
-	type InstanceIdentity, type LogIndex, type Milliseconds, sameInstance,
+	includesInstance, type InstanceIdentity, type LogIndex, type Milliseconds, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
@@ -68,14 +68,10 @@
 
 type Step = Transition<ClaimantState, ClaimantEffect>;
 
-function isIn(seats: readonly InstanceIdentity[], seat: InstanceIdentity): boolean {
-	return seats.some(other => sameInstance(other, seat));
-}
-
 function requestTo(input: ClaimInput, holder: InstanceIdentity): ClaimRequest {
 	return {
 		kind: 'claim-request',
-		purpose: isIn(input.holders.current, holder) ? ClaimPurpose.hold : ClaimPurpose.check,
+		purpose: includesInstance(input.holders.current, holder) ? ClaimPurpose.hold : ClaimPurpose.check,
 		operation: input.operation,
 		fingerprint: input.fingerprint,
 		token: input.token,
@@ -93,8 +89,8 @@
 
 /** Whether enough have confirmed, or still can: all of the current holders and one of each earlier group. */
 function suffices(holders: ClaimHolders, seats: readonly InstanceIdentity[]): boolean {
-	return holders.current.every(seat => isIn(seats, seat))
-		&& holders.earlier.every(group => group.some(seat => isIn(seats, seat)));
+	return holders.current.every(seat => includesInstance(seats, seat))
+		&& holders.earlier.every(group => group.some(seat => includesInstance(seats, seat)));
 }
 
 function tellAll(state: ClaimantState, outcome: Outcome, answer?: StoredAnswer): ClaimantEffect[] {
@@ -179,7 +175,7 @@
 
 function whenAnswered(event: Extract<ClaimantEvent, {kind: 'answered'}>, state: ClaimantState): Step {
 	const {answer} = event;
-	if (state.phase !== ClaimPhase.asking || !sameToken(answer.token, state.token) || !isIn(state.waitingFor, answer.holder)) {
+	if (state.phase !== ClaimPhase.asking || !sameToken(answer.token, state.token) || !includesInstance(state.waitingFor, answer.holder)) {
 		return {state, effects: []};
 	}
 
