--- /dev/null
+++ b/packages/control-node/src/control-node.ts
@@ -0,0 +1,246 @@
+/**
+ * A control instance: a voter or a standby of the replicated log, and what
+ * upstreams, operators and entries ask of it. What only the leader can answer
+ * is passed on to it.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {pause} from '@dogwooddeck/clock/pause';
+import {Role} from '@dogwooddeck/consensus/machine';
+import {type VoterIdentity} from '@dogwooddeck/consensus/message';
+import {type Announcement} from '@dogwooddeck/directory/announcement';
+import {type ItemChange, type Items} from '@dogwooddeck/directory/item';
+import {directoryMachine} from '@dogwooddeck/directory/state';
+import {type AnnouncementAnswer, type MeshCall, type MeshCalls} from '@dogwooddeck/mesh/calls';
+import {createMeshClients} from '@dogwooddeck/mesh/client';
+import {startMeshServer, type MeshHandlers} from '@dogwooddeck/mesh/server';
+import {
+	failure, FailureError, FailureKind, type Failure,
+} from '@dogwooddeck/model/failure';
+import {type LogIndex, type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {createStateHolder} from '@dogwooddeck/replica/state-holder';
+import {nextVoterSet, type VoterSighting} from '@dogwooddeck/replica/succession';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {err, ok, type Result} from 'true-myth/result';
+import {type DirectoryVoter, startDirectoryVoter} from './directory-voter.js';
+import {createFollowers} from './followers.js';
+import {createLeaderDesk} from './leader-desk.js';
+import {type ControlSettings} from './settings.js';
+
+/** A control instance that runs. */
+export type ControlNode = {
+	/** An upstream announced itself. */
+	readonly announce: (announcement: Announcement) => Promise<Result<AnnouncementAnswer, Failure>>;
+	/** An upstream says that it is gone. */
+	readonly depart: (life: MeshCalls['depart']['request']['life']) => Promise<Result<unknown, Failure>>;
+	/** An operator changes items. */
+	readonly declare: (changes: readonly ItemChange[]) => Promise<Result<{readonly index: LogIndex}, Failure>>;
+	/** The newest items, confirmed by a majority. */
+	readonly readItems: () => Promise<Result<Items, Failure>>;
+	/** The settings name further control instances. */
+	readonly askAlso: (addresses: readonly string[]) => void;
+	/** Passes leadership on and ends. */
+	readonly stop: () => Promise<void>;
+};
+
+/** What the node tells and needs beside its settings. */
+export type ControlNodeParts = {
+	readonly settings: ControlSettings;
+	readonly log: Log;
+	/** The durable state can't be written: the process has to end. */
+	readonly failed: (failure: Failure) => void;
+};
+
+/** A call of an upstream or operator is answered within a second; passing it on must fail before. */
+const forwardMilliseconds: Milliseconds = 800;
+const sightMilliseconds: Milliseconds = 300;
+const sightTimeoutMilliseconds: Milliseconds = 700;
+/** A leader that was not heard for this long may have been replaced. */
+const leaderSilentMilliseconds: Milliseconds = 500;
+const handOverMilliseconds: Milliseconds = 400;
+/** How long a change of the directory may take to reach this instance after the leader confirmed it. */
+const catchUpMilliseconds: Milliseconds = 700;
+const catchUpStepMilliseconds: Milliseconds = 5;
+
+const nobodyLeads = failure(FailureKind.noQuorum, 'no leader is known at this moment');
+
+/** Starts a control instance. Throws a `FailureError` where its folder or address can't be used. */
+export async function startControlNode({settings, log, failed}: ControlNodeParts): Promise<ControlNode> {
+	const clients = createMeshClients();
+	const holder = createStateHolder(directoryMachine);
+	const sightings = new Map<string, VoterSighting>();
+	/** The voter starts after the server through which the others reach it. */
+	const own: {voter?: DirectoryVoter} = {};
+	let isChangingVoters = false;
+	let {seeds} = settings;
+	const desk = createLeaderDesk({
+		holder, voter: () => own.voter!, terms: {holdMilliseconds: settings.holdMilliseconds, clockDrift: settings.clockDrift}, log,
+	});
+
+	const roleHandlers: Readonly<Record<Role, () => void>> = {
+		[Role.leader]() {
+			sightings.clear();
+			for (const member of own.voter?.voterSet().voters ?? []) {
+				sightings.set(`${member.name} ${member.folder}`, {voter: member, heardAt: monotonicNow()});
+			}
+
+			desk.begin();
+		},
+		[Role.follower]: desk.end,
+		[Role.candidate]: desk.end,
+		[Role.learner]: desk.end,
+	};
+
+	function leaderAddress(): string | undefined {
+		return own.voter?.leader();
+	}
+
+	async function changeVoters(leading: DirectoryVoter): Promise<void> {
+		const voterSet = nextVoterSet({
+			now: monotonicNow(), self: leading.identity, voterSet: leading.voterSet(), sightings: [...sightings.values()], wantedVoters: (2 * settings.toleratedLosses) + 1,
+		});
+		if (voterSet === undefined || isChangingVoters) {
+			return;
+		}
+
+		isChangingVoters = true;
+		const changed = await leading.changeVoters(voterSet);
+		isChangingVoters = false;
+		log.event(EventName.votersChanged, {
+			voters: voterSet.voters.map(({name}) => name).join(','), learners: voterSet.learners.map(({name}) => name).join(','), outcome: changed.isOk ? 'taken' : changed.error.kind, detail: changed.isOk ? undefined : changed.error.detail,
+		});
+	}
+
+	function noteSighting(seen: VoterIdentity): void {
+		sightings.set(`${seen.name} ${seen.folder}`, {voter: seen, heardAt: monotonicNow()});
+		if (own.voter?.isLeader() === true) {
+			void changeVoters(own.voter);
+		}
+	}
+
+	async function toLeader<Call extends MeshCall>(call: Call, request: MeshCalls[Call]['request'], local: () => Promise<Result<MeshCalls[Call]['answer'], Failure>>): Promise<Result<MeshCalls[Call]['answer'], Failure>> {
+		if (own.voter?.isLeader() === true) {
+			return local();
+		}
+
+		const leader = leaderAddress();
+		return leader === undefined ? err(nobodyLeads) : clients.call(leader, call, request, forwardMilliseconds);
+	}
+
+	async function onlyLeading<Answer>(local: () => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> {
+		return own.voter?.isLeader() === true ? local() : err(failure(FailureKind.notLeader, 'this instance does not lead'));
+	}
+
+	const handlers: MeshHandlers = {
+		async deliver(envelope) {
+			return (own.voter?.receive(envelope) ?? err(failure(FailureKind.notReady, 'the voter has not started'))).map(() => ({}));
+		},
+		async sight({voter: seen}) {
+			noteSighting(seen);
+			const leader = leaderAddress();
+			return ok({members: own.voter?.members() ?? [], ...(leader === undefined ? {} : {leader})});
+		},
+		announce: async announcement => onlyLeading(async () => desk.announce(announcement)),
+		depart: async request => onlyLeading(async () => desk.depart(request)),
+		declare: async request => onlyLeading(async () => desk.declare(request)),
+		confirm: async () => onlyLeading(desk.confirm),
+		async reportLoad(report) {
+			desk.reportLoad(report);
+			return ok({});
+		},
+	};
+
+	const followers = createFollowers(holder, () => {
+		const leader = leaderAddress();
+		const now = monotonicNow();
+		const leads = own.voter?.isLeader() === true;
+		const fresh = leads ? own.voter?.quorumHeardAt(now) !== undefined : leader !== undefined && now - (own.voter?.leaderHeardAt() ?? -Infinity) < leaderSilentMilliseconds;
+		return {fresh, members: own.voter?.members() ?? [], ...(leader === undefined ? {} : {leader})};
+	});
+	const server = await startMeshServer(settings.address, handlers, followers.add);
+	if (server.isErr) {
+		throw new FailureError(server.error);
+	}
+
+	const running = await startDirectoryVoter({
+		settings,
+		holder,
+		clients,
+		log,
+		roleChanged(role) {
+			roleHandlers[role]();
+		},
+		failed,
+	});
+	own.voter = running;
+
+	async function showItself(): Promise<void> {
+		if (running.isLeader()) {
+			noteSighting(running.identity);
+			return;
+		}
+
+		const leader = leaderAddress();
+		const others = [...new Set([...seeds, ...running.members()])].filter(address => address !== settings.address);
+		const asked = leader === undefined ? others : [leader];
+		const answers = await Promise.all(asked.map(async address => clients.call(address, 'sight', {voter: running.identity}, sightTimeoutMilliseconds)));
+		const told = answers.flatMap(answer => answer.isOk && answer.value.leader !== undefined ? [answer.value.leader] : []);
+		const unasked = told.filter(address => !asked.includes(address) && address !== settings.address);
+		await Promise.all([...new Set(unasked)].map(async address => clients.call(address, 'sight', {voter: running.identity}, sightTimeoutMilliseconds)));
+	}
+
+	const showing = setInterval(() => {
+		void showItself();
+	}, sightMilliseconds);
+
+	async function waitForApplied(index: LogIndex): Promise<Result<undefined, Failure>> {
+		const until = monotonicNow() + catchUpMilliseconds;
+		while (holder.state().applied < index) {
+			if (monotonicNow() > until) {
+				return err(failure(FailureKind.notReady, 'this instance has not caught up yet'));
+			}
+
+			await pause(catchUpStepMilliseconds);
+		}
+
+		return ok(undefined);
+	}
+
+	async function waitForHandOver(): Promise<void> {
+		const until = monotonicNow() + handOverMilliseconds;
+		running.handOver();
+		while (running.isLeader() && monotonicNow() < until) {
+			await pause(catchUpStepMilliseconds);
+		}
+	}
+
+	return {
+		announce: async announcement => toLeader('announce', announcement, async () => desk.announce(announcement)),
+		depart: async life => toLeader('depart', {life}, async () => desk.depart({life})),
+		declare: async changes => toLeader('declare', {changes}, async () => desk.declare({changes})),
+		async readItems() {
+			const confirmed = await toLeader('confirm', {}, desk.confirm);
+			if (confirmed.isErr) {
+				return err(confirmed.error);
+			}
+
+			const caughtUp = await waitForApplied(confirmed.value.index);
+			return caughtUp.map(() => holder.state().items);
+		},
+		askAlso(addresses) {
+			seeds = [...new Set([...seeds, ...addresses])];
+		},
+		async stop() {
+			clearInterval(showing);
+			if (running.isLeader()) {
+				await waitForHandOver();
+			}
+
+			desk.end();
+			followers.stop();
+			await running.stop();
+			server.value.close();
+			clients.close();
+		},
+	};
+}
--- /dev/null
+++ b/packages/control-node/src/directory-voter.ts
@@ -0,0 +1,102 @@
+/**
+ * This instance's voter: its data folder, its way to the other voters, and its
+ * being seen by the leader, which decides who votes.
+ */
+import {foundCluster} from '@dogwooddeck/consensus/founding';
+import {type Role, type SavedState} from '@dogwooddeck/consensus/machine';
+import {type VoterIdentity} from '@dogwooddeck/consensus/message';
+import {membersOf} from '@dogwooddeck/consensus/voter-set';
+import {type DirectoryAccepted, type DirectoryState} from '@dogwooddeck/directory/state';
+import {type MeshClients} from '@dogwooddeck/mesh/client';
+import {FailureError, type Failure} from '@dogwooddeck/model/failure';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {type StateHolder} from '@dogwooddeck/replica/state-holder';
+import {startVoter, type VoterRunner} from '@dogwooddeck/replica/voter-runner';
+import {FolderLocking, openFolder, type OpenFolder} from '@dogwooddeck/storage/folder';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {type ControlSettings} from './settings.js';
+
+/** The directory of this process. */
+export type DirectoryHolder = StateHolder<DirectoryState, DirectoryAccepted>;
+
+/** The voter whose log drives the directory. */
+export type DirectoryVoter = VoterRunner<DirectoryAccepted> & {
+	readonly identity: VoterIdentity;
+	/** The addresses of all control instances that are known, this one among them. */
+	readonly members: () => readonly string[];
+};
+
+/** What the voter works with. */
+export type VoterParts = {
+	readonly settings: ControlSettings;
+	readonly holder: DirectoryHolder;
+	readonly clients: MeshClients;
+	readonly log: Log;
+	readonly roleChanged: (role: Role) => void;
+	/** The durable state can't be written: the process has to end. */
+	readonly failed: (failure: Failure) => void;
+};
+
+/** Above a round between regions (60 ms) with room for a slow turn of the loop. */
+const electionMilliseconds: Milliseconds = 700;
+const heartbeatMilliseconds: Milliseconds = 100;
+
+/** A message that took longer is of no use: the sender has sent another. */
+const deliverMilliseconds: Milliseconds = 1000;
+const entriesBeforeSnapshot = 1000;
+const seeds = 2 ** 31;
+
+function seedOf(text: string): number {
+	return [...text].reduce((sum, character) => ((sum * 31) + character.codePointAt(0)!) % seeds, Date.now() % seeds);
+}
+
+async function savedState({settings}: VoterParts, folder: OpenFolder, isFounder: boolean): Promise<SavedState> {
+	if (!folder.fresh || !isFounder) {
+		return folder.saved;
+	}
+
+	const founded = foundCluster(settings.seeds);
+	const persisted = await folder.storage.persist({hardState: founded.hardState, entries: founded.entries});
+	if (persisted.isErr) {
+		throw new FailureError(persisted.error);
+	}
+
+	return founded;
+}
+
+/** Opens the data folder and starts the voter. Throws a `FailureError` where the folder can't be read. */
+export async function startDirectoryVoter(parts: VoterParts): Promise<DirectoryVoter> {
+	const {settings, holder, clients, log} = parts;
+	const isFounder = settings.founding && settings.seeds.includes(settings.address);
+	const opened = await openFolder(settings.dataFolder, {found: isFounder, locking: FolderLocking.byOthers});
+	if (opened.isErr) {
+		throw new FailureError(opened.error);
+	}
+
+	const folder = opened.value;
+	const saved = await savedState(parts, folder, isFounder);
+	if (saved.snapshot !== undefined) {
+		holder.restore(saved.snapshot.index, saved.snapshot.data);
+	}
+
+	const identity = {name: settings.address, folder: folder.folderIdentity};
+	const voter = startVoter({
+		options: {
+			self: identity, electionMilliseconds, heartbeatMilliseconds, entriesBeforeSnapshot, seed: seedOf(settings.address),
+		},
+		saved,
+		storage: folder.storage,
+		holder,
+		log,
+		send(envelope) {
+			void clients.call(envelope.to.name, 'deliver', envelope, deliverMilliseconds);
+		},
+		roleChanged: parts.roleChanged,
+		failed: parts.failed,
+	});
+	return {
+		...voter,
+		identity,
+		members: () => [...new Set([...membersOf(voter.voterSet()).map(({name}) => name), settings.address])],
+	};
+}
--- /dev/null
+++ b/packages/control-node/src/leader-desk.ts
@@ -0,0 +1,266 @@
+/**
+ * What the leader does: records announcements, answers them with the keys that
+ * their senders are to hold, takes declarations, and plans who holds what.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type Announcement, recordAnnouncement} from '@dogwooddeck/directory/announcement';
+import {standing} from '@dogwooddeck/directory/item';
+import {type DirectoryCommand, type DirectoryState} from '@dogwooddeck/directory/state';
+import {isReplaced, UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
+import {
+	beginGranting, type GrantingState, type GrantingTerms, noteAnswered, noteHeard, rowsOf, vacatedByAnnouncement, vacatedByTime,
+} from '@dogwooddeck/key-lease/granting';
+import {type Candidate, planKeys} from '@dogwooddeck/key-lease/planning';
+import {
+	type KeyRange, type Life, lifeText, sameLife, unheldRanges,
+} from '@dogwooddeck/key-lease/range';
+import {type AnnouncementAnswer, type LoadReport, type MeshCalls} from '@dogwooddeck/mesh/calls';
+import {type Failure} from '@dogwooddeck/model/failure';
+import {type LogIndex, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {err, ok, type Result} from 'true-myth/result';
+import {type DirectoryHolder, type DirectoryVoter} from './directory-voter.js';
+import {LoadCounts} from './load-counts.js';
+
+/** The calls that the leader alone answers. */
+export type LeaderDesk = {
+	readonly announce: (announcement: Announcement) => Promise<Result<AnnouncementAnswer, Failure>>;
+	readonly depart: (request: MeshCalls['depart']['request']) => Promise<Result<Record<string, never>, Failure>>;
+	readonly declare: (request: MeshCalls['declare']['request']) => Promise<Result<{readonly index: LogIndex}, Failure>>;
+	readonly confirm: () => Promise<Result<{readonly index: LogIndex}, Failure>>;
+	readonly reportLoad: (report: LoadReport) => void;
+	/** This instance begins to lead, or ends. */
+	readonly begin: () => void;
+	readonly end: () => void;
+};
+
+/** What the desk works with. */
+export type DeskParts = {
+	readonly holder: DirectoryHolder;
+	readonly voter: () => DirectoryVoter;
+	readonly terms: GrantingTerms;
+	readonly log: Log;
+};
+
+const planMilliseconds: Milliseconds = 250;
+
+/** Keys are given out for the first time once no upstream has joined for this long. */
+const gatheringMilliseconds: Milliseconds = 1500;
+
+/** An upstream that was not heard for this long gets no more keys: two announcements and a little. */
+const silentMilliseconds: Milliseconds = 2200;
+
+/** An upstream that was not heard for this long is forgotten: longer than partitions that it may serve through. */
+const forgottenMilliseconds: Milliseconds = 20_000;
+
+/** Makes the desk. */
+export function createLeaderDesk({holder, voter, terms, log}: DeskParts): LeaderDesk {
+	let granting: GrantingState = beginGranting(monotonicNow());
+	let loads = new LoadCounts();
+	let planning: NodeJS.Timeout | undefined;
+	let isProposing = false;
+	/** Keys are being taken from holders whose time is over: none of them may be renewed until it is known whether they were. */
+	let expiring: Promise<unknown> | undefined;
+	let joinedAt: MonotonicTime = -Infinity;
+
+	async function propose(commands: readonly DirectoryCommand[]): Promise<Result<LogIndex, Failure>> {
+		const committed = await voter().propose(JSON.stringify(commands));
+		return committed.andThen(({index, answers}) => answers.find(answer => answer.isErr)?.map(() => index) ?? ok(index));
+	}
+
+	function rangesOf(service: string): readonly KeyRange[] {
+		return holder.state().keys[service] ?? unheldRanges;
+	}
+
+	function isKeyed(service: string): boolean {
+		return holder.state().items.service[service]?.value?.keyed ?? false;
+	}
+
+	function evidenceOf({upstream, keys}: Announcement): readonly DirectoryCommand[] {
+		const rows = vacatedByAnnouncement(granting, rangesOf(upstream.service), keys);
+		return rows.length === 0 ? [] : [{kind: 'keysVacated', service: upstream.service, rows}];
+	}
+
+	function answerKeys({upstream, keys}: Announcement, receivedAt: MonotonicTime): AnnouncementAnswer {
+		const {holdMilliseconds} = terms;
+		if (!isKeyed(upstream.service)) {
+			return {holdMilliseconds};
+		}
+
+		const holds = rowsOf(rangesOf(upstream.service), upstream);
+		granting = noteAnswered(granting, {
+			life: {id: upstream.id, born: upstream.born}, sequence: keys.sequence, receivedAt, index: holder.state().applied,
+		}, terms);
+		const untold = holds.filter(({told}) => !told);
+		if (untold.length > 0) {
+			void propose([{kind: 'keysTold', service: upstream.service, rows: untold.map(({from, to}) => ({from, to, holder: keys.life}))}]);
+		}
+
+		return {holds, holdMilliseconds};
+	}
+
+	async function waitForExpiry(): Promise<Result<unknown, Failure>> {
+		if (expiring === undefined) {
+			return ok(undefined);
+		}
+
+		await expiring;
+		const confirmed = await voter().read();
+		return confirmed.isErr ? confirmed : waitForExpiry();
+	}
+
+	async function announce(announcement: Announcement): Promise<Result<AnnouncementAnswer, Failure>> {
+		const receivedAt = monotonicNow();
+		const {upstream} = announcement;
+		const recorded = recordAnnouncement(holder.state(), announcement);
+		if (recorded.isErr) {
+			return err(recorded.error);
+		}
+
+		if (recorded.value.length > 0 && holder.state().upstreams[upstream.id]?.born !== upstream.born) {
+			joinedAt = receivedAt;
+		}
+
+		granting = noteHeard(granting, announcement.keys.life, receivedAt, terms);
+		const commands = [...recorded.value, ...evidenceOf(announcement)];
+		const confirmed = commands.length === 0 ? await voter().read() : await propose(commands);
+		if (confirmed.isErr) {
+			return err(confirmed.error);
+		}
+
+		if (commands.length > 0) {
+			log.event(EventName.upstreamAnnounced, {
+				upstream: upstream.id, born: upstream.born, service: upstream.service, address: upstream.address, zone: upstream.zone, state: upstream.state, sequence: announcement.keys.sequence, commands: commands.map(({kind}) => kind).join(','), index: confirmed.value,
+			});
+			plan();
+		}
+
+		const settled = await waitForExpiry();
+		return settled.map(() => answerKeys(announcement, receivedAt));
+	}
+
+	function addressOf(state: DirectoryState, life: Life): string | undefined {
+		const known = state.upstreams[life.id];
+		return sameLife(known, life) ? known!.address : state.formerAddresses[lifeText(life)];
+	}
+
+	function heardAt(life: Life): MonotonicTime {
+		return granting.sightings[lifeText(life)]?.heardAt ?? granting.electedAt;
+	}
+
+	function candidatesOf(upstreams: readonly UpstreamRecord[], now: MonotonicTime): readonly Candidate[] {
+		const heard = (upstream: UpstreamRecord) => now - heardAt(upstream) <= silentMilliseconds && granting.sightings[lifeText(upstream)] !== undefined;
+		const ready = upstreams.filter(upstream => upstream.state === UpstreamState.ready && heard(upstream));
+		const isWarm = ready.some(({cold}) => !cold);
+		return upstreams.map(upstream => ({
+			life: {id: upstream.id, born: upstream.born},
+			weight: upstream.slots,
+			accepting: ready.includes(upstream) && (!isWarm || !upstream.cold),
+			leaving: upstream.state === UpstreamState.draining,
+		}));
+	}
+
+	function planService(service: string, state: DirectoryState, now: MonotonicTime): readonly DirectoryCommand[] {
+		const ranges = rangesOf(service);
+		const isOver = (life: Life) => isReplaced(state.upstreams, life, addressOf(state, life));
+		const vacated = vacatedByTime(granting, ranges, isOver, {now, terms});
+		if (vacated.length > 0) {
+			return [{kind: 'keysVacated', service, rows: vacated}];
+		}
+
+		const upstreams = Object.values(state.upstreams).filter(upstream => upstream.service === service);
+		const isFirst = ranges.every(({fence}) => fence === 0);
+		if (isFirst && now - joinedAt < gatheringMilliseconds) {
+			return [];
+		}
+
+		const {granted, recalled} = planKeys({ranges, candidates: candidatesOf(upstreams, now), loads: loads.rates(service, now)});
+		return [
+			...(granted.length === 0 ? [] : [{kind: 'keysGranted', service, rows: granted} as const]),
+			...(recalled.length === 0 ? [] : [{kind: 'keysRecalled', service, rows: recalled} as const]),
+		];
+	}
+
+	function forgotten(state: DirectoryState, now: MonotonicTime): readonly DirectoryCommand[] {
+		return Object.values(state.upstreams)
+			.filter(upstream => now - heardAt(upstream) > forgottenMilliseconds)
+			.map(({id, born}) => ({kind: 'upstreamRemoved', life: {id, born}}));
+	}
+
+	function describe(command: DirectoryCommand): string {
+		return 'rows' in command ? command.rows.map(({from, to, holder: life}) => `${from}-${to}:${life.id}`).join(',').slice(0, 400) : command.kind;
+	}
+
+	async function proposePlan(commands: readonly DirectoryCommand[]): Promise<void> {
+		isProposing = true;
+		const proposing = propose(commands);
+		expiring = commands.some(({kind}) => kind === 'keysVacated') ? proposing : undefined;
+		const proposed = await proposing;
+		expiring = undefined;
+		isProposing = false;
+		for (const command of commands) {
+			log.event(EventName.keysPlanned, {command: command.kind, rows: describe(command), index: proposed.unwrapOr(0)});
+		}
+
+		if (proposed.isOk) {
+			plan();
+		}
+	}
+
+	function plan(): void {
+		if (isProposing || planning === undefined || voter().quorumHeardAt(monotonicNow()) === undefined) {
+			return;
+		}
+
+		const now = monotonicNow();
+		const state = holder.state();
+		const keyed = standing(state.items.service).filter(([, {keyed: isDivided}]) => isDivided);
+		const commands = [...forgotten(state, now), ...keyed.flatMap(([service]) => planService(service, state, now))];
+		if (commands.length > 0) {
+			void proposePlan(commands);
+		}
+	}
+
+	return {
+		announce,
+		async depart({life}) {
+			const known = holder.state().upstreams[life.id];
+			if (known === undefined || (life.born !== undefined && life.born !== known.born)) {
+				const confirmed = await voter().read();
+				return confirmed.map(() => ({}));
+			}
+
+			const proposed = await propose([{kind: 'upstreamDeparted', life: {id: known.id, born: known.born}}]);
+			log.event(EventName.upstreamLeft, {
+				upstream: known.id, born: known.born, service: known.service, index: proposed.unwrapOr(0),
+			});
+			return proposed.map(() => ({}));
+		},
+		async declare({changes}) {
+			const proposed = await propose([{kind: 'itemsChanged', changes}]);
+			log.event(EventName.itemsDeclared, {
+				items: changes.length, first: changes[0]?.name, version: changes[0]?.item.version, index: proposed.unwrapOr(0), outcome: proposed.isOk ? 'taken' : proposed.error.kind, detail: proposed.isOk ? undefined : proposed.error.detail,
+			});
+			return proposed.map(index => ({index}));
+		},
+		async confirm() {
+			const index = await voter().read();
+			return index.map(confirmed => ({index: confirmed}));
+		},
+		reportLoad(report) {
+			loads.add(report, monotonicNow());
+		},
+		begin() {
+			granting = beginGranting(monotonicNow());
+			loads = new LoadCounts();
+			joinedAt = monotonicNow();
+			clearInterval(planning);
+			planning = setInterval(plan, planMilliseconds);
+		},
+		end() {
+			clearInterval(planning);
+			planning = undefined;
+		},
+	};
+}
--- a/packages/daemon/src/control-runner.ts
+++ b/packages/daemon/src/control-runner.ts
@@ -11,13 +11,13 @@
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {err, type Result} from 'true-myth/result';
+import {firstAnswer, type ControlVoter} from './control-voter.js';
 import {type ControlHolder} from './control-holder.js';
 import {createTakeVoter, type TakeVoter} from './joining-voters.js';
 import {createKnownLeader, type KnownLeader} from './known-leader.js';
 import {type LeaderPart, startLeaderPart} from './leader-part.js';
 import {type InstanceSettings} from './settings.js';
 import {createStewardNotices, type StewardNotices} from './steward-notices.js';
-import {firstAnswer, type VoterRunner} from './voter-runner.js';
 import {type CallLeader, createCallLeader, type LeaderHandlers} from './way-to-leader.js';
 
 /** This process's part in control. */
@@ -44,10 +44,10 @@
 	readonly clients: PeerClients;
 	readonly log: Log;
 	/** Absent on instances that don't vote. */
-	readonly voter: () => VoterRunner | undefined;
+	readonly voter: () => ControlVoter | undefined;
 };
 
-function createTakeProposal(voter: () => VoterRunner | undefined, known: KnownLeader): LeaderHandlers['propose'] {
+function createTakeProposal(voter: () => ControlVoter | undefined, known: KnownLeader): LeaderHandlers['propose'] {
 	return async payload => {
 		const leading = voter();
 		if (!leading?.isLeader()) {
--- a/packages/daemon/src/instance-status.ts
+++ b/packages/daemon/src/instance-status.ts
@@ -7,10 +7,10 @@
 import {type HealthSurface, type Readiness} from '@dogwooddeck/front/surface';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
 import {type Measures, MeasureName} from '@dogwooddeck/telemetry/measure';
+import {type ControlVoter} from './control-voter.js';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
 import {type MemberReport} from './operator-surface.js';
-import {type VoterRunner} from './voter-runner.js';
 import {type ZoneRunner} from './zone-runner.js';
 
 /** The parts that are told of. */
@@ -20,7 +20,7 @@
 	readonly control: ControlRunner;
 	readonly zone: ZoneRunner;
 	/** Absent on instances that don't vote. */
-	readonly voter: () => VoterRunner | undefined;
+	readonly voter: () => ControlVoter | undefined;
 	readonly isStopping: () => boolean;
 	readonly measures: Measures;
 };
--- a/packages/daemon/src/instance.ts
+++ b/packages/daemon/src/instance.ts
@@ -21,6 +21,7 @@
 import {createPeerClients} from '@dogwooddeck/wire/client';
 import {type PeerServer, startPeerServer} from '@dogwooddeck/wire/server';
 import {ok} from 'true-myth/result';
+import {type ControlVoter} from './control-voter.js';
 import {createCallerHandler} from './caller-handler.js';
 import {createAnnouncements} from './announcements.js';
 import {startBurn} from './burn-runner.js';
@@ -39,7 +40,6 @@
 import {createRequestPath} from './request-path.js';
 import {type InstanceSettings, isVoter} from './settings.js';
 import {taken} from './taken.js';
-import {type VoterRunner} from './voter-runner.js';
 import {startZone, type ZoneRunner} from './zone-runner.js';
 
 /** An instance that runs. */
@@ -82,7 +82,7 @@
 	const ownReports = createReportCollector(identity, () => evidence.take(), () => limiter.takeDemands());
 	const zoneReports = createReportCollector(identity, () => [], () => []);
 	const claims = startClaims(identity, holder, clients, textHash);
-	let voter: VoterRunner | undefined;
+	let voter: ControlVoter | undefined;
 	let accepting = true;
 	let stopping = false;
 
--- a/packages/daemon/src/joining-voters.ts
+++ b/packages/daemon/src/joining-voters.ts
@@ -9,8 +9,8 @@
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {err, ok, type Result} from 'true-myth/result';
+import {type ControlVoter} from './control-voter.js';
 import {type KnownLeader} from './known-leader.js';
-import {type VoterRunner} from './voter-runner.js';
 
 /** Takes the next step towards a joining folder's vote. Fails with `notLeader` and `forbidden`, and as the log does. */
 export type TakeVoter = (joining: VoterIdentity) => Promise<Result<undefined, Failure>>;
@@ -19,7 +19,7 @@
 export type JoiningSurroundings = {
 	/** The names that the settings list as voters. */
 	readonly listed: (name: InstanceName) => boolean;
-	readonly voter: () => VoterRunner | undefined;
+	readonly voter: () => ControlVoter | undefined;
 	readonly known: KnownLeader;
 	readonly log: Log;
 };
@@ -51,7 +51,7 @@
 }: JoiningSurroundings): TakeVoter {
 	let changing = false;
 
-	async function change(leading: VoterRunner, joining: VoterIdentity, voterSet: VoterSet): Promise<Result<undefined, Failure>> {
+	async function change(leading: ControlVoter, joining: VoterIdentity, voterSet: VoterSet): Promise<Result<undefined, Failure>> {
 		changing = true;
 		log.event(EventName.voterJoining, {voter: joining.name, folder: joining.folder});
 		const changed = await leading.changeVoters(voterSet);
--- a/packages/daemon/src/known-leader.ts
+++ b/packages/daemon/src/known-leader.ts
@@ -3,7 +3,7 @@
  */
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type InstanceName} from '@dogwooddeck/model/identifiers';
-import {type VoterRunner} from './voter-runner.js';
+import {type ControlVoter} from './control-voter.js';
 
 /** The leader that is known here. */
 export type KnownLeader = {
@@ -15,7 +15,7 @@
 };
 
 /** Knows the leader that the own voter follows, or else the last other one that answered: a voter that leads knows it. */
-export function createKnownLeader(self: InstanceName, voter: () => Pick<VoterRunner, 'leader'> | undefined): KnownLeader {
+export function createKnownLeader(self: InstanceName, voter: () => Pick<ControlVoter, 'leader'> | undefined): KnownLeader {
 	let last: InstanceName | undefined;
 
 	function leader(): InstanceName | undefined {
--- a/packages/daemon/src/leader-part.ts
+++ b/packages/daemon/src/leader-part.ts
@@ -18,12 +18,13 @@
 import {type SlotHash} from '@dogwooddeck/placement/hash';
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
-import {type CatchUp, type WithCatchUp} from '@dogwooddeck/wire/methods';
+import {type CatchUp} from '@dogwooddeck/model/catch-up';
+import {type WithCatchUp} from '@dogwooddeck/wire/methods';
 import {err, type Result} from 'true-myth/result';
+import {type ControlCommitted, type ControlVoter} from './control-voter.js';
 import {type ControlHolder} from './control-holder.js';
 import {type KnownLeader} from './known-leader.js';
 import {checkDelegation, checkLife} from './peer-check.js';
-import {type Committed, type VoterRunner} from './voter-runner.js';
 
 /** The leader's part of this process. */
 export type LeaderPart = {
@@ -44,14 +45,14 @@
 	readonly holder: ControlHolder;
 	readonly known: KnownLeader;
 	readonly log: Log;
-	readonly voter: () => VoterRunner | undefined;
+	readonly voter: () => ControlVoter | undefined;
 };
 
 const tickMilliseconds: Milliseconds = 50;
 /** The pause after a refused proposal. */
 const refusedMilliseconds: Milliseconds = 50;
 
-function refusalsOf(proposed: Result<Committed, Failure>): readonly Failure[] {
+function refusalsOf(proposed: Result<ControlCommitted, Failure>): readonly Failure[] {
 	const results = proposed.isOk ? proposed.value.answers : [proposed];
 	return results.flatMap(result => result.isErr ? [result.error] : []);
 }
@@ -108,7 +109,7 @@
 		step({kind: 'ticked', now: monotonicNow(), control: holder.state()});
 	}
 
-	async function begin(elected: VoterRunner): Promise<void> {
+	async function begin(elected: ControlVoter): Promise<void> {
 		const read = await elected.read();
 		if (read.isOk && elected.isLeader() && leading === undefined) {
 			leading = createLeader(monotonicNow(), holder.state(), terms, hash);
--- a/packages/daemon/src/own-voter.ts
+++ b/packages/daemon/src/own-voter.ts
@@ -9,11 +9,12 @@
 import {openFolder} from '@dogwooddeck/storage/folder';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {type PeerClients} from '@dogwooddeck/wire/client';
+import {startVoter} from '@dogwooddeck/replica/voter-runner';
+import {type ControlVoter} from './control-voter.js';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
 import {type InstanceSettings} from './settings.js';
 import {taken} from './taken.js';
-import {startVoter, type VoterRunner} from './voter-runner.js';
 
 /** What the voter works with. */
 export type OwnVoterSurroundings = {
@@ -49,7 +50,7 @@
  * `FailureError` where the folder is held by another process, damaged or not
  * to be read.
  */
-export async function startOwnVoter(surroundings: OwnVoterSurroundings): Promise<VoterRunner> {
+export async function startOwnVoter(surroundings: OwnVoterSurroundings): Promise<ControlVoter> {
 	const {settings, self, holder, control, log, failed} = surroundings;
 	const folder = taken(await openFolder(settings.control.dataFolder!));
 	if (folder.saved.snapshot !== undefined) {
--- a/packages/daemon/src/peer-service.ts
+++ b/packages/daemon/src/peer-service.ts
@@ -5,11 +5,11 @@
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type InstanceIdentity, type ZoneName} from '@dogwooddeck/model/identifiers';
 import {err, ok, type Result} from 'true-myth/result';
+import {type ControlVoter} from './control-voter.js';
 import {type ClaimRunner} from './claim-runner.js';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
 import {checkLife, checkZone} from './peer-check.js';
-import {type VoterRunner} from './voter-runner.js';
 import {type ZoneRunner} from './zone-runner.js';
 
 /** Answers what an instance is asked to tell of itself, as JSON. */
@@ -23,7 +23,7 @@
 	readonly control: ControlRunner;
 	readonly zone: () => ZoneRunner;
 	readonly claims: ClaimRunner;
-	readonly voter: () => VoterRunner | undefined;
+	readonly voter: () => ControlVoter | undefined;
 	readonly collectors: Collectors;
 };
 
--- a/packages/daemon/src/planned-stop.ts
+++ b/packages/daemon/src/planned-stop.ts
@@ -11,11 +11,11 @@
 import {type UpstreamClient} from '@dogwooddeck/upstream-client/client';
 import {type PeerClients} from '@dogwooddeck/wire/client';
 import {type PeerServer} from '@dogwooddeck/wire/server';
+import {type ControlVoter} from './control-voter.js';
 import {type BurnRunner} from './burn-runner.js';
 import {type ClaimRunner} from './claim-runner.js';
 import {type ControlRunner} from './control-runner.js';
 import {type InstanceSettings} from './settings.js';
-import {type VoterRunner} from './voter-runner.js';
 import {type ZoneRunner} from './zone-runner.js';
 
 /** The parts of an instance that stops. */
@@ -23,7 +23,7 @@
 	readonly durations: InstanceSettings['stop'];
 	readonly log: Log;
 	/** Absent on an instance that doesn't vote. */
-	readonly voter: Pick<VoterRunner, 'handOver' | 'stop'> | undefined;
+	readonly voter: Pick<ControlVoter, 'handOver' | 'stop'> | undefined;
 	readonly zone: Pick<ZoneRunner, 'leave' | 'isSeated' | 'stop'>;
 	/** The number of seats of the instance's zone. */
 	readonly seats: () => number;
--- a/packages/daemon/src/request-path.ts
+++ b/packages/daemon/src/request-path.ts
@@ -91,6 +91,7 @@
 	[Seen.deadlinePassedAfterFirstByte]: AttemptEnd.timedOut,
 	[Seen.wholeAnswer]: AttemptEnd.answered,
 	[Seen.cutAnswer]: AttemptEnd.failed,
+	[Seen.foreignAnswer]: AttemptEnd.failed,
 	[Seen.unboundedAnswer]: AttemptEnd.failed,
 	[Seen.leaseLost]: AttemptEnd.cancelled,
 	[Seen.unsendable]: AttemptEnd.cancelled,
--- /dev/null
+++ b/packages/directory/src/announcement.ts
@@ -0,0 +1,46 @@
+/**
+ * What an announcement changes in the record of upstreams.
+ */
+import {type HeldKeys} from '@dogwooddeck/key-lease/granting';
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {err, ok, type Result} from 'true-myth/result';
+import {standing} from './item.js';
+import {type DirectoryState, hasDeparted} from './state.js';
+import {type UpstreamCommand, type UpstreamRecord} from './upstream.js';
+
+/** What an upstream says of itself, in a regular call. */
+export type Announcement = {
+	readonly upstream: UpstreamRecord;
+	readonly keys: HeldKeys;
+};
+
+function sameRecord(one: UpstreamRecord, other: UpstreamRecord): boolean {
+	return one.born === other.born && one.service === other.service && one.address === other.address && one.zone === other.zone
+		&& one.slots === other.slots && one.state === other.state && one.cold === other.cold;
+}
+
+/**
+ * The commands that record an announcement; none where nothing changed, or
+ * where its sender has departed and only gives its keys up. Fails
+ * with `notReady` before anything was declared, and with `notFound` where the
+ * service is not declared.
+ */
+export function recordAnnouncement(state: DirectoryState, {upstream}: Announcement): Result<readonly UpstreamCommand[], Failure> {
+	const services = standing(state.items.service);
+	if (services.length === 0) {
+		return err(failure(FailureKind.notReady, 'no service is declared yet'));
+	}
+
+	if (hasDeparted(state, upstream)) {
+		return ok([]);
+	}
+
+	const known = state.upstreams[upstream.id];
+	if (known !== undefined && sameRecord(known, upstream)) {
+		return ok([]);
+	}
+
+	return services.some(([name]) => name === upstream.service)
+		? ok([{kind: 'upstreamAnnounced', upstream}])
+		: err(failure(FailureKind.notFound, `there is no service ${upstream.service}`));
+}
--- /dev/null
+++ b/packages/directory/src/upstream.ts
@@ -0,0 +1,92 @@
+/**
+ * The upstreams that have announced themselves, one record for each life.
+ */
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {type Life, sameLife} from '@dogwooddeck/key-lease/range';
+import {err, ok, type Result} from 'true-myth/result';
+
+/** What an upstream says it is doing. */
+export const UpstreamState = {
+	ready: 'ready',
+	/** It goes on with what it has and takes nothing new. */
+	draining: 'draining',
+} as const;
+
+/** One of the states. */
+export type UpstreamState = (typeof UpstreamState)[keyof typeof UpstreamState];
+
+/** One life of an upstream. */
+export type UpstreamRecord = Life & {
+	readonly service: string;
+	/** `IP:port`. */
+	readonly address: string;
+	readonly zone: string;
+	/** The requests that it processes at a time. */
+	readonly slots: number;
+	readonly state: UpstreamState;
+	/** Whether it was still slow after its start when it was last recorded. */
+	readonly cold: boolean;
+};
+
+/** Upstreams by their id. */
+export type Upstreams = Readonly<Record<string, UpstreamRecord>>;
+
+/** What the leader proposes about upstreams. */
+export type UpstreamCommand =
+	/** A life was announced, or its record changed. */
+	| {readonly kind: 'upstreamAnnounced'; readonly upstream: UpstreamRecord}
+	/** A life says that it is gone. */
+	| {readonly kind: 'upstreamDeparted'; readonly life: Life}
+	/** A life was not heard any more. */
+	| {readonly kind: 'upstreamRemoved'; readonly life: Life};
+
+function superseded(upstreams: Upstreams, {id, born, address, state}: UpstreamRecord): string | undefined {
+	const known = upstreams[id];
+	if (known !== undefined && known.born > born) {
+		return `a later life of ${id} is known`;
+	}
+
+	if (known?.born === born && known.state === UpstreamState.draining && state === UpstreamState.ready) {
+		return `${id} is leaving`;
+	}
+
+	const later = Object.values(upstreams).find(other => other.address === address && other.id !== id && other.born > born);
+	return later === undefined ? undefined : `${later.id} has the address since`;
+}
+
+function announce(upstreams: Upstreams, upstream: UpstreamRecord): Result<Upstreams, Failure> {
+	const problem = superseded(upstreams, upstream);
+	if (problem !== undefined) {
+		return err(failure(FailureKind.superseded, problem));
+	}
+
+	const others = Object.entries(upstreams).filter(([id, {address}]) => id === upstream.id || address !== upstream.address);
+	return ok({...Object.fromEntries(others), [upstream.id]: upstream});
+}
+
+function remove(upstreams: Upstreams, life: Life): Result<Upstreams, Failure> {
+	const {[life.id]: known, ...others} = upstreams;
+	return ok(sameLife(known, life) ? others : upstreams);
+}
+
+const handlers: HandlerTable<UpstreamCommand, [Upstreams], Result<Upstreams, Failure>> = {
+	upstreamAnnounced: ({upstream}, upstreams) => announce(upstreams, upstream),
+	upstreamDeparted: ({life}, upstreams) => remove(upstreams, life),
+	upstreamRemoved: ({life}, upstreams) => remove(upstreams, life),
+};
+
+/** The kinds of commands about upstreams. */
+export const upstreamCommandKinds = new Set<string>(Object.keys(handlers));
+
+/** Takes a command in. Fails with `superseded` where a later life is known. */
+export function applyUpstreamCommand(upstreams: Upstreams, command: UpstreamCommand): Result<Upstreams, Failure> {
+	return dispatch(handlers, command, upstreams);
+}
+
+/** Whether a life is known to have ended because a later one has its name or address. */
+export function isReplaced(upstreams: Upstreams, life: Life, address: string | undefined): boolean {
+	const known = upstreams[life.id];
+	return (known !== undefined && known.born > life.born)
+		|| (address !== undefined && Object.values(upstreams).some(other => other.address === address && other.id !== life.id && other.born > life.born));
+}
--- /dev/null
+++ b/packages/entry/src/attempt.ts
@@ -0,0 +1,138 @@
+/**
+ * One attempt at one upstream: sends the request and gathers the answer. An
+ * answer that is not whole is never told as one.
+ */
+import {Buffer} from 'node:buffer';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {Seen} from '@dogwooddeck/routing/outcome';
+import {
+	Abandoned, type AnswerRules, type AnswerSink, Exchange,
+} from '@dogwooddeck/upstream-client/exchange';
+import {type RawHeaders} from '@dogwooddeck/upstream-client/headers';
+import {type Connection} from './connection.js';
+
+/** A whole answer of an upstream. */
+export type UpstreamAnswer = {readonly status: number; readonly headers: RawHeaders; readonly body: Buffer};
+
+/** How an attempt ended. */
+export type AttemptResult = {
+	readonly seen: Seen;
+	readonly milliseconds: Milliseconds;
+	/** With `wholeAnswer`, unless its parts were passed on as they came. */
+	readonly answer?: UpstreamAnswer;
+	readonly retryAfterMilliseconds?: Milliseconds;
+};
+
+/** Takes an answer that is too long to be gathered. */
+export type LongAnswer = {
+	readonly begin: (status: number, headers: RawHeaders) => void;
+	readonly write: (chunk: Uint8Array) => boolean;
+};
+
+/** What is sent, and who hears of it. */
+export type RequestSpecification = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: RawHeaders;
+	readonly body: Buffer | undefined;
+	readonly timeoutMilliseconds: Milliseconds;
+	readonly rules: Omit<AnswerRules, 'endedInOrder'>;
+	/** Called right before the first byte is handed to a socket. `false`: nothing is sent. */
+	readonly mayStart: () => boolean;
+	readonly onLong: LongAnswer;
+	/** Called once. */
+	readonly onEnd: (result: AttemptResult) => void;
+};
+
+/** An attempt that is under way. */
+export type SentAttempt = {
+	/** The caller is gone: the upstream sees its connection end. */
+	readonly cancel: () => void;
+	/** Goes on after `LongAnswer.write` returned `false`. */
+	readonly resume: () => void;
+};
+
+/** Answers up to this size are gathered before they are passed on, so that a cut one can be asked for again. */
+export const gatheredBytes = 131_072;
+
+/** Gathers an answer; what is longer than `gatheredBytes` is passed on as it comes. */
+class Gathering implements AnswerSink {
+	readonly #specification: RequestSpecification;
+	readonly #startedAt = monotonicNow();
+	readonly #release: (seen: Seen) => void;
+	#status = 0;
+	#headers: RawHeaders = [];
+	#chunks: Uint8Array[] = [];
+	#bytes = 0;
+	#isLong = false;
+
+	constructor(specification: RequestSpecification, release: (seen: Seen) => void) {
+		this.#specification = specification;
+		this.#release = release;
+	}
+
+	beforeFirstByte(): boolean {
+		return this.#specification.mayStart();
+	}
+
+	onHead(status: number, headers: RawHeaders): void {
+		this.#status = status;
+		this.#headers = headers;
+	}
+
+	onChunk(chunk: Uint8Array): boolean {
+		if (this.#isLong) {
+			return this.#specification.onLong.write(chunk);
+		}
+
+		this.#chunks.push(chunk);
+		this.#bytes += chunk.length;
+		return this.#bytes <= gatheredBytes || this.#passOn();
+	}
+
+	onEnd(seen: Seen, retryAfterMilliseconds?: Milliseconds): void {
+		this.#release(seen);
+		const answer = seen === Seen.wholeAnswer && !this.#isLong
+			? {status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks)}
+			: undefined;
+		this.#specification.onEnd({
+			seen,
+			milliseconds: monotonicNow() - this.#startedAt,
+			...(answer === undefined ? {} : {answer}),
+			...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
+		});
+	}
+
+	#passOn(): boolean {
+		this.#isLong = true;
+		const {onLong} = this.#specification;
+		onLong.begin(this.#status, this.#headers);
+		const gathered = this.#chunks;
+		this.#chunks = [];
+		return gathered.map(chunk => onLong.write(chunk)).every(Boolean);
+	}
+}
+
+/** Sends a request on a connection. `release` is called when the request is over. */
+export function sendRequest(connection: Connection, specification: RequestSpecification, release: (seen: Seen) => void): SentAttempt {
+	const rules = {...specification.rules, endedInOrder: () => connection.endedInOrder};
+	const exchange = new Exchange(new Gathering(specification, release), specification.method, rules, specification.timeoutMilliseconds);
+	connection.client.dispatch({
+		path: specification.path,
+		method: specification.method,
+		headers: [...specification.headers],
+		body: specification.body ?? null,
+		idempotent: false,
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	}, exchange);
+	return {
+		cancel() {
+			exchange.abandon(Abandoned.callerGone);
+		},
+		resume() {
+			exchange.resume();
+		},
+	};
+}
--- /dev/null
+++ b/packages/entry/src/caller-exchange.ts
@@ -0,0 +1,161 @@
+/**
+ * One caller's request and the answer to it, on the caller's connection.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {type RawHeaders} from '@dogwooddeck/upstream-client/headers';
+
+const exchangesOfSocket = new WeakMap<Socket, Set<() => void>>();
+
+/** Calls back when a connection closes, until the returned function is called. */
+function watchSocket(socket: Socket, gone: () => void): () => void {
+	let watchers = exchangesOfSocket.get(socket);
+	if (watchers === undefined) {
+		const made = new Set<() => void>();
+		exchangesOfSocket.set(socket, made);
+		socket.once('close', () => {
+			for (const watcher of made) {
+				watcher();
+			}
+		});
+		watchers = made;
+	}
+
+	watchers.add(gone);
+	const known = watchers;
+	return () => {
+		known.delete(gone);
+	};
+}
+
+/** Why a body was not taken. */
+export const BodyProblem = {tooLarge: 'too-large', cut: 'cut'} as const;
+
+/** One of the reasons. */
+export type BodyProblem = (typeof BodyProblem)[keyof typeof BodyProblem];
+
+const bodyless = new Set([204, 304]);
+
+/** The two sides of a caller's connection for one request. */
+export class CallerExchange {
+	readonly #response: ServerResponse;
+	readonly #unwatch: () => void;
+	readonly #keepsConnection: boolean;
+	#isGone = false;
+	#isAnswered = false;
+	#whenGone: (() => void) | undefined;
+
+	/** `keepsConnection`: whether the connection may carry further requests. */
+	constructor(readonly request: IncomingMessage, response: ServerResponse, keepsConnection: boolean) {
+		this.#keepsConnection = keepsConnection;
+		this.#response = response;
+		this.#unwatch = watchSocket(request.socket, () => {
+			this.#isGone = true;
+			this.#whenGone?.();
+		});
+		response.on('error', () => {
+			this.#isGone = true;
+		});
+	}
+
+	/** Whether the caller has closed its connection. */
+	get isGone(): boolean {
+		return this.#isGone;
+	}
+
+	/** Whether an answer was begun. */
+	get isAnswered(): boolean {
+		return this.#isAnswered;
+	}
+
+	/** Called when the caller leaves before the end of its answer. */
+	onGone(callback: () => void): void {
+		this.#whenGone = callback;
+	}
+
+	/** Reads the whole body, up to a size. */
+	readBody(mostBytes: number, done: (body: Buffer | undefined, problem?: BodyProblem) => void): void {
+		const {headers} = this.request;
+		if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
+			done(undefined);
+			return;
+		}
+
+		const chunks: Buffer[] = [];
+		let bytes = 0;
+		let isOver = false;
+		const finish = (body: Buffer | undefined, problem?: BodyProblem) => {
+			if (!isOver) {
+				isOver = true;
+				done(body, problem);
+			}
+		};
+
+		this.request.on('data', (chunk: Buffer) => {
+			bytes += chunk.length;
+			if (bytes > mostBytes) {
+				finish(undefined, BodyProblem.tooLarge);
+			} else {
+				chunks.push(chunk);
+			}
+		});
+		this.request.on('end', () => {
+			finish(Buffer.concat(chunks));
+		});
+		this.request.on('error', () => {
+			finish(undefined, BodyProblem.cut);
+		});
+	}
+
+	/** Answers with a whole body. */
+	answer(status: number, headers: RawHeaders, body: Buffer): void {
+		if (!this.#begin()) {
+			return;
+		}
+
+		const hasLength = headers.some((field, position) => position % 2 === 0 && field.toLowerCase() === 'content-length');
+		const length = hasLength || bodyless.has(status) || this.request.method === 'HEAD' ? [] : ['Content-Length', String(body.length)];
+		this.#response.writeHead(status, [...headers, ...length]);
+		this.#response.end(body);
+		this.#unwatch();
+	}
+
+	/** Begins an answer whose parts follow. */
+	begin(status: number, headers: RawHeaders): void {
+		if (this.#begin()) {
+			this.#response.writeHead(status, [...headers]);
+		}
+	}
+
+	/** Passes a part on. `false`: wait for `onDrain`. */
+	write(chunk: Uint8Array): boolean {
+		return this.#isGone || this.#response.write(chunk);
+	}
+
+	/** Calls back once the caller has read. */
+	onDrain(callback: () => void): void {
+		this.#response.once('drain', callback);
+	}
+
+	/** Ends an answer that was begun. */
+	end(): void {
+		this.#response.end();
+		this.#unwatch();
+	}
+
+	/** Closes the connection in the middle of an answer, so that it can't look whole. */
+	cut(): void {
+		this.request.socket.destroy();
+	}
+
+	#begin(): boolean {
+		if (this.#isAnswered || this.#isGone) {
+			return false;
+		}
+
+		this.#isAnswered = true;
+		this.#response.shouldKeepAlive &&= this.#keepsConnection;
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,141 @@
+/**
+ * An entry instance: takes callers' requests, follows the directory, says
+ * whether it is ready, and stops without cutting requests off.
+ */
+import {createServer, type Server} from 'node:http';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {pause} from '@dogwooddeck/clock/pause';
+import {limitsName} from '@dogwooddeck/directory/item';
+import {createMeshClients} from '@dogwooddeck/mesh/client';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {createMeasures, MeasureName} from '@dogwooddeck/telemetry/measure';
+import {type CallerServer, startCallerServer} from './caller-server.js';
+import {followDirectory} from './directory-follower.js';
+import {startLoadReporter} from './load-reporter.js';
+import {createRequestJournal} from './request-journal.js';
+import {RequestRun, type RequestSurroundings} from './request-run.js';
+import {type KnownService, ServiceTable} from './service-table.js';
+import {type EntrySettings} from './settings.js';
+
+/** An entry instance that runs. */
+export type Entry = {
+	/** The settings name further control instances. */
+	readonly followAlso: (addresses: readonly string[]) => void;
+	/** Stops within the grace time. */
+	readonly stop: () => Promise<void>;
+};
+
+/** Waiting requests are looked at this often beside events: pauses end, and requests give up. */
+const advanceMilliseconds: Milliseconds = 10;
+
+/** After a stop was asked for, kept connections are used on for this long: the balancer asks each second and gives up after two misses. */
+const drainMilliseconds: Milliseconds = 2500;
+const closeIdleMilliseconds: Milliseconds = 100;
+
+/** Kept free at the end of the grace time. */
+const stopMarginMilliseconds: Milliseconds = 700;
+
+function startReadiness({readiness}: EntrySettings, isReady: () => boolean, expose: () => string): Server {
+	const server = createServer((request, response) => {
+		if (request.url === readiness.path) {
+			response.writeHead(isReady() ? 200 : 503, {'content-length': 0});
+			response.end();
+			return;
+		}
+
+		const text = request.url === '/metrics' ? expose() : '';
+		response.writeHead(text === '' ? 404 : 200, {'content-type': 'text/plain'});
+		response.end(text);
+	});
+	server.listen(readiness.port, readiness.host);
+	return server;
+}
+
+/** Starts an entry instance. */
+export async function startEntry(settings: EntrySettings, log: Log, random: () => number): Promise<Entry> {
+	const clients = createMeshClients();
+	const measures = createMeasures();
+	const follower = followDirectory({
+		name: settings.name, seeds: settings.seeds, clients, log,
+	});
+	const table = new ServiceTable(settings, random);
+	const reporter = startLoadReporter(clients, follower.leader);
+	let isStopping = false;
+	let wasReady = false;
+
+	function advance(service: KnownService): void {
+		if (service.line.length > 0) {
+			service.line.advance(monotonicNow());
+		}
+	}
+
+	function advanceAll(): void {
+		for (const service of table.services()) {
+			advance(service);
+		}
+	}
+
+	const hasRoutes = () => table.routes.size > 0;
+	const around: RequestSurroundings = {
+		table,
+		fields: settings.fields,
+		journal: createRequestJournal(log, measures, () => follower.state().applied),
+		isReady: hasRoutes,
+		limits: () => follower.state().items.limits[limitsName]?.value,
+		entryCount: follower.entryCount,
+		countKey: reporter.count,
+		advance,
+		random,
+	};
+	const callers: CallerServer = await startCallerServer(settings.callers, (exchange, path) => {
+		new RequestRun(around, exchange, path).start();
+	}, () => !isStopping);
+
+	function isReady(): boolean {
+		return hasRoutes() && follower.isConfirmed() && !isStopping;
+	}
+
+	function tellReadiness(): void {
+		const ready = isReady();
+		if (ready !== wasReady) {
+			wasReady = ready;
+			log.event(ready ? EventName.instanceReady : EventName.instanceNotReady, {applied: follower.state().applied});
+			measures.set(MeasureName.ready, ready ? 1 : 0);
+		}
+	}
+
+	follower.listen(state => {
+		table.update(state, follower.entryCount());
+		callers.setLimits(around.limits());
+		measures.set(MeasureName.applied, state.applied);
+		tellReadiness();
+		advanceAll();
+	});
+	const advancing = setInterval(advanceAll, advanceMilliseconds);
+	const readiness = startReadiness(settings, isReady, measures.expose);
+
+	return {
+		followAlso: follower.followAlso,
+		async stop() {
+			const until = monotonicNow() + settings.graceMilliseconds - stopMarginMilliseconds;
+			isStopping = true;
+			tellReadiness();
+			await pause(drainMilliseconds);
+			callers.stopListening();
+			while (callers.connections() > 0 && monotonicNow() < until) {
+				callers.closeIdle();
+				await pause(closeIdleMilliseconds);
+			}
+
+			clearInterval(advancing);
+			follower.stop();
+			reporter.stop();
+			callers.closeAll();
+			table.close();
+			clients.close();
+			readiness.close();
+		},
+	};
+}
--- /dev/null
+++ b/packages/entry/src/request-journal.ts
@@ -0,0 +1,72 @@
+/**
+ * Tells what became of requests: counters and latencies for all, a line for
+ * each failure and, as far as the budget of lines goes, for each answer.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {LineBudget} from '@dogwooddeck/telemetry/line-budget';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {MeasureName, type Measures, recordDuration} from '@dogwooddeck/telemetry/measure';
+import {type KnownUpstream} from './service-table.js';
+
+/** Which request a line is about. */
+export type JournalRun = {readonly identifier: string | undefined; readonly arrivedAt: MonotonicTime};
+
+/** What is told of requests. */
+export type RequestJournal = {
+	readonly answered: (told: {readonly run: JournalRun; readonly upstream: KnownUpstream; readonly service: string; readonly route: string; readonly status: number; readonly attempts: number}) => void;
+	readonly refused: (told: {readonly run: JournalRun; readonly refusal: string; readonly status: number; readonly service: string | undefined; readonly route: string | undefined; readonly key: number | undefined; readonly attempts: number; readonly waiting: number}) => void;
+	readonly attemptFailed: (told: {readonly run: JournalRun; readonly upstream: KnownUpstream; readonly seen: string; readonly status: number; readonly milliseconds: Milliseconds; readonly left: Milliseconds}) => void;
+};
+
+/** Lines a second for requests that failed, and for those that were answered: writing costs processor time. */
+const failureLinesPerSecond = 40;
+const answerLinesPerSecond = 10;
+
+/** How often the number of omitted lines is told. */
+const droppedMilliseconds: Milliseconds = 5000;
+
+/** Makes the journal. `applied` tells the version of the directory that decisions are made by. */
+export function createRequestJournal(log: Log, measures: Measures, applied: () => number): RequestJournal {
+	const failures = new LineBudget(failureLinesPerSecond);
+	const answers = new LineBudget(answerLinesPerSecond);
+	const telling = setInterval(() => {
+		const dropped = failures.takeDropped() + answers.takeDropped();
+		if (dropped > 0) {
+			log.event(EventName.linesDropped, {count: dropped});
+		}
+	}, droppedMilliseconds);
+	telling.unref();
+
+	return {
+		answered({run, upstream, service, route, status, attempts}) {
+			const now = monotonicNow();
+			measures.counter(MeasureName.requests, {service, outcome: `answered-${Math.floor(status / 100)}xx`}).value += 1;
+			recordDuration(measures.histogram(MeasureName.latency, {service}), now - run.arrivedAt);
+			if (answers.take(now)) {
+				log.event(EventName.requestAnswered, {
+					request: run.identifier, route, service, upstream: upstream.id, distance: upstream.distance, underWay: upstream.load.underWay, allowance: upstream.load.allowance, status, attempts, took: Math.round(now - run.arrivedAt), applied: applied(),
+				});
+			}
+		},
+		refused({run, refusal, status, service, route, key, attempts, waiting}) {
+			const now = monotonicNow();
+			measures.counter(MeasureName.requests, {service: service ?? 'none', outcome: refusal}).value += 1;
+			if (failures.take(now)) {
+				log.warning(EventName.requestRefused, {
+					request: run.identifier, route, service, key, refusal, status, attempts, waiting, took: Math.round(now - run.arrivedAt), applied: applied(),
+				});
+			}
+		},
+		attemptFailed({run, upstream, seen, status, milliseconds, left}) {
+			const now = monotonicNow();
+			measures.counter(MeasureName.attempts, {service: upstream.record.service, seen}).value += 1;
+			if (failures.take(now)) {
+				log.warning(EventName.attemptFailed, {
+					request: run.identifier, upstream: upstream.id, address: upstream.record.address, seen, status, took: Math.round(milliseconds), left: Math.round(left), underWay: upstream.load.underWay, allowance: upstream.load.allowance, applied: applied(),
+				});
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/entry/src/request-run.ts
@@ -0,0 +1,399 @@
+/**
+ * The way of one request: its route, its upstream, its attempts and its answer.
+ * What to do next is decided by the tables of `routing` and `gateway`; here it
+ * is carried out.
+ */
+import {Buffer} from 'node:buffer';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type CallerLimits} from '@dogwooddeck/directory/item';
+import {returnAfter} from '@dogwooddeck/gateway/refusal';
+import {findRoute, type NamedRoute} from '@dogwooddeck/gateway/route-table';
+import {selectUpstream} from '@dogwooddeck/gateway/selection';
+import {Signal} from '@dogwooddeck/gateway/upstream-load';
+import {type Waiter, waitingUntil} from '@dogwooddeck/gateway/waiting';
+import {keyCount} from '@dogwooddeck/key-lease/range';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {Outcome} from '@dogwooddeck/model/outcome';
+import {maySendAgain, Seen, seenRules} from '@dogwooddeck/routing/outcome';
+import {type AnswerHead, fieldOf, requestHeaders} from '@dogwooddeck/upstream-client/headers';
+import {type AttemptResult, type SentAttempt} from './attempt.js';
+import {BodyProblem, type CallerExchange} from './caller-exchange.js';
+import {type RequestJournal} from './request-journal.js';
+import {
+	bookFirst, bookRetry, type KnownService, type KnownUpstream, type ServiceTable,
+} from './service-table.js';
+import {type FieldNames} from './settings.js';
+
+/** What all requests of an instance share. */
+export type RequestSurroundings = {
+	readonly table: ServiceTable;
+	readonly fields: FieldNames;
+	readonly journal: RequestJournal;
+	/** Whether any route is known: before that, nothing can be said about a request. */
+	readonly isReady: () => boolean;
+	readonly limits: () => CallerLimits | undefined;
+	readonly entryCount: () => number;
+	/** Notes a request for a key. */
+	readonly countKey: (service: string, key: number) => void;
+	/** Work of a service may go on. */
+	readonly advance: (service: KnownService) => void;
+	/** Gives numbers between 0 and 1. */
+	readonly random: () => number;
+};
+
+/** Why a request ends without an upstream's answer. */
+export const Refusal = {
+	noDirectory: 'no-directory',
+	noRoute: 'no-route',
+	badKey: 'bad-key',
+	bodyTooLarge: 'body-too-large',
+	lineFull: 'line-full',
+	waitedTooLong: 'waited-too-long',
+	timeout: 'timeout',
+	attemptsSpent: 'attempts-spent',
+	budgetSpent: 'budget-spent',
+	unknownOutcome: 'unknown-outcome',
+} as const;
+
+/** One of the reasons. */
+export type Refusal = (typeof Refusal)[keyof typeof Refusal];
+
+const statusOfRefusal: Readonly<Record<Refusal, number>> = {
+	[Refusal.noDirectory]: 503,
+	[Refusal.noRoute]: 404,
+	[Refusal.badKey]: 400,
+	[Refusal.bodyTooLarge]: 413,
+	[Refusal.lineFull]: 503,
+	[Refusal.waitedTooLong]: 503,
+	[Refusal.timeout]: 503,
+	[Refusal.attemptsSpent]: 503,
+	[Refusal.budgetSpent]: 503,
+	[Refusal.unknownOutcome]: 502,
+};
+
+const tooManyAttempts = 4;
+const mostBodyBytes = 67_108_864;
+const misdirected = 421;
+const firstSuccess = 200;
+const firstRedirect = 300;
+const firstServerFailure = 500;
+const gatewayTimeout = 504;
+
+/** After an upstream said that it doesn't hold a key, its next table is awaited this long. */
+const staleTableMilliseconds: Milliseconds = 60;
+
+/** A request that would have less time than this at an upstream is not sent. */
+const leastSendMilliseconds: Milliseconds = 5;
+
+/** Requests that wait for one service at most; more would only wait in vain. */
+const longestLine = 400;
+
+const signalOfSeen: Readonly<Record<Seen, Signal>> = {
+	[Seen.refusedConnection]: Signal.broken,
+	[Seen.closedBeforeFirstByte]: Signal.broken,
+	[Seen.closedAfterFirstByte]: Signal.broken,
+	[Seen.shed]: Signal.full,
+	[Seen.deadlinePassedBeforeFirstByte]: Signal.none,
+	[Seen.deadlinePassedAfterFirstByte]: Signal.failed,
+	[Seen.wholeAnswer]: Signal.answered,
+	[Seen.cutAnswer]: Signal.failed,
+	[Seen.foreignAnswer]: Signal.failed,
+	[Seen.unboundedAnswer]: Signal.failed,
+	[Seen.leaseLost]: Signal.none,
+	[Seen.unsendable]: Signal.none,
+	[Seen.cancelledBeforeFirstByte]: Signal.none,
+	[Seen.cancelledAfterFirstByte]: Signal.none,
+};
+
+const wholeMilliseconds = /^\d{1,9}$/v;
+const keyForm = /^\d{1,5}$/v;
+
+function textOf(value: string | readonly string[] | undefined): string | undefined {
+	return typeof value === 'string' ? value : value?.[0];
+}
+
+/** One request on its way. */
+export class RequestRun {
+	readonly identifier: string | undefined;
+	readonly arrivedAt: MonotonicTime = monotonicNow();
+	readonly #around: RequestSurroundings;
+	readonly #exchange: CallerExchange;
+	readonly #path: string;
+	#route: NamedRoute | undefined;
+	#service: KnownService | undefined;
+	#key = 0;
+	#body: Buffer | undefined;
+	#deadline: MonotonicTime = Infinity;
+	#attempt: SentAttempt | undefined;
+	#waiter: Waiter | undefined;
+	#notBefore: MonotonicTime = -Infinity;
+	/** Upstreams that were sent to, and those of them that may have run the request. */
+	readonly #tried: string[] = [];
+	#mayHaveRun = 0;
+	#status = 0;
+
+	constructor(around: RequestSurroundings, exchange: CallerExchange, path: string) {
+		this.#around = around;
+		this.#exchange = exchange;
+		this.#path = path;
+		this.identifier = textOf(exchange.request.headers[around.fields.requestIdentifier]);
+	}
+
+	/** Finds the route and begins. */
+	start(): void {
+		const {table, isReady, limits} = this.#around;
+		const {headers} = this.#exchange.request;
+		if (!isReady()) {
+			this.#refuse(Refusal.noDirectory);
+			return;
+		}
+
+		this.#route = findRoute(table.routes, headers.host ?? '', this.#path);
+		if (this.#route === undefined) {
+			this.#refuse(Refusal.noRoute);
+			return;
+		}
+
+		const asked = textOf(headers[this.#around.fields.deadline]);
+		const timeout = this.#route.timeoutMilliseconds;
+		this.#deadline = this.arrivedAt + (asked !== undefined && wholeMilliseconds.test(asked) ? Math.min(Number(asked), timeout) : timeout);
+		this.#exchange.onGone(() => {
+			this.#leave();
+		});
+		this.#exchange.readBody(limits()?.bodyBytes ?? mostBodyBytes, (body, problem) => {
+			this.#takeBody(body, problem);
+		});
+	}
+
+	#takeBody(body: Buffer | undefined, problem: BodyProblem | undefined): void {
+		if (problem !== undefined) {
+			this.#refuse(problem === BodyProblem.tooLarge ? Refusal.bodyTooLarge : Refusal.unknownOutcome);
+			return;
+		}
+
+		const {table, entryCount, fields, countKey} = this.#around;
+		const route = this.#route!;
+		this.#body = body;
+		this.#service = table.service(table.split(route.name, route.targets).next(), entryCount());
+		bookFirst(this.#service);
+		if (this.#service.keyed) {
+			const key = textOf(this.#exchange.request.headers[fields.key]);
+			if (key === undefined || !keyForm.test(key) || Number(key) >= keyCount) {
+				this.#refuse(Refusal.badKey);
+				return;
+			}
+
+			this.#key = Number(key);
+			countKey(this.#service.name, this.#key);
+		}
+
+		this.#place();
+	}
+
+	/** Sends the request if there is room, or lets it wait, or refuses it. */
+	#place(): void {
+		const now = monotonicNow();
+		if (this.#tryToSend(now) || this.#exchange.isGone) {
+			return;
+		}
+
+		const {line} = this.#service!;
+		const until = this.#waitUntil();
+		if (until <= now || line.length >= longestLine) {
+			this.#refuse(line.length >= longestLine ? Refusal.lineFull : Refusal.waitedTooLong);
+			return;
+		}
+
+		this.#waiter = {
+			priority: this.#route!.priority,
+			until,
+			tryToStart: at => this.#exchange.isGone || this.#tryToSend(at),
+			giveUp: () => {
+				this.#refuse(Refusal.waitedTooLong);
+			},
+		};
+		line.add(this.#waiter);
+	}
+
+	#waitUntil(): MonotonicTime {
+		const upstream = this.#service!.keyed ? this.#around.table.holderOf(this.#service!, this.#key)?.upstream : this.#service!.upstreams[0];
+		return waitingUntil({
+			now: monotonicNow(), arrivedAt: this.arrivedAt, objectiveMilliseconds: this.#route!.objectiveMilliseconds, deadline: this.#deadline, expectedMilliseconds: upstream?.load.latency ?? 0,
+		});
+	}
+
+	#choose(now: MonotonicTime): KnownUpstream | undefined {
+		const service = this.#service!;
+		const connections = Math.max(1, Math.floor(service.maxConnections / (this.#around.entryCount() + 1)));
+		if (service.keyed) {
+			const holder = now < this.#notBefore ? undefined : this.#around.table.holderOf(service, this.#key)?.upstream;
+			return holder?.load.hasRoom(now) === true && holder.pool.hasRoom(connections) ? holder : undefined;
+		}
+
+		const free = service.upstreams.filter(({pool}) => pool.hasRoom(connections));
+		return selectUpstream(free, this.#tried, now) ?? (this.#tried.length > 0 ? selectUpstream(free, [], now) : undefined);
+	}
+
+	#tryToSend(now: MonotonicTime): boolean {
+		const chosen = this.#deadline - now < leastSendMilliseconds ? undefined : this.#choose(now);
+		if (chosen === undefined) {
+			return false;
+		}
+
+		this.#waiter = undefined;
+		this.#send(chosen, now);
+		return true;
+	}
+
+	#send(upstream: KnownUpstream, now: MonotonicTime): void {
+		const {fields, table} = this.#around;
+		const {request} = this.#exchange;
+		const timeoutMilliseconds = this.#deadline - now;
+		upstream.load.underWay += 1;
+		this.#tried.push(upstream.id);
+		const headers = requestHeaders(request.rawHeaders, request.headers.connection, new Set([fields.deadline, fields.expectedUpstream]));
+		headers.push(fields.deadline, String(Math.floor(timeoutMilliseconds)), fields.expectedUpstream, upstream.id);
+		this.#attempt = upstream.pool.send({
+			method: request.method ?? 'GET',
+			path: this.#path,
+			headers,
+			body: this.#body,
+			timeoutMilliseconds,
+			rules: {
+				isNotRun: (status, head) => this.#isNotRun(status, head),
+				isForeign: (status, head) => this.#isForeign(status, head),
+			},
+			mayStart: () => !this.#exchange.isGone && table.isCurrent(upstream),
+			onLong: {
+				begin: (status, answerHeaders) => {
+					this.#exchange.begin(status, answerHeaders);
+				},
+				write: chunk => this.#passOn(chunk),
+			},
+			onEnd: result => {
+				this.#finishAttempt(upstream, result);
+			},
+		});
+	}
+
+	#passOn(chunk: Uint8Array): boolean {
+		const hasRoom = this.#exchange.write(chunk);
+		if (!hasRoom) {
+			this.#exchange.onDrain(() => this.#attempt?.resume());
+		}
+
+		return hasRoom;
+	}
+
+	#isNotRun(status: number, {headers}: AnswerHead): boolean {
+		this.#status = status;
+		return fieldOf(headers, this.#around.fields.notRun) !== undefined;
+	}
+
+	/** An answer has to name the request; a refusal may leave that out. A success bears the upstream's stamp and comes as the upstream made it. */
+	#isForeign(status: number, {headers}: AnswerHead): boolean {
+		const {fields} = this.#around;
+		const echoed = fieldOf(headers, fields.requestIdentifier);
+		const isRefusal = fieldOf(headers, fields.notRun) !== undefined;
+		const isSuccess = status >= firstSuccess && status < firstRedirect;
+		const isOther = echoed === undefined ? !isRefusal : echoed !== this.identifier;
+		return isOther || (isSuccess && fieldOf(headers, fields.stamp) === undefined) || fieldOf(headers, 'content-encoding') !== undefined;
+	}
+
+	#finishAttempt(upstream: KnownUpstream, result: AttemptResult): void {
+		const {journal, advance} = this.#around;
+		const now = monotonicNow();
+		this.#attempt = undefined;
+		upstream.load.underWay -= 1;
+		const isMisdirected = result.seen === Seen.shed && this.#status === misdirected;
+		const isOwnFailure = result.answer !== undefined && result.answer.status >= firstServerFailure;
+		const signal = isOwnFailure ? Signal.failed : (isMisdirected ? Signal.none : signalOfSeen[result.seen]);
+		upstream.load.note(signal, result.milliseconds, now);
+		if (result.seen !== Seen.wholeAnswer) {
+			journal.attemptFailed({
+				run: this, upstream, seen: result.seen, status: this.#status, milliseconds: result.milliseconds, left: this.#deadline - now,
+			});
+		}
+
+		if (isMisdirected) {
+			this.#notBefore = now + staleTableMilliseconds;
+		}
+
+		this.#mayHaveRun += seenRules[result.seen].outcome === Outcome.notRun ? 0 : 1;
+		this.#conclude(upstream, result, now);
+		advance(this.#service!);
+	}
+
+	#conclude(upstream: KnownUpstream, result: AttemptResult, now: MonotonicTime): void {
+		if (this.#exchange.isGone) {
+			return;
+		}
+
+		if (this.#exchange.isAnswered) {
+			this.#concludeLong(upstream, result);
+		} else if (result.answer === undefined) {
+			this.#sendAgainOrRefuse(result, now);
+		} else {
+			this.#exchange.answer(result.answer.status, result.answer.headers, result.answer.body);
+			this.#around.journal.answered({
+				run: this, upstream, service: this.#service!.name, route: this.#route!.name, status: result.answer.status, attempts: this.#tried.length,
+			});
+		}
+	}
+
+	#concludeLong(upstream: KnownUpstream, result: AttemptResult): void {
+		if (result.seen === Seen.wholeAnswer) {
+			this.#exchange.end();
+		} else {
+			this.#exchange.cut();
+		}
+
+		this.#around.journal.answered({
+			run: this, upstream, service: this.#service!.name, route: this.#route!.name, status: 0, attempts: this.#tried.length,
+		});
+	}
+
+	#sendAgainOrRefuse({seen}: AttemptResult, now: MonotonicTime): void {
+		const route = this.#route!;
+		if (seen === Seen.deadlinePassedAfterFirstByte || now >= this.#deadline - leastSendMilliseconds) {
+			this.#refuse(Refusal.timeout);
+			return;
+		}
+
+		if (!maySendAgain(seen, route.idempotent)) {
+			this.#refuse(Refusal.unknownOutcome);
+		} else if (this.#mayHaveRun >= route.maxAttempts || this.#tried.length >= tooManyAttempts) {
+			this.#refuse(Refusal.attemptsSpent);
+		} else if (bookRetry(this.#service!)) {
+			this.#place();
+		} else {
+			this.#refuse(Refusal.budgetSpent);
+		}
+	}
+
+	/** The caller is gone: nothing is done for it any more. */
+	#leave(): void {
+		this.#attempt?.cancel();
+		this.#attempt = undefined;
+		if (this.#waiter !== undefined) {
+			this.#service?.line.remove(this.#waiter);
+			this.#waiter = undefined;
+		}
+	}
+
+	/** Answers without an upstream. A status that says "not run" is given only where that is certain. */
+	#refuse(refusal: Refusal): void {
+		this.#waiter = undefined;
+		const mapped = statusOfRefusal[refusal];
+		const doubtful = refusal === Refusal.timeout ? gatewayTimeout : statusOfRefusal[Refusal.unknownOutcome];
+		const status = this.#mayHaveRun > 0 && mapped >= firstServerFailure ? doubtful : mapped;
+		const pause = returnAfter(this.#route?.objectiveMilliseconds ?? 1000, this.#around.random());
+		const body = Buffer.from(`${refusal}\n`);
+		const identified = this.identifier === undefined ? [] : [this.#around.fields.requestIdentifier, this.identifier];
+		const retry = status === statusOfRefusal[Refusal.noDirectory] ? ['Retry-After', (pause / 1000).toFixed(3)] : [];
+		this.#exchange.answer(status, ['Content-Type', 'text/plain', ...identified, ...retry], body);
+		this.#around.journal.refused({
+			run: this, refusal, status, service: this.#service?.name, route: this.#route?.name, key: this.#service?.keyed === true ? this.#key : undefined, attempts: this.#tried.length, waiting: this.#service?.line.length ?? 0,
+		});
+	}
+}
--- /dev/null
+++ b/packages/entry/src/service-table.ts
@@ -0,0 +1,204 @@
+/**
+ * What this instance knows of services and their upstreams: the directory's
+ * records beside its own experience and connections.
+ */
+import {type DirectoryState} from '@dogwooddeck/directory/state';
+import {UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
+import {createRouteTable, type RouteTable} from '@dogwooddeck/gateway/route-table';
+import {Distance} from '@dogwooddeck/gateway/selection';
+import {Split} from '@dogwooddeck/gateway/split';
+import {UpstreamLoad} from '@dogwooddeck/gateway/upstream-load';
+import {WaitingLine} from '@dogwooddeck/gateway/waiting';
+import {type KeyRange, rangeOfKey, sameLife} from '@dogwooddeck/key-lease/range';
+import {
+	allowsRetry, bookAttempt, createRetryBudget, type RetryBudget,
+} from '@dogwooddeck/routing/budget';
+import {type ConnectionTerms} from './connection.js';
+import {type EntrySettings} from './settings.js';
+import {UpstreamPool} from './upstream-pool.js';
+
+/** One upstream, as this instance uses it. */
+export type KnownUpstream = {
+	readonly id: string;
+	readonly record: UpstreamRecord;
+	readonly distance: Distance;
+	readonly load: UpstreamLoad;
+	readonly pool: UpstreamPool;
+	readonly cold: boolean;
+};
+
+/** One service, as this instance uses it. It is updated in place: it is on the request path. */
+export type KnownService = {
+	readonly name: string;
+	readonly line: WaitingLine;
+	keyed: boolean;
+	maxConnections: number;
+	ranges: readonly KeyRange[];
+	/** Those that may be sent to. */
+	upstreams: readonly KnownUpstream[];
+	budget: RetryBudget;
+};
+
+/** Who a request for a key goes to. */
+export type KeyHolder = {readonly range: KeyRange; readonly upstream: KnownUpstream};
+
+/** Connections that wait for use are closed after this long, below the 10 s after which upstreams close them. */
+const idleMilliseconds = 8000;
+
+/** A round between regions and its like for a lost packet. */
+const connectMilliseconds = 350;
+
+const connectionTerms: ConnectionTerms = {connectMilliseconds, idleMilliseconds};
+
+/** Of what a window's slack allows, all instances together save up half, as new instances start with full budgets. */
+const slackShare = 0.5;
+
+/** The part of the ratio that instances spend: windows slide, and the counts of instances differ for a moment. */
+const ratioShare = 0.75;
+
+/** The services and upstreams of this instance. */
+export class ServiceTable {
+	routes: RouteTable = new Map();
+	readonly #settings: EntrySettings;
+	readonly #services = new Map<string, KnownService>();
+	readonly #upstreams = new Map<string, KnownUpstream>();
+	readonly #splits = new Map<string, {readonly key: string; readonly split: Split}>();
+	readonly #random: () => number;
+	#items: DirectoryState['items'] | undefined;
+
+	/** `random` gives numbers between 0 and 1. */
+	constructor(settings: EntrySettings, random: () => number) {
+		this.#settings = settings;
+		this.#random = random;
+	}
+
+	/** Takes a newer directory. */
+	update(state: DirectoryState, entryCount: number): void {
+		if (state.items !== this.#items) {
+			this.#items = state.items;
+			this.routes = createRouteTable(state.items.route);
+		}
+
+		this.#updateUpstreams(state.upstreams);
+		for (const [name, {value}] of Object.entries(state.items.service)) {
+			if (value !== undefined) {
+				const service = this.service(name, entryCount);
+				service.keyed = value.keyed;
+				service.maxConnections = value.maxConnections;
+				service.ranges = state.keys[name] ?? [];
+			}
+		}
+
+		for (const service of this.#services.values()) {
+			service.upstreams = [...this.#upstreams.values()].filter(({record}) => record.service === service.name && record.state === UpstreamState.ready);
+		}
+	}
+
+	/** A service by its name. */
+	service(name: string, entryCount: number): KnownService {
+		const known = this.#services.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {ratio, slack} = this.#settings.retries;
+		const made: KnownService = {
+			name, line: new WaitingLine(), keyed: false, maxConnections: 1, ranges: [], upstreams: [], budget: createRetryBudget(ratio * ratioShare, Math.max(1, slack * slackShare / entryCount)),
+		};
+		this.#services.set(name, made);
+		return made;
+	}
+
+	/** All services that are known. */
+	services(): Iterable<KnownService> {
+		return this.#services.values();
+	}
+
+	/** The division of a route's requests. */
+	split(name: string, targets: ConstructorParameters<typeof Split>[0]): Split {
+		const key = JSON.stringify(targets);
+		const known = this.#splits.get(name);
+		if (known?.key === key) {
+			return known.split;
+		}
+
+		const split = new Split(targets, this.#random());
+		this.#splits.set(name, {key, split});
+		return split;
+	}
+
+	/** The upstream that holds a key and was told so, if requests may be sent to it. */
+	holderOf(service: KnownService, key: number): KeyHolder | undefined {
+		const range = rangeOfKey(service.ranges, key);
+		if (range?.holder === undefined || !range.told || range.releasingSince !== undefined) {
+			return undefined;
+		}
+
+		const upstream = this.#upstreams.get(range.holder.id);
+		return upstream !== undefined && sameLife(upstream.record, range.holder) && upstream.record.state === UpstreamState.ready ? {range, upstream} : undefined;
+	}
+
+	/** Whether requests may still be sent to a life of an upstream. */
+	isCurrent({id, record}: KnownUpstream): boolean {
+		const known = this.#upstreams.get(id);
+		return known !== undefined && sameLife(known.record, record) && known.record.state === UpstreamState.ready;
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		for (const {pool} of this.#upstreams.values()) {
+			pool.close();
+		}
+	}
+
+	#updateUpstreams(records: DirectoryState['upstreams']): void {
+		for (const [id, known] of this.#upstreams) {
+			if (!sameLife(records[id], known.record)) {
+				known.pool.close();
+				this.#upstreams.delete(id);
+			}
+		}
+
+		for (const record of Object.values(records)) {
+			const known = this.#upstreams.get(record.id);
+			if (known?.record !== record) {
+				this.#upstreams.set(record.id, this.#known(record, known));
+			}
+		}
+	}
+
+	#known(record: UpstreamRecord, earlier: KnownUpstream | undefined): KnownUpstream {
+		return {
+			id: record.id,
+			record,
+			distance: this.#distance(record.zone),
+			load: earlier?.load ?? new UpstreamLoad(record.slots),
+			pool: earlier?.pool ?? new UpstreamPool(record.address, connectionTerms),
+			cold: record.cold,
+		};
+	}
+
+	#distance(zone: string): Distance {
+		const {zone: own, regions} = this.#settings;
+		if (zone === own) {
+			return Distance.sameZone;
+		}
+
+		return regions[zone] === regions[own] ? Distance.sameRegion : Distance.otherRegion;
+	}
+}
+
+/** Books a first attempt, or a retry if there is one left. */
+export function bookRetry(service: KnownService): boolean {
+	if (!allowsRetry(service.budget)) {
+		return false;
+	}
+
+	service.budget = bookAttempt(service.budget, {kind: 'retry'}).state;
+	return true;
+}
+
+/** Books the first attempt of a request. */
+export function bookFirst(service: KnownService): void {
+	service.budget = bookAttempt(service.budget, {kind: 'first-attempt'}).state;
+}
--- /dev/null
+++ b/packages/entry/test/test-attempt.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {test} from 'node:test';
+import {Seen} from '@dogwooddeck/routing/outcome';
+import {type AttemptResult} from '@dogwooddeck/entry/attempt';
+import {UpstreamPool} from '@dogwooddeck/entry/upstream-pool';
+
+type Case = {
+	readonly name: string;
+	/** What the upstream does with the connection once it has read the request. */
+	readonly answer: (socket: Socket) => void;
+	readonly seen: Seen;
+	readonly body?: string;
+};
+
+const head = 'HTTP/1.1 200 OK\r\nIdentifier: a\r\n';
+
+const resetDelayMilliseconds = 20;
+
+function later(action: () => void): void {
+	setTimeout(action, resetDelayMilliseconds);
+}
+
+const cases: readonly Case[] = [
+	{
+		name: 'an answer with a length',
+		answer: socket => socket.write(`${head}Content-Length: 5\r\n\r\nwhole`),
+		seen: Seen.wholeAnswer,
+		body: 'whole',
+	},
+	{
+		name: 'an answer without a length whose connection ends',
+		answer: socket => socket.end(`${head}\r\nwhole`),
+		seen: Seen.wholeAnswer,
+		body: 'whole',
+	},
+	{
+		name: 'an answer without a length whose connection is reset',
+		answer(socket) {
+			socket.write(`${head}\r\nhalf`);
+			later(() => {
+				socket.resetAndDestroy();
+			});
+		},
+		seen: Seen.cutAnswer,
+	},
+	{
+		name: 'an answer without a length and with "Connection: close" that is reset',
+		answer(socket) {
+			socket.write(`${head}Connection: close\r\n\r\nhalf`);
+			later(() => {
+				socket.resetAndDestroy();
+			});
+		},
+		seen: Seen.cutAnswer,
+	},
+	{
+		name: 'an answer without a length that is reset at once',
+		answer(socket) {
+			socket.write(`${head}\r\nhalf`, () => {
+				socket.resetAndDestroy();
+			});
+		},
+		seen: Seen.cutAnswer,
+	},
+	{
+		name: 'an answer that ends before its length',
+		answer: socket => socket.end(`${head}Content-Length: 50\r\n\r\nhalf`),
+		seen: Seen.cutAnswer,
+	},
+	{
+		name: 'an answer to another request',
+		answer: socket => socket.write('HTTP/1.1 200 OK\r\nIdentifier: b\r\nContent-Length: 5\r\n\r\nother'),
+		seen: Seen.foreignAnswer,
+	},
+	{
+		name: 'a refusal',
+		answer: socket => socket.write('HTTP/1.1 503 Full\r\nNot-Run: 1\r\nIdentifier: a\r\nContent-Length: 0\r\n\r\n'),
+		seen: Seen.shed,
+	},
+];
+
+for (const {name, answer, seen, body} of cases) {
+	test(`attempt: ${name}`, async () => {
+		const server = createServer(socket => {
+			socket.on('error', () => {
+				socket.destroy();
+			});
+			socket.once('data', () => {
+				answer(socket);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 500});
+		const result = await new Promise<AttemptResult>(resolve => {
+			pool.send({
+				method: 'GET',
+				path: '/',
+				headers: ['Host', 'example'],
+				body: undefined,
+				timeoutMilliseconds: 2000,
+				rules: {
+					isNotRun: (_status, {headers}) => headers.includes('Not-Run'),
+					isForeign: (_status, {headers}) => !headers.includes('a'),
+				},
+				mayStart: () => true,
+				onLong: {
+					begin() {
+						assert.fail('the answer is short');
+					},
+					write: () => true,
+				},
+				onEnd: resolve,
+			});
+		});
+		pool.close();
+		server.close();
+		assert.equal(result.seen, seen);
+		assert.equal(result.answer === undefined ? undefined : Buffer.from(result.answer.body).toString(), body);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/route-table.ts
@@ -0,0 +1,34 @@
+/**
+ * Finds the route of a request by its host and the longest prefix of its path.
+ */
+import {type Items, type Route, standing} from '@dogwooddeck/directory/item';
+
+/** A route and its name. */
+export type NamedRoute = Route & {readonly name: string};
+
+/** All routes, by host, those with the longest prefix first. */
+export type RouteTable = ReadonlyMap<string, readonly NamedRoute[]>;
+
+/** Makes the table of the routes that stand. */
+export function createRouteTable(routes: Items['route']): RouteTable {
+	const byHost = new Map<string, NamedRoute[]>();
+	for (const [name, route] of standing(routes)) {
+		const hostname = route.hostname.toLowerCase();
+		const known = byHost.get(hostname) ?? [];
+		known.push({...route, name});
+		byHost.set(hostname, known);
+	}
+
+	for (const known of byHost.values()) {
+		known.sort((one, other) => other.pathPrefix.length - one.pathPrefix.length);
+	}
+
+	return byHost;
+}
+
+const port = /:\d+$/v;
+
+/** The route of a host and a path, or undefined where none matches. */
+export function findRoute(table: RouteTable, host: string, path: string): NamedRoute | undefined {
+	return table.get(host.toLowerCase().replace(port, ''))?.find(({pathPrefix}) => path.startsWith(pathPrefix));
+}
--- /dev/null
+++ b/packages/key-lease/src/command.ts
@@ -0,0 +1,71 @@
+/**
+ * What the leader proposes about the keys of a service, and how the replicated
+ * table of ranges takes it in.
+ */
+import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {
+	changeSpan, type KeyRange, type KeySpan, type Life, sameLife, unheldRanges,
+} from './range.js';
+
+/** Keys and the upstream that a command is about. */
+export type HeldSpan = KeySpan & {readonly holder: Life};
+
+/** A change of the table of one service. */
+export type KeyCommand =
+	/** Nobody holds the keys: give them to upstreams. */
+	| {readonly kind: 'keysGranted'; readonly service: string; readonly rows: readonly HeldSpan[]}
+	/** The holders have to give the keys up. */
+	| {readonly kind: 'keysRecalled'; readonly service: string; readonly rows: readonly HeldSpan[]}
+	/** There is evidence that the holders no longer hold the keys. */
+	| {readonly kind: 'keysVacated'; readonly service: string; readonly rows: ReadonlyArray<HeldSpan & {readonly handover: string}>}
+	/** The holders were sent their grants. */
+	| {readonly kind: 'keysTold'; readonly service: string; readonly rows: readonly HeldSpan[]};
+
+/** The tables of all services, by service. */
+export type KeyTables = Readonly<Record<string, readonly KeyRange[]>>;
+
+type Change = (range: KeyRange, row: HeldSpan & {readonly handover?: string}, index: LogIndex) => KeyRange;
+
+function withoutHolder({from, to, fence}: KeyRange, handover: string): KeyRange {
+	return {
+		from, to, fence, told: false, handover,
+	};
+}
+
+const changes: Readonly<Record<KeyCommand['kind'], Change>> = {
+	keysGranted: (range, {holder}, index) => range.holder === undefined
+		? {
+			...range, holder, fence: index, told: false,
+		}
+		: range,
+	keysRecalled: (range, {holder}, index) => sameLife(range.holder, holder) && range.releasingSince === undefined
+		? {...range, releasingSince: index}
+		: range,
+	keysVacated: (range, {holder, handover}) => sameLife(range.holder, holder) ? withoutHolder(range, handover ?? '') : range,
+	keysTold: (range, {holder}) => sameLife(range.holder, holder) ? {...range, told: true} : range,
+};
+
+function changeTable(tables: KeyTables, command: KeyCommand, index: LogIndex): KeyTables {
+	let ranges = tables[command.service] ?? unheldRanges;
+	for (const row of command.rows) {
+		ranges = changeSpan(ranges, row, range => changes[command.kind](range, row, index));
+	}
+
+	return {...tables, [command.service]: ranges};
+}
+
+const handlers: HandlerTable<KeyCommand, [KeyTables, LogIndex], KeyTables> = {
+	keysGranted: (command, tables, index) => changeTable(tables, command, index),
+	keysRecalled: (command, tables, index) => changeTable(tables, command, index),
+	keysVacated: (command, tables, index) => changeTable(tables, command, index),
+	keysTold: (command, tables, index) => changeTable(tables, command, index),
+};
+
+/** The kinds of key commands. */
+export const keyCommandKinds = new Set<string>(Object.keys(handlers));
+
+/** Takes a command in. Rows that no longer fit the table change nothing. */
+export function applyKeyCommand(tables: KeyTables, command: KeyCommand, index: LogIndex): KeyTables {
+	return dispatch(handlers, command, tables, index);
+}
--- /dev/null
+++ b/packages/key-lease/src/granting.ts
@@ -0,0 +1,149 @@
+/**
+ * What the leader knows of the upstreams that hold keys: until when each may
+ * still hold what it was told, and what counts as evidence that it does not.
+ *
+ * An answer renews all keys of an upstream for the hold time, counted by the
+ * upstream from when it sent the announcement, on a clock that may run slow. The
+ * leader counts from when it received it. What an earlier leader answered was
+ * received before this one was elected, as an answer is sent only after a
+ * majority has confirmed the leader since the announcement came.
+ */
+import {type LogIndex, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {
+	type KeyRange, type KeySpan, type Life, lifeText, sameLife, sharedSpan,
+} from './range.js';
+
+/** Keys that an upstream says it released, with the token for its successor. */
+export type ReleasedRow = KeySpan & {readonly handover: string};
+
+/** What an announcement says of keys. */
+export type HeldKeys = {
+	readonly life: Life;
+	/** Grows with each announcement of one life. */
+	readonly sequence: number;
+	readonly holds: ReadonlyArray<KeySpan & {readonly fence: number}>;
+	readonly released: readonly ReleasedRow[];
+};
+
+/** What the leader knows of one holder. */
+export type HolderSighting = {
+	readonly life: Life;
+	readonly heardAt: MonotonicTime;
+	/** The newest announcement that was answered, and the log index of the state that the answer told. */
+	readonly answered?: {readonly sequence: number; readonly index: LogIndex};
+	readonly mayHoldUntil: MonotonicTime;
+};
+
+/** The leader's knowledge of holders. It is lost with the leadership. */
+export type GrantingState = {
+	readonly electedAt: MonotonicTime;
+	readonly sightings: Readonly<Record<string, HolderSighting>>;
+};
+
+/** How long answers hold. */
+export type GrantingTerms = {
+	readonly holdMilliseconds: Milliseconds;
+	/** How much slower than the leader's a holder's clock may run, as a share. */
+	readonly clockDrift: number;
+};
+
+/** Added to each expiry for timers that fire late, in milliseconds. */
+export const expiryMarginMilliseconds: Milliseconds = 50;
+
+/** A leader that was just elected. */
+export function beginGranting(electedAt: MonotonicTime): GrantingState {
+	return {electedAt, sightings: {}};
+}
+
+function longestHold({holdMilliseconds, clockDrift}: GrantingTerms): Milliseconds {
+	return (holdMilliseconds / (1 - clockDrift)) + expiryMarginMilliseconds;
+}
+
+/** Notes that an announcement came. */
+export function noteHeard(state: GrantingState, life: Life, now: MonotonicTime, terms: GrantingTerms): GrantingState {
+	const key = lifeText(life);
+	const known = state.sightings[key] ?? {life, heardAt: now, mayHoldUntil: state.electedAt + longestHold(terms)};
+	return {...state, sightings: {...state.sightings, [key]: {...known, heardAt: now}}};
+}
+
+/** Notes that an announcement which came at `receivedAt` is being answered with the state at `index`. */
+export function noteAnswered(state: GrantingState, answer: {readonly life: Life; readonly sequence: number; readonly receivedAt: MonotonicTime; readonly index: LogIndex}, terms: GrantingTerms): GrantingState {
+	const key = lifeText(answer.life);
+	const known = state.sightings[key];
+	const mayHoldUntil = Math.max(known?.mayHoldUntil ?? state.electedAt + longestHold(terms), answer.receivedAt + longestHold(terms));
+	const answered = known?.answered !== undefined && known.answered.sequence > answer.sequence
+		? known.answered
+		: {sequence: answer.sequence, index: answer.index};
+	return {
+		...state,
+		sightings: {
+			...state.sightings,
+			[key]: {
+				life: answer.life, heardAt: known?.heardAt ?? answer.receivedAt, answered, mayHoldUntil,
+			},
+		},
+	};
+}
+
+/** Until when an upstream may hold what it was told. */
+export function mayHoldUntil(state: GrantingState, life: Life, terms: GrantingTerms): MonotonicTime {
+	return state.sightings[lifeText(life)]?.mayHoldUntil ?? state.electedAt + longestHold(terms);
+}
+
+/** Rows that are vacated, each with the token for the next holder. */
+export type VacatedRow = KeySpan & {readonly holder: Life; readonly handover: string};
+
+function releasedParts(range: KeyRange, released: readonly ReleasedRow[]): readonly VacatedRow[] {
+	return released.flatMap(row => {
+		const shared = sharedSpan(range, row);
+		return shared === undefined ? [] : [{...shared, holder: range.holder!, handover: row.handover}];
+	});
+}
+
+function isOmitted(range: KeyRange, keys: HeldKeys, sighting: HolderSighting | undefined): boolean {
+	const answered = sighting?.answered;
+	return answered !== undefined
+		&& answered.sequence < keys.sequence
+		&& answered.index >= range.releasingSince!
+		&& !keys.holds.some(row => sharedSpan(row, range) !== undefined);
+}
+
+/**
+ * What an announcement proves about the ranges that its sender has to give up:
+ * it says that it released them; or it was answered without them and no longer
+ * lists them. An announcement that was overtaken on its way proves nothing.
+ */
+export function vacatedByAnnouncement(state: GrantingState, ranges: readonly KeyRange[], keys: HeldKeys): readonly VacatedRow[] {
+	const sighting = state.sightings[lifeText(keys.life)];
+	if (sighting?.answered !== undefined && keys.sequence <= sighting.answered.sequence) {
+		return [];
+	}
+
+	return ranges
+		.filter(range => range.releasingSince !== undefined && sameLife(range.holder, keys.life))
+		.flatMap(range => {
+			const released = releasedParts(range, keys.released);
+			return released.length > 0 || !isOmitted(range, keys, sighting)
+				? released
+				: [{
+					from: range.from, to: range.to, holder: keys.life, handover: '',
+				}];
+		});
+}
+
+/** What time and later lives prove: holders whose hold has run out, and holders that a later process has replaced. */
+export function vacatedByTime(state: GrantingState, ranges: readonly KeyRange[], isOver: (life: Life) => boolean, clock: {readonly now: MonotonicTime; readonly terms: GrantingTerms}): readonly VacatedRow[] {
+	return ranges.flatMap(({from, to, holder}) => {
+		const vacated = holder !== undefined && (isOver(holder) || clock.now > mayHoldUntil(state, holder, clock.terms));
+		return vacated
+			? [{
+				from, to, holder, handover: '',
+			}]
+			: [];
+	});
+}
+
+/** The rows that an upstream is to hold. */
+export function rowsOf(ranges: readonly KeyRange[], life: Life): readonly KeyRange[] {
+	return ranges.filter(range => range.releasingSince === undefined && sameLife(range.holder, life));
+}
--- /dev/null
+++ b/packages/mesh/src/client.ts
@@ -0,0 +1,143 @@
+/**
+ * Calls other instances. There is one channel for each address. Nothing is
+ * sent again here: whoever calls decides what a failure means.
+ */
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {
+	type ChannelOptions, Client, credentials, logVerbosity, setLogVerbosity,
+} from '@grpc/grpc-js';
+import {err, ok, type Result} from 'true-myth/result';
+import {
+	type FollowMessage, type FollowRequest, type MeshCall, type MeshCalls,
+} from './calls.js';
+import {
+	followMethod, largestMessageBytes, methodOf, type Reply,
+} from './service.js';
+
+/** A pause between attempts to connect, in milliseconds: short, since a peer may be back within a second. */
+const reconnectMilliseconds: Milliseconds = 200;
+
+/** A connection that answers no ping for this long is given up: partitions are silent. */
+const keepaliveMilliseconds: Milliseconds = 1000;
+const keepaliveTimeoutMilliseconds: Milliseconds = 900;
+
+const channelOptions: ChannelOptions = {
+	'grpc.enable_retries': 0,
+	'grpc.service_config_disable_resolution': 1,
+	'grpc.initial_reconnect_backoff_ms': reconnectMilliseconds,
+	'grpc.min_reconnect_backoff_ms': reconnectMilliseconds,
+	'grpc.max_reconnect_backoff_ms': 2 * reconnectMilliseconds,
+	'grpc.keepalive_time_ms': keepaliveMilliseconds,
+	'grpc.keepalive_timeout_ms': keepaliveTimeoutMilliseconds,
+	'grpc.max_receive_message_length': largestMessageBytes,
+	'grpc.max_send_message_length': largestMessageBytes,
+	'grpc.use_local_subchannel_pool': 1,
+	'grpc.enable_channelz': 0,
+};
+
+/** How often calls to one address may time out in a row before its channel is made anew. */
+const timeoutsBeforeReopening = 2;
+
+/** A stream that is open. */
+export type Following = {readonly stop: () => void};
+
+/** What a follower hears. */
+export type FollowListener = {
+	readonly onMessage: (message: FollowMessage) => void;
+	/** Called once, also after `stop`. */
+	readonly onEnd: () => void;
+};
+
+/** Calls other instances by their address. */
+export type MeshClients = {
+	/** Fails with `unreachable` where no answer comes in time, and as the other instance fails. */
+	readonly call: <Call extends MeshCall>(address: string, call: Call, request: MeshCalls[Call]['request'], timeoutMilliseconds: Milliseconds) => Promise<Result<MeshCalls[Call]['answer'], Failure>>;
+	readonly follow: (address: string, request: FollowRequest, listener: FollowListener) => Following;
+	/** Gives up the connection to an address; the next call makes another. */
+	readonly reopen: (address: string) => void;
+	readonly close: () => void;
+};
+
+type Channel = {readonly client: Client; timeouts: number};
+
+setLogVerbosity(logVerbosity.NONE);
+
+/** Makes the calls of one instance. */
+export function createMeshClients(): MeshClients {
+	const channels = new Map<string, Channel>();
+
+	function channelOf(address: string): Channel {
+		const known = channels.get(address);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const made = {client: new Client(address, credentials.createInsecure(), channelOptions), timeouts: 0};
+		channels.set(address, made);
+		return made;
+	}
+
+	function reopen(address: string): void {
+		channels.get(address)?.client.close();
+		channels.delete(address);
+	}
+
+	function noteTimeout(address: string, channel: Channel): void {
+		channel.timeouts += 1;
+		if (channel.timeouts >= timeoutsBeforeReopening && channels.get(address) === channel) {
+			reopen(address);
+		}
+	}
+
+	return {
+		async call(address, call, request, timeoutMilliseconds) {
+			const method = methodOf(call, false);
+			const channel = channelOf(address);
+			return new Promise(resolve => {
+				channel.client.makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, {deadline: Date.now() + timeoutMilliseconds}, (error, value) => {
+					if (error !== null) {
+						noteTimeout(address, channel);
+						resolve(err(failure(FailureKind.unreachable, `${call} at ${address}: ${error.message}`)));
+						return;
+					}
+
+					channel.timeouts = 0;
+					const reply = value as Reply<MeshCalls[typeof call]['answer']>;
+					resolve('failure' in reply ? err(reply.failure) : ok(reply.answer));
+				});
+			});
+		},
+		follow(address, request, listener) {
+			const method = methodOf(followMethod, true);
+			const stream = channelOf(address).client.makeServerStreamRequest(method.path, method.requestSerialize, method.responseDeserialize, request);
+			let isOver = false;
+			const end = () => {
+				if (!isOver) {
+					isOver = true;
+					listener.onEnd();
+				}
+			};
+
+			stream.on('data', (message: FollowMessage) => {
+				if (!isOver) {
+					listener.onMessage(message);
+				}
+			});
+			stream.on('error', end);
+			stream.on('end', end);
+			return {
+				stop() {
+					stream.cancel();
+					end();
+				},
+			};
+		},
+		reopen,
+		close() {
+			for (const address of channels.keys()) {
+				reopen(address);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/mesh/src/server.ts
@@ -0,0 +1,94 @@
+/**
+ * Takes calls from other instances.
+ */
+import {
+	failure, FailureKind, toFailure, type Failure,
+} from '@dogwooddeck/model/failure';
+import {
+	type sendUnaryData, Server, ServerCredentials, type ServerUnaryCall, type ServerWritableStream,
+} from '@grpc/grpc-js';
+import {err, ok, type Result} from 'true-myth/result';
+import {
+	type FollowMessage, type FollowRequest, type MeshCall, type MeshCalls, meshCalls,
+} from './calls.js';
+import {
+	followMethod, largestMessageBytes, meshService, type Reply,
+} from './service.js';
+
+/** What answers each call. */
+export type MeshHandlers = {
+	readonly [Call in MeshCall]: (request: MeshCalls[Call]['request']) => Promise<Result<MeshCalls[Call]['answer'], Failure>>;
+};
+
+/** One entry that follows this instance. */
+export type Follower = {
+	readonly request: FollowRequest;
+	/** `false`: the follower does not read; what is sent now would pile up. */
+	readonly send: (message: FollowMessage) => boolean;
+	readonly onEnd: (ended: () => void) => void;
+};
+
+/** A server that listens. */
+export type MeshServer = {readonly close: () => void};
+
+type Answering = (request: unknown) => Promise<Result<unknown, Failure>>;
+
+async function replyTo(answering: Answering, request: unknown): Promise<Reply<unknown>> {
+	try {
+		const answer = await answering(request);
+		return answer.isOk ? {answer: answer.value} : {failure: answer.error};
+	} catch (error) {
+		return {failure: toFailure(error)};
+	}
+}
+
+function unary(answering: Answering) {
+	return async (call: ServerUnaryCall<unknown, unknown>, respond: sendUnaryData<unknown>) => {
+		respond(null, await replyTo(answering, call.request));
+	};
+}
+
+function streaming(follow: (follower: Follower) => void) {
+	return (call: ServerWritableStream<FollowRequest, FollowMessage>) => {
+		let hasRoom = true;
+		call.on('drain', () => {
+			hasRoom = true;
+		});
+		call.on('error', () => {
+			call.end();
+		});
+		follow({
+			request: call.request,
+			send(message) {
+				if (hasRoom) {
+					hasRoom = call.write(message);
+					return true;
+				}
+
+				return false;
+			},
+			onEnd(ended) {
+				call.on('cancelled', ended);
+				call.on('close', ended);
+			},
+		});
+	};
+}
+
+/** Listens at an address. Fails with `unreachable` where it can't be bound. */
+export async function startMeshServer(address: string, handlers: MeshHandlers, follow: (follower: Follower) => void): Promise<Result<MeshServer, Failure>> {
+	const server = new Server({'grpc.max_receive_message_length': largestMessageBytes, 'grpc.max_send_message_length': largestMessageBytes});
+	const table = Object.fromEntries(meshCalls.map(call => [call, unary(handlers[call] as Answering)]));
+	server.addService(meshService, {...table, [followMethod]: streaming(follow) as never});
+	return new Promise(resolve => {
+		server.bindAsync(address, ServerCredentials.createInsecure(), error => {
+			resolve(error === null
+				? ok({
+					close() {
+						server.forceShutdown();
+					},
+				})
+				: err(failure(FailureKind.unreachable, `can't listen on ${address}: ${error.message}`)));
+		});
+	});
+}
--- /dev/null
+++ b/packages/mesh/src/service.ts
@@ -0,0 +1,46 @@
+/**
+ * The gRPC service that carries the calls: one method for each, and a stream.
+ */
+import {Buffer} from 'node:buffer';
+import {type Failure} from '@dogwooddeck/model/failure';
+import {type MethodDefinition, type ServiceDefinition} from '@grpc/grpc-js';
+import {type FollowMessage, type FollowRequest, meshCalls} from './calls.js';
+
+/** An answer as it travels. */
+export type Reply<Answer> = {readonly answer: Answer} | {readonly failure: Failure};
+
+function serialize(value: unknown): Buffer {
+	return Buffer.from(JSON.stringify(value));
+}
+
+function deserialize(bytes: Buffer): unknown {
+	return JSON.parse(bytes.toString());
+}
+
+/** Describes one method. */
+export function methodOf(name: string, responseStream: boolean): MethodDefinition<unknown, unknown> {
+	return {
+		path: `/dogwooddeck.Mesh/${name}`,
+		requestStream: false,
+		responseStream,
+		requestSerialize: serialize,
+		requestDeserialize: deserialize,
+		responseSerialize: serialize,
+		responseDeserialize: deserialize,
+	};
+}
+
+/** The name of the stream. */
+export const followMethod = 'follow';
+
+/** All methods. */
+export const meshService: ServiceDefinition = Object.fromEntries([
+	...meshCalls.map(call => [call, methodOf(call, false)] as const),
+	[followMethod, methodOf(followMethod, true)],
+]);
+
+/** The largest message that is taken, in bytes: a whole state of some ten thousand routes. */
+export const largestMessageBytes = 33_554_432;
+
+/** What the stream carries. */
+export type FollowCall = {readonly request: FollowRequest; readonly message: FollowMessage};
--- /dev/null
+++ b/packages/replica/src/succession.ts
@@ -0,0 +1,95 @@
+/**
+ * Who should vote: keeps the number of voters, and replaces voters that are
+ * lost, one step of the voter set at a time. The leader asks after each sighting.
+ */
+import {type VoterIdentity, type VoterSet} from '@dogwooddeck/consensus/message';
+import {includesVoter, sameVoter} from '@dogwooddeck/consensus/voter-set';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+
+/** When a control instance was last heard by the leader. */
+export type VoterSighting = {readonly voter: VoterIdentity; readonly heardAt: MonotonicTime};
+
+/** What the decision is made of. */
+export type SuccessionInput = {
+	readonly now: MonotonicTime;
+	readonly self: VoterIdentity;
+	readonly voterSet: VoterSet;
+	readonly sightings: readonly VoterSighting[];
+	/** How many should vote: twice the losses to be borne, and one. */
+	readonly wantedVoters: number;
+};
+
+/** A standby takes part only if it was heard this recently. */
+export const presentMilliseconds: Milliseconds = 1500;
+
+/** A voter is replaced after this much silence, if a standby is present: longer than a short network partition. */
+export const lostVoterMilliseconds: Milliseconds = 7000;
+
+/** A learner is forgotten after this much silence. */
+export const lostLearnerMilliseconds: Milliseconds = 20_000;
+
+type Standing = {readonly present: readonly VoterIdentity[]; readonly lost: readonly VoterIdentity[]};
+
+function heardAt({sightings}: SuccessionInput, voter: VoterIdentity): MonotonicTime {
+	return sightings.find(sighting => sameVoter(sighting.voter, voter))?.heardAt ?? -Infinity;
+}
+
+/** A voter's folder is gone for good once its instance is seen with another one. */
+function isReplaced({sightings}: SuccessionInput, voter: VoterIdentity): boolean {
+	const others = sightings.filter(sighting => sighting.voter.name === voter.name);
+	const newest = others.reduce<VoterSighting | undefined>((found, one) => found === undefined || one.heardAt > found.heardAt ? one : found, undefined);
+	return newest !== undefined && !sameVoter(newest.voter, voter);
+}
+
+function standingOf(input: SuccessionInput): Standing {
+	const {now, self, voterSet} = input;
+	const isSelf = (voter: VoterIdentity) => sameVoter(voter, self);
+	const lost = voterSet.voters.filter(voter => !isSelf(voter) && (isReplaced(input, voter) || now - heardAt(input, voter) > lostVoterMilliseconds));
+	const present = input.sightings.filter(sighting => now - sighting.heardAt <= presentMilliseconds && !isReplaced(input, sighting.voter)).map(({voter}) => voter);
+	return {present, lost};
+}
+
+function addLearner({voterSet}: SuccessionInput, {present}: Standing): VoterSet | undefined {
+	const newcomer = present.find(voter => !includesVoter(voterSet.voters, voter) && !includesVoter(voterSet.learners, voter));
+	return newcomer === undefined
+		? undefined
+		: {voters: voterSet.voters, learners: [...voterSet.learners.filter(({name}) => name !== newcomer.name), newcomer]};
+}
+
+function promote({voterSet, wantedVoters}: SuccessionInput, {present, lost}: Standing): VoterSet | undefined {
+	const names = new Set(voterSet.voters.map(({name}) => name));
+	const standby = voterSet.learners.find(learner => includesVoter(present, learner) && !names.has(learner.name));
+	return standby === undefined || voterSet.voters.length - lost.length >= wantedVoters
+		? undefined
+		: {voters: [...voterSet.voters, standby], learners: voterSet.learners.filter(learner => !sameVoter(learner, standby))};
+}
+
+/** A lost voter goes once enough others vote, or once only its own instance could take its place. */
+function dropLost(input: SuccessionInput, {lost}: Standing): VoterSet | undefined {
+	const {voterSet, wantedVoters} = input;
+	const gone = lost.find(voter => voterSet.voters.length > wantedVoters || isReplaced(input, voter));
+	return gone === undefined ? undefined : {voters: voterSet.voters.filter(voter => !sameVoter(voter, gone)), learners: voterSet.learners};
+}
+
+function dropSurplus({voterSet, wantedVoters, self}: SuccessionInput): VoterSet | undefined {
+	const surplus = voterSet.voters.length > wantedVoters ? voterSet.voters.findLast(voter => !sameVoter(voter, self)) : undefined;
+	return surplus === undefined
+		? undefined
+		: {voters: voterSet.voters.filter(voter => !sameVoter(voter, surplus)), learners: [...voterSet.learners, surplus]};
+}
+
+function forgetLearner(input: SuccessionInput): VoterSet | undefined {
+	const {voterSet, now} = input;
+	const gone = voterSet.learners.find(learner => isReplaced(input, learner) || now - heardAt(input, learner) > lostLearnerMilliseconds);
+	return gone === undefined ? undefined : {voters: voterSet.voters, learners: voterSet.learners.filter(learner => !sameVoter(learner, gone))};
+}
+
+/** The next voter set, or undefined where the present one should stay. */
+export function nextVoterSet(input: SuccessionInput): VoterSet | undefined {
+	const standing = standingOf(input);
+	return addLearner(input, standing)
+		?? promote(input, standing)
+		?? dropLost(input, standing)
+		?? dropSurplus(input)
+		?? forgetLearner(input);
+}
--- a/packages/daemon/src/voter-runner.ts
+++ b/packages/replica/src/voter-runner.ts
@@ -14,7 +14,6 @@
 import {
 	committedIndex, createVoter, leaderOf, quorumHeardAt, roleOf, stepVoter, voterSetOf,
 } from '@dogwooddeck/consensus/voter';
-import {type ControlAccepted, decodeControl} from '@dogwooddeck/control/state';
 import {startDueTimer} from '@dogwooddeck/clock/due';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
@@ -24,17 +23,17 @@
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {err, ok, type Result} from 'true-myth/result';
-import {emptyPayload, type ControlHolder, type EntryAnswers} from './control-holder.js';
+import {emptyPayload, type StateHolder} from './state-holder.js';
 
 /** A command's place in the log and its answer. */
-export type Committed = {readonly index: LogIndex; readonly answers: EntryAnswers};
+export type Committed<Accepted> = {readonly index: LogIndex; readonly answers: ReadonlyArray<Result<Accepted, Failure>>};
 
 /** A voter that runs. */
-export type VoterRunner = {
+export type VoterRunner<Accepted> = {
 	/** Takes a message of another voter. Fails with `notFound` if it is for another folder, and with `malformed`. */
 	readonly receive: (envelope: ConsensusEnvelope) => Result<undefined, Failure>;
 	/** Ends when the payload is committed and applied here, or refused. */
-	readonly propose: (payload: string) => Promise<Result<Committed, Failure>>;
+	readonly propose: (payload: string) => Promise<Result<Committed<Accepted>, Failure>>;
 	/** Ends when all that was accepted before the call is applied here. */
 	readonly read: () => Promise<Result<LogIndex, Failure>>;
 	readonly changeVoters: (voterSet: VoterSet) => Promise<Result<LogIndex, Failure>>;
@@ -44,17 +43,19 @@
 	readonly leader: () => InstanceName | undefined;
 	/** When a majority was last heard, if this voter leads. */
 	readonly quorumHeardAt: (now: MonotonicTime) => MonotonicTime | undefined;
+	/** When a leader was last heard by this voter. */
+	readonly leaderHeardAt: () => MonotonicTime;
 	readonly voterSet: () => VoterSet;
 	readonly committed: () => LogIndex;
 	readonly stop: () => Promise<void>;
 };
 
 /** What a voter runs on. */
-export type VoterSurroundings = {
+export type VoterSurroundings<State, Accepted> = {
 	readonly options: ConsensusOptions;
 	readonly saved: SavedState;
 	readonly storage: Storage;
-	readonly holder: ControlHolder;
+	readonly holder: StateHolder<State, Accepted>;
 	readonly log: Log;
 	readonly send: (envelope: ConsensusEnvelope) => void;
 	readonly roleChanged: (role: Role) => void;
@@ -62,36 +63,36 @@
 	readonly failed: (failed: Failure) => void;
 };
 
-type Settle = (result: Result<Committed, Failure>) => void;
-type Waiting = {readonly term: number; readonly settle: Settle};
+type Settle<Accepted> = (result: Result<Committed<Accepted>, Failure>) => void;
+type Waiting<Accepted> = {readonly term: number; readonly settle: Settle<Accepted>};
 
 const unknownOutcome = failure(FailureKind.outcomeUnknown, 'another leader took over before the change was known to be accepted');
 
 /** A snapshot that can't be read must not take the place of the state on disk. */
-function hasReadableSnapshot({message}: ConsensusEnvelope): boolean {
-	return message.kind !== 'snapshotSent' || decodeControl(message.snapshot.data).isOk;
+function hasReadableSnapshot({message}: ConsensusEnvelope, isReadable: (data: string) => boolean): boolean {
+	return message.kind !== 'snapshotSent' || isReadable(message.snapshot.data);
 }
 
-function checkEnvelope(envelope: ConsensusEnvelope, self: VoterIdentity): Result<undefined, Failure> {
+function checkEnvelope(envelope: ConsensusEnvelope, self: VoterIdentity, isReadable: (data: string) => boolean): Result<undefined, Failure> {
 	if (!sameVoter(envelope.to, self)) {
 		return err(failure(FailureKind.notFound, `the message is for the folder ${envelope.to.folder} of ${envelope.to.name}, which is not here`));
 	}
 
-	return isSound(envelope, self) && hasReadableSnapshot(envelope)
+	return isSound(envelope, self) && hasReadableSnapshot(envelope, isReadable)
 		? ok(undefined)
 		: err(failure(FailureKind.malformed, `a message of kind ${envelope.message.kind} does not agree with itself`));
 }
 
 /** Starts a voter. */
-export function startVoter(surroundings: VoterSurroundings): VoterRunner {
+export function startVoter<State extends {readonly applied: LogIndex}, Accepted>(surroundings: VoterSurroundings<State, Accepted>): VoterRunner<Accepted> {
 	const {holder, log, storage} = surroundings;
 	let state = createVoter(surroundings.options, surroundings.saved, monotonicNow());
 	let requests = 0;
 	let writing: Promise<void> = Promise.resolve();
 	let stopped = false;
-	const proposals = new Map<string, Settle>();
-	const placed = new Map<LogIndex, Waiting>();
-	const reads: Array<{readonly index: LogIndex; readonly settle: Settle}> = [];
+	const proposals = new Map<string, Settle<Accepted>>();
+	const placed = new Map<LogIndex, Waiting<Accepted>>();
+	const reads: Array<{readonly index: LogIndex; readonly settle: Settle<Accepted>}> = [];
 
 	function settleReads(): void {
 		const {applied} = holder.state();
@@ -112,7 +113,7 @@
 		}
 	}
 
-	function settle(request: string, result: Result<Committed, Failure>): void {
+	function settle(request: string, result: Result<Committed<Accepted>, Failure>): void {
 		proposals.get(request)?.(result);
 		proposals.delete(request);
 	}
@@ -204,7 +205,7 @@
 		ticking.arm();
 	}
 
-	async function ask(event: (request: string) => ConsensusEvent): Promise<Result<Committed, Failure>> {
+	async function ask(event: (request: string) => ConsensusEvent): Promise<Result<Committed<Accepted>, Failure>> {
 		requests += 1;
 		const request = `${surroundings.options.self.name}-${requests}`;
 		return new Promise(resolve => {
@@ -222,7 +223,7 @@
 
 	return {
 		receive(envelope) {
-			const checked = checkEnvelope(envelope, surroundings.options.self);
+			const checked = checkEnvelope(envelope, surroundings.options.self, holder.isReadable);
 			if (checked.isOk) {
 				step({kind: 'received', now: monotonicNow(), envelope});
 			}
@@ -248,6 +249,7 @@
 		isLeader: () => roleOf(state) === Role.leader,
 		leader: () => leaderOf(state)?.name,
 		quorumHeardAt: now => quorumHeardAt(state, now),
+		leaderHeardAt: () => state.leaderHeardAt,
 		voterSet: () => voterSetOf(state),
 		committed: () => committedIndex(state),
 		async stop() {
@@ -262,8 +264,3 @@
 		},
 	};
 }
-
-/** The first of an entry's answers. */
-export function firstAnswer({index, answers}: Committed): Result<ControlAccepted, Failure> {
-	return answers[0] ?? ok({index});
-}
--- a/packages/routing/src/budget.ts
+++ b/packages/routing/src/budget.ts
@@ -7,6 +7,8 @@
 export type RetryBudget = {
 	readonly ratio: number;
 	readonly balance: number;
+	/** The retries that may be saved up. */
+	readonly largest: number;
 };
 
 /** What changes a budget. */
@@ -16,8 +18,8 @@
 const largestBalance = 10;
 
 /** A full budget. */
-export function createRetryBudget(ratio: number): RetryBudget {
-	return {ratio, balance: largestBalance};
+export function createRetryBudget(ratio: number, largest = largestBalance): RetryBudget {
+	return {ratio, balance: largest, largest};
 }
 
 /** Whether a retry may be drawn. */
@@ -28,5 +30,5 @@
 /** Books a first attempt or a retry. */
 export function bookAttempt(budget: RetryBudget, event: RetryBudgetEvent): Transition<RetryBudget, never> {
 	const change = event.kind === 'retry' ? -1 : budget.ratio;
-	return {state: {...budget, balance: Math.min(largestBalance, budget.balance + change)}, effects: []};
+	return {state: {...budget, balance: Math.min(budget.largest, budget.balance + change)}, effects: []};
 }
--- a/packages/routing/src/outcome.ts
+++ b/packages/routing/src/outcome.ts
@@ -31,6 +31,8 @@
 	wholeAnswer: 'whole-answer',
 	/** The head of an answer came, and its body ended early. */
 	cutAnswer: 'cut-answer',
+	/** An answer came that belongs to another request, or that isn't the upstream's own. */
+	foreignAnswer: 'foreign-answer',
 	/** The answer has neither a length nor chunks, so nobody can tell whether it is whole. */
 	unboundedAnswer: 'unbounded-answer',
 } as const;
@@ -103,6 +105,9 @@
 	[Seen.cutAnswer]: {
 		outcome: Outcome.unknown, resend: Resend.idempotent, status: badGateway, kind: FailureKind.upstreamFailed, detail: 'the answer ended early',
 	},
+	[Seen.foreignAnswer]: {
+		outcome: Outcome.unknown, resend: Resend.idempotent, status: badGateway, kind: FailureKind.upstreamFailed, detail: 'the answer belongs to another request',
+	},
 	[Seen.unboundedAnswer]: {
 		outcome: Outcome.unknown, resend: Resend.never, status: badGateway, kind: FailureKind.upstreamFailed, detail: 'the answer has neither a length nor chunks',
 	},
--- a/packages/storage/src/folder.ts
+++ b/packages/storage/src/folder.ts
@@ -112,9 +112,32 @@
 	};
 }
 
-async function open(folder: string, found: boolean): Promise<OpenFolder> {
+/** Who sees to it that one process alone uses a folder. */
+export const FolderLocking = {
+	/** This process, by a lock that the kernel keeps. */
+	own: 'own',
+	/** Whoever starts the processes. For systems without local sockets. */
+	byOthers: 'by-others',
+} as const;
+
+/** One of the ways. */
+export type FolderLocking = (typeof FolderLocking)[keyof typeof FolderLocking];
+
+/** How a folder is opened. */
+export type FolderOptions = {readonly found?: boolean; readonly locking?: FolderLocking};
+
+const holders: Readonly<Record<FolderLocking, (folder: string) => Promise<FolderLock>>> = {
+	[FolderLocking.own]: holdFolder,
+	[FolderLocking.byOthers]: async () => ({
+		async release() {
+			// Nothing is held.
+		},
+	}),
+};
+
+async function open(folder: string, {found = false, locking = FolderLocking.own}: FolderOptions): Promise<OpenFolder> {
 	await makeFolder(folder);
-	const lock = await holdFolder(folder);
+	const lock = await holders[locking](folder);
 	try {
 		return await openHeld(folder, found, lock);
 	} catch (error) {
@@ -131,9 +154,9 @@
  * Fails with `storageDamaged` (file and offset), `storageFailed` or `conflict`,
  * the last also where another process holds the folder.
  */
-export async function openFolder(folder: string, options: {readonly found?: boolean} = {}): Promise<Result<OpenFolder, Failure>> {
+export async function openFolder(folder: string, options: FolderOptions = {}): Promise<Result<OpenFolder, Failure>> {
 	try {
-		return ok(await open(folder, options.found ?? false));
+		return ok(await open(folder, options));
 	} catch (error) {
 		return err(toFailure(error, FailureKind.storageFailed));
 	}
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -40,6 +40,29 @@
 	inputRefused: 'input-refused',
 	/** A voter's data folder is new to the others. */
 	voterJoining: 'voter-joining',
+	/** An announcement changed what is known of its upstream or of its keys. */
+	upstreamAnnounced: 'upstream-announced',
+	/** An upstream says that it is gone. */
+	upstreamLeft: 'upstream-left',
+	/** An operator's change of items was taken or refused. */
+	itemsDeclared: 'items-declared',
+	/** The leader gives keys out or asks for them. */
+	keysPlanned: 'keys-planned',
+	/** The leader changes who votes. */
+	votersChanged: 'voters-changed',
+	/** A control instance is followed, or no longer. */
+	controlGained: 'control-gained',
+	controlLost: 'control-lost',
+	/** The settings were read again. */
+	settingsReloaded: 'settings-reloaded',
+	/** An attempt at an upstream ended without an answer to pass on. */
+	attemptFailed: 'attempt-failed',
+	/** A request was answered by an upstream. */
+	requestAnswered: 'request-answered',
+	/** A request was refused or ended without an upstream's answer. */
+	requestRefused: 'request-refused',
+	/** Lines were left out to bound the volume. */
+	linesDropped: 'lines-dropped',
 } as const;
 
 /** One of the names of events. */
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -11,6 +11,8 @@
 	requests: 'dogwooddeck_requests_total',
 	/** Time to a whole answer, in milliseconds, by service. */
 	latency: 'dogwooddeck_request_milliseconds',
+	/** Attempts at upstreams that brought no answer, by service and what was seen. */
+	attempts: 'dogwooddeck_failed_attempts_total',
 	/** The newest log entry that is applied. */
 	applied: 'dogwooddeck_applied_index',
 	/** Announcements that were taken. */
--- a/packages/upstream-client/src/client.ts
+++ b/packages/upstream-client/src/client.ts
@@ -79,7 +79,7 @@
 	}
 
 	send(request: UpstreamRequest, sink: AnswerSink): SentRequest {
-		const exchange = new Exchange(sink, request.method, request.notRunStatuses, request.timeoutMilliseconds);
+		const exchange = new Exchange(sink, request.method, {isNotRun: status => request.notRunStatuses.includes(status)}, request.timeoutMilliseconds);
 		if (request.connections < 1) {
 			exchange.onError({name: 'Error', message: 'no connections', code: 'ECONNREFUSED'});
 			return exchange;
--- a/packages/upstream-client/src/exchange.ts
+++ b/packages/upstream-client/src/exchange.ts
@@ -8,7 +8,9 @@
 import {failure, FailureError, FailureKind} from '@dogwooddeck/model/failure';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {Seen} from '@dogwooddeck/routing/outcome';
-import {type RawHeaders, readAnswerHead, retryAfterMilliseconds} from './headers.js';
+import {
+	type AnswerHead, type RawHeaders, readAnswerHead, retryAfterMilliseconds,
+} from './headers.js';
 
 /** Takes what comes of one request. */
 export type AnswerSink = {
@@ -22,6 +24,16 @@
 	onEnd(seen: Seen, retryAfterMilliseconds?: Milliseconds): void;
 };
 
+/** What an answer is held against. */
+export type AnswerRules = {
+	/** Whether the upstream says that it did not run the request. */
+	readonly isNotRun: (status: number, head: AnswerHead) => boolean;
+	/** Whether the answer belongs to another request, or isn't the upstream's own. Left out: none is. */
+	readonly isForeign?: (status: number, head: AnswerHead) => boolean;
+	/** Whether the connection that carried an answer without a length ended in order. Left out: that can't be told. */
+	readonly endedInOrder?: () => boolean;
+};
+
 /** Why a request is given up. */
 export const Abandoned = {
 	callerGone: 'caller-gone',
@@ -63,19 +75,20 @@
 export class Exchange {
 	readonly #sink: AnswerSink;
 	readonly #method: string;
-	readonly #notRunStatuses: readonly number[];
+	readonly #rules: AnswerRules;
 	readonly #timer: NodeJS.Timeout;
 	#handedOver = false;
 	#headSeen = false;
+	#unbounded = false;
 	#ended = false;
 	#drained = 0;
 	#abort: (reason?: Error) => void = nothingToDo;
 	#resume: () => void = nothingToDo;
 
-	constructor(sink: AnswerSink, method: string, notRunStatuses: readonly number[], timeoutMilliseconds: Milliseconds) {
+	constructor(sink: AnswerSink, method: string, rules: AnswerRules, timeoutMilliseconds: Milliseconds) {
 		this.#sink = sink;
 		this.#method = method;
-		this.#notRunStatuses = notRunStatuses;
+		this.#rules = rules;
 		this.#timer = setTimeout(whenTimedOut, timeoutMilliseconds, this);
 	}
 
@@ -109,9 +122,13 @@
 		this.#resume = resume;
 		const head = readAnswerHead(raw);
 		const bounded = head.bounded || this.#method === 'HEAD' || status === noContent || status === notModified;
-		if (this.#notRunStatuses.includes(status)) {
+		const {isNotRun, isForeign, endedInOrder} = this.#rules;
+		this.#unbounded = !bounded;
+		if (isForeign?.(status, head) === true) {
+			this.#finishAndAbort(Seen.foreignAnswer);
+		} else if (isNotRun(status, head)) {
 			this.#shed(bounded, retryAfterMilliseconds(head.retryAfter, Date.now()));
-		} else if (bounded) {
+		} else if (bounded || endedInOrder !== undefined) {
 			this.#headSeen = true;
 			this.#sink.onHead(status, head.headers);
 		} else {
@@ -138,7 +155,8 @@
 	/** For `undici`. */
 	onComplete(): void {
 		clearTimeout(this.#timer);
-		this.#finish(Seen.wholeAnswer);
+		const isWhole = !this.#unbounded || this.#rules.endedInOrder?.() === true;
+		this.#finish(isWhole ? Seen.wholeAnswer : Seen.cutAnswer);
 	}
 
 	/** For `undici`. */
--- a/packages/upstream-client/src/headers.ts
+++ b/packages/upstream-client/src/headers.ts
@@ -26,14 +26,17 @@
 	return new Set(connection.split(',').map(name => name.trim().toLowerCase()));
 }
 
-/** The fields of a caller's request that an upstream gets. `connection` is the value of the caller's `Connection` field. */
-export function requestHeaders(raw: RawHeaders, connection: string | undefined): string[] {
+/**
+ * The fields of a caller's request that an upstream gets. `connection` is the value of the caller's
+ * `Connection` field; `stopped` are further names, in lower case, that don't pass.
+ */
+export function requestHeaders(raw: RawHeaders, connection: string | undefined, stopped: ReadonlySet<string> = none): string[] {
 	const named = namedFields(connection);
 	const kept: string[] = [];
 	for (let position = 0; position < raw.length; position += 2) {
 		const name = raw[position]!;
 		const lowerCase = name.toLowerCase();
-		if (!stoppedInRequests.has(lowerCase) && !named.has(lowerCase)) {
+		if (!stoppedInRequests.has(lowerCase) && !named.has(lowerCase) && !stopped.has(lowerCase)) {
 			kept.push(name, raw[position + 1]!);
 		}
 	}
@@ -80,6 +83,17 @@
 	return headers.filter((_field, position) => !named.has(headers[position - (position % 2)]!.toLowerCase()));
 }
 
+/** The value of a field, named in lower case; undefined where there is none. */
+export function fieldOf(headers: RawHeaders, wanted: string): string | undefined {
+	for (let position = 0; position < headers.length; position += 2) {
+		if (headers[position]!.toLowerCase() === wanted) {
+			return headers[position + 1];
+		}
+	}
+
+	return undefined;
+}
+
 const millisecondsPerSecond = 1000;
 const wholeSeconds = /^\d{1,9}$/v;
 
--- a/packages/upstream-client/test/test-exchange.ts
+++ b/packages/upstream-client/test/test-exchange.ts
@@ -141,7 +141,7 @@
 		const told: Told = {
 			heads: [], ends: [], chunks: 0, aborts: 0,
 		};
-		const exchange = new Exchange(sinkOf(told, mayStart), method, [503], 1000);
+		const exchange = new Exchange(sinkOf(told, mayStart), method, {isNotRun: status => status === 503}, 1000);
 		for (const step of steps) {
 			step(exchange, told);
 		}
@@ -159,7 +159,7 @@
 	const told: Told = {
 		heads: [], ends: [], chunks: 0, aborts: 0,
 	};
-	const exchange = new Exchange(sinkOf(told, true), 'GET', [], 100);
+	const exchange = new Exchange(sinkOf(told, true), 'GET', {isNotRun: () => false}, 100);
 	connect(exchange, told);
 	t.mock.timers.tick(99);
 	assert.deepEqual(told.ends, []);
--- a/packages/wire/src/methods.ts
+++ b/packages/wire/src/methods.ts
@@ -3,6 +3,7 @@
  * translated between the model's types and protobuf.
  */
 import {type ConsensusEnvelope, type VoterIdentity} from '@dogwooddeck/consensus/message';
+import {type CatchUp} from '@dogwooddeck/model/catch-up';
 import {failure, type Failure, FailureKind} from '@dogwooddeck/model/failure';
 import {type InstanceIdentity, type LogIndex} from '@dogwooddeck/model/identifiers';
 import {
@@ -13,12 +14,6 @@
 import type * as generated from './generated/peer.js';
 import {envelopeFromWire, envelopeToWire} from './translate-consensus.js';
 
-/** Committed entries of the log, or the whole state in their place. */
-export type CatchUp = {
-	readonly entries: ReadonlyArray<{readonly index: LogIndex; readonly payload: string}>;
-	readonly state?: {readonly index: LogIndex; readonly data: string};
-};
-
 /** An answer that also brings its receiver up to date. */
 export type WithCatchUp<Answer> = {readonly answer: Answer; readonly catchUp: CatchUp};
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -21,10 +21,17 @@
 	front: ['model', 'routing', 'configuration', 'telemetry', 'burn', 'upstream-client'],
 	// The tool checks what the server checks before a change is proposed: control's bound on the time to serve again.
 	'control-tool': ['model', 'configuration', 'burn', 'control'],
+	'key-lease': ['model'],
+	directory: ['model', 'key-lease'],
+	gateway: ['model', 'directory', 'key-lease', 'routing'],
+	replica: ['model', 'clock', 'consensus', 'storage', 'telemetry'],
+	mesh: ['model', 'consensus', 'directory', 'key-lease'],
+	'control-node': ['model', 'clock', 'consensus', 'storage', 'telemetry', 'key-lease', 'directory', 'replica', 'mesh'],
+	entry: ['model', 'clock', 'telemetry', 'routing', 'directory', 'key-lease', 'gateway', 'mesh', 'replica', 'upstream-client'],
 	'stand-in': ['model', 'clock'],
 };
 
-const decisions = new Set(['model', 'consensus', 'ownership', 'placement', 'membership', 'configuration', 'limits', 'routing', 'burn', 'control']);
+const decisions = new Set(['model', 'consensus', 'ownership', 'placement', 'membership', 'configuration', 'limits', 'routing', 'burn', 'control', 'key-lease', 'directory', 'gateway']);
 
 const restrictedSyntax = [
 	{selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.'},
@@ -61,7 +68,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['**/dist/**', '**/generated/**', '**/*.md']},
+	{ignores: ['target/**', 'journal/**', '**/dist/**', '**/generated/**', '**/*.md']},
 	{
 		rules: {
 			'no-restricted-syntax': ['error', ...restrictedSyntax],
@@ -93,6 +100,16 @@
 		files: ['packages/*/test/**/*.ts', 'packages/bench/**', 'packages/stand-in/**', 'scripts/**'],
 		rules: {'no-restricted-imports': 'off'},
 	},
+	{
+		// A program ends its process when it has stopped.
+		files: ['platform/src/program.ts'],
+		rules: {'unicorn/no-process-exit': 'off'},
+	},
+	{
+		// The bundler is part of the platform's build, which runs on an installed workspace.
+		files: ['platform/build.js'],
+		rules: {'no-restricted-imports': 'off'},
+	},
 	{
 		files: ['**/index.ts', '**/index.js'],
 		rules: {'no-restricted-syntax': ['error', {selector: 'Program', message: 'No index files: give the module a name.'}]},
