--- /dev/null
+++ b/packages/directory/test/test-item-change.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {FailureKind} from '@dogwooddeck/model/failure';
+import {type ItemChange, noItems, type Route} from '@dogwooddeck/directory/item';
+import {changeItems} from '@dogwooddeck/directory/item-change';
+
+const plain: Route = {
+	hostname: 'a.example', pathPrefix: '/a/', idempotent: true, timeoutMilliseconds: 1000, objectiveMilliseconds: 500, priority: 1, maxAttempts: 2, targets: [{service: 's', weight: 1}],
+};
+
+function route(version: number, fields: Partial<Route> = {}, name = 'r'): ItemChange {
+	const value = {...plain, ...fields};
+	return {kind: 'route', name, item: {version, value, document: JSON.stringify(value)}};
+}
+
+function service(version: number, name = 's'): ItemChange {
+	return {kind: 'service', name, item: {version, value: {keyed: false, maxConnections: 10}, document: `service ${name}`}};
+}
+
+function drop(kind: 'route' | 'service', name: string, version: number): ItemChange {
+	return {kind, name, item: {version}};
+}
+
+const held = changeItems(noItems, [service(3), route(3)]).unwrapOr(noItems);
+
+const taken: ReadonlyArray<{readonly name: string; readonly changes: ReadonlyArray<readonly ItemChange[]>; readonly version: number; readonly stands: boolean; readonly timeout?: number}> = [
+	{
+		name: 'a higher version stands', changes: [[route(5, {timeoutMilliseconds: 9})]], version: 5, stands: true, timeout: 9,
+	},
+	{
+		name: 'a lower version changes nothing', changes: [[route(2, {timeoutMilliseconds: 9})]], version: 3, stands: true, timeout: 1000,
+	},
+	{
+		name: 'the same change again changes nothing', changes: [[route(3)], [route(3)]], version: 3, stands: true, timeout: 1000,
+	},
+	{
+		name: 'a drop leaves a tombstone', changes: [[drop('route', 'r', 4)]], version: 4, stands: false,
+	},
+	{
+		name: 'what came late after a drop does not come back', changes: [[drop('route', 'r', 6)], [route(5)]], version: 6, stands: false,
+	},
+	{
+		name: 'a higher version comes back after a drop', changes: [[drop('route', 'r', 6)], [route(7)]], version: 7, stands: true, timeout: 1000,
+	},
+	{
+		name: 'an overtaken change may name a service that was dropped since', changes: [[service(4, 't')], [route(5, {targets: [{service: 't', weight: 1}]})], [route(6)], [drop('service', 't', 5)], [route(5, {targets: [{service: 't', weight: 1}]})]], version: 6, stands: true, timeout: 1000,
+	},
+];
+
+for (const {name, changes, version, stands, timeout} of taken) {
+	test(`items: ${name}`, () => {
+		let items = held;
+		for (const change of changes) {
+			const changed = changeItems(items, change);
+			assert.ok(changed.isOk, changed.isErr ? changed.error.detail : '');
+			items = changed.value;
+		}
+
+		const item = items.route.r;
+		assert.deepEqual([item?.version, item?.value !== undefined, item?.value?.timeoutMilliseconds], [version, stands, timeout]);
+	});
+}
+
+const refused: ReadonlyArray<{readonly name: string; readonly changes: readonly ItemChange[]; readonly kind: FailureKind}> = [
+	{
+		name: 'an unknown service', changes: [route(9, {targets: [{service: 'nowhere', weight: 1}]})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'an unknown service in an overtaken change', changes: [route(1, {targets: [{service: 'nowhere', weight: 1}]})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'no weight', changes: [route(9, {targets: [{service: 's', weight: 0}]})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'no target', changes: [route(9, {targets: []})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'a timeout over ten minutes', changes: [route(9, {timeoutMilliseconds: 600_001})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'no timeout', changes: [route(9, {timeoutMilliseconds: 0})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'an objective a minute above the timeout', changes: [route(9, {objectiveMilliseconds: 61_000})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'a prefix without a slash', changes: [route(9, {pathPrefix: 'a/'})], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'a name that every object has', changes: [route(9, {}, 'constructor')], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'a service that a route needs is dropped', changes: [drop('service', 's', 9)], kind: FailureKind.settingsInvalid,
+	},
+	{
+		name: 'other content under the version that stands', changes: [route(3, {timeoutMilliseconds: 9})], kind: FailureKind.conflict,
+	},
+	{
+		name: 'one bad item beside a good one', changes: [route(9, {}, 'good'), route(9, {targets: []})], kind: FailureKind.settingsInvalid,
+	},
+];
+
+for (const {name, changes, kind} of refused) {
+	test(`items: refused is ${name}`, () => {
+		const changed = changeItems(held, changes);
+		assert.ok(changed.isErr);
+		assert.equal(changed.error.kind, kind);
+	});
+}
--- /dev/null
+++ b/packages/directory/test/test-upstreams.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	applyDirectoryEntry, type DirectoryCommand, decodeDirectory, emptyDirectory, encodeDirectory,
+} from '@dogwooddeck/directory/state';
+import {isReplaced, UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
+
+function record(id: string, born: number, fields: Partial<UpstreamRecord> = {}): UpstreamRecord {
+	return {
+		id, born, service: 's', address: '10.0.0.1:1', zone: 'z', slots: 3, state: UpstreamState.ready, cold: false, ...fields,
+	};
+}
+
+function announced(upstream: UpstreamRecord): DirectoryCommand {
+	return {kind: 'upstreamAnnounced', upstream};
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly commands: readonly DirectoryCommand[]; readonly known: ReadonlyArray<readonly [string, number, UpstreamState]>; readonly refusals: number}> = [
+	{
+		name: 'a first life', commands: [announced(record('a', 1))], known: [['a', 1, 'ready']], refusals: 0,
+	},
+	{
+		name: 'a later life of the same name', commands: [announced(record('a', 1)), announced(record('a', 2))], known: [['a', 2, 'ready']], refusals: 0,
+	},
+	{
+		name: 'an earlier life that is late', commands: [announced(record('a', 2)), announced(record('a', 1))], known: [['a', 2, 'ready']], refusals: 1,
+	},
+	{
+		name: 'another upstream at the address', commands: [announced(record('a', 1)), announced(record('b', 2))], known: [['b', 2, 'ready']], refusals: 0,
+	},
+	{
+		name: 'a late word of the one that had the address before', commands: [announced(record('a', 1)), announced(record('b', 2)), announced(record('a', 1))], known: [['b', 2, 'ready']], refusals: 1,
+	},
+	{
+		name: 'ready is no answer to draining', commands: [announced(record('a', 1, {state: UpstreamState.draining})), announced(record('a', 1))], known: [['a', 1, 'draining']], refusals: 1,
+	},
+	{
+		name: 'a late word after the departure', commands: [announced(record('a', 1)), {kind: 'upstreamDeparted', life: {id: 'a', born: 1}}, announced(record('a', 1))], known: [], refusals: 1,
+	},
+	{
+		name: 'a new life after the departure', commands: [announced(record('a', 1)), {kind: 'upstreamDeparted', life: {id: 'a', born: 1}}, announced(record('a', 2))], known: [['a', 2, 'ready']], refusals: 0,
+	},
+	{
+		name: 'a departure of an earlier life', commands: [announced(record('a', 2)), {kind: 'upstreamDeparted', life: {id: 'a', born: 1}}], known: [['a', 2, 'ready']], refusals: 0,
+	},
+	{
+		name: 'silence is no departure', commands: [announced(record('a', 1)), {kind: 'upstreamRemoved', life: {id: 'a', born: 1}}, announced(record('a', 1))], known: [['a', 1, 'ready']], refusals: 0,
+	},
+];
+
+for (const {name, commands, known, refusals} of cases) {
+	test(`upstreams: ${name}`, () => {
+		const {state, answers} = applyDirectoryEntry(emptyDirectory, JSON.stringify(commands), 1);
+		assert.deepEqual(Object.values(state.upstreams).map(({id, born, state: doing}) => [id, born, doing]), known);
+		assert.equal(answers.filter(answer => answer.isErr).length, refusals);
+		assert.deepEqual(decodeDirectory(encodeDirectory(state)).unwrapOr(emptyDirectory), state);
+	});
+}
+
+test('upstreams: a life is over once a later one has its name or its address', () => {
+	const {state} = applyDirectoryEntry(emptyDirectory, JSON.stringify([announced(record('a', 1)), announced(record('b', 2))]), 1);
+	assert.equal(state.formerAddresses['a#1'], '10.0.0.1:1');
+	assert.equal(isReplaced(state.upstreams, {id: 'a', born: 1}, state.formerAddresses['a#1']), true);
+	assert.equal(isReplaced(state.upstreams, {id: 'b', born: 2}, '10.0.0.1:1'), false);
+});
--- /dev/null
+++ b/packages/gateway/test/test-gateway.ts
@@ -0,0 +1,206 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {noItems, type Route} from '@dogwooddeck/directory/item';
+import {returnAfter} from '@dogwooddeck/gateway/refusal';
+import {createRouteTable, findRoute} from '@dogwooddeck/gateway/route-table';
+import {type Choice, Distance, selectUpstream} from '@dogwooddeck/gateway/selection';
+import {Split} from '@dogwooddeck/gateway/split';
+import {Signal, UpstreamLoad} from '@dogwooddeck/gateway/upstream-load';
+import {type Waiter, WaitingLine, waitingUntil} from '@dogwooddeck/gateway/waiting';
+
+function route(hostname: string, pathPrefix: string): Route {
+	return {
+		hostname, pathPrefix, idempotent: true, timeoutMilliseconds: 1000, objectiveMilliseconds: 500, priority: 1, maxAttempts: 2, targets: [{service: 's', weight: 1}],
+	};
+}
+
+const table = createRouteTable({
+	...noItems.route,
+	short: {version: 1, value: route('a.example', '/x/')},
+	long: {version: 1, value: route('a.example', '/x/y/')},
+	other: {version: 1, value: route('b.example', '/x/')},
+	dropped: {version: 2},
+});
+
+const routes: ReadonlyArray<{readonly host: string; readonly path: string; readonly found: string | undefined}> = [
+	{host: 'a.example', path: '/x/1', found: 'short'},
+	{host: 'a.example', path: '/x/y/1', found: 'long'},
+	{host: 'A.Example:8080', path: '/x/y/1?q=/', found: 'long'},
+	{host: 'b.example', path: '/x/y/1', found: 'other'},
+	{host: 'a.example', path: '/x', found: undefined},
+	{host: 'a.example', path: '/z/', found: undefined},
+	{host: 'c.example', path: '/x/1', found: undefined},
+	{host: '', path: '/x/1', found: undefined},
+];
+
+for (const {host, path, found} of routes) {
+	test(`routes: ${host}${path}`, () => {
+		assert.equal(findRoute(table, host, path)?.name, found);
+	});
+}
+
+const splits: ReadonlyArray<{readonly weights: readonly number[]; readonly offset: number}> = [
+	{weights: [90, 10], offset: 0},
+	{weights: [90, 10], offset: 0.7},
+	{weights: [50, 30, 20], offset: 0.3},
+	{weights: [1, 0], offset: 0.99},
+	{weights: [7], offset: 0.5},
+];
+
+for (const {weights, offset} of splits) {
+	test(`split: ${weights.join('/')} from ${offset}`, () => {
+		const split = new Split(weights.map((weight, position) => ({service: String(position), weight})), offset);
+		const counts = weights.map(() => 0);
+		const total = weights.reduce((sum, weight) => sum + weight, 0);
+		for (let sent = 1; sent <= 1000; sent += 1) {
+			counts[Number(split.next())]! += 1;
+			for (const [position, weight] of weights.entries()) {
+				assert.ok(Math.abs(counts[position]! - (sent * weight / total)) <= 2, `after ${sent}: ${counts.join('/')}`);
+			}
+		}
+	});
+}
+
+function loadAfter(...signals: readonly Signal[]): UpstreamLoad {
+	const load = new UpstreamLoad(3);
+	for (const signal of signals) {
+		load.note(signal, 60, 1000);
+	}
+
+	return load;
+}
+
+const loads: ReadonlyArray<{readonly name: string; readonly load: UpstreamLoad; readonly allowance: number; readonly hasRoomAt: ReadonlyArray<readonly [number, boolean]>}> = [
+	{
+		name: 'unused', load: loadAfter(), allowance: 2, hasRoomAt: [[1000, true]],
+	},
+	{
+		name: 'full once gives way', load: loadAfter(Signal.full), allowance: 1, hasRoomAt: [[1000, true]],
+	},
+	{
+		name: 'full often still lets one through', load: loadAfter(Signal.full, Signal.full, Signal.full), allowance: 1, hasRoomAt: [[1000, true]],
+	},
+	{
+		name: 'many answers raise it to the slots and one', load: loadAfter(...Array.from({length: 200}, () => Signal.answered)), allowance: 4, hasRoomAt: [[1000, true]],
+	},
+	{
+		name: 'one broken connection is no reason to pause', load: loadAfter(Signal.broken), allowance: 1, hasRoomAt: [[1000, true]],
+	},
+	{
+		name: 'two in a row are', load: loadAfter(Signal.broken, Signal.broken), allowance: 1, hasRoomAt: [[1099, false], [1100, true]],
+	},
+	{
+		name: 'an answer between them ends the row', load: loadAfter(Signal.broken, Signal.answered, Signal.broken), allowance: 1, hasRoomAt: [[1000, true]],
+	},
+	{
+		name: 'pauses grow up to a bound', load: loadAfter(...Array.from({length: 30}, () => Signal.broken)), allowance: 1, hasRoomAt: [[2999, false], [3000, true]],
+	},
+];
+
+for (const {name, load, allowance, hasRoomAt} of loads) {
+	test(`load: ${name}`, () => {
+		assert.equal(load.allowance, allowance);
+		for (const [now, hasRoom] of hasRoomAt) {
+			assert.equal(load.hasRoom(now), hasRoom, `at ${now}`);
+		}
+	});
+}
+
+function choice(id: string, distance: Distance, underWay = 0, signals: readonly Signal[] = []): Choice {
+	const load = loadAfter(...signals);
+	load.underWay = underWay;
+	return {
+		id, distance, load, cold: false,
+	};
+}
+
+const selections: ReadonlyArray<{readonly name: string; readonly choices: readonly Choice[]; readonly excluded?: readonly string[]; readonly chosen: string | undefined}> = [
+	{
+		name: 'the own zone', choices: [choice('far', Distance.otherRegion), choice('near', Distance.sameRegion), choice('own', Distance.sameZone)], chosen: 'own',
+	},
+	{
+		name: 'another zone before a queue in the own', choices: [choice('near', Distance.sameRegion), choice('own', Distance.sameZone, 1)], chosen: 'near',
+	},
+	{
+		name: 'the own region though busy', choices: [choice('far', Distance.otherRegion), choice('own', Distance.sameZone, 1)], chosen: 'own',
+	},
+	{
+		name: 'another region where the own has no room', choices: [choice('far', Distance.otherRegion), choice('own', Distance.sameZone, 2)], chosen: 'far',
+	},
+	{
+		name: 'one that fails less', choices: [choice('bad', Distance.sameZone, 0, [Signal.failed, Signal.failed, Signal.failed]), choice('good', Distance.sameRegion)], chosen: 'good',
+	},
+	{
+		name: 'one that was not tried yet', choices: [choice('own', Distance.sameZone), choice('far', Distance.otherRegion)], excluded: ['own'], chosen: 'far',
+	},
+	{
+		name: 'nobody where none has room', choices: [choice('own', Distance.sameZone, 2)], chosen: undefined,
+	},
+];
+
+for (const {name, choices, excluded = [], chosen} of selections) {
+	test(`selection: ${name}`, () => {
+		assert.equal(selectUpstream(choices, excluded, 1000)?.id, chosen);
+	});
+}
+
+const waits: ReadonlyArray<{readonly name: string; readonly deadline: number; readonly expected: number; readonly until: number}> = [
+	{
+		name: 'a share of the objective', deadline: 5000, expected: 60, until: 1350,
+	},
+	{
+		name: 'less where the deadline is near', deadline: 1200, expected: 60, until: 1140,
+	},
+];
+
+for (const {name, deadline, expected, until} of waits) {
+	test(`waiting: ${name}`, () => {
+		assert.equal(waitingUntil({
+			now: 1000, arrivedAt: 1000, objectiveMilliseconds: 500, deadline, expectedMilliseconds: expected,
+		}), until);
+	});
+}
+
+test('waiting: the most urgent first, and those that waited too long are told', () => {
+	const line = new WaitingLine();
+	const told: string[] = [];
+	let room = 0;
+	const add = (name: string, priority: number, until: number) => {
+		const waiter: Waiter = {
+			priority,
+			until,
+			tryToStart() {
+				if (room === 0) {
+					return false;
+				}
+
+				room -= 1;
+				told.push(`${name} starts`);
+				return true;
+			},
+			giveUp() {
+				told.push(`${name} gives up`);
+			},
+		};
+		line.add(waiter);
+	};
+
+	add('low', 2, 300);
+	add('high', 0, 300);
+	add('middle', 1, 100);
+	add('high later', 0, 300);
+	assert.equal(line.dueAt(), 100);
+	line.advance(50);
+	room = 2;
+	line.advance(60);
+	line.advance(100);
+	room = 1;
+	line.advance(200);
+	assert.deepEqual(told, ['high starts', 'high later starts', 'middle gives up', 'low starts']);
+	assert.equal(line.length, 0);
+});
+
+test('refusal: callers who are refused together come back apart', () => {
+	const pauses = [0, 0.25, 0.5, 0.75, 1].map(draw => returnAfter(500, draw));
+	assert.deepEqual(pauses, [80, 155, 230, 305, 380]);
+});
--- /dev/null
+++ b/packages/key-lease/test/test-granting.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	beginGranting, type GrantingState, type HeldKeys, noteAnswered, noteHeard, vacatedByAnnouncement, vacatedByTime,
+} from '@dogwooddeck/key-lease/granting';
+import {type KeyRange, type Life} from '@dogwooddeck/key-lease/range';
+
+const terms = {holdMilliseconds: 5000, clockDrift: 0.02};
+const holder: Life = {id: 'a', born: 1};
+const recalled: KeyRange = {
+	from: 0, to: 99, fence: 7, holder, releasingSince: 20, told: true, handover: '',
+};
+
+function announced(sequence: number, fields: Partial<HeldKeys> = {}): HeldKeys {
+	return {
+		life: holder, sequence, holds: [], released: [], ...fields,
+	};
+}
+
+/** A leader elected at 0 that answered announcement 4 of the holder, received at 1000, by the state at an index. */
+function leaderThatAnswered(index: number): GrantingState {
+	const heard = noteHeard(beginGranting(0), holder, 1000, terms);
+	return noteAnswered(heard, {
+		life: holder, sequence: 4, receivedAt: 1000, index,
+	}, terms);
+}
+
+const whole = {
+	from: 0, to: 99, holder, handover: '',
+};
+
+const announcements: ReadonlyArray<{readonly name: string; readonly state: GrantingState; readonly keys: HeldKeys; readonly range?: KeyRange; readonly vacated: readonly unknown[]}> = [
+	{
+		name: 'a released row is evidence, with its token', state: leaderThatAnswered(20), keys: announced(5, {released: [{from: 0, to: 99, handover: 't'}]}), vacated: [{...whole, handover: 't'}],
+	},
+	{
+		name: 'a released part is evidence for the part', state: leaderThatAnswered(20), keys: announced(5, {released: [{from: 50, to: 200, handover: 't'}]}), vacated: [{...whole, from: 50, handover: 't'}],
+	},
+	{
+		name: 'a row that is no longer listed after an answer without it', state: leaderThatAnswered(20), keys: announced(5), vacated: [whole],
+	},
+	{
+		name: 'a row that is listed yet', state: leaderThatAnswered(20), keys: announced(5, {holds: [{from: 90, to: 120, fence: 7}]}), vacated: [],
+	},
+	{
+		name: 'an answer from before the recall proves nothing', state: leaderThatAnswered(19), keys: announced(5), vacated: [],
+	},
+	{
+		name: 'an announcement that was overtaken proves nothing', state: leaderThatAnswered(20), keys: announced(4, {released: [{from: 0, to: 99, handover: 't'}]}), vacated: [],
+	},
+	{
+		name: 'a leader that answered nothing yet relies on no omission', state: beginGranting(0), keys: announced(5), vacated: [],
+	},
+	{
+		name: 'a range that was not recalled stays', state: leaderThatAnswered(20), keys: announced(5, {released: [{from: 0, to: 99, handover: 't'}]}), range: {
+			from: 0, to: 99, fence: 7, holder, told: true, handover: '',
+		}, vacated: [],
+	},
+	{
+		name: 'another life of the same name', state: leaderThatAnswered(20), keys: {...announced(5, {released: [{from: 0, to: 99, handover: 't'}]}), life: {id: 'a', born: 2}}, vacated: [],
+	},
+];
+
+for (const {name, state, keys, range = recalled, vacated} of announcements) {
+	test(`granting: ${name}`, () => {
+		assert.deepEqual(vacatedByAnnouncement(state, [range], keys), vacated);
+	});
+}
+
+/** 5000 ms by a clock that runs 2% slow, and the margin for late timers. */
+const longest = (5000 / 0.98) + 50;
+
+const expiries: ReadonlyArray<{readonly name: string; readonly state: GrantingState; readonly now: number; readonly over?: boolean; readonly isVacated: boolean}> = [
+	{
+		name: 'a new leader waits as long as an earlier one may have answered for', state: beginGranting(0), now: longest - 1, isVacated: false,
+	},
+	{
+		name: 'and no longer', state: beginGranting(0), now: longest + 1, isVacated: true,
+	},
+	{
+		name: 'an answer counts from when its announcement came', state: leaderThatAnswered(20), now: 1000 + longest - 1, isVacated: false,
+	},
+	{
+		name: 'and ends', state: leaderThatAnswered(20), now: 1000 + longest + 1, isVacated: true,
+	},
+	{
+		name: 'a life that a later one has replaced holds nothing', state: leaderThatAnswered(20), now: 1001, over: true, isVacated: true,
+	},
+];
+
+for (const {name, state, now, over = false, isVacated} of expiries) {
+	test(`granting: ${name}`, () => {
+		const rows = vacatedByTime(state, [recalled], () => over, {now, terms});
+		assert.deepEqual(rows, isVacated ? [whole] : []);
+	});
+}
--- /dev/null
+++ b/packages/key-lease/test/test-planning.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {applyKeyCommand, type KeyTables} from '@dogwooddeck/key-lease/command';
+import {
+	bucketCount, type Candidate, keysPerBucket, planKeys,
+} from '@dogwooddeck/key-lease/planning';
+import {
+	keyCount, type KeyRange, rangeOfKey, unheldRanges,
+} from '@dogwooddeck/key-lease/range';
+
+const service = 's';
+
+function upstream(id: string, fields: Partial<Candidate> = {}): Candidate {
+	return {
+		life: {id, born: 1}, weight: 3, accepting: true, leaving: false, ...fields,
+	};
+}
+
+type Settled = {readonly ranges: readonly KeyRange[]; readonly moved: number; readonly rounds: number};
+
+/** Plans until nothing changes; what is recalled is given up at once. */
+function settle(ranges: readonly KeyRange[], candidates: readonly Candidate[], loads: Float64Array): Settled {
+	let tables: KeyTables = {[service]: ranges};
+	let moved = 0;
+	for (let round = 1; round <= 60; round += 1) {
+		const {granted, recalled} = planKeys({ranges: tables[service]!, candidates, loads});
+		if (granted.length + recalled.length === 0) {
+			return {ranges: tables[service]!, moved, rounds: round};
+		}
+
+		moved += recalled.reduce((sum, {from, to}) => sum + to - from + 1, 0);
+		tables = applyKeyCommand(tables, {kind: 'keysGranted', service, rows: granted}, round * 2);
+		tables = applyKeyCommand(tables, {kind: 'keysTold', service, rows: granted}, round * 2);
+		tables = applyKeyCommand(tables, {kind: 'keysRecalled', service, rows: recalled}, (round * 2) + 1);
+		tables = applyKeyCommand(tables, {kind: 'keysVacated', service, rows: recalled.map(row => ({...row, handover: 'token'}))}, (round * 2) + 1);
+	}
+
+	return {ranges: tables[service]!, moved, rounds: Infinity};
+}
+
+function workOf(ranges: readonly KeyRange[], loads: Float64Array): ReadonlyMap<string, number> {
+	const work = new Map<string, number>();
+	for (let bucket = 0; bucket < bucketCount; bucket += 1) {
+		const holder = rangeOfKey(ranges, bucket * keysPerBucket)?.holder?.id ?? 'nobody';
+		work.set(holder, (work.get(holder) ?? 0) + loads[bucket]!);
+	}
+
+	return work;
+}
+
+const even = new Float64Array(bucketCount).fill(1);
+
+/** A run of neighbouring keys with a share of all requests. */
+function withHotRun(keys: number, share: number): Float64Array {
+	const loads = new Float64Array(bucketCount).fill((1 - share) / bucketCount);
+	const buckets = keys / keysPerBucket;
+	for (let bucket = 1000; bucket < 1000 + buckets; bucket += 1) {
+		loads[bucket]! += share / buckets;
+	}
+
+	return loads;
+}
+
+const fleet = Array.from({length: 16}, (_value, position) => upstream(`u${position}`));
+const started = settle(unheldRanges, fleet, even).ranges;
+
+const cases: ReadonlyArray<{readonly name: string; readonly ranges: readonly KeyRange[]; readonly candidates: readonly Candidate[]; readonly loads: Float64Array; readonly holders: number; readonly mostOverMean: number; readonly mostMoved: number}> = [
+	{
+		name: 'the first grant is even and moves nothing', ranges: unheldRanges, candidates: fleet, loads: even, holders: 16, mostOverMean: 1.2, mostMoved: 0,
+	},
+	{
+		name: 'an even load moves nothing', ranges: started, candidates: fleet, loads: even, holders: 16, mostOverMean: 1.2, mostMoved: 0,
+	},
+	{
+		name: 'a hot run of 200 keys is divided', ranges: started, candidates: fleet, loads: withHotRun(200, 0.43), holders: 16, mostOverMean: 1.5, mostMoved: keyCount * 0.6,
+	},
+	{
+		name: 'a hot run of 60 keys is divided', ranges: started, candidates: fleet, loads: withHotRun(56, 0.42), holders: 16, mostOverMean: 2, mostMoved: keyCount * 0.6,
+	},
+	{
+		name: 'upstreams that join get their part', ranges: started, candidates: [...fleet, upstream('n0'), upstream('n1'), upstream('n2'), upstream('n3')], loads: even, holders: 20, mostOverMean: 1.4, mostMoved: keyCount * 0.3,
+	},
+	{
+		name: 'keys of upstreams that leave are spread', ranges: started, candidates: fleet.map((one, position) => position < 3 ? {...one, accepting: false, leaving: true} : one), loads: even, holders: 13, mostOverMean: 1.4, mostMoved: keyCount * 0.3,
+	},
+	{
+		name: 'keys of an upstream that is not known any more are spread', ranges: started, candidates: fleet.slice(1), loads: even, holders: 15, mostOverMean: 1.4, mostMoved: keyCount * 0.12,
+	},
+];
+
+for (const {name, ranges, candidates, loads, holders, mostOverMean, mostMoved} of cases) {
+	test(`planning: ${name}`, () => {
+		const settled = settle(ranges, candidates, loads);
+		assert.notEqual(settled.rounds, Infinity, 'the plans come to an end');
+		const work = workOf(settled.ranges, loads);
+		const mean = [...work.values()].reduce((sum, one) => sum + one, 0) / holders;
+		assert.equal(work.has('nobody'), false);
+		assert.equal(work.size, holders);
+		assert.ok(Math.max(...work.values()) <= mean * mostOverMean, `the most work is ${(Math.max(...work.values()) / mean).toFixed(2)} of the mean`);
+		assert.ok(settled.moved <= mostMoved, `${settled.moved} keys moved`);
+	});
+}
--- /dev/null
+++ b/packages/key-lease/test/test-schedules.ts
@@ -0,0 +1,190 @@
+/**
+ * Seeded schedules of upstreams, announcements that are lost, late or answered
+ * late, leaders that are replaced, and moves. Each upstream believes what it was
+ * told by its own clock; no key may ever be held by two.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {applyKeyCommand, type KeyCommand, type KeyTables} from '@dogwooddeck/key-lease/command';
+import {
+	beginGranting, type GrantingState, noteAnswered, noteHeard, rowsOf, vacatedByAnnouncement, vacatedByTime,
+} from '@dogwooddeck/key-lease/granting';
+import {planKeys, bucketCount} from '@dogwooddeck/key-lease/planning';
+import {
+	type KeyRange, lifeText, sharedSpan, unheldRanges,
+} from '@dogwooddeck/key-lease/range';
+
+const service = 's';
+const terms = {holdMilliseconds: 2000, clockDrift: 0.02};
+const stepMilliseconds = 25;
+const steps = 1600;
+const upstreamCount = 5;
+
+type Row = {readonly from: number; readonly to: number; readonly fence: number};
+
+type Upstream = {
+	id: string;
+	born: number;
+	sequence: number;
+	/** The rate of its clock beside the true one. */
+	readonly rate: number;
+	rows: readonly Row[];
+	/** By true time: when the rows end on its own clock. */
+	until: number;
+	released: ReadonlyArray<{readonly from: number; readonly to: number; readonly handover: string}>;
+	nextAt: number;
+	leaving: boolean;
+};
+
+type Answer = {readonly at: number; readonly to: Upstream; readonly born: number; readonly sequence: number; readonly sentAt: number; readonly rows: readonly Row[]};
+
+type Breakage = {readonly expiryIsEarly?: boolean; readonly omissionCountsAtOnce?: boolean};
+
+/** Plays one schedule; gives the first moment at which two upstreams held a key, if any. */
+function play(seed: number, breakage: Breakage = {}): string | undefined {
+	const generator = xoroshiro128plus(seed);
+	const draw = (most: number) => uniformInt(generator, 0, most - 1);
+	let tables: KeyTables = {[service]: unheldRanges};
+	let index = 1;
+	let granting: GrantingState = beginGranting(0);
+	const usedTerms = breakage.expiryIsEarly === true ? {...terms, holdMilliseconds: terms.holdMilliseconds / 2} : terms;
+	let answers: Answer[] = [];
+	const upstreams: Upstream[] = Array.from({length: upstreamCount}, (_value, position) => ({
+		id: `u${position}`, born: 1, sequence: 0, rate: 0.98 + (0.01 * (position % 3)), rows: [], until: -1, released: [], nextAt: draw(400), leaving: false,
+	}));
+	const loads = new Float64Array(bucketCount);
+
+	function commit(command: KeyCommand): void {
+		if (command.rows.length > 0) {
+			index += 1;
+			tables = applyKeyCommand(tables, command, index);
+		}
+	}
+
+	const ranges = (): readonly KeyRange[] => tables[service]!;
+
+	function announce(upstream: Upstream, now: number): void {
+		upstream.sequence += 1;
+		const life = {id: upstream.id, born: upstream.born};
+		const keys = {
+			life, sequence: upstream.sequence, holds: upstream.rows, released: upstream.released,
+		};
+		upstream.nextAt = now + 300;
+		if (draw(10) === 0) {
+			return;
+		}
+
+		granting = noteHeard(granting, life, now, usedTerms);
+		const relied = breakage.omissionCountsAtOnce === true
+			? ranges().filter(range => range.releasingSince !== undefined && range.holder?.id === life.id).map(({from, to}) => ({
+				from, to, holder: life, handover: '',
+			}))
+			: vacatedByAnnouncement(granting, ranges(), keys);
+		commit({kind: 'keysVacated', service, rows: relied});
+		const rows = rowsOf(ranges(), life);
+		granting = noteAnswered(granting, {
+			life, sequence: keys.sequence, receivedAt: now, index,
+		}, usedTerms);
+		commit({kind: 'keysTold', service, rows: rows.filter(({told}) => !told).map(({from, to}) => ({from, to, holder: life}))});
+		if (draw(8) > 0) {
+			answers.push({
+				at: now + draw(300), to: upstream, born: upstream.born, sequence: upstream.sequence, sentAt: now, rows,
+			});
+		}
+	}
+
+	function take({to: upstream, born, sequence, sentAt, rows}: Answer, now: number): void {
+		if (born !== upstream.born || sequence !== upstream.sequence) {
+			return;
+		}
+
+		const kept = new Set(upstream.rows.filter(row => rows.some(other => other.fence === row.fence && sharedSpan(row, other) !== undefined)));
+		const dropped = now < upstream.until ? upstream.rows.filter(row => !kept.has(row)) : [];
+		upstream.released = dropped.map(({from, to}) => ({from, to, handover: `${upstream.id}-${from}`}));
+		upstream.rows = rows;
+		upstream.until = sentAt + (terms.holdMilliseconds / upstream.rate);
+		upstream.nextAt = dropped.length > 0 ? now + 100 : upstream.nextAt;
+	}
+
+	const happenings: ReadonlyArray<(now: number) => void> = [
+		now => {
+			granting = beginGranting(now);
+		},
+		() => {
+			const upstream = upstreams[draw(upstreamCount)]!;
+			upstream.leaving = !upstream.leaving;
+		},
+		() => {
+			const hot = draw(bucketCount - 50);
+			loads.fill(0);
+			loads.fill(10, hot, hot + 50);
+		},
+		now => {
+			const upstream = upstreams[draw(upstreamCount)]!;
+			upstream.nextAt = now + 3000;
+		},
+	];
+
+	function plan(now: number): void {
+		commit({kind: 'keysVacated', service, rows: vacatedByTime(granting, ranges(), () => false, {now, terms: usedTerms})});
+		const candidates = upstreams.map(upstream => ({
+			life: {id: upstream.id, born: upstream.born},
+			weight: 3,
+			accepting: !upstream.leaving && granting.sightings[lifeText(upstream)] !== undefined,
+			leaving: upstream.leaving,
+		}));
+		const {granted, recalled} = planKeys({ranges: ranges(), candidates, loads});
+		commit({kind: 'keysGranted', service, rows: granted});
+		commit({kind: 'keysRecalled', service, rows: recalled});
+	}
+
+	for (let now = 0; now < steps * stepMilliseconds; now += stepMilliseconds) {
+		const due = answers.filter(({at}) => at <= now);
+		answers = answers.filter(({at}) => at > now);
+		for (const answer of due) {
+			take(answer, now);
+		}
+
+		for (const upstream of upstreams.filter(({nextAt}) => nextAt <= now)) {
+			announce(upstream, now);
+		}
+
+		if (now > 2500 && draw(30) === 0) {
+			happenings[draw(happenings.length)]!(now);
+		}
+
+		if (now % 250 === 0) {
+			plan(now);
+		}
+
+		const holding = upstreams.filter(({until}) => now < until).flatMap(upstream => upstream.rows.map(row => ({...row, id: upstream.id})));
+		const sorted = holding.sort((one, other) => one.from - other.from);
+		const clash = sorted.find((row, position) => sorted[position + 1] !== undefined && sorted[position + 1]!.from <= row.to);
+		if (clash !== undefined) {
+			return `at ${now} keys ${clash.from}-${clash.to} of ${clash.id} have another holder`;
+		}
+	}
+
+	return undefined;
+}
+
+const seeds = Array.from({length: 60}, (_value, position) => position + 1);
+
+for (const seed of seeds) {
+	test(`schedules: no key has two holders, seed ${seed}`, () => {
+		assert.equal(play(seed), undefined);
+	});
+}
+
+const variants: ReadonlyArray<{readonly name: string; readonly breakage: Breakage}> = [
+	{name: 'holders expire early', breakage: {expiryIsEarly: true}},
+	{name: 'a recall counts as a release', breakage: {omissionCountsAtOnce: true}},
+];
+
+for (const {name, breakage} of variants) {
+	test(`schedules: the check catches a variant where ${name}`, () => {
+		assert.notEqual(seeds.map(seed => play(seed, breakage)).find(found => found !== undefined), undefined);
+	});
+}
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -13,8 +13,8 @@
 const millisecondsPerMinute = 60_000;
 
 function testFiles() {
-	return readdirSync(`${root}packages`)
-		.map(name => `${root}packages/${name}/dist/test`)
+	return [...readdirSync(`${root}packages`).map(name => `packages/${name}`), 'platform']
+		.map(folder => `${root}${folder}/dist/test`)
 		.filter(folder => existsSync(folder))
 		.flatMap(folder => readdirSync(folder).filter(file => /^test-.*\.js$/v.test(file)).map(file => `${folder}/${file}`))
 		.filter(file => existsSync(file.replace('/dist/', '/').replace(/\.js$/v, '.ts')))
