Cut what control sends between regions

Change: announcements within 120 ms are confirmed by one round; an entry follows the control instances of its region, and others only while none of these is in touch with the leader; announcements that change nothing and renew no keys are answered where they arrive, one in four excepted; heartbeats each 150 ms; the leader counts entries, as no control instance sees all of them any more.

--- a/packages/control-node/src/control-node.ts
+++ b/packages/control-node/src/control-node.ts
@@ -7,7 +7,7 @@
 import {pause} from '@dogwooddeck/clock/pause';
 import {Role} from '@dogwooddeck/consensus/machine';
 import {type VoterIdentity} from '@dogwooddeck/consensus/message';
-import {type Announcement} from '@dogwooddeck/directory/announcement';
+import {type Announcement, isRoutine} from '@dogwooddeck/directory/announcement';
 import {type ItemChange, type Items} from '@dogwooddeck/directory/item';
 import {directoryMachine} from '@dogwooddeck/directory/state';
 import {type AnnouncementAnswer, type MeshCall, type MeshCalls} from '@dogwooddeck/mesh/calls';
@@ -24,6 +24,7 @@
 import {MeasureName, type Measures, recordDuration} from '@dogwooddeck/telemetry/measure';
 import {err, ok, type Result} from 'true-myth/result';
 import {type DirectoryVoter, startDirectoryVoter} from './directory-voter.js';
+import {EntryCount} from './entry-count.js';
 import {createFollowers} from './followers.js';
 import {createLeaderDesk} from './leader-desk.js';
 import {type ControlSettings} from './settings.js';
@@ -55,7 +56,7 @@
 
 /** A call of an upstream or operator is answered within a second; passing it on must fail before. */
 const forwardMilliseconds: Milliseconds = 800;
-const sightMilliseconds: Milliseconds = 300;
+const sightMilliseconds: Milliseconds = 600;
 const sightTimeoutMilliseconds: Milliseconds = 700;
 /** A leader that was not heard for this long may have been replaced. */
 const leaderSilentMilliseconds: Milliseconds = 500;
@@ -71,6 +72,7 @@
 	const clients = createMeshClients();
 	const holder = createStateHolder(directoryMachine);
 	const sightings = new Map<string, VoterSighting>();
+	const entryCount = new EntryCount();
 	/** The voter starts after the server through which the others reach it. */
 	const own: {voter?: DirectoryVoter} = {};
 	let isChangingVoters = false;
@@ -97,6 +99,14 @@
 		return own.voter?.leader();
 	}
 
+	/** Whether a leader that a majority follows was heard a moment ago. */
+	function isFresh(): boolean {
+		const now = monotonicNow();
+		return own.voter?.isLeader() === true
+			? own.voter.quorumHeardAt(now) !== undefined
+			: leaderAddress() !== undefined && now - (own.voter?.leaderHeardAt() ?? -Infinity) < leaderSilentMilliseconds;
+	}
+
 	async function changeVoters(leading: DirectoryVoter): Promise<void> {
 		const voterSet = nextVoterSet({
 			now: monotonicNow(), self: leading.identity, voterSet: leading.voterSet(), sightings: [...sightings.values()], wantedVoters: (2 * settings.toleratedLosses) + 1,
@@ -137,10 +147,11 @@
 		async deliver(envelope) {
 			return (own.voter?.receive(envelope) ?? err(failure(FailureKind.notReady, 'the voter has not started'))).map(() => ({}));
 		},
-		async sight({voter: seen}) {
+		async sight({voter: seen, entries}) {
 			noteSighting(seen);
+			entryCount.note(seen.name, entries, monotonicNow());
 			const leader = leaderAddress();
-			return ok({members: own.voter?.members() ?? [], ...(leader === undefined ? {} : {leader})});
+			return ok({members: own.voter?.members() ?? [], entryCount: entryCount.total(), ...(leader === undefined ? {} : {leader})});
 		},
 		announce: async announcement => onlyLeading(async () => desk.announce(announcement)),
 		depart: async request => onlyLeading(async () => desk.depart(request)),
@@ -154,10 +165,9 @@
 
 	const followers = createFollowers(holder, () => {
 		const leader = leaderAddress();
-		const now = monotonicNow();
-		const leads = own.voter?.isLeader() === true;
-		const fresh = leads ? own.voter?.quorumHeardAt(now) !== undefined : leader !== undefined && now - (own.voter?.leaderHeardAt() ?? -Infinity) < leaderSilentMilliseconds;
-		return {fresh, members: own.voter?.members() ?? [], ...(leader === undefined ? {} : {leader})};
+		return {
+			fresh: isFresh(), entryCount: entryCount.total(), zone: settings.zone, members: own.voter?.members() ?? [], ...(leader === undefined ? {} : {leader}),
+		};
 	});
 	const server = await startMeshServer(settings.address, handlers, followers.add);
 	if (server.isErr) {
@@ -178,18 +188,21 @@
 	own.voter = running;
 
 	async function showItself(): Promise<void> {
+		const sighting = {voter: running.identity, entries: followers.names()};
 		if (running.isLeader()) {
 			noteSighting(running.identity);
+			entryCount.note(settings.address, sighting.entries, monotonicNow());
 			return;
 		}
 
 		const leader = leaderAddress();
 		const others = [...new Set([...seeds, ...running.members()])].filter(address => address !== settings.address);
 		const asked = leader === undefined ? others : [leader];
-		const answers = await Promise.all(asked.map(async address => clients.call(address, 'sight', {voter: running.identity}, sightTimeoutMilliseconds)));
+		const answers = await Promise.all(asked.map(async address => clients.call(address, 'sight', sighting, sightTimeoutMilliseconds)));
+		entryCount.learn(answers.flatMap(answer => answer.isOk && answer.value.leader === leader ? [answer.value.entryCount] : []));
 		const told = answers.flatMap(answer => answer.isOk && answer.value.leader !== undefined ? [answer.value.leader] : []);
 		const unasked = told.filter(address => !asked.includes(address) && address !== settings.address);
-		await Promise.all([...new Set(unasked)].map(async address => clients.call(address, 'sight', {voter: running.identity}, sightTimeoutMilliseconds)));
+		await Promise.all([...new Set(unasked)].map(async address => clients.call(address, 'sight', sighting, sightTimeoutMilliseconds)));
 	}
 
 	const showing = setInterval(() => {
@@ -220,7 +233,9 @@
 	return {
 		async announce(announcement) {
 			const startedAt = monotonicNow();
-			const answer = await toLeader('announce', announcement, async () => desk.announce(announcement));
+			const answer = isFresh() && isRoutine(holder.state(), announcement)
+				? ok({holdMilliseconds: settings.holdMilliseconds})
+				: await toLeader('announce', announcement, async () => desk.announce(announcement));
 			measures.counter(MeasureName.announcements, {outcome: answer.isOk ? 'taken' : answer.error.kind}).value += 1;
 			recordDuration(measures.histogram(MeasureName.announcementLatency, {}), monotonicNow() - startedAt);
 			return answer;
--- a/packages/control-node/src/directory-voter.ts
+++ b/packages/control-node/src/directory-voter.ts
@@ -38,8 +38,8 @@
 };
 
 /** Above a round between regions (60 ms) with room for a slow turn of the loop. */
-const electionMilliseconds: Milliseconds = 700;
-const heartbeatMilliseconds: Milliseconds = 100;
+const electionMilliseconds: Milliseconds = 750;
+const heartbeatMilliseconds: Milliseconds = 150;
 
 /** A message that took longer is of no use: the sender has sent another. */
 const deliverMilliseconds: Milliseconds = 1000;
--- a/packages/control-node/src/followers.ts
+++ b/packages/control-node/src/followers.ts
@@ -8,7 +8,7 @@
 import {type DirectoryHolder} from './directory-voter.js';
 
 /** What each message says beside the changes. */
-export type Pulse = Omit<FollowMessage, 'catchUp' | 'entries'>;
+export type Pulse = Omit<FollowMessage, 'catchUp'>;
 
 /** How often a follower hears something. Entries take three missed messages for silence. */
 export const pulseMilliseconds: Milliseconds = 250;
@@ -18,6 +18,8 @@
 /** The followers of this instance. */
 export type Followers = {
 	readonly add: (follower: Follower) => void;
+	/** The names of the entries that follow. */
+	readonly names: () => readonly string[];
 	readonly stop: () => void;
 };
 
@@ -29,7 +31,7 @@
 	function send(one: Followed): void {
 		const catchUp = holder.after(one.sent);
 		const brings = catchUp.state !== undefined || catchUp.entries.length > 0;
-		const sent = one.follower.send({...pulse(), entries: followed.size, ...(brings ? {catchUp} : {})});
+		const sent = one.follower.send({...pulse(), ...(brings ? {catchUp} : {})});
 		if (sent) {
 			one.sent = holder.state().applied;
 		}
@@ -60,6 +62,7 @@
 			});
 			send(one);
 		},
+		names: () => [...new Set([...followed].map(({follower}) => follower.request.entry))],
 		stop() {
 			clearInterval(pulsing);
 		},
--- a/packages/control-node/src/leader-desk.ts
+++ b/packages/control-node/src/leader-desk.ts
@@ -3,6 +3,7 @@
  * their senders are to hold, takes declarations, and plans who holds what.
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {pause} from '@dogwooddeck/clock/pause';
 import {type Announcement, recordAnnouncement} from '@dogwooddeck/directory/announcement';
 import {standing} from '@dogwooddeck/directory/item';
 import {type DirectoryCommand, type DirectoryState} from '@dogwooddeck/directory/state';
@@ -22,7 +23,7 @@
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {err, ok, type Result} from 'true-myth/result';
 import {type DirectoryHolder, type DirectoryVoter} from './directory-voter.js';
-import {LoadCounts} from './load-counts.js';
+import {LoadCounts, longMemoryMilliseconds} from './load-counts.js';
 
 /** The calls that the leader alone answers. */
 export type LeaderDesk = {
@@ -49,6 +50,9 @@
 /** Keys are given out for the first time once no upstream has joined for this long. */
 const gatheringMilliseconds: Milliseconds = 1500;
 
+/** Announcements that come within this time are confirmed by one round of the log. */
+const gatherConfirmsMilliseconds: Milliseconds = 120;
+
 /** An answer waits this long for keys at most: it has to arrive within a second, also by way of another instance. */
 const keysWaitMilliseconds: Milliseconds = 400;
 
@@ -71,6 +75,7 @@
 	/** Keys are being taken from holders whose time is over: none of them may be renewed until it is known whether they were. */
 	let expiring: Promise<unknown> | undefined;
 	let joinedAt: MonotonicTime = -Infinity;
+	let confirming: Promise<Result<LogIndex, Failure>> | undefined;
 	const waitingForKeys = new Set<() => void>();
 	holder.listen(() => {
 		for (const check of waitingForKeys) {
@@ -119,6 +124,18 @@
 		return {holds, holdMilliseconds};
 	}
 
+	async function confirmAfterPause(): Promise<Result<LogIndex, Failure>> {
+		await pause(gatherConfirmsMilliseconds);
+		confirming = undefined;
+		return voter().read();
+	}
+
+	/** Confirms that this instance still leads, once for all announcements that came within a moment: each round crosses regions. */
+	async function confirmTogether(): Promise<Result<LogIndex, Failure>> {
+		confirming ??= confirmAfterPause();
+		return confirming;
+	}
+
 	/** Whether an upstream has keys in the table that it was not told of yet. */
 	function hasNewKeys(service: string, life: Life): boolean {
 		return rowsOf(rangesOf(service), life).some(({told}) => !told);
@@ -177,7 +194,7 @@
 
 		granting = noteHeard(granting, announcement.keys.life, receivedAt, terms);
 		const commands = [...recorded.value, ...evidenceOf(announcement)];
-		const confirmed = commands.length === 0 ? await voter().read() : await propose(commands);
+		const confirmed = commands.length === 0 ? await confirmTogether() : await propose(commands);
 		if (confirmed.isErr) {
 			return err(confirmed.error);
 		}
@@ -229,7 +246,9 @@
 			return [];
 		}
 
-		const {granted, recalled} = planKeys({ranges, candidates: candidatesOf(upstreams, now), loads: loads.rates(service, now)});
+		const {granted, recalled} = planKeys({
+			ranges, candidates: candidatesOf(upstreams, now), loads: loads.rates(service, now), countedMilliseconds: longMemoryMilliseconds,
+		});
 		return [
 			...(granted.length === 0 ? [] : [{kind: 'keysGranted', service, rows: granted} as const]),
 			...(recalled.length === 0 ? [] : [{kind: 'keysRecalled', service, rows: recalled} as const]),
--- a/packages/control-node/src/load-counts.ts
+++ b/packages/control-node/src/load-counts.ts
@@ -1,12 +1,20 @@
 /**
- * The work of each service's keys, as the entries report it, smoothed over time.
+ * The work of each service's keys and the speed of its upstreams, as the entries
+ * report them.
+ *
+ * Load patterns: with few requests, counts differ by chance, and need a long
+ * memory; a run of keys gets hot within a second, and cools down as fast.
  */
 import {type LoadReport} from '@dogwooddeck/mesh/calls';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {bucketCount} from '@dogwooddeck/key-lease/planning';
 
-/** Counts lose all but 1/e of their weight within this time: hot keys change within minutes, and bursts last seconds. */
-const memoryMilliseconds: Milliseconds = 2500;
+/** Counts lose all but 1/e of their weight within these times. */
+export const longMemoryMilliseconds: Milliseconds = 8000;
+export const shortMemoryMilliseconds: Milliseconds = 1500;
+
+/** A bucket's recent rate takes the place of the long one where they differ by so many standard deviations. */
+const significance = 3;
 
 /** An upstream counts as this many times slower or faster than the others of its service at most. */
 const slowestSpeed = 0.2;
@@ -15,34 +23,62 @@
 /** Answers that an upstream must have given before its speed is believed. */
 const leastAnswers = 5;
 
-type Answers = {count: number; milliseconds: Milliseconds};
+const millisecondsPerSecond = 1000;
+
+type Answers = {readonly count: number; readonly milliseconds: Milliseconds};
+
+type Counts = {
+	/** Requests that are remembered, by bucket. */
+	readonly long: Float64Array;
+	readonly short: Float64Array;
+	answers: ReadonlyMap<string, Answers>;
+	decayedAt: MonotonicTime;
+};
+
+function decay(values: Float64Array, factor: number): void {
+	for (const position of values.keys()) {
+		values[position]! *= factor;
+	}
+}
 
-type Counts = {readonly rates: Float64Array; readonly answers: Map<string, Answers>; decayedAt: MonotonicTime};
+/** Requests a second of a bucket, from the requests remembered by each memory. */
+export function rateOfBucket(long: number, short: number): number {
+	const byLong = long / longMemoryMilliseconds;
+	const byShort = short / shortMemoryMilliseconds;
+	const expected = byLong * shortMemoryMilliseconds;
+	const isChange = Math.abs(short - expected) > significance * Math.sqrt(expected + 1);
+	return (isChange ? byShort : byLong) * millisecondsPerSecond;
+}
 
-/** The rates of all services. They are updated in place: there are thousands. */
+/** The counts of all services. They are updated in place: there are thousands. */
 export class LoadCounts {
 	readonly #services = new Map<string, Counts>();
 
 	/** Adds what an entry counted. */
 	add(report: LoadReport, now: MonotonicTime): void {
 		for (const {service, counts, answers} of report.services) {
-			const {rates, answers: known} = this.#decayed(service, now);
-			for (const [upstream, count, milliseconds] of answers) {
-				const sums = known.get(upstream) ?? {count: 0, milliseconds: 0};
-				known.set(upstream, {count: sums.count + count, milliseconds: sums.milliseconds + milliseconds});
-			}
-
+			const known = this.#decayed(service, now);
 			for (const [bucket, count] of counts) {
 				if (bucket >= 0 && bucket < bucketCount) {
-					rates[bucket]! += count * 1000 / memoryMilliseconds;
+					known.long[bucket]! += count;
+					known.short[bucket]! += count;
 				}
 			}
+
+			const sums = new Map(known.answers);
+			for (const [upstream, count, milliseconds] of answers) {
+				const sum = sums.get(upstream) ?? {count: 0, milliseconds: 0};
+				sums.set(upstream, {count: sum.count + count, milliseconds: sum.milliseconds + milliseconds});
+			}
+
+			known.answers = sums;
 		}
 	}
 
 	/** Requests a second for each bucket of a service. */
 	rates(service: string, now: MonotonicTime): Float64Array {
-		return this.#decayed(service, now).rates;
+		const {long, short} = this.#decayed(service, now);
+		return long.map((count, bucket) => rateOfBucket(count, short[bucket]!));
 	}
 
 	/** How fast an upstream answers beside the others of its service: 1 is as fast, or not known. */
@@ -53,35 +89,28 @@
 			return 1;
 		}
 
-		let count = 0;
-		let milliseconds = 0;
-		for (const sums of answers.values()) {
-			count += sums.count;
-			milliseconds += sums.milliseconds;
-		}
-
+		const sums = [...answers.values()];
+		const count = sums.reduce((sum, one) => sum + one.count, 0);
+		const milliseconds = sums.reduce((sum, one) => sum + one.milliseconds, 0);
 		return Math.min(fastestSpeed, Math.max(slowestSpeed, (milliseconds / count) / (own.milliseconds / own.count)));
 	}
 
 	#decayed(service: string, now: MonotonicTime): Counts {
 		const known = this.#services.get(service);
 		if (known === undefined) {
-			const made = {rates: new Float64Array(bucketCount), answers: new Map<string, Answers>(), decayedAt: now};
+			const made = {
+				long: new Float64Array(bucketCount), short: new Float64Array(bucketCount), answers: new Map<string, Answers>(), decayedAt: now,
+			};
 			this.#services.set(service, made);
 			return made;
 		}
 
-		const factor = Math.exp((known.decayedAt - now) / memoryMilliseconds);
+		const passed = now - known.decayedAt;
 		known.decayedAt = now;
-		for (let bucket = 0; bucket < bucketCount; bucket += 1) {
-			known.rates[bucket]! *= factor;
-		}
-
-		for (const sums of known.answers.values()) {
-			sums.count *= factor;
-			sums.milliseconds *= factor;
-		}
-
+		decay(known.long, Math.exp(-passed / longMemoryMilliseconds));
+		decay(known.short, Math.exp(-passed / shortMemoryMilliseconds));
+		const factor = Math.exp(-passed / longMemoryMilliseconds);
+		known.answers = new Map([...known.answers].map(([upstream, {count, milliseconds}]) => [upstream, {count: count * factor, milliseconds: milliseconds * factor}]));
 		return known;
 	}
 }
--- a/packages/control-node/src/settings.ts
+++ b/packages/control-node/src/settings.ts
@@ -1,12 +1,14 @@
 /**
  * What a control instance is told when it starts.
  */
-import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {type Milliseconds, type ZoneName} from '@dogwooddeck/model/identifiers';
 
 /** The settings of a control instance. */
 export type ControlSettings = {
 	/** Where other instances reach this one, as `IP:port`. It is also the name of its voter. */
 	readonly address: string;
+	/** The availability zone that it stands in. */
+	readonly zone: ZoneName;
 	/** Where control instances were reachable when the settings were written. */
 	readonly seeds: readonly string[];
 	/** The whole deployment starts for the first time: the seeds found the cluster. */
--- /dev/null
+++ b/packages/control-node/test/test-load-counts.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {LoadCounts} from '@dogwooddeck/control-node/load-counts';
+
+const reportMilliseconds = 500;
+
+/** Plays reports: each lists the requests of one bucket in half a second; a tenth of a request is one in ten reports. */
+function ratesAfter(requests: readonly number[], bucket: number): number {
+	const counts = new LoadCounts();
+	let now = 0;
+	for (const count of requests) {
+		now += reportMilliseconds;
+		counts.add({services: [{service: 's', counts: count === 0 ? [] : [[bucket, count]], answers: []}], periodMilliseconds: reportMilliseconds}, now);
+	}
+
+	return counts.rates('s', now)[bucket]!;
+}
+
+const quiet = Array.from({length: 60}, () => 0);
+const steady = Array.from({length: 60}, () => 2);
+
+const cases: ReadonlyArray<{readonly name: string; readonly requests: readonly number[]; readonly least: number; readonly most: number}> = [
+	{
+		name: 'nothing', requests: quiet, least: 0, most: 0,
+	},
+	{
+		name: 'a steady rate', requests: steady, least: 3.2, most: 4.8,
+	},
+	{
+		name: 'one request by chance', requests: [...quiet, 1], least: 0.05, most: 0.2,
+	},
+	{
+		name: 'a bucket that gets hot, after a second', requests: [...quiet, 10, 10], least: 8, most: 25,
+	},
+	{
+		name: 'a bucket that was hot counts for less than half two seconds later', requests: [...quiet, 10, 10, 10, 10, 10, 10, 10, 10, 0, 0, 0, 0], least: 0, most: 10,
+	},
+];
+
+for (const {name, requests, least, most} of cases) {
+	test(`load counts: ${name}`, () => {
+		const rate = ratesAfter(requests, 7);
+		assert.ok(rate >= least && rate <= most, `${rate} requests a second`);
+	});
+}
+
+test('load counts: a slow upstream counts for less, one that is hardly known for one', () => {
+	const counts = new LoadCounts();
+	counts.add({services: [{service: 's', counts: [], answers: [['fast', 100, 5000], ['slow', 100, 15_000], ['new', 1, 900]]}], periodMilliseconds: reportMilliseconds}, 0);
+	const speeds = ['fast', 'slow', 'new', 'unknown'].map(upstream => counts.speed(upstream, 's', 1).toFixed(1));
+	assert.deepEqual(speeds, ['2.0', '0.7', '1.0', '1.0']);
+});
--- a/packages/directory/src/announcement.ts
+++ b/packages/directory/src/announcement.ts
@@ -19,6 +19,19 @@
 		&& one.slots === other.slots && one.state === other.state && one.cold === other.cold;
 }
 
+/** Of the announcements that change nothing, one in so many still goes to the leader, which forgets upstreams that it doesn't hear. */
+const routineOf = 4;
+
+/**
+ * Whether any control instance that is in touch with the leader may answer: the
+ * record stands as it is announced, and the service has no keys to renew.
+ */
+export function isRoutine(state: DirectoryState, {upstream, keys}: Announcement): boolean {
+	const known = state.upstreams[upstream.id];
+	const service = state.items.service[upstream.service]?.value;
+	return known !== undefined && sameRecord(known, upstream) && service?.keyed === false && keys.sequence % routineOf !== 0;
+}
+
 /**
  * The commands that record an announcement; none where nothing changed, or
  * where its sender has departed and only gives its keys up. Fails
--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -6,7 +6,9 @@
 import {directoryMachine, type DirectoryState} from '@dogwooddeck/directory/state';
 import {type FollowMessage} from '@dogwooddeck/mesh/calls';
 import {type Following, type MeshClients} from '@dogwooddeck/mesh/client';
-import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {
+	type Milliseconds, type MonotonicTime, type RegionName, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
 import {createStateHolder} from '@dogwooddeck/replica/state-holder';
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
@@ -28,6 +30,9 @@
 /** What the follower works with. */
 export type FollowerParts = {
 	readonly name: string;
+	readonly zone: ZoneName;
+	/** The region of each zone. */
+	readonly regions: Readonly<Record<ZoneName, RegionName>>;
 	readonly seeds: readonly string[];
 	readonly clients: MeshClients;
 	readonly log: Log;
@@ -39,10 +44,32 @@
 /** Until a stream has brought its first message it gets more time, to connect. */
 const connectMilliseconds: Milliseconds = 1500;
 
-type Stream = {following?: Following; heardAt: MonotonicTime; isOpen: boolean; hasHeard: boolean; lastMessage?: FollowMessage};
+/** One control instance, as a follower knows it. */
+export type FollowedControl = {
+	/** Whether it stands in the follower's own region; undefined until it has said where it stands. */
+	readonly isNear?: boolean;
+	readonly isOpen: boolean;
+	readonly hasHeard: boolean;
+	readonly heardAt: MonotonicTime;
+	/** Whether its last message said that it is in touch with the leader. */
+	readonly isFresh: boolean;
+};
+
+/**
+ * Which control instances should be followed: those of the own region, since
+ * bytes between regions are few and dear; all others while none of the region is
+ * heard and in touch with the leader.
+ */
+export function shouldFollow(control: FollowedControl, all: readonly FollowedControl[], now: MonotonicTime): boolean {
+	return control.isNear !== false || !all.some(({isNear, isOpen, hasHeard, heardAt, isFresh}) => isNear === true && isOpen && hasHeard && isFresh && now - heardAt <= silentMilliseconds);
+}
+
+type Stream = {following?: Following; isNear?: boolean; isFresh: boolean; heardAt: MonotonicTime; isOpen: boolean; hasHeard: boolean; entries: number};
 
 /** Starts to follow. */
-export function followDirectory({name, seeds, clients, log}: FollowerParts): DirectoryFollower {
+export function followDirectory({
+	name, zone, regions, seeds, clients, log,
+}: FollowerParts): DirectoryFollower {
 	const holder = createStateHolder(directoryMachine);
 	const streams = new Map<string, Stream>();
 	let isConfirmed = false;
@@ -55,7 +82,9 @@
 
 		stream.heardAt = monotonicNow();
 		stream.hasHeard = true;
-		stream.lastMessage = message;
+		stream.isFresh = message.fresh;
+		stream.isNear = regions[message.zone] === regions[zone];
+		stream.entries = message.entryCount;
 		if (message.catchUp !== undefined) {
 			holder.catchUp(message.catchUp);
 		}
@@ -90,7 +119,9 @@
 
 	function open(address: string): void {
 		if (!streams.has(address)) {
-			const stream: Stream = {heardAt: monotonicNow(), isOpen: false, hasHeard: false};
+			const stream: Stream = {
+				isFresh: false, heardAt: monotonicNow(), isOpen: false, hasHeard: false, entries: 1,
+			};
 			streams.set(address, stream);
 			start(address, stream);
 		}
@@ -98,6 +129,7 @@
 
 	function check(): void {
 		const now = monotonicNow();
+		const all = [...streams.values()];
 		for (const [address, stream] of streams) {
 			const isSilent = now - stream.heardAt > (stream.hasHeard ? silentMilliseconds : connectMilliseconds);
 			if (stream.isOpen && isSilent) {
@@ -105,7 +137,11 @@
 				clients.reopen(address);
 			}
 
-			if (!stream.isOpen) {
+			const isWanted = shouldFollow(stream, all, now);
+			if (stream.isOpen && !isWanted) {
+				stream.following?.stop();
+				clients.reopen(address);
+			} else if (!stream.isOpen && isWanted) {
 				start(address, stream);
 			}
 		}
@@ -121,7 +157,7 @@
 		listen: holder.listen,
 		isConfirmed: () => isConfirmed,
 		leader: () => leader,
-		entryCount: () => Math.max(1, ...[...streams.values()].map(({isOpen, lastMessage}) => isOpen ? lastMessage?.entries ?? 1 : 1)),
+		entryCount: () => Math.max(1, ...[...streams.values()].map(({isOpen, entries}) => isOpen ? entries : 1)),
 		followAlso(addresses) {
 			for (const address of addresses) {
 				open(address);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -60,7 +60,7 @@
 export async function startEntry({settings, log, measures, random}: EntryParts): Promise<Entry> {
 	const clients = createMeshClients();
 	const follower = followDirectory({
-		name: settings.name, seeds: settings.seeds, clients, log,
+		name: settings.name, zone: settings.zone, regions: settings.regions, seeds: settings.seeds, clients, log,
 	});
 	const table = new ServiceTable(settings, random);
 	const reporter = startLoadReporter(clients, follower.leader);
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -31,13 +31,22 @@
 	readonly expectedMilliseconds: Milliseconds;
 };
 
-/** The share of a request's objective that it may spend waiting. */
-export const waitingShare = 0.7;
+/** The shares of a request's objective that it may spend waiting, at least and at most. */
+export const leastWaitingShare = 0.15;
+export const mostWaitingShare = 0.6;
 
-/** Until when a request may wait: an answer should still come within its objective, and surely before its deadline. */
+/** Answers that take so many times longer than expected should still come within the objective. */
+const latencyAllowance = 1.2;
+
+/**
+ * Until when a request may wait: an answer should still come within its
+ * objective, and surely before its deadline. Where upstreams alone take that long,
+ * a short wait remains, as a late answer is better than none.
+ */
 export function waitingUntil({arrivedAt, objectiveMilliseconds, deadline, expectedMilliseconds}: WaitBounds): MonotonicTime {
-	const byObjective = arrivedAt + (objectiveMilliseconds * waitingShare);
-	return Math.min(byObjective, deadline - expectedMilliseconds);
+	const spare = objectiveMilliseconds - (expectedMilliseconds * latencyAllowance);
+	const wait = Math.min(objectiveMilliseconds * mostWaitingShare, Math.max(objectiveMilliseconds * leastWaitingShare, spare));
+	return Math.min(arrivedAt + wait, deadline - expectedMilliseconds);
 }
 
 /** The waiting requests of one service, or of one holder of keys. It is updated in place: it is on the request path. */
--- a/packages/key-lease/src/planning.ts
+++ b/packages/key-lease/src/planning.ts
@@ -5,6 +5,7 @@
  * Load patterns: a few neighbouring keys get much of the work; upstreams join;
  * upstreams leave or are lost, and their keys must not all go to one survivor.
  */
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {type HeldSpan} from './command.js';
 import {
 	keyCount, type KeyRange, type KeySpan, type Life, lifeText, sameLife,
@@ -33,6 +34,8 @@
 	readonly candidates: readonly Candidate[];
 	/** Requests a second for each bucket, smoothed. */
 	readonly loads: Float64Array;
+	/** The time that the loads were counted over: few requests in it say little. */
+	readonly countedMilliseconds: Milliseconds;
 };
 
 /** What should change. */
@@ -47,6 +50,9 @@
 /** Work moves when the busiest and the idlest upstream differ by more than this share of the mean. */
 const unevenShare = 0.35;
 
+/** Counts differ by chance: a difference counts only beyond this many times its standard deviation. */
+const chanceFactor = 2;
+
 /** Work counted for each bucket beside what was measured, as a share of the mean: silent keys may wake. */
 const restingShare = 0.25;
 
@@ -194,10 +200,12 @@
 	const mean = total / Math.max(1, weights);
 	const spans = new Map(shares.map(share => [share, input.ranges.filter(range => isSettled(range) && sameLife(range.holder, share.candidate.life)) as readonly KeySpan[]]));
 	const recalled: HeldSpan[] = [];
+	const chance = chanceFactor * Math.sqrt(2 * mean * 1000 / input.countedMilliseconds);
+	const least = (mean * unevenShare) + chance;
 	while (recalled.length < movesAtOnce) {
 		const giver = busiest(shares);
 		const taker = idlest(shares);
-		if (giver === undefined || taker === undefined || giver === taker || relative(giver) - relative(taker) < mean * unevenShare) {
+		if (giver === undefined || taker === undefined || giver === taker || relative(giver) - relative(taker) < least) {
 			break;
 		}
 
--- a/packages/mesh/src/calls.ts
+++ b/packages/mesh/src/calls.ts
@@ -7,7 +7,7 @@
 import {type ItemChange} from '@dogwooddeck/directory/item';
 import {type KeyRange, type Life} from '@dogwooddeck/key-lease/range';
 import {type CatchUp} from '@dogwooddeck/model/catch-up';
-import {type LogIndex, type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {type LogIndex, type Milliseconds, type ZoneName} from '@dogwooddeck/model/identifiers';
 
 /** What an upstream is told in answer to an announcement. */
 export type AnnouncementAnswer = {
@@ -27,7 +27,10 @@
 export type MeshCalls = {
 	deliver: {request: ConsensusEnvelope; answer: Record<string, never>};
 	/** A control instance shows that it is there; the answer names the leader and all control instances it knows. */
-	sight: {request: {readonly voter: VoterIdentity}; answer: {readonly leader?: string; readonly members: readonly string[]}};
+	sight: {
+		request: {readonly voter: VoterIdentity; /** The names of the entries that follow it. */ readonly entries: readonly string[]};
+		answer: {readonly leader?: string; readonly members: readonly string[]; /** The entries of the whole deployment, as far as the answering instance knows. */ readonly entryCount: number};
+	};
 	announce: {request: Announcement; answer: AnnouncementAnswer};
 	depart: {request: {readonly life: Partial<Life> & Pick<Life, 'id'>}; answer: Record<string, never>};
 	declare: {request: {readonly changes: readonly ItemChange[]}; answer: {readonly index: LogIndex}};
@@ -54,9 +57,11 @@
 	readonly catchUp?: CatchUp;
 	/** Whether the sender has heard a leader that a majority follows, a moment ago. */
 	readonly fresh: boolean;
+	/** The availability zone that the sender stands in. */
+	readonly zone: ZoneName;
 	/** The addresses of all control instances that are known. */
 	readonly members: readonly string[];
 	readonly leader?: string;
-	/** The number of entries that follow the sender. */
-	readonly entries: number;
+	/** The number of entries of the whole deployment. */
+	readonly entryCount: number;
 };
--- a/packages/replica/src/succession.ts
+++ b/packages/replica/src/succession.ts
@@ -20,7 +20,7 @@
 };
 
 /** A standby takes part only if it was heard this recently. */
-export const presentMilliseconds: Milliseconds = 1500;
+export const presentMilliseconds: Milliseconds = 2500;
 
 /** A voter is replaced after this much silence, if a standby is present: longer than a short network partition. */
 export const lostVoterMilliseconds: Milliseconds = 7000;
