Keep two voters from standing for election in step

The pause was the first number of a generator whose first number follows its seed, and each draw moved all seeds by the same amount: what lay near stayed near. Ruled out: load (the loops ran), lost messages (both were answered).

Change: a generator that spreads near seeds.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -4,7 +4,7 @@
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {mersenne} from 'pure-rand/generator/mersenne';
 import {
 	change, refuse, sendSynced, setHardState, type Draft,
 } from './draft.js';
@@ -26,9 +26,12 @@
 type VoteRequest = Extract<ConsensusMessage, {readonly kind: 'voteRequested'}>;
 type Granting = Extract<ConsensusMessage, {readonly kind: 'preVoteAnswered' | 'voteAnswered'}>;
 
-/** The pause before an election, in milliseconds: one to two election times, drawn by the seed and the number of draws. */
+/**
+ * The pause before an election, in milliseconds: one to two election times, drawn by the seed and the number of draws.
+ * The generator spreads near seeds far apart; one whose first number follows its seed keeps two voters in step for good.
+ */
 export function drawElectionPause(options: VoterState['options'], draws: number): number {
-	const generator = xoroshiro128plus(options.seed + (draws * 7919));
+	const generator = mersenne(options.seed + (draws * 7919));
 	return options.electionMilliseconds + uniformInt(generator, 0, options.electionMilliseconds);
 }
 
--- /dev/null
+++ b/packages/consensus/test/test-election-pause.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {drawElectionPause} from '@dogwooddeck/consensus/election';
+import {type ConsensusOptions} from '@dogwooddeck/consensus/machine';
+
+const electionMilliseconds = 750;
+const draws = 40;
+
+/** Two voters that begin within a round between regions split the votes. */
+const roundMilliseconds = 60;
+
+/** Voters that lose their leader together may split the votes twice in a row, seldom more often. */
+const mostSplitsInTurn = 4;
+
+function pauseOf(seed: number, draw: number): number {
+	const options: ConsensusOptions = {
+		self: {name: 'a', folder: 'f'}, electionMilliseconds, heartbeatMilliseconds: 150, entriesBeforeSnapshot: 100, seed,
+	};
+	return drawElectionPause(options, draw);
+}
+
+function splitsInTurn(one: number, other: number): number {
+	let longest = 0;
+	let current = 0;
+	for (let draw = 0; draw < draws; draw += 1) {
+		const isSplit = Math.abs(pauseOf(one, draw) - pauseOf(other, draw)) < roundMilliseconds;
+		current = isSplit ? current + 1 : 0;
+		longest = Math.max(longest, current);
+	}
+
+	return longest;
+}
+
+const pairs: ReadonlyArray<{readonly name: string; readonly one: number; readonly other: number}> = [
+	{name: 'seeds that follow each other', one: 1, other: 2},
+	{name: 'seeds a round apart', one: 1000, other: 1750},
+	{name: 'equal seeds but for the highest bit', one: 5, other: 5 + (2 ** 30)},
+	{name: 'seeds that differ by ten', one: 1_789_530_772, other: 1_789_530_782},
+	{name: 'seeds of addresses', one: 912_345_678, other: 1_512_345_660},
+];
+
+for (const {name, one, other} of pairs) {
+	test(`election pause: voters with ${name} do not begin together again and again`, () => {
+		assert.ok(splitsInTurn(one, other) <= mostSplitsInTurn, `${splitsInTurn(one, other)} elections in turn within a round`);
+	});
+}
+
+test('election pause: pauses fill the span from one election time to two', () => {
+	const pauses = Array.from({length: 400}, (_value, draw) => pauseOf(7, draw));
+	assert.ok(Math.min(...pauses) >= electionMilliseconds && Math.min(...pauses) < electionMilliseconds * 1.1);
+	assert.ok(Math.max(...pauses) <= electionMilliseconds * 2 && Math.max(...pauses) > electionMilliseconds * 1.9);
+});
--- a/packages/routing/test/test-outcome.ts
+++ b/packages/routing/test/test-outcome.ts
@@ -39,6 +39,9 @@
 	{
 		seen: Seen.cutAnswer, outcome: Outcome.unknown, idempotentAgain: true, otherAgain: false,
 	},
+	{
+		seen: Seen.foreignAnswer, outcome: Outcome.unknown, idempotentAgain: true, otherAgain: false,
+	},
 	{
 		seen: Seen.unboundedAnswer, outcome: Outcome.unknown, idempotentAgain: false, otherAgain: false,
 	},
