Keep announcements for a moment, so that moves of keys are heard at once

Change: answers to upstreams with keys wait up to 450 ms and end at once when the table asks for keys or has new ones; entries report loads each 300 ms. Tests: `test-leader-desk` with a paused clock, among them that a replaced leader renews nothing.

--- a/packages/control-node/src/leader-desk.ts
+++ b/packages/control-node/src/leader-desk.ts
@@ -54,7 +54,7 @@
 const gatherConfirmsMilliseconds: Milliseconds = 120;
 
 /** An answer waits this long for keys at most: it has to arrive within a second, also by way of another instance. */
-const keysWaitMilliseconds: Milliseconds = 400;
+const keysWaitMilliseconds: Milliseconds = 450;
 
 /** An upstream that was not heard for this long gets no more keys: two announcements and a little. */
 const silentMilliseconds: Milliseconds = 2200;
@@ -136,26 +136,25 @@
 		return confirming;
 	}
 
-	/** Whether an upstream has keys in the table that it was not told of yet. */
-	function hasNewKeys(service: string, life: Life): boolean {
-		return rowsOf(rangesOf(service), life).some(({told}) => !told);
+	/** Whether the table has keys for an upstream that it was not told of yet, or asks for keys that it has. */
+	function hasNews(service: string, life: Life): boolean {
+		const own = rangesOf(service).filter(range => sameLife(range.holder, life));
+		return own.some(({told, releasingSince}) => releasingSince !== undefined || !told);
 	}
 
 	/**
-	 * While keys are on their way to another holder, the answers to those who may
-	 * get them wait for a moment: the next holder hears of its keys at once and not
-	 * with its next announcement.
+	 * Answers to upstreams with keys wait for a moment, so that one that should get
+	 * keys or give them up hears of it at once and not with its next announcement.
+	 * One that is giving keys up announces itself often until it has, and is not kept.
 	 */
 	async function waitForKeys({upstream, keys}: Announcement): Promise<void> {
-		const isMoving = rangesOf(upstream.service).some(range => range.holder === undefined || range.releasingSince !== undefined);
-		const gives = rangesOf(upstream.service).some(range => range.releasingSince !== undefined && sameLife(range.holder, keys.life));
-		if (!isMoving || gives || !isKeyed(upstream.service) || upstream.state !== UpstreamState.ready || hasNewKeys(upstream.service, keys.life)) {
+		if (!isKeyed(upstream.service) || upstream.state !== UpstreamState.ready || hasNews(upstream.service, keys.life)) {
 			return;
 		}
 
 		await new Promise<void>(resolve => {
 			const check = () => {
-				if (hasNewKeys(upstream.service, keys.life)) {
+				if (hasNews(upstream.service, keys.life)) {
 					waitingForKeys.delete(check);
 					clearTimeout(timer);
 					resolve();
--- /dev/null
+++ b/packages/control-node/test/test-leader-desk.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {type Announcement} from '@dogwooddeck/directory/announcement';
+import {directoryMachine, type DirectoryCommand} from '@dogwooddeck/directory/state';
+import {UpstreamState} from '@dogwooddeck/directory/upstream';
+import {type AnnouncementAnswer} from '@dogwooddeck/mesh/calls';
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {createStateHolder} from '@dogwooddeck/replica/state-holder';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {err, ok, type Result} from 'true-myth/result';
+import {type DirectoryHolder, type DirectoryVoter} from '@dogwooddeck/control-node/directory-voter';
+import {createLeaderDesk, type LeaderDesk} from '@dogwooddeck/control-node/leader-desk';
+
+const silent: Log = {
+	event: () => undefined, warning: () => undefined, error: () => undefined,
+};
+
+type Scene = {
+	readonly desk: LeaderDesk;
+	readonly holder: DirectoryHolder;
+	readonly commit: (commands: readonly DirectoryCommand[]) => void;
+	readonly leads: {value: boolean};
+	readonly advance: (milliseconds: number) => Promise<void>;
+};
+
+/** A leader whose log commits at once. Time stands still until it is advanced. */
+function startScene(context: TestContext): Scene {
+	let now = 1000;
+	context.mock.timers.enable({apis: ['setTimeout', 'setInterval']});
+	context.mock.method(performance, 'now', () => now);
+	const holder = createStateHolder(directoryMachine);
+	const leads = {value: true};
+	const lost = failure(FailureKind.notLeader, 'another voter leads');
+	const commit = (commands: readonly DirectoryCommand[]) => holder.apply(holder.state().applied + 1, JSON.stringify(commands));
+	const voter = {
+		async propose(payload: string) {
+			const index = holder.state().applied + 1;
+			return leads.value ? ok({index, answers: holder.apply(index, payload) ?? []}) : err(lost);
+		},
+		read: async () => leads.value ? ok(holder.state().applied) : err(lost),
+		quorumHeardAt: () => leads.value ? now : undefined,
+	} as unknown as DirectoryVoter;
+	const desk = createLeaderDesk({
+		holder, voter: () => voter, terms: {holdMilliseconds: 5000, clockDrift: 0.02}, log: silent,
+	});
+	commit([{
+		kind: 'itemsChanged', changes: [{kind: 'service', name: 's', item: {version: 1, value: {keyed: true, maxConnections: 10}, document: '{}'}}],
+	}]);
+	return {
+		desk,
+		holder,
+		commit,
+		leads,
+		async advance(milliseconds) {
+			for (let passed = 0; passed < milliseconds; passed += 10) {
+				now += 10;
+				context.mock.timers.tick(10);
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
+			}
+		},
+	};
+}
+
+function announcement(id: string, sequence: number, fields: Partial<Announcement['keys']> = {}, state: UpstreamState = UpstreamState.ready): Announcement {
+	return {
+		upstream: {
+			id, born: 1, service: 's', address: `10.0.0.${id}:1`, zone: 'z', slots: 3, state, cold: false,
+		},
+		keys: {
+			life: {id, born: 1}, sequence, holds: [], released: [], ...fields,
+		},
+	};
+}
+
+type Answered = {value?: Result<AnnouncementAnswer, Failure>};
+
+async function keepAnswer(asked: Promise<Result<AnnouncementAnswer, Failure>>, answered: Answered): Promise<void> {
+	answered.value = await asked;
+}
+
+function ask({desk}: Scene, asked: Announcement): Answered {
+	const answered: Answered = {};
+	void keepAnswer(desk.announce(asked), answered);
+	return answered;
+}
+
+const held = {from: 0, to: 65_535, holder: {id: '1', born: 1}};
+
+/** Upstream 1 has announced itself and holds all keys, as it was told. */
+async function startHeld(context: TestContext): Promise<Scene> {
+	const scene = startScene(context);
+	ask(scene, announcement('1', 1));
+	await scene.advance(700);
+	scene.commit([{kind: 'keysGranted', service: 's', rows: [held]}, {kind: 'keysTold', service: 's', rows: [held]}]);
+	return scene;
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly happens: (scene: Scene) => void; readonly isAnsweredWithin: number; readonly rows: number | undefined}> = [
+	{
+		name: 'waits for keys for a moment, and is renewed', happens: () => undefined, isAnsweredWithin: 600, rows: 1,
+	},
+	{
+		name: 'is answered at once when its keys are recalled', happens({commit}) {
+			commit([{kind: 'keysRecalled', service: 's', rows: [held]}]);
+		}, isAnsweredWithin: 40, rows: 0,
+	},
+	{
+		name: 'is answered at once when it gets more keys', happens({commit}) {
+			const half = {...held, to: 100};
+			commit([{kind: 'keysRecalled', service: 's', rows: [half]}, {kind: 'keysVacated', service: 's', rows: [{...half, handover: 'h'}]}, {kind: 'keysGranted', service: 's', rows: [half]}]);
+		}, isAnsweredWithin: 40, rows: 2,
+	},
+];
+
+for (const {name, happens, isAnsweredWithin, rows} of cases) {
+	test(`leader desk: an announcement ${name}`, async context => {
+		const scene = await startHeld(context);
+		const answered = ask(scene, announcement('1', 2, {holds: [{from: 0, to: 65_535, fence: 3}]}));
+		await scene.advance(300);
+		assert.deepEqual(answered, {});
+		happens(scene);
+		await scene.advance(isAnsweredWithin);
+		assert.equal(answered.value?.map(({holds}) => holds?.length).unwrapOr(undefined), rows);
+	});
+}
+
+test('leader desk: an announcement that came to a leader that was replaced since renews nothing', async context => {
+	const scene = await startHeld(context);
+	const answered = ask(scene, announcement('1', 2));
+	scene.leads.value = false;
+	await scene.advance(700);
+	assert.equal(answered.value?.isErr, true);
+});
+
+test('leader desk: a draining upstream is not kept waiting', async context => {
+	const scene = await startHeld(context);
+	const answered = ask(scene, announcement('1', 2, {}, UpstreamState.draining));
+	await scene.advance(30);
+	assert.equal(answered.value?.isOk, true);
+	assert.equal(scene.holder.state().upstreams['1']?.state, UpstreamState.draining);
+});
--- a/packages/entry/src/load-reporter.ts
+++ b/packages/entry/src/load-reporter.ts
@@ -6,7 +6,7 @@
 import {type MeshClients} from '@dogwooddeck/mesh/client';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 
-const reportMilliseconds: Milliseconds = 500;
+const reportMilliseconds: Milliseconds = 300;
 const reportTimeoutMilliseconds: Milliseconds = 450;
 
 type Answers = {count: number; milliseconds: Milliseconds};
