--- a/packages/control-node/src/control-node.ts
+++ b/packages/control-node/src/control-node.ts
@@ -67,6 +67,8 @@
 
 const nobodyLeads = failure(FailureKind.noQuorum, 'no leader is known at this moment');
 
+type MeshAnswer<Call extends MeshCall> = Promise<Result<MeshCalls[Call]['answer'], Failure>>;
+
 /** Starts a control instance. Throws a `FailureError` where its folder or address can't be used. */
 export async function startControlNode({settings, log, measures, failed}: ControlNodeParts): Promise<ControlNode> {
 	const clients = createMeshClients();
@@ -119,7 +121,10 @@
 		const changed = await leading.changeVoters(voterSet);
 		isChangingVoters = false;
 		log.event(EventName.votersChanged, {
-			voters: voterSet.voters.map(({name}) => name).join(','), learners: voterSet.learners.map(({name}) => name).join(','), outcome: changed.isOk ? 'taken' : changed.error.kind, detail: changed.isOk ? undefined : changed.error.detail,
+			voters: voterSet.voters.map(({name}) => name).join(','),
+			learners: voterSet.learners.map(({name}) => name).join(','),
+			outcome: changed.isOk ? 'taken' : changed.error.kind,
+			detail: changed.isOk ? undefined : changed.error.detail,
 		});
 	}
 
@@ -130,7 +135,7 @@
 		}
 	}
 
-	async function toLeader<Call extends MeshCall>(call: Call, request: MeshCalls[Call]['request'], local: () => Promise<Result<MeshCalls[Call]['answer'], Failure>>): Promise<Result<MeshCalls[Call]['answer'], Failure>> {
+	async function toLeader<Call extends MeshCall>(call: Call, request: MeshCalls[Call]['request'], local: () => MeshAnswer<Call>): MeshAnswer<Call> {
 		if (own.voter?.isLeader() === true) {
 			return local();
 		}
--- a/packages/control-node/src/leader-desk.ts
+++ b/packages/control-node/src/leader-desk.ts
@@ -5,16 +5,15 @@
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {type Announcement, recordAnnouncement} from '@dogwooddeck/directory/announcement';
-import {standing} from '@dogwooddeck/directory/item';
-import {type DirectoryCommand, type DirectoryState} from '@dogwooddeck/directory/state';
-import {isReplaced, UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
+import {planDirectory} from '@dogwooddeck/directory/key-plan';
+import {type DirectoryCommand} from '@dogwooddeck/directory/state';
+import {UpstreamState} from '@dogwooddeck/directory/upstream';
 import {
-	beginGranting, type GrantingState, type GrantingTerms, noteAnswered, noteHeard, rowsOf, vacatedByAnnouncement, vacatedByTime,
+	beginGranting, type GrantingState, type GrantingTerms, noteAnswered, noteHeard, rowsOf, vacatedByAnnouncement,
 } from '@dogwooddeck/key-lease/granting';
 import {type HeldSpan} from '@dogwooddeck/key-lease/command';
-import {type Candidate, planKeys} from '@dogwooddeck/key-lease/planning';
 import {
-	type KeyRange, type Life, lifeText, sameLife, unheldRanges,
+	type KeyRange, type Life, sameLife, unheldRanges,
 } from '@dogwooddeck/key-lease/range';
 import {type AnnouncementAnswer, type LoadReport, type MeshCalls} from '@dogwooddeck/mesh/calls';
 import {type Failure} from '@dogwooddeck/model/failure';
@@ -47,21 +46,12 @@
 
 const planMilliseconds: Milliseconds = 250;
 
-/** Keys are given out for the first time once no upstream has joined for this long. */
-const gatheringMilliseconds: Milliseconds = 1500;
-
 /** Announcements that come within this time are confirmed by one round of the log. */
 const gatherConfirmsMilliseconds: Milliseconds = 120;
 
 /** An answer waits this long for keys at most: it has to arrive within a second, also by way of another instance. */
 const keysWaitMilliseconds: Milliseconds = 450;
 
-/** An upstream that was not heard for this long gets no more keys: two announcements and a little. */
-const silentMilliseconds: Milliseconds = 2200;
-
-/** An upstream that was not heard for this long is forgotten: longer than partitions that it may serve through. */
-const forgottenMilliseconds: Milliseconds = 20_000;
-
 function spansOf(ranges: readonly KeyRange[], holder: Life): readonly HeldSpan[] {
 	return ranges.map(({from, to}) => ({from, to, holder}));
 }
@@ -200,7 +190,15 @@
 
 		if (commands.length > 0) {
 			log.event(EventName.upstreamAnnounced, {
-				upstream: upstream.id, born: upstream.born, service: upstream.service, address: upstream.address, zone: upstream.zone, state: upstream.state, sequence: announcement.keys.sequence, commands: commands.map(({kind}) => kind).join(','), index: confirmed.value,
+				upstream: upstream.id,
+				born: upstream.born,
+				service: upstream.service,
+				address: upstream.address,
+				zone: upstream.zone,
+				state: upstream.state,
+				sequence: announcement.keys.sequence,
+				commands: commands.map(({kind}) => kind).join(','),
+				index: confirmed.value,
 			});
 			plan();
 		}
@@ -210,56 +208,6 @@
 		return settled.map(() => answerKeys(announcement, receivedAt));
 	}
 
-	function addressOf(state: DirectoryState, life: Life): string | undefined {
-		const known = state.upstreams[life.id];
-		return sameLife(known, life) ? known!.address : state.formerAddresses[lifeText(life)];
-	}
-
-	function heardAt(life: Life): MonotonicTime {
-		return granting.sightings[lifeText(life)]?.heardAt ?? granting.electedAt;
-	}
-
-	function candidatesOf(upstreams: readonly UpstreamRecord[], now: MonotonicTime): readonly Candidate[] {
-		const heard = (upstream: UpstreamRecord) => now - heardAt(upstream) <= silentMilliseconds && granting.sightings[lifeText(upstream)] !== undefined;
-		const ready = upstreams.filter(upstream => upstream.state === UpstreamState.ready && heard(upstream));
-		const isWarm = ready.some(({cold}) => !cold);
-		return upstreams.map(upstream => ({
-			life: {id: upstream.id, born: upstream.born},
-			weight: upstream.slots * loads.speed(upstream.id, upstream.service, now),
-			accepting: ready.includes(upstream) && (!isWarm || !upstream.cold),
-			leaving: upstream.state === UpstreamState.draining,
-		}));
-	}
-
-	function planService(service: string, state: DirectoryState, now: MonotonicTime): readonly DirectoryCommand[] {
-		const ranges = rangesOf(service);
-		const isOver = (life: Life) => isReplaced(state.upstreams, life, addressOf(state, life));
-		const vacated = vacatedByTime(granting, ranges, isOver, {now, terms});
-		if (vacated.length > 0) {
-			return [{kind: 'keysVacated', service, rows: vacated}];
-		}
-
-		const upstreams = Object.values(state.upstreams).filter(upstream => upstream.service === service);
-		const isFirst = ranges.every(({fence}) => fence === 0);
-		if (isFirst && now - joinedAt < gatheringMilliseconds) {
-			return [];
-		}
-
-		const {granted, recalled} = planKeys({
-			ranges, candidates: candidatesOf(upstreams, now), loads: loads.rates(service, now), countedMilliseconds: longMemoryMilliseconds,
-		});
-		return [
-			...(granted.length === 0 ? [] : [{kind: 'keysGranted', service, rows: granted} as const]),
-			...(recalled.length === 0 ? [] : [{kind: 'keysRecalled', service, rows: recalled} as const]),
-		];
-	}
-
-	function forgotten(state: DirectoryState, now: MonotonicTime): readonly DirectoryCommand[] {
-		return Object.values(state.upstreams)
-			.filter(upstream => now - heardAt(upstream) > forgottenMilliseconds)
-			.map(({id, born}) => ({kind: 'upstreamRemoved', life: {id, born}}));
-	}
-
 	function describe(command: DirectoryCommand): string {
 		return 'rows' in command ? command.rows.map(({from, to, holder: life}) => `${from}-${to}:${life.id}`).join(',').slice(0, 400) : command.kind;
 	}
@@ -286,9 +234,18 @@
 		}
 
 		const now = monotonicNow();
-		const state = holder.state();
-		const keyed = standing(state.items.service).filter(([, {keyed: isDivided}]) => isDivided);
-		const commands = [...forgotten(state, now), ...keyed.flatMap(([service]) => planService(service, state, now))];
+		const commands = planDirectory({
+			state: holder.state(),
+			granting,
+			terms,
+			now,
+			joinedAt,
+			workOf: service => ({
+				rates: loads.rates(service, now),
+				countedMilliseconds: longMemoryMilliseconds,
+				speedOf: upstream => loads.speed(upstream, service, now),
+			}),
+		});
 		if (commands.length > 0) {
 			void proposePlan(commands);
 		}
@@ -312,7 +269,12 @@
 		async declare({changes}) {
 			const proposed = await propose([{kind: 'itemsChanged', changes}]);
 			log.event(EventName.itemsDeclared, {
-				items: changes.length, first: changes[0]?.name, version: changes[0]?.item.version, index: proposed.unwrapOr(0), outcome: proposed.isOk ? 'taken' : proposed.error.kind, detail: proposed.isOk ? undefined : proposed.error.detail,
+				items: changes.length,
+				first: changes[0]?.name,
+				version: changes[0]?.item.version,
+				index: proposed.unwrapOr(0),
+				outcome: proposed.isOk ? 'taken' : proposed.error.kind,
+				detail: proposed.isOk ? undefined : proposed.error.detail,
 			});
 			return proposed.map(index => ({index}));
 		},
--- /dev/null
+++ b/packages/directory/src/key-plan.ts
@@ -0,0 +1,105 @@
+/**
+ * What the leader should change about upstreams and keys: holders whose time is
+ * over, upstreams that are not heard any more, and the plan of who holds what.
+ */
+import {type GrantingState, type GrantingTerms, vacatedByTime} from '@dogwooddeck/key-lease/granting';
+import {type Candidate, planKeys} from '@dogwooddeck/key-lease/planning';
+import {
+	type Life, lifeText, sameLife, unheldRanges,
+} from '@dogwooddeck/key-lease/range';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {standing} from './item.js';
+import {type DirectoryCommand, type DirectoryState} from './state.js';
+import {isReplaced, UpstreamState, type UpstreamRecord} from './upstream.js';
+
+/** What entries have reported of the work of a service. */
+export type ServiceWork = {
+	/** Requests a second for each bucket of keys. */
+	readonly rates: Float64Array;
+	/** The time that the rates were counted over. */
+	readonly countedMilliseconds: Milliseconds;
+	/** How fast an upstream answers beside the others: 1 is as fast, or not known. */
+	readonly speedOf: (upstream: string) => number;
+};
+
+/** What a plan is made of. */
+export type DirectoryPlanInput = {
+	readonly state: DirectoryState;
+	readonly granting: GrantingState;
+	readonly terms: GrantingTerms;
+	readonly now: MonotonicTime;
+	/** When an upstream joined last. */
+	readonly joinedAt: MonotonicTime;
+	readonly workOf: (service: string) => ServiceWork;
+};
+
+/** Keys are given out for the first time once no upstream has joined for this long. */
+export const gatheringMilliseconds: Milliseconds = 1500;
+
+/** An upstream that was not heard for this long gets no more keys: two announcements and a little. */
+export const silentMilliseconds: Milliseconds = 2200;
+
+/** An upstream that was not heard for this long is forgotten: longer than partitions that it may serve through. */
+export const forgottenMilliseconds: Milliseconds = 20_000;
+
+function addressOf(state: DirectoryState, life: Life): string | undefined {
+	const known = state.upstreams[life.id];
+	return known !== undefined && sameLife(known, life) ? known.address : state.formerAddresses[lifeText(life)];
+}
+
+function heardAt({granting}: DirectoryPlanInput, life: Life): MonotonicTime {
+	return granting.sightings[lifeText(life)]?.heardAt ?? granting.electedAt;
+}
+
+function isHeard(input: DirectoryPlanInput, upstream: UpstreamRecord): boolean {
+	return input.granting.sightings[lifeText(upstream)] !== undefined && input.now - heardAt(input, upstream) <= silentMilliseconds;
+}
+
+/** Upstreams that are still slow after their start get keys only while there are no others. */
+function candidatesOf(input: DirectoryPlanInput, service: string, {speedOf}: ServiceWork): readonly Candidate[] {
+	const upstreams = Object.values(input.state.upstreams).filter(upstream => upstream.service === service);
+	const ready = upstreams.filter(upstream => upstream.state === UpstreamState.ready && isHeard(input, upstream));
+	const isWarm = ready.some(({cold}) => !cold);
+	return upstreams.map(upstream => ({
+		life: {id: upstream.id, born: upstream.born},
+		weight: upstream.slots * speedOf(upstream.id),
+		accepting: ready.includes(upstream) && (!isWarm || !upstream.cold),
+		leaving: upstream.state === UpstreamState.draining,
+	}));
+}
+
+function planService(input: DirectoryPlanInput, service: string): readonly DirectoryCommand[] {
+	const {
+		state, granting, terms, now, joinedAt,
+	} = input;
+	const ranges = state.keys[service] ?? unheldRanges;
+	const vacated = vacatedByTime(granting, ranges, life => isReplaced(state.upstreams, life, addressOf(state, life)), {now, terms});
+	if (vacated.length > 0) {
+		return [{kind: 'keysVacated', service, rows: vacated}];
+	}
+
+	if (ranges.every(({fence}) => fence === 0) && now - joinedAt < gatheringMilliseconds) {
+		return [];
+	}
+
+	const work = input.workOf(service);
+	const {granted, recalled} = planKeys({
+		ranges, candidates: candidatesOf(input, service, work), loads: work.rates, countedMilliseconds: work.countedMilliseconds,
+	});
+	return [
+		...(granted.length === 0 ? [] : [{kind: 'keysGranted', service, rows: granted} as const]),
+		...(recalled.length === 0 ? [] : [{kind: 'keysRecalled', service, rows: recalled} as const]),
+	];
+}
+
+function forgottenUpstreams(input: DirectoryPlanInput): readonly DirectoryCommand[] {
+	return Object.values(input.state.upstreams)
+		.filter(upstream => input.now - heardAt(input, upstream) > forgottenMilliseconds)
+		.map(({id, born}) => ({kind: 'upstreamRemoved', life: {id, born}}));
+}
+
+/** The commands that the leader should propose now. */
+export function planDirectory(input: DirectoryPlanInput): readonly DirectoryCommand[] {
+	const keyed = standing(input.state.items.service).filter(([, {keyed: isDivided}]) => isDivided);
+	return [...forgottenUpstreams(input), ...keyed.flatMap(([service]) => planService(input, service))];
+}
--- a/packages/entry/src/request-journal.ts
+++ b/packages/entry/src/request-journal.ts
@@ -13,11 +13,47 @@
 /** Which request a line is about. */
 export type JournalRun = {readonly identifier: string | undefined; readonly arrivedAt: MonotonicTime};
 
+/** A request to which an upstream's answer was passed on. */
+export type AnsweredRequest = {
+	readonly run: JournalRun;
+	readonly upstream: KnownUpstream;
+	readonly service: string;
+	readonly route: string;
+	/** 0 where the answer was passed on in parts. */
+	readonly status: number;
+	readonly attempts: number;
+};
+
+/** A request that the instance answered itself. */
+export type RefusedRequest = {
+	readonly run: JournalRun;
+	readonly refusal: string;
+	readonly status: number;
+	readonly service: string | undefined;
+	readonly route: string | undefined;
+	readonly key: number | undefined;
+	readonly attempts: number;
+	/** Requests that wait for the service. */
+	readonly waiting: number;
+};
+
+/** An attempt that brought no answer to pass on. */
+export type FailedAttempt = {
+	readonly run: JournalRun;
+	readonly upstream: KnownUpstream;
+	readonly seen: string;
+	/** The status by which the upstream refused; 0 where it didn't. */
+	readonly status: number;
+	readonly milliseconds: Milliseconds;
+	/** What was left of the request's time. */
+	readonly left: Milliseconds;
+};
+
 /** What is told of requests. */
 export type RequestJournal = {
-	readonly answered: (told: {readonly run: JournalRun; readonly upstream: KnownUpstream; readonly service: string; readonly route: string; readonly status: number; readonly attempts: number}) => void;
-	readonly refused: (told: {readonly run: JournalRun; readonly refusal: string; readonly status: number; readonly service: string | undefined; readonly route: string | undefined; readonly key: number | undefined; readonly attempts: number; readonly waiting: number}) => void;
-	readonly attemptFailed: (told: {readonly run: JournalRun; readonly upstream: KnownUpstream; readonly seen: string; readonly status: number; readonly milliseconds: Milliseconds; readonly left: Milliseconds}) => void;
+	readonly answered: (told: AnsweredRequest) => void;
+	readonly refused: (told: RefusedRequest) => void;
+	readonly attemptFailed: (told: FailedAttempt) => void;
 };
 
 /** Lines a second for requests that failed, and for those that were answered: writing costs processor time. */
@@ -46,7 +82,17 @@
 			recordDuration(measures.histogram(MeasureName.latency, {service}), now - run.arrivedAt);
 			if (answers.take(now)) {
 				log.event(EventName.requestAnswered, {
-					request: run.identifier, route, service, upstream: upstream.id, distance: upstream.distance, underWay: upstream.load.underWay, allowance: upstream.load.allowance, status, attempts, took: Math.round(now - run.arrivedAt), applied: applied(),
+					request: run.identifier,
+					route,
+					service,
+					upstream: upstream.id,
+					distance: upstream.distance,
+					underWay: upstream.load.underWay,
+					allowance: upstream.load.allowance,
+					status,
+					attempts,
+					took: Math.round(now - run.arrivedAt),
+					applied: applied(),
 				});
 			}
 		},
@@ -64,7 +110,16 @@
 			measures.counter(MeasureName.attempts, {service: upstream.record.service, seen}).value += 1;
 			if (failures.take(now)) {
 				log.warning(EventName.attemptFailed, {
-					request: run.identifier, upstream: upstream.id, address: upstream.record.address, seen, status, took: Math.round(milliseconds), left: Math.round(left), underWay: upstream.load.underWay, allowance: upstream.load.allowance, applied: applied(),
+					request: run.identifier,
+					upstream: upstream.id,
+					address: upstream.record.address,
+					seen,
+					status,
+					took: Math.round(milliseconds),
+					left: Math.round(left),
+					underWay: upstream.load.underWay,
+					allowance: upstream.load.allowance,
+					applied: applied(),
 				});
 			}
 		},
--- a/packages/entry/src/request-run.ts
+++ b/packages/entry/src/request-run.ts
@@ -9,15 +9,18 @@
 import {returnAfter} from '@dogwooddeck/gateway/refusal';
 import {findRoute, type NamedRoute} from '@dogwooddeck/gateway/route-table';
 import {selectUpstream} from '@dogwooddeck/gateway/selection';
-import {Signal} from '@dogwooddeck/gateway/upstream-load';
 import {type Waiter, waitingUntil} from '@dogwooddeck/gateway/waiting';
 import {keyCount} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {maySendAgain, Seen, seenRules} from '@dogwooddeck/routing/outcome';
-import {type AnswerHead, fieldOf, requestHeaders} from '@dogwooddeck/upstream-client/headers';
+import {requestHeaders} from '@dogwooddeck/upstream-client/headers';
+import {
+	isForeign, isMisdirected, isNotRun, signalOf,
+} from './answer-rules.js';
 import {type AttemptResult, type SentAttempt} from './attempt.js';
 import {BodyProblem, type CallerExchange} from './caller-exchange.js';
+import {notRunStatus, Refusal, refusalStatus} from './refusals.js';
 import {type RequestJournal} from './request-journal.js';
 import {
 	bookFirst, bookRetry, type KnownService, type KnownUpstream, type ServiceTable,
@@ -43,43 +46,8 @@
 	readonly random: () => number;
 };
 
-/** Why a request ends without an upstream's answer. */
-export const Refusal = {
-	noDirectory: 'no-directory',
-	noRoute: 'no-route',
-	badKey: 'bad-key',
-	bodyTooLarge: 'body-too-large',
-	lineFull: 'line-full',
-	waitedTooLong: 'waited-too-long',
-	timeout: 'timeout',
-	attemptsSpent: 'attempts-spent',
-	budgetSpent: 'budget-spent',
-	unknownOutcome: 'unknown-outcome',
-} as const;
-
-/** One of the reasons. */
-export type Refusal = (typeof Refusal)[keyof typeof Refusal];
-
-const statusOfRefusal: Readonly<Record<Refusal, number>> = {
-	[Refusal.noDirectory]: 503,
-	[Refusal.noRoute]: 404,
-	[Refusal.badKey]: 400,
-	[Refusal.bodyTooLarge]: 413,
-	[Refusal.lineFull]: 503,
-	[Refusal.waitedTooLong]: 503,
-	[Refusal.timeout]: 503,
-	[Refusal.attemptsSpent]: 503,
-	[Refusal.budgetSpent]: 503,
-	[Refusal.unknownOutcome]: 502,
-};
-
 const tooManyAttempts = 4;
 const mostBodyBytes = 67_108_864;
-const misdirected = 421;
-const firstSuccess = 200;
-const firstRedirect = 300;
-const firstServerFailure = 500;
-const gatewayTimeout = 504;
 
 /** After an upstream said that it doesn't hold a key, its next table is awaited this long. */
 const staleTableMilliseconds: Milliseconds = 60;
@@ -90,23 +58,6 @@
 /** Requests that wait for one service at most; more would only wait in vain. */
 const longestLine = 400;
 
-const signalOfSeen: Readonly<Record<Seen, Signal>> = {
-	[Seen.refusedConnection]: Signal.broken,
-	[Seen.closedBeforeFirstByte]: Signal.broken,
-	[Seen.closedAfterFirstByte]: Signal.broken,
-	[Seen.shed]: Signal.full,
-	[Seen.deadlinePassedBeforeFirstByte]: Signal.none,
-	[Seen.deadlinePassedAfterFirstByte]: Signal.failed,
-	[Seen.wholeAnswer]: Signal.answered,
-	[Seen.cutAnswer]: Signal.failed,
-	[Seen.foreignAnswer]: Signal.failed,
-	[Seen.unboundedAnswer]: Signal.failed,
-	[Seen.leaseLost]: Signal.none,
-	[Seen.unsendable]: Signal.none,
-	[Seen.cancelledBeforeFirstByte]: Signal.none,
-	[Seen.cancelledAfterFirstByte]: Signal.none,
-};
-
 const wholeMilliseconds = /^\d{1,9}$/v;
 const keyForm = /^\d{1,5}$/v;
 
@@ -262,8 +213,11 @@
 			body: this.#body,
 			timeoutMilliseconds,
 			rules: {
-				isNotRun: (status, head) => this.#isNotRun(status, head),
-				isForeign: (status, head) => this.#isForeign(status, head),
+				isNotRun: (status, head) => {
+					this.#status = status;
+					return isNotRun(fields, head);
+				},
+				isForeign: (status, head) => isForeign(fields, this.identifier, status, head),
 			},
 			mayStart: () => !this.#exchange.isGone && table.isCurrent(upstream),
 			onLong: {
@@ -287,30 +241,12 @@
 		return hasRoom;
 	}
 
-	#isNotRun(status: number, {headers}: AnswerHead): boolean {
-		this.#status = status;
-		return fieldOf(headers, this.#around.fields.notRun) !== undefined;
-	}
-
-	/** An answer has to name the request; a refusal may leave that out. A success bears the upstream's stamp and comes as the upstream made it. */
-	#isForeign(status: number, {headers}: AnswerHead): boolean {
-		const {fields} = this.#around;
-		const echoed = fieldOf(headers, fields.requestIdentifier);
-		const isRefusal = fieldOf(headers, fields.notRun) !== undefined;
-		const isSuccess = status >= firstSuccess && status < firstRedirect;
-		const isOther = echoed === undefined ? !isRefusal : echoed !== this.identifier;
-		return isOther || (isSuccess && fieldOf(headers, fields.stamp) === undefined) || fieldOf(headers, 'content-encoding') !== undefined;
-	}
-
 	#finishAttempt(upstream: KnownUpstream, result: AttemptResult): void {
 		const {journal, advance, countAnswer} = this.#around;
 		const now = monotonicNow();
 		this.#attempt = undefined;
 		upstream.load.underWay -= 1;
-		const isMisdirected = result.seen === Seen.shed && this.#status === misdirected;
-		const isOwnFailure = result.answer !== undefined && result.answer.status >= firstServerFailure;
-		const signal = isOwnFailure ? Signal.failed : (isMisdirected ? Signal.none : signalOfSeen[result.seen]);
-		upstream.load.note(signal, result.milliseconds, now);
+		upstream.load.note(signalOf(result.seen, this.#status, result.answer?.status), result.milliseconds, now);
 		if (result.seen !== Seen.wholeAnswer) {
 			journal.attemptFailed({
 				run: this, upstream, seen: result.seen, status: this.#status, milliseconds: result.milliseconds, left: this.#deadline - now,
@@ -321,7 +257,7 @@
 			countAnswer(this.#service!.name, upstream.id, result.milliseconds);
 		}
 
-		if (isMisdirected) {
+		if (isMisdirected(result.seen, this.#status)) {
 			this.#notBefore = now + staleTableMilliseconds;
 		}
 
@@ -390,16 +326,21 @@
 	/** Answers without an upstream. A status that says "not run" is given only where that is certain. */
 	#refuse(refusal: Refusal): void {
 		this.#waiter = undefined;
-		const mapped = statusOfRefusal[refusal];
-		const doubtful = refusal === Refusal.timeout ? gatewayTimeout : statusOfRefusal[Refusal.unknownOutcome];
-		const status = this.#mayHaveRun > 0 && mapped >= firstServerFailure ? doubtful : mapped;
+		const status = refusalStatus(refusal, this.#mayHaveRun > 0);
 		const pause = returnAfter(this.#route?.objectiveMilliseconds ?? 1000, this.#around.random());
 		const body = Buffer.from(`${refusal}\n`);
 		const identified = this.identifier === undefined ? [] : [this.#around.fields.requestIdentifier, this.identifier];
-		const retry = status === statusOfRefusal[Refusal.noDirectory] ? ['Retry-After', (pause / 1000).toFixed(3)] : [];
+		const retry = status === notRunStatus ? ['Retry-After', (pause / 1000).toFixed(3)] : [];
 		this.#exchange.answer(status, ['Content-Type', 'text/plain', ...identified, ...retry], body);
 		this.#around.journal.refused({
-			run: this, refusal, status, service: this.#service?.name, route: this.#route?.name, key: this.#service?.keyed === true ? this.#key : undefined, attempts: this.#tried.length, waiting: this.#service?.line.length ?? 0,
+			run: this,
+			refusal,
+			status,
+			service: this.#service?.name,
+			route: this.#route?.name,
+			key: this.#service?.keyed === true ? this.#key : undefined,
+			attempts: this.#tried.length,
+			waiting: this.#service?.line.length ?? 0,
 		});
 	}
 }
