--- a/packages/entry/src/request-run.ts
+++ b/packages/entry/src/request-run.ts
@@ -46,7 +46,10 @@
 	readonly random: () => number;
 };
 
+/** A request is sent this often at most, refusals of upstreams among them. */
 const tooManyAttempts = 4;
+
+/** The largest body that is taken before limits are declared, in bytes. */
 const mostBodyBytes = 67_108_864;
 
 /** After an upstream said that it doesn't hold a key, its next table is awaited this long. */
@@ -83,6 +86,7 @@
 	/** Upstreams that were sent to, and those of them that may have run the request. */
 	readonly #tried: string[] = [];
 	#mayHaveRun = 0;
+	/** The status by which the last upstream refused; 0 where it didn't. */
 	#status = 0;
 
 	constructor(around: RequestSurroundings, exchange: CallerExchange, path: string) {
@@ -203,6 +207,7 @@
 		const {request} = this.#exchange;
 		const timeoutMilliseconds = this.#deadline - now;
 		upstream.load.underWay += 1;
+		this.#status = 0;
 		this.#tried.push(upstream.id);
 		const headers = requestHeaders(request.rawHeaders, request.headers.connection, new Set([fields.deadline, fields.expectedUpstream]));
 		headers.push(fields.deadline, String(Math.floor(timeoutMilliseconds)), fields.expectedUpstream, upstream.id);
