Keep the retry budget while entries don't know how many they are

An entry's budget was made with its first request, when each control instance still told it that it was alone, and was never bounded again; a control instance that heard no leader told the same. Half of the repeats were requests for keys that their holder had lost behind the cut: four attempts each, 130 ms apart. Ruled out: clients' own retries, which are new requests. Change: a budget begins with one retry and its bound follows the number of entries; a control instance keeps the last count that a leader told; a holder that refuses a key twice under one fence is not asked again before the table changes.

--- a/packages/consensus/src/machine.ts
+++ b/packages/consensus/src/machine.ts
@@ -16,8 +16,8 @@
 	/** In place of `electionMilliseconds` for the first election after a start: no leader was heard yet that could be slow. */
 	readonly firstElectionMilliseconds?: Milliseconds;
 	/**
-	 * A voter that has just started helps no candidate for this long, as it may have followed a leader that relies on
-	 * its word. As long as an election where left out; 0 where nothing relies on leadership without a round.
+	 * A voter that has just started helps no candidate for this long, as it may have followed a leader whose lease
+	 * relies on that. As long as an election where left out; 0 where nothing relies on leadership without a round.
 	 */
 	readonly startSilenceMilliseconds?: Milliseconds;
 	/** Entries that are kept in the log before a snapshot takes their place. */
--- a/packages/control-node/src/entry-count.ts
+++ b/packages/control-node/src/entry-count.ts
@@ -21,9 +21,9 @@
 		this.#total = Math.max(1, new Set(recent.flatMap(told => told.entries)).size);
 	}
 
-	/** Takes over what the leader counts. */
+	/** Takes over what the leader counts. Without an answer of the leader the last count stands. */
 	learn(totals: readonly number[]): void {
-		this.#total = Math.max(1, ...totals);
+		this.#total = totals.length === 0 ? this.#total : Math.max(1, ...totals);
 	}
 
 	/** The entries of the whole deployment, as far as is known. */
--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -56,9 +56,9 @@
 };
 
 /**
- * Which control instances should be followed: those of the own region, since
- * bytes between regions are few and dear; all others while none of the region is
- * heard and in touch with the leader.
+ * Which control instances should be followed: those of the own region, since the
+ * link between regions is narrow and paid by volume; all others while none of the
+ * region is heard and in touch with the leader.
  */
 export function shouldFollow(control: FollowedControl, all: readonly FollowedControl[], now: MonotonicTime): boolean {
 	return control.isNear !== false || !all.some(({isNear, isOpen, hasHeard, heardAt, isFresh}) => isNear === true && isOpen && hasHeard && isFresh && now - heardAt <= silentMilliseconds);
--- a/packages/entry/src/request-run.ts
+++ b/packages/entry/src/request-run.ts
@@ -55,6 +55,9 @@
 /** After an upstream said that it doesn't hold a key, its next table is awaited this long. */
 const staleTableMilliseconds: Milliseconds = 60;
 
+/** After so many refusals under one fence a new table is awaited. */
+const mostFenceRefusals = 2;
+
 /** A request that would have less time than this at an upstream is not sent. */
 const leastSendMilliseconds: Milliseconds = 5;
 
@@ -83,6 +86,9 @@
 	#attempt: SentAttempt | undefined;
 	#waiter: Waiter | undefined;
 	#notBefore: MonotonicTime = -Infinity;
+	/** The fence under which an upstream said that it doesn't hold the key, and how often it did. */
+	#refusedFence = -1;
+	#fenceRefusals = 0;
 	/** Upstreams that were sent to, and those of them that may have run the request. */
 	readonly #tried: string[] = [];
 	#mayHaveRun = 0;
@@ -128,10 +134,10 @@
 			return;
 		}
 
-		const {table, entryCount, fields, countKey} = this.#around;
+		const {table, fields, countKey} = this.#around;
 		const route = this.#route!;
 		this.#body = body;
-		this.#service = table.service(table.split(route.name, route.targets).next(), entryCount());
+		this.#service = table.service(table.split(route.name, route.targets).next());
 		bookFirst(this.#service);
 		if (this.#service.keyed) {
 			const key = textOf(this.#exchange.request.headers[fields.key]);
@@ -179,11 +185,25 @@
 		});
 	}
 
+	/** An upstream may hear of its keys a moment after this instance; one that refuses twice under one fence has lost them. */
+	#keyHolder(now: MonotonicTime): KnownUpstream | undefined {
+		const held = this.#around.table.holderOf(this.#service!, this.#key);
+		const hasLost = held?.range.fence === this.#refusedFence && this.#fenceRefusals >= mostFenceRefusals;
+		return now < this.#notBefore || hasLost ? undefined : held?.upstream;
+	}
+
+	#noteMisdirected(now: MonotonicTime): void {
+		const fence = this.#around.table.holderOf(this.#service!, this.#key)?.range.fence ?? -1;
+		this.#notBefore = now + staleTableMilliseconds;
+		this.#fenceRefusals = fence === this.#refusedFence ? this.#fenceRefusals + 1 : 1;
+		this.#refusedFence = fence;
+	}
+
 	#choose(now: MonotonicTime): KnownUpstream | undefined {
 		const service = this.#service!;
 		const connections = Math.max(1, Math.floor(service.maxConnections / (this.#around.entryCount() + 1)));
 		if (service.keyed) {
-			const holder = now < this.#notBefore ? undefined : this.#around.table.holderOf(service, this.#key)?.upstream;
+			const holder = this.#keyHolder(now);
 			return holder?.load.hasRoom(now) === true && holder.pool.hasRoom(connections) ? holder : undefined;
 		}
 
@@ -263,7 +283,7 @@
 		}
 
 		if (isMisdirected(result.seen, this.#status)) {
-			this.#notBefore = now + staleTableMilliseconds;
+			this.#noteMisdirected(now);
 		}
 
 		this.#mayHaveRun += seenRules[result.seen].outcome === Outcome.notRun ? 0 : 1;
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -11,7 +11,7 @@
 import {WaitingLine} from '@dogwooddeck/gateway/waiting';
 import {type KeyRange, rangeOfKey, sameLife} from '@dogwooddeck/key-lease/range';
 import {
-	allowsRetry, bookAttempt, createRetryBudget, type RetryBudget,
+	allowsRetry, bookAttempt, boundBudget, createRetryBudget, type RetryBudget,
 } from '@dogwooddeck/routing/budget';
 import {type ConnectionTerms} from './connection.js';
 import {type EntrySettings} from './settings.js';
@@ -53,6 +53,9 @@
 /** Of what a window's slack allows, all instances together save up half, as new instances start with full budgets. */
 const slackShare = 0.5;
 
+/** A new instance begins with this many retries, since it can't know yet how many others there are. */
+const leastSavedRetries = 1;
+
 /** The part of the ratio that instances spend: windows slide, and the counts of instances differ for a moment. */
 const ratioShare = 0.75;
 
@@ -82,28 +85,29 @@
 		this.#updateUpstreams(state.upstreams);
 		for (const [name, {value}] of Object.entries(state.items.service)) {
 			if (value !== undefined) {
-				const service = this.service(name, entryCount);
+				const service = this.service(name);
 				service.keyed = value.keyed;
 				service.maxConnections = value.maxConnections;
 				service.ranges = state.keys[name] ?? [];
 			}
 		}
 
+		const savedRetries = Math.max(leastSavedRetries, this.#settings.retries.slack * slackShare / entryCount);
 		for (const service of this.#services.values()) {
+			service.budget = boundBudget(service.budget, savedRetries);
 			service.upstreams = [...this.#upstreams.values()].filter(({record}) => record.service === service.name && record.state === UpstreamState.ready);
 		}
 	}
 
 	/** A service by its name. */
-	service(name: string, entryCount: number): KnownService {
+	service(name: string): KnownService {
 		const known = this.#services.get(name);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const {ratio, slack} = this.#settings.retries;
 		const made: KnownService = {
-			name, line: new WaitingLine(), keyed: false, maxConnections: 1, ranges: [], upstreams: [], budget: createRetryBudget(ratio * ratioShare, Math.max(1, slack * slackShare / entryCount)),
+			name, line: new WaitingLine(), keyed: false, maxConnections: 1, ranges: [], upstreams: [], budget: createRetryBudget(this.#settings.retries.ratio * ratioShare, leastSavedRetries),
 		};
 		this.#services.set(name, made);
 		return made;
--- a/packages/routing/src/budget.ts
+++ b/packages/routing/src/budget.ts
@@ -22,6 +22,11 @@
 	return {ratio, balance: largest, largest};
 }
 
+/** The same budget with another bound on what may be saved up. */
+export function boundBudget(budget: RetryBudget, largest: number): RetryBudget {
+	return {...budget, largest, balance: Math.min(budget.balance, largest)};
+}
+
 /** Whether a retry may be drawn. */
 export function allowsRetry(budget: RetryBudget): boolean {
 	return budget.balance >= 1;
