Remove a second table of key commands and a type that nothing uses

Cause: a table of five equal handlers stood above the table of changes that it called, and a message type of mesh had no user. Behaviour stays; the tests of key-lease, directory and control-node and the linter pass.

--- a/packages/key-lease/src/command.ts
+++ b/packages/key-lease/src/command.ts
@@ -3,7 +3,6 @@
  * table of ranges takes it in.
  */
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
-import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {
 	changeSpan, type KeyRange, type KeySpan, type Life, sameLife, unheldRanges,
 } from './range.js';
@@ -49,7 +48,11 @@
 	keysTold: (range, {holder}) => sameLife(range.holder, holder) ? {...range, told: true} : range,
 };
 
-function changeTable(tables: KeyTables, command: KeyCommand, index: LogIndex): KeyTables {
+/** The kinds of key commands. */
+export const keyCommandKinds = new Set<string>(Object.keys(changes));
+
+/** Takes a command in. Rows that no longer fit the table change nothing. */
+export function applyKeyCommand(tables: KeyTables, command: KeyCommand, index: LogIndex): KeyTables {
 	let ranges = tables[command.service] ?? unheldRanges;
 	for (const row of command.rows) {
 		ranges = changeSpan(ranges, row, range => changes[command.kind](range, row, index));
@@ -57,19 +60,3 @@
 
 	return {...tables, [command.service]: ranges};
 }
-
-const handlers: HandlerTable<KeyCommand, [KeyTables, LogIndex], KeyTables> = {
-	keysGranted: (command, tables, index) => changeTable(tables, command, index),
-	keysRecalled: (command, tables, index) => changeTable(tables, command, index),
-	keysStopped: (command, tables, index) => changeTable(tables, command, index),
-	keysVacated: (command, tables, index) => changeTable(tables, command, index),
-	keysTold: (command, tables, index) => changeTable(tables, command, index),
-};
-
-/** The kinds of key commands. */
-export const keyCommandKinds = new Set<string>(Object.keys(handlers));
-
-/** Takes a command in. Rows that no longer fit the table change nothing. */
-export function applyKeyCommand(tables: KeyTables, command: KeyCommand, index: LogIndex): KeyTables {
-	return dispatch(handlers, command, tables, index);
-}
--- a/packages/mesh/src/service.ts
+++ b/packages/mesh/src/service.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {type Failure} from '@dogwooddeck/model/failure';
 import {type MethodDefinition, type ServiceDefinition} from '@grpc/grpc-js';
-import {type FollowMessage, type FollowRequest, meshCalls} from './calls.js';
+import {meshCalls} from './calls.js';
 
 /** An answer as it travels. */
 export type Reply<Answer> = {readonly answer: Answer} | {readonly failure: Failure};
@@ -41,6 +41,3 @@
 
 /** The largest message that is taken, in bytes: a whole state of some ten thousand routes. */
 export const largestMessageBytes = 33_554_432;
-
-/** What the stream carries. */
-export type FollowCall = {readonly request: FollowRequest; readonly message: FollowMessage};
