Move the types that tied files in circles to files of their own

Cause: control/leader with its proposals, ownership/steward with its four parts, and bench/replay with sample imported each other for types.

--- a/packages/bench/src/replay.ts
+++ b/packages/bench/src/replay.ts
@@ -3,9 +3,9 @@
  * a small fake that takes stated times to revoke and to grant.
  */
 import {type SlotHash} from '@dogwooddeck/placement/hash';
-import {type PlacementInput, type PlacementState} from '@dogwooddeck/placement/input';
+import {type PlacementInput} from '@dogwooddeck/placement/input';
 import {
-	createLoad, type LoadReport, type LoadState, ratesOf, receiveLoad,
+	createLoad, type LoadReport, ratesOf, receiveLoad,
 } from '@dogwooddeck/placement/load';
 import {createPlacement} from '@dogwooddeck/placement/plan';
 import {placementPolicies} from '@dogwooddeck/placement/policy';
@@ -14,41 +14,18 @@
 	contractOf, cutZonesAt, type Detection, lifeKey, type RegistryChange,
 } from './detection.js';
 import {type Measures, noMeasures} from './measures.js';
-import {createOwnership, type Ownership} from './ownership.js';
+import {createOwnership} from './ownership.js';
 import {type Planner} from './policies.js';
-import {createRandom, noisyCount, type Random} from './random.js';
+import {createRandom, noisyCount} from './random.js';
 import {sample} from './sample.js';
+import {type ServiceReplay, stepSeconds} from './service-replay.js';
 import {deployments, type ServiceShape, type Trace} from './trace.js';
-import {createTraffic, riseAt, type TrafficSource} from './traffic.js';
+import {createTraffic, riseAt} from './traffic.js';
 
-/** How often loads are reported and optional moves are planned, in seconds. */
-export const stepSeconds = 5;
 /** The first part of each trace, in which placements settle and nothing is measured. */
 export const settleSeconds = 60;
 const millisecondsPerSecond = 1000;
 
-type LateReport = {readonly arrivesAt: number; readonly report: LoadReport};
-
-/** One service under one policy. */
-export type ServiceReplay = {
-	readonly trace: Trace;
-	readonly service: ServiceShape;
-	readonly detection: Detection;
-	readonly traffic: TrafficSource;
-	readonly ownership: Ownership;
-	readonly planner: Planner;
-	readonly random: Random;
-	readonly hash: SlotHash;
-	measures: Measures;
-	loads: LoadState;
-	/** Reports of loads that are under way to control, the earliest first. */
-	underWay: readonly LateReport[];
-	state: PlacementState;
-	registry: RegistryChange;
-	/** Requests that each life has answered, by service, name and incarnation. */
-	readonly answered: Record<string, number>;
-};
-
 function open(trace: Trace, service: ServiceShape, detection: Detection, planner: Planner, hash: SlotHash): ServiceReplay {
 	const contract = contractOf(trace, service);
 	const {smoothingMilliseconds} = placementPolicies[contract.weigh];
--- a/packages/bench/src/sample.ts
+++ b/packages/bench/src/sample.ts
@@ -9,7 +9,7 @@
 import {
 	highLatency, meanLatency, type Server, waitingAt,
 } from './queueing.js';
-import {type ServiceReplay, stepSeconds} from './replay.js';
+import {type ServiceReplay, stepSeconds} from './service-replay.js';
 import {deployments, zoneOf} from './trace.js';
 import {riseAt} from './traffic.js';
 
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -5,48 +5,27 @@
  */
 import {contractsOf} from '@dogwooddeck/configuration/tree';
 import {controlPart} from '@dogwooddeck/limits/reserve';
-import {createSharing, shareOutAll, type SharingState} from '@dogwooddeck/limits/sharing';
-import {advanceWatch, createWatch, type WatchState} from '@dogwooddeck/membership/watch';
+import {createSharing, shareOutAll} from '@dogwooddeck/limits/sharing';
+import {advanceWatch, createWatch} from '@dogwooddeck/membership/watch';
 import {
-	type InstanceIdentity, type InstanceName, type Milliseconds, type MonotonicTime, type ServiceName, type UpstreamIdentity,
+	type InstanceIdentity, type Milliseconds, type MonotonicTime, type ServiceName,
 } from '@dogwooddeck/model/identifiers';
 import {
 	type DelegationAnswer, type DelegationRequest, type Report, type SeatRequest,
 } from '@dogwooddeck/model/lease';
 import {dispatch, type HandlerTable, type Transition} from '@dogwooddeck/model/transition';
-import {createGrantor, type GrantorState, stepGrantor} from '@dogwooddeck/ownership/grantor';
+import {createGrantor, stepGrantor} from '@dogwooddeck/ownership/grantor';
 import {seatedInstances} from '@dogwooddeck/ownership/table';
 import {type LeaseTerms} from '@dogwooddeck/ownership/terms';
 import {type SlotHash} from '@dogwooddeck/placement/hash';
-import {createLoad, type LoadState, receiveLoad} from '@dogwooddeck/placement/load';
-import {type PlacementState} from '@dogwooddeck/placement/input';
+import {createLoad, receiveLoad} from '@dogwooddeck/placement/load';
 import {placementPolicies} from '@dogwooddeck/placement/policy';
 import {type ControlCommand} from './command.js';
 import {demandedPart} from './limit-part.js';
-import {type ServiceLook} from './plan-due.js';
+import {type LeaderState} from './leader-state.js';
 import {proposals} from './proposals.js';
 import {type ControlState} from './state.js';
 
-/** What the leader knows beside the log. */
-export type LeaderState = {
-	readonly hash: SlotHash;
-	readonly watch: WatchState;
-	readonly grantor: GrantorState;
-	readonly loads: Readonly<Record<ServiceName, LoadState>>;
-	readonly placements: Readonly<Record<ServiceName, PlacementState>>;
-	/** The last look at each service. */
-	readonly looks: Readonly<Record<ServiceName, ServiceLook>>;
-	/** The next owner that a slot under revocation is meant for, by `targetKey`. */
-	readonly targets: Readonly<Record<string, UpstreamIdentity>>;
-	/** The instances that ask for a seat. */
-	readonly seats: Readonly<Record<InstanceName, SeatRequest>>;
-	/** When each instance was last heard of. */
-	readonly heard: Readonly<Record<InstanceName, MonotonicTime>>;
-	readonly sharing: SharingState;
-	/** Since when a proposal is under way. Absent: none is. */
-	readonly proposedAt?: MonotonicTime;
-};
-
 /** What happens to the leader. `control` is its own state with every committed entry applied. */
 export type LeaderEvent =
 	| {readonly kind: 'ticked'; readonly now: MonotonicTime; readonly control: ControlState}
--- a/packages/control/src/proposals.ts
+++ b/packages/control/src/proposals.ts
@@ -16,16 +16,10 @@
 import {type OwnershipCommand, type ZoneRoster} from '@dogwooddeck/ownership/table';
 import {grantorWait} from '@dogwooddeck/ownership/terms';
 import {type ControlCommand} from './command.js';
-import {type LeaderState} from './leader.js';
+import {type LeaderState, type Proposals} from './leader-state.js';
 import {closingProposals, serviceProposals} from './service-proposals.js';
 import {type ControlState} from './state.js';
 
-/** Commands and the state that remembers having proposed them. */
-export type Proposals = {
-	readonly state: LeaderState;
-	readonly commands: readonly ControlCommand[];
-};
-
 const commandsAtMost = 512;
 
 /** A member of a roster that isn't heard of for this long loses its seat, where another member of its zone is heard of. */
--- a/packages/control/src/service-proposals.ts
+++ b/packages/control/src/service-proposals.ts
@@ -20,11 +20,10 @@
 import {createPlacement, planPlacement} from '@dogwooddeck/placement/plan';
 import {type PlacementPlan} from '@dogwooddeck/placement/proposal';
 import {type ControlCommand} from './command.js';
-import {type LeaderState} from './leader.js';
+import {type LeaderState, type Proposals} from './leader-state.js';
 import {
 	formingLook, isPlanDue, type PlanBasis, plannedLook, type ServiceLook,
 } from './plan-due.js';
-import {type Proposals} from './proposals.js';
 import {type ControlState} from './state.js';
 
 type Revoking = Extract<Assignment, {readonly phase: typeof AssignmentPhase.revoking}>;
--- a/packages/control/test/test-evidence.ts
+++ b/packages/control/test/test-evidence.ts
@@ -9,7 +9,8 @@
 import {UpstreamPhase} from '@dogwooddeck/model/registry';
 import {applyMembership} from '@dogwooddeck/membership/registry';
 import {defaultLeaseTerms} from '@dogwooddeck/ownership/terms';
-import {createLeader, type LeaderState} from '@dogwooddeck/control/leader';
+import {createLeader} from '@dogwooddeck/control/leader';
+import {type LeaderState} from '@dogwooddeck/control/leader-state';
 import {serviceProposals} from '@dogwooddeck/control/service-proposals';
 import {type ControlState, emptyControl} from '@dogwooddeck/control/state';
 
--- a/packages/control/test/test-leader.ts
+++ b/packages/control/test/test-leader.ts
@@ -11,8 +11,9 @@
 import {applyEntry} from '@dogwooddeck/control/apply';
 import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
 import {
-	createLeader, type LeaderEvent, type LeaderState, proposalMilliseconds, stepLeader,
+	createLeader, type LeaderEvent, proposalMilliseconds, stepLeader,
 } from '@dogwooddeck/control/leader';
+import {type LeaderState} from '@dogwooddeck/control/leader-state';
 import {silentInstanceMilliseconds} from '@dogwooddeck/control/proposals';
 import {formationMilliseconds} from '@dogwooddeck/control/service-proposals';
 import {type ControlState, emptyControl} from '@dogwooddeck/control/state';
--- a/packages/daemon/src/leader-part.ts
+++ b/packages/daemon/src/leader-part.ts
@@ -5,8 +5,9 @@
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {type ControlCommand, encodeCommands} from '@dogwooddeck/control/command';
 import {
-	createLeader, type LeaderEffect, type LeaderEvent, type LeaderState, stepLeader,
+	createLeader, type LeaderEffect, type LeaderEvent, stepLeader,
 } from '@dogwooddeck/control/leader';
+import {type LeaderState} from '@dogwooddeck/control/leader-state';
 import {type Failure} from '@dogwooddeck/model/failure';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {
--- a/packages/daemon/src/steward-runner.ts
+++ b/packages/daemon/src/steward-runner.ts
@@ -13,8 +13,9 @@
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {stewardDueAt} from '@dogwooddeck/ownership/due';
 import {
-	createSteward, isSeated, isSteward, type StewardEffect, type StewardEvent, type StewardState, stepSteward,
+	createSteward, isSeated, isSteward, stepSteward,
 } from '@dogwooddeck/ownership/steward';
+import {type StewardEffect, type StewardEvent, type StewardState} from '@dogwooddeck/ownership/steward-state';
 import {type OwnershipState} from '@dogwooddeck/ownership/table';
 import {type WithCatchUp} from '@dogwooddeck/wire/methods';
 import {err, ok, type Result} from 'true-myth/result';
--- a/packages/ownership/src/due.ts
+++ b/packages/ownership/src/due.ts
@@ -5,7 +5,7 @@
 import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {delegationDueAt} from './leasing.js';
 import {standingDueAt} from './standing.js';
-import {type StewardState} from './steward.js';
+import {type StewardState} from './steward-state.js';
 import {drainedGrowsAt, supportEnd} from './tenure.js';
 
 /**
--- a/packages/ownership/src/leasing.ts
+++ b/packages/ownership/src/leasing.ts
@@ -8,7 +8,7 @@
 import {emptyReport, type LeaseAnswer, type LeaseRequest} from '@dogwooddeck/model/lease';
 import {countedHolders, withHolder} from './holders.js';
 import {asksWithLeases, isKnown, withRenewal} from './renewal.js';
-import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
+import {type StewardEvent, type StewardState, type StewardTransition} from './steward-state.js';
 import {withSupport} from './support.js';
 import {
 	isSteward, settled, supportEnd, zoneDrained,
--- a/packages/ownership/src/renewal.ts
+++ b/packages/ownership/src/renewal.ts
@@ -9,7 +9,7 @@
 	includesInstance, type InstanceIdentity, type MonotonicTime, sameInstance,
 } from '@dogwooddeck/model/identifiers';
 import {type LeaseRequest, type SupportRenewal} from '@dogwooddeck/model/lease';
-import {type StewardEvent, type StewardState, type StewardTransition} from './steward.js';
+import {type StewardEvent, type StewardState, type StewardTransition} from './steward-state.js';
 import {
 	support, supportedNow, type SupportRecord, withSupport,
 } from './support.js';
@@ -18,12 +18,6 @@
 
 type EventOf<Kind extends StewardEvent['kind']> = Extract<StewardEvent, {readonly kind: Kind}>;
 
-/** A request for support that came with a lease. */
-export type AskedSupport = SupportRenewal & {
-	/** A lease request has taken the renewal along. */
-	readonly isAnswered: boolean;
-};
-
 /** Whether a steward asks for support with its lease answers. One that resigned doesn't. */
 export function asksWithLeases(state: StewardState, now: MonotonicTime): boolean {
 	return isSteward(state, now) && now >= state.standsFrom;
--- a/packages/ownership/src/standing.ts
+++ b/packages/ownership/src/standing.ts
@@ -11,7 +11,7 @@
 import {longestDeadlineOf} from './state.js';
 import {
 	type StewardEffect, type StewardEvent, type StewardState, type StewardTransition,
-} from './steward.js';
+} from './steward-state.js';
 import {
 	freeFrom, support, supportedNow, withdrawn, withSupport,
 } from './support.js';
--- a/packages/ownership/src/tenure.ts
+++ b/packages/ownership/src/tenure.ts
@@ -3,7 +3,7 @@
  */
 import {includesInstance, type LogIndex, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {countedHolders, lowestDrained} from './holders.js';
-import {type StewardState} from './steward.js';
+import {type StewardState} from './steward-state.js';
 import {acknowledgedIndex, supportedUntil} from './support.js';
 import {grantorWait} from './terms.js';
 
--- a/packages/ownership/test/actors.ts
+++ b/packages/ownership/test/actors.ts
@@ -8,7 +8,7 @@
 import {Process} from './world.js';
 import {type Flights} from '@dogwooddeck/ownership/drain';
 import {type LeaseState} from '@dogwooddeck/ownership/lease';
-import {type StewardState} from '@dogwooddeck/ownership/steward';
+import {type StewardState} from '@dogwooddeck/ownership/steward-state';
 
 /** The services: one of each policy. */
 export const services = [
--- a/packages/ownership/test/schedule.ts
+++ b/packages/ownership/test/schedule.ts
@@ -17,9 +17,8 @@
 	answered, createLease, isHeld, mayStart, requestDue, requestSent,
 } from '@dogwooddeck/ownership/lease';
 import {routedDeadline} from '@dogwooddeck/ownership/policy';
-import {
-	createSteward, type StewardEffect, type StewardEvent, stepSteward,
-} from '@dogwooddeck/ownership/steward';
+import {createSteward, stepSteward} from '@dogwooddeck/ownership/steward';
+import {type StewardEffect, type StewardEvent} from '@dogwooddeck/ownership/steward-state';
 import {supportedNow} from '@dogwooddeck/ownership/support';
 import {
 	applyOwnership, assignmentOf, emptyOwnership, type OwnershipCommand, type OwnershipState, slotFor,
--- a/packages/ownership/test/steward-events.ts
+++ b/packages/ownership/test/steward-events.ts
@@ -4,7 +4,7 @@
 import {WhenCut} from '@dogwooddeck/model/contract';
 import {emptyReport, type SupportRenewal} from '@dogwooddeck/model/lease';
 import {type InstanceRecord} from '@dogwooddeck/model/registry';
-import {type StewardEvent} from '@dogwooddeck/ownership/steward';
+import {type StewardEvent} from '@dogwooddeck/ownership/steward-state';
 import {emptyOwnership, type OwnershipState} from '@dogwooddeck/ownership/table';
 
 /** An instance of the zone. */
--- a/packages/ownership/test/test-renewal.ts
+++ b/packages/ownership/test/test-renewal.ts
@@ -10,9 +10,8 @@
 	a, asked, b, c, election, granted, lease, record, renewing, table, tick,
 } from './steward-events.js';
 import {stewardDueAt} from '@dogwooddeck/ownership/due';
-import {
-	createSteward, type StewardEffect, type StewardEvent, type StewardState, stepSteward,
-} from '@dogwooddeck/ownership/steward';
+import {createSteward, stepSteward} from '@dogwooddeck/ownership/steward';
+import {type StewardEffect, type StewardEvent, type StewardState} from '@dogwooddeck/ownership/steward-state';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
 const resigned: StewardEvent = {kind: 'resigned', now: 1602};
--- a/packages/ownership/test/test-steward.ts
+++ b/packages/ownership/test/test-steward.ts
@@ -8,9 +8,8 @@
 import {
 	a, asked, b, c, delegated, election, granted, lease, record, refused, renewal, table, tick,
 } from './steward-events.js';
-import {
-	createSteward, type StewardEffect, type StewardEvent, stepSteward,
-} from '@dogwooddeck/ownership/steward';
+import {createSteward, stepSteward} from '@dogwooddeck/ownership/steward';
+import {type StewardEffect, type StewardEvent} from '@dogwooddeck/ownership/steward-state';
 import {defaultLeaseTerms as terms} from '@dogwooddeck/ownership/terms';
 
 function shown(effect: StewardEffect): readonly string[] {
