Take the directory as confirmed only by a stream that brings it

Cause, found by reading the diff: a control instance that was asked for its presence alone and is in touch with the leader made an entry that had just started take itself for confirmed, whatever state another instance then gave it; it could have called itself ready with an older configuration. Change: only messages of a stream of changes confirm. Two of the three new cases of test-following failed before.

--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -117,7 +117,7 @@
 			holder.catchUp(message.catchUp);
 		}
 
-		isConfirmed ||= message.fresh;
+		isConfirmed ||= message.fresh && stream.wanted === Wanted.changes;
 		for (const member of message.members) {
 			open(member);
 		}
--- a/packages/entry/test/test-following.ts
+++ b/packages/entry/test/test-following.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Distance} from '@dogwooddeck/gateway/selection';
-import {type FollowedControl, Wanted, wantedOf} from '@dogwooddeck/entry/directory-follower';
+import {type FollowListener, type MeshClients} from '@dogwooddeck/mesh/client';
+import {failure, FailureKind} from '@dogwooddeck/model/failure';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {err} from 'true-myth/result';
+import {
+	followDirectory, type FollowedControl, Wanted, wantedOf,
+} from '@dogwooddeck/entry/directory-follower';
 
 const now = 10_000;
 
@@ -53,3 +59,53 @@
 		assert.equal(wantedOf(asked, [asked, ...others], now), wanted);
 	});
 }
+
+type Heard = {readonly address: string; readonly wantsChanges: boolean; readonly listener: FollowListener};
+
+/** Clients that keep what is followed, and send nothing. */
+function silentClients(heard: Heard[]): MeshClients {
+	return {
+		call: async () => err(failure(FailureKind.unreachable, 'nobody listens')),
+		follow(address, {wantsChanges}, listener) {
+			heard.push({address, wantsChanges, listener});
+			return {stop: listener.onEnd};
+		},
+		reopen: () => undefined,
+		close: () => undefined,
+	};
+}
+
+const silent: Log = {
+	event: () => undefined, warning: () => undefined, error: () => undefined,
+};
+
+const confirmations: ReadonlyArray<{readonly name: string; readonly freshPresence: boolean; readonly freshChanges: boolean | undefined; readonly isConfirmed: boolean}> = [
+	{
+		name: 'a presence alone', freshPresence: true, freshChanges: undefined, isConfirmed: false,
+	},
+	{
+		name: 'changes of one that is not in touch with the leader', freshPresence: true, freshChanges: false, isConfirmed: false,
+	},
+	{
+		name: 'changes of one that is', freshPresence: false, freshChanges: true, isConfirmed: true,
+	},
+];
+
+for (const {name, freshPresence, freshChanges, isConfirmed} of confirmations) {
+	test(`following: ${name} ${isConfirmed ? 'confirms' : 'does not confirm'} the directory`, context => {
+		context.mock.timers.enable({apis: ['setInterval']});
+		const heard: Heard[] = [];
+		const follower = followDirectory({
+			name: 'e', zone: 'z', regions: {z: 'r'}, seeds: ['c'], clients: silentClients(heard), log: silent,
+		});
+		const message = {zone: 'z', members: ['c'], entryCount: 1};
+		heard[0]!.listener.onMessage({...message, fresh: freshPresence});
+		assert.deepEqual(heard.map(({wantsChanges}) => wantsChanges), [false, true]);
+		if (freshChanges !== undefined) {
+			heard[1]!.listener.onMessage({...message, fresh: freshChanges});
+		}
+
+		assert.equal(follower.isConfirmed(), isConfirmed);
+		follower.stop();
+	});
+}
