--- a/packages/control-node/src/announcement-desk.ts
+++ b/packages/control-node/src/announcement-desk.ts
@@ -8,7 +8,8 @@
 } from '@dogwooddeck/directory/announcement';
 import {type DirectoryState} from '@dogwooddeck/directory/state';
 import {UpstreamState} from '@dogwooddeck/directory/upstream';
-import {lifeText, type KeyRange, unheldRanges} from '@dogwooddeck/key-lease/range';
+import {rangesOf} from '@dogwooddeck/key-lease/command';
+import {isSettled, type KeyRange, lifeText} from '@dogwooddeck/key-lease/range';
 import {reportKeys, rowsFor} from '@dogwooddeck/key-lease/report';
 import {type AnnouncementAnswer, type AnnouncementOutcome, type AnnouncementReport} from '@dogwooddeck/mesh/calls';
 import {type Failure} from '@dogwooddeck/model/failure';
@@ -28,14 +29,9 @@
 /** An answer is kept back for this long at most: it has to arrive within a second, and passing the announcement on and confirming it take up to 0.4 s between regions. */
 const keptMilliseconds: Milliseconds = 350;
 
-function rangesOf(state: DirectoryState, service: string): readonly KeyRange[] {
-	return state.keys[service] ?? unheldRanges;
-}
-
 /** The lives that have to hear something of their keys: that they got some, or have to give some up. */
-function livesWithNews(state: DirectoryState): ReadonlySet<string> {
-	return new Set(Object.values(state.keys).flatMap(ranges => ranges.flatMap(({holder, told, releasingSince}) =>
-		holder !== undefined && (releasingSince !== undefined || !told) ? [lifeText(holder)] : [])));
+function livesWithNews(ranges: readonly KeyRange[]): readonly string[] {
+	return ranges.flatMap(range => range.holder !== undefined && !isSettled(range) ? [lifeText(range.holder)] : []);
 }
 
 /** Makes the desk. */
@@ -48,7 +44,7 @@
 		}
 
 		keys = state.keys;
-		const lives = livesWithNews(state);
+		const lives = new Set(Object.values(state.keys).flatMap(ranges => livesWithNews(ranges)));
 		for (const [life, goOn] of kept) {
 			if (lives.has(life)) {
 				goOn();
@@ -56,6 +52,10 @@
 		}
 	});
 
+	function hasNews({upstream, keys: {life}}: Announcement): boolean {
+		return livesWithNews(rangesOf(holder.state().keys, upstream.service)).includes(lifeText(life));
+	}
+
 	/**
 	 * Keeps an announcement that brings nothing new for a moment, so that an upstream
 	 * that should get keys or give them up hears of it at once and not with its next
@@ -89,19 +89,18 @@
 
 			const isKeyed = holder.state().items.service[upstream.service]?.value?.keyed === true;
 			const isQuiet = isRecorded(holder.state(), upstream) && upstream.state === UpstreamState.ready && announced.released.length === 0;
-			const isKept = isKeyed && isQuiet && !livesWithNews(holder.state()).has(lifeText(announced.life));
+			const isKept = isKeyed && isQuiet && !hasNews(announcement);
 			if (isKept) {
 				await keep(announcement);
 			}
 
 			const state = holder.state();
-			const ranges = rangesOf(state, upstream.service);
+			const ranges = rangesOf(state.keys, upstream.service);
 			const report = reportKeys(ranges, announced);
-			const hasNews = livesWithNews(state).has(lifeText(announced.life));
 			const outcome = await passOn({
 				...(isRecorded(state, upstream) ? {} : {upstream}),
 				keys: report,
-				isUrgent: !isQuiet || hasNews,
+				isUrgent: !isQuiet || hasNews(announcement),
 			});
 			return outcome.map(({keyed, rows, holdMilliseconds: held}) => keyed
 				? {holdMilliseconds: held, holds: rows ?? rowsFor(ranges, report)}
--- a/packages/control-node/src/leader-desk.ts
+++ b/packages/control-node/src/leader-desk.ts
@@ -11,9 +11,9 @@
 import {
 	beginGranting, type GrantingState, type GrantingTerms, noteAnswered, noteHeard, rowsOf, vacatedByAnnouncement,
 } from '@dogwooddeck/key-lease/granting';
-import {type HeldSpan} from '@dogwooddeck/key-lease/command';
+import {type HeldSpan, rangesOf} from '@dogwooddeck/key-lease/command';
 import {
-	type KeyRange, type Life, lifeText, sameLife, unheldRanges,
+	type KeyRange, type Life, lifeText, sameLife,
 } from '@dogwooddeck/key-lease/range';
 import {type KeyReport, rowsDigest, rowsFor} from '@dogwooddeck/key-lease/report';
 import {
@@ -108,16 +108,12 @@
 	const confirming = new Map<Milliseconds, Promise<Result<LogIndex, Failure>>>();
 	const propose = createProposals(async payload => voter().propose(payload));
 
-	function rangesOf(service: string): readonly KeyRange[] {
-		return holder.state().keys[service] ?? unheldRanges;
-	}
-
 	function isKeyed(service: string): boolean {
 		return holder.state().items.service[service]?.value?.keyed ?? false;
 	}
 
 	function evidenceOf({service}: UpstreamRecord, keys: KeyReport): readonly DirectoryCommand[] {
-		const rows = vacatedByAnnouncement(granting, rangesOf(service), keys);
+		const rows = vacatedByAnnouncement(granting, rangesOf(holder.state().keys, service), keys);
 		return rows.length === 0 ? [] : [{kind: 'keysVacated', service, rows}];
 	}
 
@@ -128,7 +124,7 @@
 		}
 
 		const {life, sequence} = keys;
-		const ranges = rangesOf(service);
+		const ranges = rangesOf(holder.state().keys, service);
 		const rows = rowsOf(ranges, life);
 		granting = noteAnswered(granting, {
 			life, sequence, receivedAt, index: holder.state().applied,
--- a/packages/directory/src/key-plan.ts
+++ b/packages/directory/src/key-plan.ts
@@ -2,11 +2,10 @@
  * What the leader should change about upstreams and keys: holders whose time is
  * over, upstreams that are not heard any more, and the plan of who holds what.
  */
+import {rangesOf} from '@dogwooddeck/key-lease/command';
 import {type GrantingState, type GrantingTerms, vacatedByTime} from '@dogwooddeck/key-lease/granting';
 import {type Candidate, type KeyRate, planKeys} from '@dogwooddeck/key-lease/planning';
-import {
-	type Life, lifeText, sameLife, unheldRanges,
-} from '@dogwooddeck/key-lease/range';
+import {type Life, lifeText, sameLife} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {standing} from './item.js';
 import {type DirectoryCommand, type DirectoryState} from './state.js';
@@ -74,7 +73,7 @@
 	const {
 		state, granting, terms, now, joinedAt,
 	} = input;
-	const ranges = state.keys[service] ?? unheldRanges;
+	const ranges = rangesOf(state.keys, service);
 	const vacated = vacatedByTime(granting, ranges, life => isReplaced(state.upstreams, life, addressOf(state, life)), {now, terms});
 	if (vacated.length > 0) {
 		return [{kind: 'keysVacated', service, rows: vacated}];
--- a/packages/key-lease/src/command.ts
+++ b/packages/key-lease/src/command.ts
@@ -26,6 +26,11 @@
 /** The tables of all services, by service. */
 export type KeyTables = Readonly<Record<string, readonly KeyRange[]>>;
 
+/** The ranges of a service. */
+export function rangesOf(tables: KeyTables, service: string): readonly KeyRange[] {
+	return tables[service] ?? unheldRanges;
+}
+
 type Change = (range: KeyRange, row: HeldSpan & {readonly handover?: string}, index: LogIndex) => KeyRange;
 
 function withoutHolder({from, to, fence}: KeyRange, handover: string): KeyRange {
@@ -53,7 +58,7 @@
 
 /** Takes a command in. Rows that no longer fit the table change nothing. */
 export function applyKeyCommand(tables: KeyTables, command: KeyCommand, index: LogIndex): KeyTables {
-	const ranges = tables[command.service] ?? unheldRanges;
+	const ranges = rangesOf(tables, command.service);
 	const change = changes[command.kind];
 	return {...tables, [command.service]: changeSpans<HeldSpan>(ranges, command.rows, (range, row) => change(range, row, index))};
 }
--- a/packages/key-lease/src/planning.ts
+++ b/packages/key-lease/src/planning.ts
@@ -10,7 +10,7 @@
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {type HeldSpan} from './command.js';
 import {
-	keyCount, type KeyRange, type KeySpan, type Life, lifeText, withoutSpans,
+	isSettled, keyCount, type KeyRange, type KeySpan, type Life, lifeText, withoutSpans,
 } from './range.js';
 
 /** The requests a second for one key. */
@@ -222,10 +222,6 @@
 	return best !== undefined && work.of(best.span) <= most ? best.span : undefined;
 }
 
-function isSettled(range: KeyRange): boolean {
-	return range.releasingSince === undefined && range.told;
-}
-
 /** The keys that each life holds and may be asked to give up. */
 function settledSpans(ranges: readonly KeyRange[]): Map<string, readonly KeySpan[]> {
 	const spans = new Map<string, KeySpan[]>();
--- a/packages/key-lease/src/range.ts
+++ b/packages/key-lease/src/range.ts
@@ -40,6 +40,11 @@
 	return one?.id === other?.id && one?.born === other?.born;
 }
 
+/** Whether a range's holder knows of its grant and has not to give it up. */
+export function isSettled({releasingSince, told}: KeyRange): boolean {
+	return releasingSince === undefined && told;
+}
+
 /** A life as the key of a map. */
 export function lifeText({id, born}: Life): string {
 	return `${id}#${born}`;
