Log how far each copy of the directory is behind

Entries of one region served by old routes for 14 s and no line told that, nor where the changes were: at the leader, at the region's control instances or on their way to the entries. Each copy now tells once when it has lacked committed entries for a second, and once when it has caught up: the leader for every member of the log, control instances and entries for themselves. Control instances expose the committed index beside the applied one, and count the messages of the log by kind and outcome and the characters they carry; failed deliveries were dropped without a trace before.

No decision uses any of it yet.

--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -94,7 +94,8 @@
 		return refuseOldTerm(draft, from, request.round);
 	}
 
-	return agrees(followed, request) ? accept(followed, from, request) : reject(followed, from, request);
+	const heard = change(followed, {heardCommitted: Math.max(followed.state.heardCommitted, request.committed)});
+	return agrees(heard, request) ? accept(heard, from, request) : reject(heard, from, request);
 }
 
 function install(draft: Draft, message: SnapshotMessage): Draft {
--- a/packages/consensus/src/message.ts
+++ b/packages/consensus/src/message.ts
@@ -82,3 +82,17 @@
 	readonly to: VoterIdentity;
 	readonly message: ConsensusMessage;
 };
+
+/** The length of an entry's payload. */
+export function charactersOf({body}: LogEntry): number {
+	return body.kind === 'command' ? body.payload.length : 0;
+}
+
+/** The length of what a message carries: its entries or its snapshot. */
+export function messageCharacters(message: ConsensusMessage): number {
+	if (message.kind === 'snapshotSent') {
+		return message.snapshot.data.length;
+	}
+
+	return message.kind === 'appendRequested' ? message.entries.reduce((sum, entry) => sum + charactersOf(entry), 0) : 0;
+}
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -9,13 +9,11 @@
 } from './draft.js';
 import {entriesBetween, latestVoterSet, termAt} from './log.js';
 import {
-	type ConsensusMessage, type EntryBody, type LogEntry, type VoterIdentity,
+	charactersOf, type ConsensusMessage, type EntryBody, type LogEntry, type VoterIdentity,
 } from './message.js';
 import {answeredRound, ownTermCommitted, syncedByMajority} from './quorum.js';
 import {type Leadership, type Progress} from './state.js';
-import {
-	afterConfirming, afterSending, charactersOf, isOnItsWay,
-} from './transit.js';
+import {afterConfirming, afterSending, isOnItsWay} from './transit.js';
 import {membersOf, sameVoter} from './voter-set.js';
 
 const entriesInMessage = 256;
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -52,6 +52,9 @@
 	readonly transit: Transit | undefined;
 };
 
+/** The last entry that a member is known to have synced. */
+export type MemberPosition = {readonly member: VoterIdentity; readonly index: LogIndex};
+
 /** A read that waits until `round` is answered by a majority. */
 export type PendingRead = {readonly request: string; readonly round: number};
 
@@ -82,6 +85,8 @@
 	readonly hardState: HardState;
 	readonly log: Log;
 	readonly committed: LogIndex;
+	/** The highest index that a leader said it had committed: what this voter should have applied. */
+	readonly heardCommitted: LogIndex;
 	/** Follower, candidate or leader. Learners are followers here. */
 	readonly role: Role;
 	readonly leader: VoterIdentity | undefined;
@@ -122,6 +127,16 @@
 	return state.committed;
 }
 
+/** The highest index that is known to be committed anywhere, whether its entry has arrived here or not. */
+export function knownCommittedIndex(state: VoterState): LogIndex {
+	return Math.max(state.committed, state.heardCommitted);
+}
+
+/** How far each other member of a leader's log is known to be; empty on one that doesn't lead. */
+export function memberPositions(state: VoterState): readonly MemberPosition[] {
+	return state.leadership?.progress.map(({peer, match}) => ({member: peer, index: match})) ?? [];
+}
+
 /** The current term. */
 export function termOf(state: VoterState): number {
 	return state.hardState.term;
--- a/packages/consensus/src/transit.ts
+++ b/packages/consensus/src/transit.ts
@@ -4,7 +4,7 @@
  * them again then would only lengthen the way.
  */
 import {type LogIndex, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
-import {type LogEntry} from './message.js';
+import {charactersOf, type LogEntry} from './message.js';
 
 /** Entries that were sent and may not have arrived yet. */
 export type Transit = {
@@ -17,11 +17,6 @@
 /** Half of a link between regions. */
 const charactersPerMillisecond = 2000;
 
-/** The length of an entry's payload. */
-export function charactersOf({body}: LogEntry): number {
-	return body.kind === 'command' ? body.payload.length : 0;
-}
-
 function travelTime(entries: readonly LogEntry[]): Milliseconds {
 	return entries.reduce((sum, entry) => sum + charactersOf(entry), 0) / charactersPerMillisecond;
 }
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -24,7 +24,7 @@
 import {type VoterState} from './state.js';
 
 export {
-	committedIndex, leaderOf, roleOf, termOf, voterSetOf, type VoterState,
+	committedIndex, knownCommittedIndex, leaderOf, memberPositions, roleOf, termOf, voterSetOf, type MemberPosition, type VoterState,
 } from './state.js';
 export {quorumHeardAt} from './quorum.js';
 export {foundCluster, founderFolder, foundVoterSet} from './founding.js';
@@ -41,6 +41,7 @@
 		hardState: saved.hardState,
 		log,
 		committed: saved.snapshot?.index ?? 0,
+		heardCommitted: 0,
 		role: Role.follower,
 		leader: undefined,
 		leaderHeardAt: now - options.electionMilliseconds + (options.startSilenceMilliseconds ?? options.electionMilliseconds),
--- a/packages/control-node/src/control-node.ts
+++ b/packages/control-node/src/control-node.ts
@@ -32,6 +32,7 @@
 import {createFollowers} from './followers.js';
 import {createLeaderDesk} from './leader-desk.js';
 import {createLoadRelay} from './load-relay.js';
+import {startReplicationWatch} from './replication-watch.js';
 import {type ControlSettings} from './settings.js';
 
 /** A control instance that runs. */
@@ -205,7 +206,12 @@
 	const followers = createFollowers(holder, () => {
 		const leader = leaderAddress();
 		return {
-			fresh: isFresh(), entryCount: entryCount.total(), zone: settings.zone, members: own.voter?.members() ?? [], ...(leader === undefined ? {} : {leader}),
+			fresh: isFresh(),
+			committed: own.voter?.knownCommitted() ?? 0,
+			entryCount: entryCount.total(),
+			zone: settings.zone,
+			members: own.voter?.members() ?? [],
+			...(leader === undefined ? {} : {leader}),
 		};
 	});
 	const server = await startMeshServer(settings.address, handlers, followers.add);
@@ -218,6 +224,7 @@
 		holder,
 		clients,
 		log,
+		measures,
 		roleChanged(role) {
 			roleHandlers[role]();
 			measures.set(MeasureName.leader, role === Role.leader ? 1 : 0);
@@ -225,6 +232,9 @@
 		failed,
 	});
 	own.voter = running;
+	const replication = startReplicationWatch({
+		holder, voter: running, log, measures,
+	});
 
 	async function showItself(): Promise<void> {
 		const sighting = {voter: running.identity, entries: followers.names()};
@@ -299,6 +309,7 @@
 
 			desk.end();
 			relay.stop();
+			replication.stop();
 			followers.stop();
 			await running.stop();
 			server.value.close();
--- a/packages/control-node/src/directory-voter.ts
+++ b/packages/control-node/src/directory-voter.ts
@@ -4,7 +4,7 @@
  */
 import {foundCluster} from '@dogwooddeck/consensus/founding';
 import {type Role, type SavedState} from '@dogwooddeck/consensus/machine';
-import {type VoterIdentity} from '@dogwooddeck/consensus/message';
+import {type ConsensusEnvelope, messageCharacters, type VoterIdentity} from '@dogwooddeck/consensus/message';
 import {membersOf} from '@dogwooddeck/consensus/voter-set';
 import {type DirectoryAccepted, type DirectoryState} from '@dogwooddeck/directory/state';
 import {type MeshClients} from '@dogwooddeck/mesh/client';
@@ -14,6 +14,7 @@
 import {startVoter, type VoterRunner} from '@dogwooddeck/replica/voter-runner';
 import {FolderLocking, openFolder, type OpenFolder} from '@dogwooddeck/storage/folder';
 import {type Log} from '@dogwooddeck/telemetry/log';
+import {MeasureName, type Measures} from '@dogwooddeck/telemetry/measure';
 import {type ControlSettings} from './settings.js';
 
 /** The directory of this process. */
@@ -32,6 +33,7 @@
 	readonly holder: DirectoryHolder;
 	readonly clients: MeshClients;
 	readonly log: Log;
+	readonly measures: Measures;
 	readonly roleChanged: (role: Role) => void;
 	/** The durable state can't be written: the process has to end. */
 	readonly failed: (failure: Failure) => void;
@@ -69,7 +71,17 @@
 
 /** Opens the data folder and starts the voter. Throws a `FailureError` where the folder can't be read. */
 export async function startDirectoryVoter(parts: VoterParts): Promise<DirectoryVoter> {
-	const {settings, holder, clients, log} = parts;
+	const {
+		settings, holder, clients, log, measures,
+	} = parts;
+
+	async function send(envelope: ConsensusEnvelope): Promise<void> {
+		const {kind} = envelope.message;
+		measures.counter(MeasureName.replicationCharacters, {kind}).value += messageCharacters(envelope.message);
+		const sent = await clients.call(envelope.to.name, 'deliver', envelope, deliverMilliseconds);
+		measures.counter(MeasureName.replicationMessages, {kind, outcome: sent.isOk ? 'taken' : sent.error.kind}).value += 1;
+	}
+
 	const isFounder = settings.founding && settings.seeds.includes(settings.address);
 	const opened = await openFolder(settings.dataFolder, {found: isFounder, locking: FolderLocking.byOthers});
 	if (opened.isErr) {
@@ -98,7 +110,7 @@
 		holder,
 		log,
 		send(envelope) {
-			void clients.call(envelope.to.name, 'deliver', envelope, deliverMilliseconds);
+			void send(envelope);
 		},
 		roleChanged: parts.roleChanged,
 		failed: parts.failed,
--- /dev/null
+++ b/packages/control-node/src/replication-watch.ts
@@ -0,0 +1,53 @@
+/**
+ * Watches how far the copies of the directory are: this instance's own, and on
+ * the leader those of the other voters and learners.
+ */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type VoterIdentity} from '@dogwooddeck/consensus/message';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {LagWatch} from '@dogwooddeck/replica/lag-watch';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {MeasureName, type Measures} from '@dogwooddeck/telemetry/measure';
+import {type DirectoryHolder, type DirectoryVoter} from './directory-voter.js';
+
+/** How often the copies are looked at. */
+const watchMilliseconds: Milliseconds = 200;
+
+/** What is watched. */
+export type ReplicationWatchParts = {
+	readonly holder: DirectoryHolder;
+	readonly voter: DirectoryVoter;
+	readonly log: Log;
+	readonly measures: Measures;
+};
+
+function nameOf({name, folder}: VoterIdentity): string {
+	return `${name} ${folder}`;
+}
+
+/** Starts to watch. */
+export function startReplicationWatch({holder, voter, log, measures}: ReplicationWatchParts): {readonly stop: () => void} {
+	const own = new LagWatch(log);
+	let members = new Map<string, LagWatch>();
+
+	function watch(): void {
+		const now = monotonicNow();
+		const {applied} = holder.state();
+		const committed = voter.knownCommitted();
+		own.note(applied, committed, now);
+		measures.set(MeasureName.applied, applied);
+		measures.set(MeasureName.committed, committed);
+		const positions = voter.memberPositions();
+		members = new Map(positions.map(({member}) => [nameOf(member), members.get(nameOf(member)) ?? new LagWatch(log, {member: member.name})]));
+		for (const {member, index} of positions) {
+			members.get(nameOf(member))!.note(index, committed, now);
+		}
+	}
+
+	const watching = setInterval(watch, watchMilliseconds);
+	return {
+		stop() {
+			clearInterval(watching);
+		},
+	};
+}
--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -9,8 +9,9 @@
 import {type FollowMessage} from '@dogwooddeck/mesh/calls';
 import {type Following, type MeshClients} from '@dogwooddeck/mesh/client';
 import {
-	type Milliseconds, type MonotonicTime, type RegionName, type ZoneName,
+	type LogIndex, type Milliseconds, type MonotonicTime, type RegionName, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
+import {LagWatch} from '@dogwooddeck/replica/lag-watch';
 import {createStateHolder} from '@dogwooddeck/replica/state-holder';
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {type Log} from '@dogwooddeck/telemetry/log';
@@ -101,7 +102,10 @@
 }: FollowerParts): DirectoryFollower {
 	const holder = createStateHolder(directoryMachine);
 	const streams = new Map<string, Stream>();
+	const lag = new LagWatch(log);
 	let isConfirmed = false;
+	/** The highest index that any control instance said was committed. */
+	let committed: LogIndex = 0;
 
 	function take(address: string, stream: Stream, message: FollowMessage): void {
 		if (!stream.hasHeard && stream.wanted === Wanted.changes) {
@@ -117,6 +121,7 @@
 			holder.catchUp(message.catchUp);
 		}
 
+		committed = Math.max(committed, message.committed);
 		isConfirmed ||= message.fresh && stream.wanted === Wanted.changes;
 		for (const member of message.members) {
 			open(member);
@@ -163,6 +168,7 @@
 	function check(): void {
 		const now = monotonicNow();
 		const all = [...streams.values()];
+		lag.note(holder.state().applied, committed, now);
 		for (const [address, stream] of streams) {
 			const isSilent = now - stream.heardAt > (stream.hasHeard ? silentMilliseconds : connectMilliseconds);
 			if (stream.isOpen && isSilent) {
--- a/packages/entry/test/test-following.ts
+++ b/packages/entry/test/test-following.ts
@@ -98,7 +98,9 @@
 		const follower = followDirectory({
 			name: 'e', zone: 'z', regions: {z: 'r'}, seeds: ['c'], clients: silentClients(heard), log: silent,
 		});
-		const message = {zone: 'z', members: ['c'], entryCount: 1};
+		const message = {
+			zone: 'z', members: ['c'], entryCount: 1, committed: 0,
+		};
 		heard[0]!.listener.onMessage({...message, fresh: freshPresence});
 		assert.deepEqual(heard.map(({wantsChanges}) => wantsChanges), [false, true]);
 		if (freshChanges !== undefined) {
--- a/packages/mesh/src/calls.ts
+++ b/packages/mesh/src/calls.ts
@@ -83,6 +83,8 @@
 	readonly catchUp?: CatchUp;
 	/** Whether the sender has heard a leader that a majority follows, a moment ago. */
 	readonly fresh: boolean;
+	/** The highest index that the sender knows to be committed. */
+	readonly committed: LogIndex;
 	/** The availability zone that the sender stands in. */
 	readonly zone: ZoneName;
 	/** The addresses of all control instances that are known. */
--- /dev/null
+++ b/packages/replica/src/lag-watch.ts
@@ -0,0 +1,42 @@
+/**
+ * Tells once when a copy of the replicated state falls behind, and once when it
+ * has caught up.
+ */
+import {type LogIndex, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Fields, type Log} from '@dogwooddeck/telemetry/log';
+import {type Lag, lagMilliseconds, noteLag} from './lag.js';
+
+/** A copy is reported as behind after this long: several heartbeats and a round between regions. */
+export const reportedLagMilliseconds: Milliseconds = 1000;
+
+/** Watches one copy. It is updated in place. */
+export class LagWatch {
+	readonly #log: Log;
+	readonly #fields: Fields;
+	#lag: Lag | undefined;
+	#isReported = false;
+
+	/** `fields` say whose copy it is. */
+	constructor(log: Log, fields: Fields = {}) {
+		this.#log = log;
+		this.#fields = fields;
+	}
+
+	/** Takes in how far the copy is; gives for how long it has lacked something. */
+	note(applied: LogIndex, committed: LogIndex, now: MonotonicTime): Milliseconds {
+		const behindFor = lagMilliseconds(this.#lag, now);
+		this.#lag = noteLag(this.#lag, {applied, committed}, now);
+		const milliseconds = lagMilliseconds(this.#lag, now);
+		const fields = {...this.#fields, applied, committed};
+		if (milliseconds >= reportedLagMilliseconds && !this.#isReported) {
+			this.#isReported = true;
+			this.#log.warning(EventName.replicaBehind, {...fields, behindFor: Math.round(milliseconds)});
+		} else if (milliseconds < reportedLagMilliseconds && this.#isReported) {
+			this.#isReported = false;
+			this.#log.event(EventName.replicaCaughtUp, {...fields, behindFor: Math.round(behindFor)});
+		}
+
+		return milliseconds;
+	}
+}
--- a/packages/replica/src/voter-runner.ts
+++ b/packages/replica/src/voter-runner.ts
@@ -12,7 +12,7 @@
 import {isSound} from '@dogwooddeck/consensus/soundness';
 import {sameVoter} from '@dogwooddeck/consensus/voter-set';
 import {
-	committedIndex, createVoter, leaderOf, quorumHeardAt, roleOf, stepVoter, voterSetOf,
+	committedIndex, createVoter, knownCommittedIndex, leaderOf, type MemberPosition, memberPositions, quorumHeardAt, roleOf, stepVoter, voterSetOf,
 } from '@dogwooddeck/consensus/voter';
 import {startDueTimer} from '@dogwooddeck/clock/due';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
@@ -47,6 +47,10 @@
 	readonly leaderHeardAt: () => MonotonicTime;
 	readonly voterSet: () => VoterSet;
 	readonly committed: () => LogIndex;
+	/** The highest index that is known to be committed, whether its entry has arrived here or not. */
+	readonly knownCommitted: () => LogIndex;
+	/** How far the other members are, if this voter leads. */
+	readonly memberPositions: () => readonly MemberPosition[];
 	readonly stop: () => Promise<void>;
 };
 
@@ -252,6 +256,8 @@
 		leaderHeardAt: () => state.leaderHeardAt,
 		voterSet: () => voterSetOf(state),
 		committed: () => committedIndex(state),
+		knownCommitted: () => knownCommittedIndex(state),
+		memberPositions: () => memberPositions(state),
 		async stop() {
 			stopped = true;
 			ticking.stop();
--- /dev/null
+++ b/packages/replica/test/test-lag.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {LagWatch} from '@dogwooddeck/replica/lag-watch';
+
+type Look = {readonly now: number; readonly applied: number; readonly committed: number};
+
+const cases: ReadonlyArray<{readonly name: string; readonly looks: readonly Look[]; readonly told: readonly string[]; readonly behindFor: number}> = [
+	{
+		name: 'a copy that has everything',
+		looks: [{now: 0, applied: 5, committed: 5}, {now: 5000, applied: 7, committed: 7}],
+		told: [],
+		behindFor: 0,
+	},
+	{
+		name: 'a copy that follows at a distance, however long',
+		looks: [{now: 0, applied: 5, committed: 8}, {now: 800, applied: 8, committed: 11}, {now: 1600, applied: 11, committed: 14}],
+		told: [],
+		behindFor: 0,
+	},
+	{
+		name: 'a copy that stands still',
+		looks: [{now: 0, applied: 5, committed: 8}, {now: 1000, applied: 5, committed: 9}, {now: 4000, applied: 6, committed: 12}],
+		told: [EventName.replicaBehind],
+		behindFor: 4000,
+	},
+	{
+		name: 'a copy that stood still and went on',
+		looks: [{now: 0, applied: 5, committed: 8}, {now: 3000, applied: 7, committed: 9}, {now: 3200, applied: 9, committed: 9}],
+		told: [EventName.replicaBehind, EventName.replicaCaughtUp],
+		behindFor: 0,
+	},
+];
+
+for (const {name, looks, told, behindFor} of cases) {
+	test(`lag: ${name}`, () => {
+		const heard: string[] = [];
+		const note = (event: string) => {
+			heard.push(event);
+		};
+
+		const log: Log = {event: note, warning: note, error: note};
+		const watch = new LagWatch(log);
+		const noted = looks.map(({now, applied, committed}) => watch.note(applied, committed, now));
+		assert.deepEqual(heard, told);
+		assert.equal(noted.at(-1), behindFor);
+	});
+}
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -53,6 +53,10 @@
 	/** A control instance is followed, or no longer. */
 	controlGained: 'control-gained',
 	controlLost: 'control-lost',
+	/** A copy of the replicated state has lacked committed entries for a while. */
+	replicaBehind: 'replica-behind',
+	/** It has what it lacked. */
+	replicaCaughtUp: 'replica-caught-up',
 	/** The settings were read again. */
 	settingsReloaded: 'settings-reloaded',
 	/** An attempt at an upstream ended without an answer to pass on. */
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -15,6 +15,12 @@
 	attempts: 'dogwooddeck_failed_attempts_total',
 	/** The newest log entry that is applied. */
 	applied: 'dogwooddeck_applied_index',
+	/** The newest log entry that is known to be committed. */
+	committed: 'dogwooddeck_committed_index',
+	/** Messages of the replicated log, by kind and outcome. */
+	replicationMessages: 'dogwooddeck_replication_messages_total',
+	/** Characters of log entries and snapshots that were sent to other voters. */
+	replicationCharacters: 'dogwooddeck_replication_characters_total',
 	/** Announcements that were taken. */
 	announcements: 'dogwooddeck_announcements_total',
 	/** Time to answer an announcement, in milliseconds. */
