Test that a large change reaches the other region over a slow link

Three voters, one of them behind a link that all messages share and on which a call is given up after 1 s, as between the regions of the users. A change of 300,000 characters never reaches the far voter, on a link that carries it in 0.6 s (500 characters a ms) or in 1.2 s (250).

--- /dev/null
+++ b/packages/replica/test/test-slow-link.ts
@@ -0,0 +1,236 @@
+/**
+ * Voters of two regions: what crosses between them shares a slow link, on which
+ * a call is given up when its deadline passes.
+ */
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {foundCluster, founderFolder} from '@dogwooddeck/consensus/founding';
+import {type ConsensusEnvelope, messageCharacters} from '@dogwooddeck/consensus/message';
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {type Storage} from '@dogwooddeck/storage/folder';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {err, ok, type Result} from 'true-myth/result';
+import {createStateHolder, type ReplicatedMachine} from '@dogwooddeck/replica/state-holder';
+import {startVoter, type VoterRunner} from '@dogwooddeck/replica/voter-runner';
+
+const silent: Log = {
+	event: () => undefined, warning: () => undefined, error: () => undefined,
+};
+
+type Counted = {readonly applied: number};
+
+const machine: ReplicatedMachine<Counted, undefined> = {
+	empty: {applied: 0},
+	apply: (_state, _payload, index) => ({state: {applied: index}, answers: [ok(undefined)]}),
+	encode: state => JSON.stringify(state),
+	decode: data => ok(JSON.parse(data) as Counted),
+};
+
+const storage = {persist: async () => ok(undefined), close: async () => undefined} as unknown as Storage;
+
+const names = ['near', 'leader', 'far'];
+const stepMilliseconds = 5;
+/** One way, between the regions. */
+const delayMilliseconds = 30;
+/** The head of a message and what carries it. */
+const leastCharacters = 300;
+const deadlineMilliseconds = 1000;
+
+type Transfer = {
+	readonly envelope: ConsensusEnvelope;
+	readonly endsAt: number;
+	readonly settle: (result: Result<undefined, Failure>) => void;
+	left: number;
+};
+
+const givenUp = failure(FailureKind.unreachable, 'the deadline has passed');
+
+/** A link whose transfers share what it carries. */
+class SlowLink {
+	/** All characters that were handed to the link. */
+	handedOver = 0;
+	#transfers: Transfer[] = [];
+
+	constructor(readonly charactersPerMillisecond: number) {}
+
+	async carry(envelope: ConsensusEnvelope, now: number): Promise<Result<undefined, Failure>> {
+		const left = leastCharacters + messageCharacters(envelope.message);
+		this.handedOver += left;
+		return new Promise(resolve => {
+			this.#transfers.push({
+				envelope, endsAt: now + deadlineMilliseconds, settle: resolve, left,
+			});
+		});
+	}
+
+	/** Lets time pass; gives what has arrived. */
+	advance(now: number): readonly Transfer[] {
+		let room = stepMilliseconds * this.charactersPerMillisecond;
+		let open = this.#transfers;
+		while (room > 0 && open.length > 0) {
+			const share = room / open.length;
+			for (const transfer of open) {
+				const carried = Math.min(share, transfer.left);
+				transfer.left -= carried;
+				room -= carried;
+			}
+
+			room = Math.floor(room);
+			open = open.filter(({left}) => left > 0);
+		}
+
+		const arrived = this.#transfers.filter(({left}) => left <= 0);
+		const over = this.#transfers.filter(({left, endsAt}) => left > 0 && endsAt <= now);
+		this.#transfers = this.#transfers.filter(transfer => !arrived.includes(transfer) && !over.includes(transfer));
+		for (const {settle} of over) {
+			settle(err(givenUp));
+		}
+
+		return arrived;
+	}
+}
+
+type Region = {
+	readonly run: (milliseconds: number, each?: (now: number) => void) => Promise<void>;
+	readonly leader: () => VoterRunner<undefined> | undefined;
+	readonly applied: (name: string) => number;
+	readonly link: SlowLink;
+	readonly stop: () => Promise<void>;
+};
+
+/** Three voters; `far` stands behind the link. */
+function startRegions(context: TestContext, charactersPerMillisecond: number): Region {
+	let now = 1000;
+	context.mock.timers.enable({apis: ['setTimeout', 'setInterval']});
+	context.mock.method(performance, 'now', () => now);
+	const link = new SlowLink(charactersPerMillisecond);
+	const voters = new Map<string, VoterRunner<undefined>>();
+	const holders = new Map(names.map(name => [name, createStateHolder(machine)]));
+	let near: Array<{readonly envelope: ConsensusEnvelope; readonly settle: (result: Result<undefined, Failure>) => void}> = [];
+	const delayed: Array<{readonly at: number; readonly act: () => void}> = [];
+
+	async function send(envelope: ConsensusEnvelope): Promise<Result<undefined, Failure>> {
+		const crosses = (envelope.from.name === 'far') !== (envelope.to.name === 'far');
+		if (crosses) {
+			return link.carry(envelope, now);
+		}
+
+		return new Promise(resolve => {
+			near.push({envelope, settle: resolve});
+		});
+	}
+
+	for (const [seed, name] of names.entries()) {
+		voters.set(name, startVoter({
+			options: {
+				self: {name, folder: founderFolder},
+				electionMilliseconds: 750,
+				heartbeatMilliseconds: 150,
+				// The near voters stand first, so that one of them leads.
+				firstElectionMilliseconds: name === 'far' ? 5000 : 250,
+				startSilenceMilliseconds: 0,
+				entriesBeforeSnapshot: 1000,
+				seed,
+			},
+			saved: foundCluster(names),
+			storage,
+			holder: holders.get(name)!,
+			log: silent,
+			send,
+			roleChanged: () => undefined,
+			failed(failed) {
+				assert.fail(failed.detail);
+			},
+		}));
+	}
+
+	async function step(): Promise<void> {
+		now += stepMilliseconds;
+		context.mock.timers.tick(stepMilliseconds);
+		const arrived = near;
+		near = [];
+		for (const {envelope, settle} of arrived) {
+			voters.get(envelope.to.name)!.receive(envelope);
+			settle(ok(undefined));
+		}
+
+		for (const {envelope, settle} of link.advance(now)) {
+			delayed.push({
+				at: now + delayMilliseconds,
+				act() {
+					voters.get(envelope.to.name)!.receive(envelope);
+				},
+			}, {
+				at: now + (2 * delayMilliseconds),
+				act() {
+					settle(ok(undefined));
+				},
+			});
+		}
+
+		for (const due of delayed.filter(({at}) => at <= now)) {
+			delayed.splice(delayed.indexOf(due), 1);
+			due.act();
+		}
+
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	return {
+		link,
+		leader: () => [...voters.values()].find(voter => voter.isLeader()),
+		applied: name => holders.get(name)!.state().applied,
+		async run(milliseconds, each) {
+			for (let passed = 0; passed < milliseconds; passed += stepMilliseconds) {
+				await step();
+				each?.(now);
+			}
+		},
+		async stop() {
+			await Promise.all([...voters.values()].map(async voter => voter.stop()));
+		},
+	};
+}
+
+/** A change has to be in force everywhere this long after it was acknowledged. */
+const inForceMilliseconds = 2500;
+
+const cases: ReadonlyArray<{readonly name: string; readonly charactersPerMillisecond: number; readonly largeCharacters: number; readonly smallCharacters: number}> = [
+	{
+		name: 'small changes', charactersPerMillisecond: 500, largeCharacters: 2000, smallCharacters: 2000,
+	},
+	{
+		name: 'a large change and small ones after it', charactersPerMillisecond: 500, largeCharacters: 300_000, smallCharacters: 2000,
+	},
+	{
+		name: 'a change that takes longer than a small message may', charactersPerMillisecond: 250, largeCharacters: 300_000, smallCharacters: 2000,
+	},
+];
+
+for (const {name, charactersPerMillisecond, largeCharacters, smallCharacters} of cases) {
+	test(`slow link: ${name} reach the far region in time`, async context => {
+		const regions = startRegions(context, charactersPerMillisecond);
+		await regions.run(3000);
+		const leading = regions.leader()!;
+		/** The index that the leader had committed by each time. */
+		const committed: Array<{readonly at: number; readonly index: number}> = [];
+		let proposed = 0;
+		let latest = 0;
+		await regions.run(8000, now => {
+			committed.push({at: now, index: leading.committed()});
+			if (now >= latest + 250 && proposed < 12) {
+				void leading.propose('x'.repeat(proposed === 0 ? largeCharacters : smallCharacters));
+				proposed += 1;
+				latest = now;
+			}
+
+			const due = committed.findLast(({at}) => at <= now - inForceMilliseconds)?.index ?? 0;
+			assert.ok(regions.applied('far') >= due, `far has applied ${regions.applied('far')}, and ${due} was committed ${inForceMilliseconds} ms ago`);
+		});
+		assert.equal(regions.applied('far'), leading.committed());
+		assert.ok(regions.link.handedOver < 2 * (largeCharacters + (12 * smallCharacters) + (leastCharacters * 400)), `${regions.link.handedOver} characters were handed to the link`);
+		await regions.stop();
+	});
+}
