Send entries again only once the transport has given them up

Cause: the leader guessed by an entry's length and half a link when it must have arrived. A heartbeat that overtook it was refused, and after that guess the entry was sent again although the first copy was still under way. The link is shared by two members, streams and requests, so the copies slowed each other down, and each call was given up after 1 s whatever it carried. A change of 500 routes never arrived, and commits went on without that region: congestion collapse by retransmission on a guess.

The cases of test-transit asked for the guess itself ('a large entry that must have arrived is sent again'); test-delivery replaces them and is stricter: never while it is under way, always once it was given up and the member lives. The seeded schedules report the ends of messages, lose reports, and tell of loss where the message arrived.

--- a/packages/consensus/src/draft.ts
+++ b/packages/consensus/src/draft.ts
@@ -56,6 +56,11 @@
 	return ask(draft, {kind: 'send', envelope: {from: draft.state.options.self, to, message}});
 }
 
+/** Sends a message that depends on nothing that is unsynced, and whose end has to be told. */
+export function sendDelivery(draft: Draft, to: VoterIdentity, message: ConsensusMessage, delivery: number): Draft {
+	return ask(draft, {kind: 'send', envelope: {from: draft.state.options.self, to, message}, delivery});
+}
+
 /** Sends a message once all that came before it is synced. */
 export function sendSynced(draft: Draft, to: VoterIdentity, message: ConsensusMessage): Draft {
 	return {...draft, held: [...draft.held, {from: draft.state.options.self, to, message}]};
--- a/packages/consensus/src/machine.ts
+++ b/packages/consensus/src/machine.ts
@@ -49,6 +49,8 @@
 	| {readonly kind: 'readRequested'; readonly now: MonotonicTime; readonly request: string}
 	/** The disk has synced the write with this ticket and all before it. */
 	| {readonly kind: 'persisted'; readonly now: MonotonicTime; readonly ticket: number}
+	/** The transport knows that a message with a delivery number has arrived, or has given it up. */
+	| {readonly kind: 'deliveryEnded'; readonly now: MonotonicTime; readonly delivery: number; readonly arrived: boolean}
 	/** The state machine's state after the entry at `index`, asked for by `snapshotWanted`. */
 	| {readonly kind: 'snapshotTaken'; readonly now: MonotonicTime; readonly index: LogIndex; readonly data: string}
 	/** A planned stop: pass leadership on. */
@@ -65,7 +67,8 @@
 		/** With a snapshot, entries up to its index are dropped. */
 		readonly snapshot?: Snapshot;
 	}
-	| {readonly kind: 'send'; readonly envelope: ConsensusEnvelope}
+	/** The end of a message with a delivery number has to be told by `deliveryEnded`. */
+	| {readonly kind: 'send'; readonly envelope: ConsensusEnvelope; readonly delivery?: number}
 	/** These entries are committed: apply them. */
 	| {readonly kind: 'apply'; readonly entries: readonly LogEntry[]}
 	/** Replace the state machine's state by the snapshot's. */
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -4,20 +4,21 @@
  */
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {applyCommitted} from './commit.js';
+import {type Delivery, hasRoom, isUnderWay} from './delivery.js';
 import {
-	ask, change, sendNow, writeEntries, type Draft,
+	ask, change, sendDelivery, sendNow, writeEntries, type Draft,
 } from './draft.js';
 import {entriesBetween, latestVoterSet, termAt} from './log.js';
 import {
-	charactersOf, type ConsensusMessage, type EntryBody, type LogEntry, type VoterIdentity,
+	charactersOf, type ConsensusMessage, type EntryBody, type LogEntry, messageCharacters, type VoterIdentity,
 } from './message.js';
 import {answeredRound, ownTermCommitted, syncedByMajority} from './quorum.js';
 import {type Leadership, type Progress} from './state.js';
-import {afterConfirming, afterSending, isOnItsWay} from './transit.js';
 import {membersOf, sameVoter} from './voter-set.js';
 
 const entriesInMessage = 256;
-const charactersInMessage = 524_288;
+/** Longer messages would put off what the member confirms, and all that waits behind them. */
+const charactersInMessage = 131_072;
 
 type Answer = Extract<ConsensusMessage, {readonly kind: 'appendAnswered'}>;
 
@@ -30,7 +31,7 @@
 /** What the leader assumes about a member before its first answer. */
 export function newProgress(peer: VoterIdentity, lastIndex: LogIndex): Progress {
 	return {
-		peer, next: lastIndex + 1, match: 0, probing: true, answeredRound: 0, snapshotSentAt: undefined, transit: undefined,
+		peer, next: lastIndex + 1, match: 0, probing: true, answeredRound: 0, snapshotSentAt: undefined, underWay: [], arrived: undefined,
 	};
 }
 
@@ -52,33 +53,58 @@
 	return end === -1 ? entries : entries.slice(0, Math.max(1, end));
 }
 
+/** Hands a message to the transport, and notes what it brings. */
+function deliver(draft: Draft, progress: Progress, message: ConsensusMessage, brings: Omit<Delivery, 'number'>): Draft {
+	const number = draft.state.deliveries + 1;
+	const noted = changeProgress(change(draft, {deliveries: number}), {...progress, underWay: [...progress.underWay, {number, ...brings}]});
+	return sendDelivery(noted, progress.peer, message, number);
+}
+
+function appendAfter(draft: Draft, previousIndex: LogIndex, entries: readonly LogEntry[]): ConsensusMessage {
+	const {state} = draft;
+	return {
+		kind: 'appendRequested',
+		term: state.hardState.term,
+		previousIndex,
+		previousTerm: termAt(state.log, previousIndex) ?? 0,
+		entries,
+		committed: state.committed,
+		round: state.leadership!.round,
+	};
+}
+
+/** Sends the snapshot, or a heartbeat while an earlier one is under way or was sent a moment ago. */
 function sendSnapshot(draft: Draft, progress: Progress): Draft {
 	const {state, now} = draft;
 	const {snapshot} = state.log;
-	const waits = progress.snapshotSentAt !== undefined && now - progress.snapshotSentAt < state.options.electionMilliseconds;
-	if (snapshot === undefined || waits) {
+	if (snapshot === undefined) {
 		return draft;
 	}
 
-	const marked = changeProgress(draft, {...progress, next: snapshot.index + 1, snapshotSentAt: now});
-	return sendNow(marked, progress.peer, {
+	const waits = progress.snapshotSentAt !== undefined && now - progress.snapshotSentAt < state.options.electionMilliseconds;
+	if (waits || progress.underWay.length > 0) {
+		return sendNow(draft, progress.peer, appendAfter(draft, snapshot.index, []));
+	}
+
+	const message = {
 		kind: 'snapshotSent', term: state.hardState.term, snapshot, round: state.leadership!.round,
-	});
+	} as const;
+	return deliver(draft, {...progress, next: snapshot.index + 1, snapshotSentAt: now}, message, {first: 0, last: snapshot.index, characters: snapshot.data.length});
 }
 
 function sendEntries(draft: Draft, progress: Progress, entries: readonly LogEntry[]): Draft {
-	const {state, now} = draft;
-	const previousIndex = progress.next - 1;
-	const moved = changeProgress(draft, {...progress, next: progress.next + entries.length, transit: afterSending(progress.transit, entries, now)});
-	return sendNow(moved, progress.peer, {
-		kind: 'appendRequested',
-		term: state.hardState.term,
-		previousIndex,
-		previousTerm: termAt(state.log, previousIndex) ?? 0,
-		entries,
-		committed: state.committed,
-		round: state.leadership!.round,
-	});
+	const message = appendAfter(draft, progress.next - 1, entries);
+	const last = entries.at(-1)?.index;
+	return last === undefined
+		? sendNow(draft, progress.peer, message)
+		: deliver(draft, {...progress, next: last + 1}, message, {first: progress.next, last, characters: messageCharacters(message)});
+}
+
+/** Sends what a member lacks before what is under way to it, which it could not take otherwise. */
+function sendMissing(draft: Draft, progress: Progress, entries: readonly LogEntry[]): Draft {
+	const [first, last] = [entries[0]!.index, entries.at(-1)!.index];
+	const message = appendAfter(draft, first - 1, entries);
+	return deliver(draft, progress, message, {first, last, characters: messageCharacters(message)});
 }
 
 function holdsFrom(draft: Draft, next: LogIndex): boolean {
@@ -86,7 +112,7 @@
 	return next >= log.firstIndex && termAt(log, next - 1) !== undefined;
 }
 
-/** Sends a member the entries that follow what it has; without any, a heartbeat. */
+/** Sends a member the entries that follow what it has; without any, or without room for them, a heartbeat. */
 export function replicateTo(draft: Draft, peer: VoterIdentity): Draft {
 	const progress = progressOf(draft, peer);
 	if (progress === undefined) {
@@ -98,7 +124,8 @@
 	}
 
 	const entries = fitting(entriesBetween(draft.state.log, progress.next, progress.next + entriesInMessage - 1));
-	return sendEntries(draft, progress, entries);
+	const characters = entries.reduce((sum, entry) => sum + charactersOf(entry), 0);
+	return sendEntries(draft, progress, hasRoom(progress.underWay, characters) ? entries : []);
 }
 
 function heartbeatTo(draft: Draft, progress: Progress): Draft {
@@ -189,18 +216,25 @@
 		next: Math.max(progress.next, match + 1),
 		probing: false,
 		snapshotSentAt: passed ? progress.snapshotSentAt : undefined,
-		transit: afterConfirming(progress.transit, match),
+		underWay: progress.underWay.filter(({last}) => last > match),
 	});
 	const lags = Math.max(progress.next, match + 1) <= draft.state.log.lastIndex;
 	return inviteSuccessor(advanceCommit(lags ? replicateTo(noted, progress.peer) : noted));
 }
 
 function noteRejected(draft: Draft, progress: Progress, answer: Answer): Draft {
-	if (isOnItsWay(progress.transit, answer.index, draft.now)) {
+	const {arrived, underWay} = progress;
+	const hasArrivedSince = arrived !== undefined && answer.index >= arrived.first && answer.round <= arrived.round;
+	if (isUnderWay(underWay, answer.index) || hasArrivedSince) {
 		return draft;
 	}
 
 	const next = Math.max(progress.match + 1, Math.min(answer.index, draft.state.log.lastIndex + 1));
+	const firstUnderWay = Math.min(...underWay.map(({first}) => first));
+	if (next < firstUnderWay && firstUnderWay < Infinity && holdsFrom(draft, next)) {
+		return sendMissing(draft, progress, fitting(entriesBetween(draft.state.log, next, firstUnderWay - 1)));
+	}
+
 	if (progress.probing && next >= progress.next) {
 		return draft;
 	}
@@ -208,6 +242,27 @@
 	return replicateTo(changeProgress(draft, {...progress, next, probing: true}), progress.peer);
 }
 
+/**
+ * Takes in how a message ended. One that was given up may have arrived all the
+ * same: what it brought goes out again once the member has answered a heartbeat.
+ */
+export function endDelivery(draft: Draft, {delivery, arrived}: {readonly delivery: number; readonly arrived: boolean}): Draft {
+	const {leadership, log} = draft.state;
+	const progress = leadership?.progress.find(({underWay}) => underWay.some(({number}) => number === delivery));
+	if (leadership === undefined || progress === undefined) {
+		return draft;
+	}
+
+	const {first} = progress.underWay.find(({number}) => number === delivery)!;
+	const ended = {...progress, underWay: progress.underWay.filter(({number}) => number !== delivery)};
+	if (!arrived) {
+		return changeProgress(draft, {...ended, next: Math.max(progress.match + 1, Math.min(progress.next, first)), probing: true});
+	}
+
+	const noted = changeProgress(draft, {...ended, arrived: {first, round: leadership.round}});
+	return !progress.probing && progress.next <= log.lastIndex ? replicateTo(noted, progress.peer) : noted;
+}
+
 /** Takes in a member's answer. */
 export function receiveAnswer(draft: Draft, from: VoterIdentity, answer: Answer): Draft {
 	const noted = noteRound(draft, from, answer.round);
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -2,12 +2,12 @@
  * The state of one voter: plain data, never changed in place.
  */
 import {type LogIndex, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type Delivery} from './delivery.js';
 import {type Log, latestVoterSet} from './log.js';
 import {
 	type ConsensusOptions, type HardState, Role,
 } from './machine.js';
 import {type ConsensusEnvelope, type VoterIdentity, type VoterSet} from './message.js';
-import {type Transit} from './transit.js';
 import {includesVoter} from './voter-set.js';
 
 /** A write that the disk has not synced yet, and the messages that wait for it. */
@@ -48,8 +48,9 @@
 	readonly probing: boolean;
 	readonly answeredRound: number;
 	readonly snapshotSentAt: MonotonicTime | undefined;
-	/** Entries that were sent and may not have arrived yet. */
-	readonly transit: Transit | undefined;
+	readonly underWay: readonly Delivery[];
+	/** The first entry of the message that arrived last, and the leader's round when that was known. */
+	readonly arrived: {readonly first: LogIndex; readonly round: number} | undefined;
 };
 
 /** The last entry that a member is known to have synced. */
@@ -97,6 +98,8 @@
 	readonly draws: number;
 	readonly campaign: Campaign | undefined;
 	readonly leadership: Leadership | undefined;
+	/** How many messages with entries or a snapshot were handed to the transport. */
+	readonly deliveries: number;
 	readonly disk: DiskProgress;
 	/** The index of the newest snapshot that was asked for. */
 	readonly snapshotAskedAt: LogIndex;
--- a/packages/consensus/src/voter.ts
+++ b/packages/consensus/src/voter.ts
@@ -16,7 +16,7 @@
 	Role, type ConsensusEffect, type ConsensusEvent, type ConsensusOptions, type SavedState,
 } from './machine.js';
 import {type ConsensusMessage, type VoterIdentity} from './message.js';
-import {advanceCommit, receiveAnswer} from './replication.js';
+import {advanceCommit, endDelivery, receiveAnswer} from './replication.js';
 import {
 	handOver, propose, proposeVoterChange, requestRead, takeSnapshot,
 } from './requests.js';
@@ -49,6 +49,7 @@
 		draws: 0,
 		campaign: undefined,
 		leadership: undefined,
+		deliveries: 0,
 		disk: {
 			nextTicket: 1, writes: [], syncedIndex: log.lastIndex, hardStateTicket: 0, persistedTicket: 0,
 		},
@@ -93,6 +94,7 @@
 	voterChangeProposed: (event, draft) => proposeVoterChange(draft, event),
 	readRequested: (event, draft) => requestRead(draft, event),
 	persisted: ({ticket}, draft) => notePersisted(draft, ticket),
+	deliveryEnded: (event, draft) => endDelivery(draft, event),
 	snapshotTaken: (event, draft) => takeSnapshot(draft, event),
 	handOverRequested: (_event, draft) => handOver(draft),
 };
--- a/packages/consensus/test/faults.ts
+++ b/packages/consensus/test/faults.ts
@@ -35,8 +35,17 @@
 /** A write that is under way. */
 export type Write = {readonly syncedAt: number; readonly effect: Extract<ConsensusEffect, {kind: 'persist'}>};
 
+/** Who has to be told how a message ended. */
+export type Awaited = {readonly node: Node; readonly life: number; readonly delivery: number};
+
 /** A message that is under way. */
-export type Mail = {readonly at: number; readonly envelope: ConsensusEnvelope};
+export type Mail = {readonly at: number; readonly envelope: ConsensusEnvelope; readonly awaited: Awaited | undefined};
+
+/** What the sender of a message is told. */
+export type Receipt = {readonly at: number; readonly awaited: Awaited; readonly arrived: boolean};
+
+/** A message is given up after this long, whether it arrives later or not. */
+export const givenUpMilliseconds = 1000;
 
 /** A voter with its disk; without `voter` its process is down. */
 export type Node = {
--- a/packages/consensus/test/schedule.ts
+++ b/packages/consensus/test/schedule.ts
@@ -7,7 +7,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
-	calm, type Faults, type Mail, type Node, options, stepMilliseconds, written,
+	type Awaited, calm, type Faults, givenUpMilliseconds, type Mail, type Node, options, type Receipt, stepMilliseconds, written,
 } from './faults.js';
 import {
 	checkDue, checkLeases, checkMajority, checkSynced,
@@ -34,6 +34,7 @@
 	snapshotsSent = 0;
 	readonly #random;
 	#mail: Mail[] = [];
+	#receipts: Receipt[] = [];
 	readonly #leaders = new Map<number, string>();
 	readonly #committed = new Map<number, string>();
 	readonly #placed = new Map<string, {readonly name: string; readonly index: number; readonly term: number}>();
@@ -47,9 +48,9 @@
 			const after = node.writes.at(-1)?.syncedAt ?? 0;
 			node.writes.push({effect, syncedAt: Math.max(after, this.now + this.pick(this.#faultsNow.syncMilliseconds))});
 		},
-		send: ({envelope}, node) => {
+		send: ({envelope, delivery}, node) => {
 			checkSynced(envelope, node, this.nodes);
-			this.#post(envelope);
+			this.#post(envelope, delivery === undefined ? undefined : {node, life: node.lives, delivery});
 		},
 		apply: ({entries}, node) => {
 			for (const entry of entries) {
@@ -164,6 +165,7 @@
 			this.now += stepMilliseconds;
 			this.#fail(faults);
 			this.#deliver();
+			this.#report();
 			for (const node of this.nodes.filter(({name}) => !this.isFrozen(name))) {
 				this.#live(node);
 			}
@@ -246,13 +248,17 @@
 		}
 	}
 
-	#post(envelope: ConsensusEnvelope): void {
+	#post(envelope: ConsensusEnvelope, awaited: Awaited | undefined): void {
+		if (awaited !== undefined) {
+			this.#receipts.push({at: this.now + givenUpMilliseconds, awaited, arrived: false});
+		}
+
 		const copies = this.chance(this.#faultsNow.duplication) ? 2 : 1;
 		this.snapshotsSent += envelope.message.kind === 'snapshotSent' ? 1 : 0;
 		for (let copy = 0; copy < copies; copy++) {
 			const delay = this.chance(this.#faultsNow.longDelay) ? this.pick(2000) : this.pick(40);
 			if (!this.chance(this.#faultsNow.loss)) {
-				this.#mail.push({at: this.now + delay, envelope});
+				this.#mail.push({at: this.now + delay, envelope, awaited});
 			}
 		}
 	}
@@ -261,11 +267,29 @@
 		const isDue = ({at, envelope}: Mail) => at <= this.now && !this.isFrozen(envelope.to.name);
 		const due = this.#mail.filter(mail => isDue(mail));
 		this.#mail = this.#mail.filter(mail => !isDue(mail));
-		for (const {envelope} of due) {
+		for (const {envelope, awaited} of due) {
 			const {from, to} = envelope;
 			const receiver = this.nodes.find(node => node.name === to.name);
 			if (receiver !== undefined && [from.name, to.name, `${from.name}>${to.name}`].every(place => !this.cut.has(place))) {
+				const isUp = receiver.voter !== undefined;
 				this.handle(receiver, {kind: 'received', now: this.now, envelope});
+				if (awaited !== undefined && !this.chance(this.#faultsNow.loss)) {
+					this.#receipts.push({at: this.now + this.pick(40), awaited, arrived: isUp});
+				}
+			}
+		}
+	}
+
+	/** Tells senders how their messages ended, unless their process has ended since. */
+	#report(): void {
+		const isDue = ({at, awaited}: Receipt) => at <= this.now && !this.isFrozen(awaited.node.name);
+		const due = this.#receipts.filter(receipt => isDue(receipt));
+		this.#receipts = this.#receipts.filter(receipt => !isDue(receipt));
+		for (const {awaited: {node, life, delivery}, arrived} of due) {
+			if (node.lives === life) {
+				this.handle(node, {
+					kind: 'deliveryEnded', now: this.now, delivery, arrived,
+				});
 			}
 		}
 	}
--- /dev/null
+++ b/packages/consensus/test/test-delivery.ts
@@ -0,0 +1,205 @@
+/**
+ * How often a leader sends an entry to a member that refuses what overtook it,
+ * and what else it sends while the entry is under way.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type ConsensusEffect, type ConsensusEvent} from '@dogwooddeck/consensus/machine';
+import {type ConsensusMessage, type VoterIdentity} from '@dogwooddeck/consensus/message';
+import {
+	createVoter, foundCluster, founderFolder, stepVoter, type VoterState,
+} from '@dogwooddeck/consensus/voter';
+
+const [a, b] = ['a', 'b'].map(name => ({name, folder: founderFolder})) as [VoterIdentity, VoterIdentity];
+const heartbeatMilliseconds = 50;
+const electedAt = 1000;
+
+/** A leader whose only other member answers at once, until the entry of a case is proposed. */
+class Leader {
+	state: VoterState = createVoter({
+		self: a, electionMilliseconds: 300, heartbeatMilliseconds, entriesBeforeSnapshot: 100, seed: 1,
+	}, foundCluster(['a', 'b']), 0);
+
+	appends: Array<Extract<ConsensusMessage, {readonly kind: 'appendRequested'}>> = [];
+	/** The numbers of the messages whose end the transport has to tell. */
+	deliveries: number[] = [];
+	/** Whether the other member confirms what is appended. */
+	confirms = true;
+
+	constructor() {
+		this.step({kind: 'ticked', now: electedAt});
+		this.confirms = false;
+	}
+
+	step(event: ConsensusEvent): void {
+		const next = stepVoter(this.state, event);
+		this.state = next.state;
+		for (const effect of next.effects) {
+			this.#carryOut(effect, event.now);
+		}
+	}
+
+	answer(now: number, accepted: boolean, index: number): void {
+		const {round} = this.appends.at(-1)!;
+		this.#receive(now, {
+			kind: 'appendAnswered', term: this.state.hardState.term, accepted, index, round,
+		});
+	}
+
+	/** The transport tells the end of the message that it took last. */
+	end(now: number, arrived: boolean): void {
+		this.step({
+			kind: 'deliveryEnded', now, delivery: this.deliveries.at(-1)!, arrived,
+		});
+	}
+
+	/** How often an entry was sent. */
+	sent(index: number): number {
+		return this.appends.filter(({entries}) => entries.some(entry => entry.index === index)).length;
+	}
+
+	#receive(now: number, message: ConsensusMessage): void {
+		this.step({kind: 'received', now, envelope: {from: b, to: a, message}});
+	}
+
+	#carryOut(effect: ConsensusEffect, now: number): void {
+		if (effect.kind === 'persist') {
+			this.step({kind: 'persisted', now, ticket: effect.ticket});
+		} else if (effect.kind === 'send') {
+			this.deliveries = effect.delivery === undefined ? this.deliveries : [...this.deliveries, effect.delivery];
+			this.#hear(effect.envelope.message, now);
+		}
+	}
+
+	#hear(message: ConsensusMessage, now: number): void {
+		const {term} = message;
+		const vote = {preVoteRequested: 'preVoteAnswered', voteRequested: 'voteAnswered'} as const;
+		if (message.kind === 'preVoteRequested' || message.kind === 'voteRequested') {
+			this.#receive(now, {kind: vote[message.kind], term, granted: true});
+			return;
+		}
+
+		if (message.kind === 'appendRequested') {
+			this.appends.push(message);
+			if (this.confirms) {
+				this.answer(now, true, message.previousIndex + message.entries.length);
+			}
+		}
+	}
+}
+
+/** What happens after a large entry was sent, and when. */
+type Happening = (leader: Leader, index: number) => void;
+
+const refusedAt = (after: number, lacks = 0): Happening => (leader, index) => {
+	leader.answer(electedAt + after, false, index + lacks);
+};
+
+const endedAt = (after: number, arrived: boolean): Happening => leader => {
+	leader.end(electedAt + after, arrived);
+};
+
+const heartbeatAt = (after: number): Happening => leader => {
+	leader.step({kind: 'ticked', now: electedAt + after});
+};
+
+const acceptedAt = (after: number, matched: number): Happening => (leader, index) => {
+	leader.answer(electedAt + after, true, index + matched);
+};
+
+const cases: ReadonlyArray<{readonly name: string; readonly happens: readonly Happening[]; readonly sent: number}> = [
+	{
+		name: 'an entry that is under way is not sent again, however long it takes',
+		happens: [heartbeatAt(50), refusedAt(60), heartbeatAt(100), refusedAt(600), heartbeatAt(5000), refusedAt(5060)],
+		sent: 1,
+	},
+	{
+		name: 'an entry that was given up is sent again once the member has answered a heartbeat',
+		happens: [endedAt(200, false), heartbeatAt(250), acceptedAt(260, -1)],
+		sent: 2,
+	},
+	{
+		name: 'an entry that was given up is not sent before that, so that a member that is gone costs little',
+		happens: [endedAt(1, false), heartbeatAt(50), heartbeatAt(100), heartbeatAt(150)],
+		sent: 1,
+	},
+	{
+		name: 'an entry that was given up and had arrived all the same is not sent again',
+		happens: [endedAt(200, false), heartbeatAt(250), acceptedAt(260, 0)],
+		sent: 1,
+	},
+	{
+		name: 'a refusal of what was sent before an entry had arrived changes nothing',
+		happens: [heartbeatAt(50), endedAt(200, true), refusedAt(210)],
+		sent: 1,
+	},
+	{
+		name: 'an entry that arrived and is refused again afterwards is sent again',
+		happens: [heartbeatAt(50), endedAt(200, true), heartbeatAt(250), refusedAt(310)],
+		sent: 2,
+	},
+];
+
+for (const {name, happens, sent} of cases) {
+	test(`delivery: ${name}`, () => {
+		const leader = new Leader();
+		leader.step({
+			kind: 'proposed', now: electedAt, request: 'one', payload: 'x'.repeat(1_000_000),
+		});
+		const {lastIndex} = leader.state.log;
+		assert.equal(leader.sent(lastIndex), 1);
+		for (const happening of happens) {
+			happening(leader, lastIndex);
+		}
+
+		assert.equal(leader.sent(lastIndex), sent);
+	});
+}
+
+const windows: ReadonlyArray<{readonly name: string; readonly lengths: readonly number[]; readonly sent: readonly number[]; readonly sentAfterArrival: readonly number[]}> = [
+	{
+		name: 'what follows a large entry waits for it, and goes out together', lengths: [1_000_000, 100, 100], sent: [1, 0, 0], sentAfterArrival: [1, 1, 1],
+	},
+	{
+		name: 'small entries go out beside each other', lengths: [100, 100, 100], sent: [1, 1, 1], sentAfterArrival: [1, 1, 1],
+	},
+	{
+		name: 'a large entry waits for small ones', lengths: [100, 1_000_000], sent: [1, 0], sentAfterArrival: [1, 1],
+	},
+];
+
+for (const {name, lengths, sent, sentAfterArrival} of windows) {
+	test(`delivery: ${name}`, () => {
+		const leader = new Leader();
+		const first = leader.state.log.lastIndex + 1;
+		for (const [position, length] of lengths.entries()) {
+			leader.step({
+				kind: 'proposed', now: electedAt, request: `${position}`, payload: 'x'.repeat(length),
+			});
+		}
+
+		const counts = () => lengths.map((_length, position) => leader.sent(first + position));
+		assert.deepEqual(counts(), sent);
+		leader.end(electedAt + 60, true);
+		assert.deepEqual(counts(), sentAfterArrival);
+	});
+}
+
+test('delivery: a member that lacks an entry before those under way gets it at once', () => {
+	const leader = new Leader();
+	const first = leader.state.log.lastIndex + 1;
+	for (const [request, length] of [['one', 100], ['two', 1_000_000]] as const) {
+		leader.step({
+			kind: 'proposed', now: electedAt, request, payload: 'x'.repeat(length),
+		});
+	}
+
+	leader.end(electedAt + 60, true);
+	assert.deepEqual([leader.sent(first), leader.sent(first + 1)], [1, 1]);
+	leader.step({kind: 'ticked', now: electedAt + heartbeatMilliseconds});
+	leader.step({kind: 'ticked', now: electedAt + (2 * heartbeatMilliseconds)});
+	for (const after of [110, 120]) {
+		leader.answer(electedAt + after, false, first);
+		assert.deepEqual([leader.sent(first), leader.sent(first + 1)], [2, 1]);
+	}
+});
--- a/packages/control-node/src/directory-voter.ts
+++ b/packages/control-node/src/directory-voter.ts
@@ -10,11 +10,13 @@
 import {type MeshClients} from '@dogwooddeck/mesh/client';
 import {FailureError, type Failure} from '@dogwooddeck/model/failure';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {deliveryTimeout} from '@dogwooddeck/replica/delivery-timeout';
 import {type StateHolder} from '@dogwooddeck/replica/state-holder';
 import {startVoter, type VoterRunner} from '@dogwooddeck/replica/voter-runner';
 import {FolderLocking, openFolder, type OpenFolder} from '@dogwooddeck/storage/folder';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {MeasureName, type Measures} from '@dogwooddeck/telemetry/measure';
+import {type Result} from 'true-myth/result';
 import {type ControlSettings} from './settings.js';
 
 /** The directory of this process. */
@@ -46,8 +48,6 @@
 /** After a loss of all voters: twice a round between regions, and a slow start of the others. */
 const firstElectionMilliseconds: Milliseconds = 250;
 
-/** A message that took longer is of no use: the sender has sent another. */
-const deliverMilliseconds: Milliseconds = 1000;
 const entriesBeforeSnapshot = 1000;
 const seeds = 2 ** 31;
 
@@ -75,11 +75,12 @@
 		settings, holder, clients, log, measures,
 	} = parts;
 
-	async function send(envelope: ConsensusEnvelope): Promise<void> {
+	async function send(envelope: ConsensusEnvelope): Promise<Result<unknown, Failure>> {
 		const {kind} = envelope.message;
 		measures.counter(MeasureName.replicationCharacters, {kind}).value += messageCharacters(envelope.message);
-		const sent = await clients.call(envelope.to.name, 'deliver', envelope, deliverMilliseconds);
+		const sent = await clients.call(envelope.to.name, 'deliver', envelope, deliveryTimeout(envelope.message));
 		measures.counter(MeasureName.replicationMessages, {kind, outcome: sent.isOk ? 'taken' : sent.error.kind}).value += 1;
+		return sent;
 	}
 
 	const isFounder = settings.founding && settings.seeds.includes(settings.address);
@@ -109,9 +110,7 @@
 		storage: folder.storage,
 		holder,
 		log,
-		send(envelope) {
-			void send(envelope);
-		},
+		send,
 		roleChanged: parts.roleChanged,
 		failed: parts.failed,
 	});
--- a/packages/daemon/src/own-voter.ts
+++ b/packages/daemon/src/own-voter.ts
@@ -4,12 +4,14 @@
  */
 import {type ConsensusEnvelope} from '@dogwooddeck/consensus/message';
 import {includesVoter} from '@dogwooddeck/consensus/voter-set';
-import {type Failure} from '@dogwooddeck/model/failure';
+import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {type InstanceIdentity, type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {openFolder} from '@dogwooddeck/storage/folder';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {type PeerClients} from '@dogwooddeck/wire/client';
+import {deliveryTimeout} from '@dogwooddeck/replica/delivery-timeout';
 import {startVoter} from '@dogwooddeck/replica/voter-runner';
+import {err, type Result} from 'true-myth/result';
 import {type ControlVoter} from './control-voter.js';
 import {type ControlHolder} from './control-holder.js';
 import {type ControlRunner} from './control-runner.js';
@@ -30,18 +32,18 @@
 
 const electionMilliseconds: Milliseconds = 800;
 const heartbeatMilliseconds: Milliseconds = 80;
-const deliverMilliseconds: Milliseconds = 1000;
 const joinMilliseconds: Milliseconds = 300;
 const entriesBeforeSnapshot = 1000;
 const seeds = 2 ** 31;
 
-function createSend({settings, clients}: OwnVoterSurroundings): (envelope: ConsensusEnvelope) => void {
+function createSend({settings, clients}: OwnVoterSurroundings): (envelope: ConsensusEnvelope) => Promise<Result<unknown, Failure>> {
 	const addresses = new Map(settings.control.voters.map(({name, peerAddress}) => [name, peerAddress]));
-	return envelope => {
-		const address = addresses.get(envelope.to.name);
-		if (address !== undefined) {
-			void clients.call(address, 'deliver', envelope, deliverMilliseconds);
-		}
+	return async envelope => {
+		const {name} = envelope.to;
+		const address = addresses.get(name);
+		return address === undefined
+			? err(failure(FailureKind.notFound, `the settings give no address of the voter ${name}`))
+			: clients.call(address, 'deliver', envelope, deliveryTimeout(envelope.message));
 	};
 }
 
--- a/packages/replica/src/voter-runner.ts
+++ b/packages/replica/src/voter-runner.ts
@@ -61,7 +61,8 @@
 	readonly storage: Storage;
 	readonly holder: StateHolder<State, Accepted>;
 	readonly log: Log;
-	readonly send: (envelope: ConsensusEnvelope) => void;
+	/** Ends when the message has arrived, or has been given up: see `deliveryTimeout`. */
+	readonly send: (envelope: ConsensusEnvelope) => Promise<Result<unknown, Failure>>;
 	readonly roleChanged: (role: Role) => void;
 	/** The durable state can't be written: the process has to end. */
 	readonly failed: (failed: Failure) => void;
@@ -132,6 +133,15 @@
 		step({kind: 'persisted', now: monotonicNow(), ticket: effect.ticket});
 	}
 
+	async function send(envelope: ConsensusEnvelope, delivery: number | undefined): Promise<void> {
+		const sent = await surroundings.send(envelope);
+		if (delivery !== undefined) {
+			step({
+				kind: 'deliveryEnded', now: monotonicNow(), delivery, arrived: sent.isOk,
+			});
+		}
+	}
+
 	async function writeAfter(earlier: Promise<void>, later: Promise<void>): Promise<void> {
 		await earlier;
 		await later;
@@ -141,8 +151,8 @@
 		persist(effect) {
 			writing = writeAfter(writing, write(effect));
 		},
-		send({envelope}) {
-			surroundings.send(envelope);
+		send({envelope, delivery}) {
+			void send(envelope, delivery);
 		},
 		apply({entries}) {
 			for (const entry of entries) {
--- a/packages/replica/test/test-slow-link.ts
+++ b/packages/replica/test/test-slow-link.ts
@@ -10,6 +10,7 @@
 import {type Storage} from '@dogwooddeck/storage/folder';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {err, ok, type Result} from 'true-myth/result';
+import {deliveryTimeout} from '@dogwooddeck/replica/delivery-timeout';
 import {createStateHolder, type ReplicatedMachine} from '@dogwooddeck/replica/state-holder';
 import {startVoter, type VoterRunner} from '@dogwooddeck/replica/voter-runner';
 
@@ -34,7 +35,6 @@
 const delayMilliseconds = 30;
 /** The head of a message and what carries it. */
 const leastCharacters = 300;
-const deadlineMilliseconds = 1000;
 
 type Transfer = {
 	readonly envelope: ConsensusEnvelope;
@@ -58,7 +58,7 @@
 		this.handedOver += left;
 		return new Promise(resolve => {
 			this.#transfers.push({
-				envelope, endsAt: now + deadlineMilliseconds, settle: resolve, left,
+				envelope, endsAt: now + deliveryTimeout(envelope.message), settle: resolve, left,
 			});
 		});
 	}
