Call a control instance fresh only while it gets what is committed

Seen by callers: entries stood at an old configuration for 14 s and looked for no other control instance.

Cause: a control instance told its followers that it was fresh as long as it heard the leader's heartbeats, which go on while the log's entries don't arrive. The same answer allowed it to answer announcements by its old table.

Change: it also has to have applied what it knows to be committed, but for the last 0.5 s; the rule is a function with a table of cases. With the former rule the case 'hears its leader and gets no entries' fails. Entries then follow others beside it, as they do when a control instance loses the leader.

--- a/packages/control-node/src/control-node.ts
+++ b/packages/control-node/src/control-node.ts
@@ -30,9 +30,10 @@
 import {type DirectoryVoter, startDirectoryVoter} from './directory-voter.js';
 import {EntryCount} from './entry-count.js';
 import {createFollowers} from './followers.js';
+import {isRecent} from './freshness.js';
 import {createLeaderDesk} from './leader-desk.js';
 import {createLoadRelay} from './load-relay.js';
-import {startReplicationWatch} from './replication-watch.js';
+import {type ReplicationWatch, startReplicationWatch} from './replication-watch.js';
 import {type ControlSettings} from './settings.js';
 
 /** A control instance that runs. */
@@ -66,8 +67,6 @@
 const relayMilliseconds: Milliseconds = 450;
 const sightMilliseconds: Milliseconds = 600;
 const sightTimeoutMilliseconds: Milliseconds = 700;
-/** A leader that was not heard for this long may have been replaced. */
-const leaderSilentMilliseconds: Milliseconds = 500;
 const handOverMilliseconds: Milliseconds = 400;
 /** How long a change of the directory may take to reach this instance after the leader confirmed it. */
 const catchUpMilliseconds: Milliseconds = 700;
@@ -84,7 +83,7 @@
 	const sightings = new Map<string, VoterSighting>();
 	const entryCount = new EntryCount();
 	/** The voter starts after the server through which the others reach it. */
-	const own: {voter?: DirectoryVoter} = {};
+	const own: {voter?: DirectoryVoter; replication?: ReplicationWatch} = {};
 	let isChangingVoters = false;
 	let {seeds} = settings;
 	const desk = createLeaderDesk({
@@ -109,12 +108,15 @@
 		return own.voter?.leader();
 	}
 
-	/** Whether a leader that a majority follows was heard a moment ago. */
 	function isFresh(): boolean {
 		const now = monotonicNow();
-		return own.voter?.isLeader() === true
-			? own.voter.quorumHeardAt(now) !== undefined
-			: leaderAddress() !== undefined && now - (own.voter?.leaderHeardAt() ?? -Infinity) < leaderSilentMilliseconds;
+		const {voter, replication} = own;
+		return voter !== undefined && replication !== undefined && isRecent({
+			now,
+			leads: voter.isLeader() && voter.quorumHeardAt(now) !== undefined,
+			leaderHeardAt: voter.isLeader() || voter.leader() === undefined ? undefined : voter.leaderHeardAt(),
+			lacksFor: replication.ownLag(),
+		});
 	}
 
 	async function changeVoters(leading: DirectoryVoter): Promise<void> {
@@ -235,6 +237,7 @@
 	const replication = startReplicationWatch({
 		holder, voter: running, log, measures,
 	});
+	own.replication = replication;
 
 	async function showItself(): Promise<void> {
 		const sighting = {voter: running.identity, entries: followers.names()};
--- a/packages/control-node/src/replication-watch.ts
+++ b/packages/control-node/src/replication-watch.ts
@@ -25,17 +25,27 @@
 	return `${name} ${folder}`;
 }
 
+/** A watch that runs. */
+export type ReplicationWatch = {
+	/** For how long this instance's copy has lacked something that is known to be committed. */
+	readonly ownLag: () => Milliseconds;
+	readonly stop: () => void;
+};
+
 /** Starts to watch. */
-export function startReplicationWatch({holder, voter, log, measures}: ReplicationWatchParts): {readonly stop: () => void} {
+export function startReplicationWatch({holder, voter, log, measures}: ReplicationWatchParts): ReplicationWatch {
 	const own = new LagWatch(log);
 	let members = new Map<string, LagWatch>();
 
+	function ownLag(): Milliseconds {
+		return own.note(holder.state().applied, voter.knownCommitted(), monotonicNow());
+	}
+
 	function watch(): void {
 		const now = monotonicNow();
-		const {applied} = holder.state();
 		const committed = voter.knownCommitted();
-		own.note(applied, committed, now);
-		measures.set(MeasureName.applied, applied);
+		ownLag();
+		measures.set(MeasureName.applied, holder.state().applied);
 		measures.set(MeasureName.committed, committed);
 		const positions = voter.memberPositions();
 		members = new Map(positions.map(({member}) => [nameOf(member), members.get(nameOf(member)) ?? new LagWatch(log, {member: member.name})]));
@@ -46,6 +56,7 @@
 
 	const watching = setInterval(watch, watchMilliseconds);
 	return {
+		ownLag,
 		stop() {
 			clearInterval(watching);
 		},
--- /dev/null
+++ b/packages/control-node/test/test-freshness.ts
@@ -0,0 +1,22 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {isRecent, type Recency} from '@dogwooddeck/control-node/freshness';
+
+const recency: Recency = {
+	now: 10_000, leads: false, leaderHeardAt: 9900, lacksFor: 0,
+};
+
+const cases: ReadonlyArray<{readonly name: string; readonly fields: Partial<Recency>; readonly isRecent: boolean}> = [
+	{name: 'a follower that hears its leader and has everything', fields: {}, isRecent: true},
+	{name: 'the leader', fields: {leads: true, leaderHeardAt: undefined}, isRecent: true},
+	{name: 'a follower whose leader is silent', fields: {leaderHeardAt: 9400}, isRecent: false},
+	{name: 'a follower without a leader', fields: {leaderHeardAt: undefined}, isRecent: false},
+	{name: 'a follower to which an entry is on its way', fields: {lacksFor: 400}, isRecent: true},
+	{name: 'a follower that hears its leader and gets no entries', fields: {lacksFor: 600}, isRecent: false},
+];
+
+for (const {name, fields, isRecent: expected} of cases) {
+	test(`freshness: ${name} is ${expected ? '' : 'not '}recent`, () => {
+		assert.equal(isRecent({...recency, ...fields}), expected);
+	});
+}
--- a/packages/mesh/src/calls.ts
+++ b/packages/mesh/src/calls.ts
@@ -81,7 +81,7 @@
 /** What a control instance streams to the entries that follow it. */
 export type FollowMessage = {
 	readonly catchUp?: CatchUp;
-	/** Whether the sender has heard a leader that a majority follows, a moment ago. */
+	/** Whether the sender has heard a leader that a majority follows, a moment ago, and lacks nothing that it committed before. */
 	readonly fresh: boolean;
 	/** The highest index that the sender knows to be committed. */
 	readonly committed: LogIndex;
