Count each part of a long message as a sign that a stream is alive

Long messages go out in parts of 16 KB, and a part counts as a sign of life. A stream that can't be read ends with a failure, which the line 'control-lost' tells; before, a message that couldn't be read was an error of the connection without a name.

--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -8,6 +8,7 @@
 import {Distance, distanceOf} from '@dogwooddeck/gateway/selection';
 import {type FollowMessage} from '@dogwooddeck/mesh/calls';
 import {type Following, type MeshClients} from '@dogwooddeck/mesh/client';
+import {type Failure} from '@dogwooddeck/model/failure';
 import {
 	type LogIndex, type Milliseconds, type MonotonicTime, type RegionName, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
@@ -132,10 +133,12 @@
 		}
 	}
 
-	function end(address: string, stream: Stream): void {
+	function end(address: string, stream: Stream, failed: Failure | undefined): void {
 		stream.isOpen = false;
 		if (stream.hasHeard && stream.wanted === Wanted.changes) {
-			log.warning(EventName.controlLost, {control: address, silentFor: Math.round(monotonicNow() - stream.heardAt), applied: holder.state().applied});
+			log.warning(EventName.controlLost, {
+				control: address, silentFor: Math.round(monotonicNow() - stream.heardAt), applied: holder.state().applied, failure: failed?.kind, detail: failed?.detail,
+			});
 		}
 	}
 
@@ -146,11 +149,14 @@
 		stream.heardAt = monotonicNow();
 		stream.freshAt = stream.heardAt;
 		stream.following = clients.follow(address, {entry: name, applied: holder.state().applied, wantsChanges: wanted === Wanted.changes}, {
+			onPart() {
+				stream.heardAt = monotonicNow();
+			},
 			onMessage(message) {
 				take(address, stream, message);
 			},
-			onEnd() {
-				end(address, stream);
+			onEnd(failed) {
+				end(address, stream, failed);
 			},
 		});
 	}
--- a/packages/mesh/src/client.ts
+++ b/packages/mesh/src/client.ts
@@ -2,7 +2,10 @@
  * Calls other instances. There is one channel for each address. Nothing is
  * sent again here: whoever calls decides what a failure means.
  */
-import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {type Buffer} from 'node:buffer';
+import {
+	failure, FailureKind, toFailure, type Failure,
+} from '@dogwooddeck/model/failure';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {
 	type ChannelOptions, Client, credentials, logVerbosity, setLogVerbosity,
@@ -11,8 +14,9 @@
 import {
 	type FollowMessage, type FollowRequest, type MeshCall, type MeshCalls, type Reply,
 } from './calls.js';
+import {PartGathering} from './parts.js';
 import {
-	followMethod, largestMessageBytes, methodOf,
+	decodeMessage, followMethod, largestMessageBytes, methodOf,
 } from './service.js';
 
 /** A pause between attempts to connect, in milliseconds: short, since a peer may be back within a second. */
@@ -44,9 +48,11 @@
 
 /** What a follower hears. */
 export type FollowListener = {
+	/** The stream is alive: a part of a message has come. */
+	readonly onPart: () => void;
 	readonly onMessage: (message: FollowMessage) => void;
-	/** Called once, also after `stop`. */
-	readonly onEnd: () => void;
+	/** Called once, also after `stop`; with a failure where the stream broke off or can't be read. */
+	readonly onEnd: (failed?: Failure) => void;
 };
 
 /** Calls other instances by their address. */
@@ -63,6 +69,14 @@
 
 setLogVerbosity(logVerbosity.NONE);
 
+function readMessage(bytes: Buffer): Result<FollowMessage, Failure> {
+	try {
+		return ok(decodeMessage(bytes) as FollowMessage);
+	} catch (error) {
+		return err(toFailure(error, FailureKind.malformed));
+	}
+}
+
 /** Makes the calls of one instance. */
 export function createMeshClients(): MeshClients {
 	const channels = new Map<string, Channel>();
@@ -112,20 +126,34 @@
 			const method = methodOf(followMethod, true);
 			const stream = channelOf(address).client.makeServerStreamRequest(method.path, method.requestSerialize, method.responseDeserialize, request);
 			let isOver = false;
-			const end = () => {
+			const end = (failed?: Failure) => {
 				if (!isOver) {
 					isOver = true;
-					listener.onEnd();
+					listener.onEnd(failed);
 				}
 			};
 
-			stream.on('data', (message: FollowMessage) => {
-				if (!isOver) {
-					listener.onMessage(message);
+			const gathering = new PartGathering(largestMessageBytes);
+			stream.on('data', (part: Buffer) => {
+				if (isOver) {
+					return;
 				}
+
+				listener.onPart();
+				const message = gathering.take(part).andThen(whole => whole === undefined ? ok(undefined) : readMessage(whole));
+				if (message.isErr) {
+					stream.cancel();
+					end(message.error);
+				} else if (message.value !== undefined) {
+					listener.onMessage(message.value);
+				}
+			});
+			stream.on('error', error => {
+				end(toFailure(error, FailureKind.unreachable));
+			});
+			stream.on('end', () => {
+				end();
 			});
-			stream.on('error', end);
-			stream.on('end', end);
 			return {
 				stop() {
 					stream.cancel();
--- a/packages/mesh/src/server.ts
+++ b/packages/mesh/src/server.ts
@@ -12,6 +12,7 @@
 import {
 	type FollowRequest, type MeshCall, type MeshCalls, meshCalls, type Reply,
 } from './calls.js';
+import {splitMessage} from './parts.js';
 import {
 	followMethod, largestMessageBytes, meshService,
 } from './service.js';
@@ -62,7 +63,7 @@
 			request: call.request,
 			send(message) {
 				if (hasRoom) {
-					hasRoom = call.write(message);
+					hasRoom = splitMessage(message).map(part => call.write(part)).every(Boolean);
 					return true;
 				}
 
--- a/packages/mesh/src/service.ts
+++ b/packages/mesh/src/service.ts
@@ -15,10 +15,16 @@
 	return Buffer.isBuffer(value) ? value : encodeMessage(value);
 }
 
-function deserialize(bytes: Buffer): unknown {
+/** Reads what `encodeMessage` made. Throws a `SyntaxError` where it can't be read. */
+export function decodeMessage(bytes: Buffer): unknown {
 	return JSON.parse(bytes.toString());
 }
 
+/** Parts of a stream's messages are put together by the client. */
+function keepBytes(bytes: Buffer): unknown {
+	return bytes;
+}
+
 /** Describes one method. */
 export function methodOf(name: string, responseStream: boolean): MethodDefinition<unknown, unknown> {
 	return {
@@ -26,9 +32,9 @@
 		requestStream: false,
 		responseStream,
 		requestSerialize: serialize,
-		requestDeserialize: deserialize,
+		requestDeserialize: decodeMessage,
 		responseSerialize: serialize,
-		responseDeserialize: deserialize,
+		responseDeserialize: responseStream ? keepBytes : decodeMessage,
 	};
 }
 
