Believe a refusal only where it can't be an earlier one

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection; callers were told 'not run' of requests that had run, or such a request ran at a second upstream.

It could happen here in two ways, each shown by a test over sockets that failed before (503 where 200 and 502 are due): the request goes again to the upstream that refused it, on the same connection, where the first refusal names the same request; and a refusal that names no request was taken for one of any.

A request isn't sent again on a connection on which it was refused, and a refusal without the request's name counts on the first request of a connection only. The case 'a refusal that names no request' of test-answers asked for the fault; two cases replace it, one for each kind of connection.

--- a/packages/entry/src/answer-rules.ts
+++ b/packages/entry/src/answer-rules.ts
@@ -35,13 +35,15 @@
 
 /**
  * Whether an answer is not the upstream's answer to this request. It has to name
- * the request, which a refusal may leave out; a success bears the upstream's stamp;
- * none comes in a coding that the caller didn't ask for.
+ * the request, which a refusal may leave out on a connection that had no request
+ * before (`isFirst`): on others it may be an earlier one that is written again.
+ * A success bears the upstream's stamp; none comes in a coding that the caller
+ * didn't ask for.
  */
-export function isForeign(fields: FieldNames, identifier: string | undefined, status: number, head: AnswerHead): boolean {
+export function isForeign(fields: FieldNames, identifier: string | undefined, {status, head, isFirst}: {readonly status: number; readonly head: AnswerHead; readonly isFirst: boolean}): boolean {
 	const echoed = fieldOf(head.headers, fields.requestIdentifier);
 	const isSuccess = status >= firstSuccess && status < firstRedirect;
-	const isOther = echoed === undefined ? !isNotRun(fields, head) : echoed !== identifier;
+	const isOther = echoed === undefined ? !(isFirst && isNotRun(fields, head)) : echoed !== identifier;
 	return isOther || (isSuccess && fieldOf(head.headers, fields.stamp) === undefined) || fieldOf(head.headers, 'content-encoding') !== undefined;
 }
 
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -9,7 +9,7 @@
 import {
 	Abandoned, type AnswerRules, type AnswerSink, Exchange,
 } from '@dogwooddeck/upstream-client/exchange';
-import {type RawHeaders} from '@dogwooddeck/upstream-client/headers';
+import {type AnswerHead, type RawHeaders} from '@dogwooddeck/upstream-client/headers';
 import {type Connection} from './connection.js';
 
 /** A whole answer of an upstream. */
@@ -30,6 +30,12 @@
 	readonly write: (chunk: Uint8Array) => boolean;
 };
 
+/** What an answer is held against. */
+export type RequestRules = Pick<AnswerRules, 'isNotRun'> & {
+	/** Whether the answer belongs to another request, or isn't the upstream's own. `isFirst`: its connection has carried no other request. */
+	readonly isForeign: (status: number, head: AnswerHead, isFirst: boolean) => boolean;
+};
+
 /** What is sent, and who hears of it. */
 export type RequestSpecification = {
 	readonly method: string;
@@ -37,7 +43,9 @@
 	readonly headers: RawHeaders;
 	readonly body: Buffer | undefined;
 	readonly timeoutMilliseconds: Milliseconds;
-	readonly rules: Omit<AnswerRules, 'endedInOrder'>;
+	/** The request is not sent on these again, and the connection is added where the upstream refuses it: the refusal may be written again there, and name the same request. */
+	readonly refusedOn: Set<Connection>;
+	readonly rules: RequestRules;
 	/** Called right before the first byte is handed to a socket. `false`: nothing is sent. */
 	readonly mayStart: () => boolean;
 	readonly onLong: LongAnswer;
@@ -116,7 +124,9 @@
 
 /** Sends a request on a connection. `release` is called when the request is over. */
 export function sendRequest(connection: Connection, specification: RequestSpecification, release: (seen: Seen) => void): SentAttempt {
-	const rules = {...specification.rules, endedInOrder: () => connection.endedInOrder};
+	const {isNotRun, isForeign} = specification.rules;
+	const isFirst = connection.requests === 1;
+	const rules: AnswerRules = {isNotRun, isForeign: (status, head) => isForeign(status, head, isFirst), endedInOrder: () => connection.endedInOrder};
 	const exchange = new Exchange(new Gathering(specification, release), specification.method, rules, specification.timeoutMilliseconds);
 	connection.client.dispatch({
 		path: specification.path,
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -18,6 +18,8 @@
 	readonly client: Client;
 	isBusy = false;
 	isOpen = false;
+	/** The requests that it has carried, the present one among them. */
+	requests = 0;
 	/** Whether the connection has ended, or is about to. */
 	isOver = false;
 	usedAt: MonotonicTime = 0;
--- a/packages/entry/src/request-run.ts
+++ b/packages/entry/src/request-run.ts
@@ -20,6 +20,7 @@
 	isForeign, isMisdirected, isNotRun, signalOf,
 } from './answer-rules.js';
 import {type AttemptResult, type SentAttempt} from './attempt.js';
+import {type Connection} from './connection.js';
 import {BodyProblem, type CallerExchange} from './caller-exchange.js';
 import {notRunStatus, Refusal, refusalStatus} from './refusals.js';
 import {type RequestJournal} from './request-journal.js';
@@ -102,6 +103,8 @@
 	/** The fence under which an upstream said that it doesn't hold the key, and how often it did. */
 	#refusedFence = -1;
 	#fenceRefusals = 0;
+	/** Connections on which an upstream refused the request. */
+	readonly #refusedOn = new Set<Connection>();
 	/** Upstreams that were sent to, and those of them that may have run the request. */
 	readonly #tried: string[] = [];
 	#mayHaveRun = 0;
@@ -243,10 +246,10 @@
 		const connections = Math.max(1, Math.floor(service.maxConnections / (this.#around.entryCount() + 1)));
 		if (service.keyed) {
 			const holder = this.#keyHolder(now);
-			return holder?.load.hasRoom(now) === true && holder.pool.hasRoom(connections) && service.pace.waitFor(this.#key, 0, this.#capacityOf(holder), now) === 0 ? holder : undefined;
+			return holder?.load.hasRoom(now) === true && holder.pool.hasRoom(connections, this.#refusedOn) && service.pace.waitFor(this.#key, 0, this.#capacityOf(holder), now) === 0 ? holder : undefined;
 		}
 
-		const free = service.upstreams.filter(({pool}) => pool.hasRoom(connections));
+		const free = service.upstreams.filter(({pool}) => pool.hasRoom(connections, this.#refusedOn));
 		return selectUpstream(free, this.#tried, now) ?? (this.#tried.length > 0 ? selectUpstream(free, [], now) : undefined);
 	}
 
@@ -280,12 +283,13 @@
 			headers,
 			body: this.#body,
 			timeoutMilliseconds,
+			refusedOn: this.#refusedOn,
 			rules: {
 				isNotRun: (status, head) => {
 					this.#status = status;
 					return isNotRun(fields, head);
 				},
-				isForeign: (status, head) => isForeign(fields, this.identifier, status, head),
+				isForeign: (status, head, isFirst) => isForeign(fields, this.identifier, {status, head, isFirst}),
 			},
 			mayStart: () => !this.#exchange.isGone && table.isCurrent(upstream),
 			onLong: {
--- a/packages/entry/src/upstream-pool.ts
+++ b/packages/entry/src/upstream-pool.ts
@@ -23,17 +23,23 @@
 		this.#terms = terms;
 	}
 
-	/** Whether a request can be sent without more than so many connections. */
-	hasRoom(most: number): boolean {
-		return this.#connections.length < most || this.#connections.some(({isBusy}) => !isBusy);
+	/** Whether a request can be sent without more than so many connections, and on none of `refusedOn`. */
+	hasRoom(most: number, refusedOn: ReadonlySet<Connection>): boolean {
+		return this.#connections.length < most || this.#connections.some(connection => !connection.isBusy && !refusedOn.has(connection));
 	}
 
 	/** Sends a request on an idle connection or a new one. */
 	send(specification: RequestSpecification): SentAttempt {
-		const connection = this.#idle() ?? this.#open();
+		const {refusedOn} = specification;
+		const connection = this.#idle(refusedOn) ?? this.#open();
 		connection.isBusy = true;
+		connection.requests += 1;
 		return sendRequest(connection, specification, seen => {
 			connection.isBusy = false;
+			if (seen === Seen.shed) {
+				refusedOn.add(connection);
+			}
+
 			connection.usedAt = monotonicNow();
 			if (this.#isClosed || !keepsConnection.has(seen)) {
 				this.#forget(connection);
@@ -50,10 +56,10 @@
 		}
 	}
 
-	#idle(): Connection | undefined {
+	#idle(refusedOn: ReadonlySet<Connection>): Connection | undefined {
 		let newest: Connection | undefined;
 		for (const connection of this.#connections) {
-			if (!connection.isBusy && !connection.isOver && (newest === undefined || connection.usedAt > newest.usedAt)) {
+			if (!connection.isBusy && !connection.isOver && !refusedOn.has(connection) && (newest === undefined || connection.usedAt > newest.usedAt)) {
 				newest = connection;
 			}
 		}
--- a/packages/entry/test/test-answers.ts
+++ b/packages/entry/test/test-answers.ts
@@ -12,7 +12,7 @@
 	requestIdentifier: 'request', deadline: 'deadline', expectedUpstream: 'expected', stamp: 'stamp', notRun: 'not-run', key: 'key',
 };
 
-type AnswerCase = {readonly name: string; readonly status: number; readonly headers: readonly string[]; readonly foreign: boolean; readonly notRun?: boolean};
+type AnswerCase = {readonly name: string; readonly status: number; readonly headers: readonly string[]; readonly foreign: boolean; readonly notRun?: boolean; readonly isFirst?: boolean};
 
 const answers: readonly AnswerCase[] = [
 	{
@@ -34,7 +34,10 @@
 		name: 'a failure of the upstream', status: 500, headers: ['Request', 'a', 'Stamp', 's'], foreign: false,
 	},
 	{
-		name: 'a refusal that names no request', status: 503, headers: ['Not-Run', '1'], foreign: false, notRun: true,
+		name: 'a refusal that names no request, on a new connection', status: 503, headers: ['Not-Run', '1'], foreign: false, notRun: true, isFirst: true,
+	},
+	{
+		name: 'a refusal that names no request, on a connection that had others', status: 503, headers: ['Not-Run', '1'], foreign: true, notRun: true,
 	},
 	{
 		name: 'a refusal of another request', status: 503, headers: ['Not-Run', '1', 'Request', 'b'], foreign: true, notRun: true,
@@ -44,10 +47,12 @@
 	},
 ];
 
-for (const {name, status, headers, foreign, notRun = false} of answers) {
+for (const {
+	name, status, headers, foreign, notRun = false, isFirst = false,
+} of answers) {
 	test(`answers: ${name}`, () => {
 		const head = {headers: [...headers], bounded: true};
-		assert.equal(isForeign(fields, 'a', status, head), foreign);
+		assert.equal(isForeign(fields, 'a', {status, head, isFirst}), foreign);
 		assert.equal(isNotRun(fields, head), notRun);
 	});
 }
--- a/packages/entry/test/test-attempt.ts
+++ b/packages/entry/test/test-attempt.ts
@@ -102,6 +102,7 @@
 				headers: ['Host', 'example'],
 				body: undefined,
 				timeoutMilliseconds: 2000,
+				refusedOn: new Set(),
 				rules: {
 					isNotRun: (_status, {headers}) => headers.includes('Not-Run'),
 					isForeign: (_status, {headers}) => !headers.includes('a'),
--- a/packages/entry/test/test-requests.ts
+++ b/packages/entry/test/test-requests.ts
@@ -177,6 +177,29 @@
 	(seen === 1 ? resets : whole)(socket, request, seen);
 };
 
+const requestsOfSocket = new WeakMap<Socket, number>();
+
+/** How many requests a connection has carried, this one among them. */
+function countOn(socket: Socket): number {
+	const count = (requestsOfSocket.get(socket) ?? 0) + 1;
+	requestsOfSocket.set(socket, count);
+	return count;
+}
+
+/** Refuses once, then writes the same refusal again on that connection while it works on the next request. */
+const repeatsRefusal: Behaviour = (socket, request, seen) => {
+	(countOn(socket) > 1 || seen === 1 ? refuses : whole)(socket, request, seen);
+};
+
+/** Answers what comes first on a connection, and writes an earlier refusal, which names no request, in place of the next answer. */
+const refusesUnnamed: Behaviour = (socket, request, seen) => {
+	if (countOn(socket) === 1 && seen === 1) {
+		whole(socket, request, seen);
+	} else {
+		socket.write('HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n');
+	}
+};
+
 type Case = {readonly name: string; readonly upstreams: readonly Behaviour[]; readonly isKnown?: boolean; readonly text: string; readonly status: number; readonly sent: number; readonly says?: RegExp};
 
 const cases: readonly Case[] = [
@@ -209,6 +232,14 @@
 	{
 		name: 'one that all refuse did not run', upstreams: [refuses], text: requestText('/once/x', 'a', 'POST', 'booking'), status: 503, sent: 4, says: /retry-after: 0\.\d+/iv,
 	},
+	{
+		name: 'a refusal that is written again on its connection does not stand for a later attempt', upstreams: [repeatsRefusal], text: requestText('/once/x', 'a', 'POST', 'booking'), status: 200, sent: 2,
+	},
+	{
+		name: 'a refusal that names no request counts on a new connection', upstreams: [(socket, request, seen) => {
+			refusesUnnamed(socket, request, seen + 1);
+		}], text: requestText('/once/x', 'a', 'POST', 'booking'), status: 503, sent: 4,
+	},
 	{
 		name: 'a holder that hears of its keys a moment later gets the request again', upstreams: [firstMisdirects], text: requestText('/keyed/x', 'a').replace('Deadline', 'Key: 7\r\nDeadline'), status: 200, sent: 2,
 	},
@@ -291,3 +322,11 @@
 		assert.deepEqual(received.match(/for [abc]/gv), ['for a', 'for b', 'for c']);
 	});
 });
+
+test('requests: a refusal that names no request says nothing on a connection that had others', async () => {
+	await withEntry([refusesUnnamed], true, async ({port}, [upstream]) => {
+		assert.match(await call(port, requestText('/once/x', 'a', 'POST', 'booking'), text => text.endsWith('for a')), /^HTTP\/1\.1 200/v);
+		assert.match(await call(port, requestText('/once/x', 'b', 'POST', 'booking'), hasHead), /^HTTP\/1\.1 502/v);
+		assert.equal(upstream!.requests.length, 2);
+	});
+});
