Refuse entries of upstreams that no connection can be made to

It could happen here: an address with port 99999 was taken, replicated and streamed to every entry, where the first request for it threw 'Invalid URL' and ended the process, and the next life got the same record.

--- a/packages/directory/src/upstream.ts
+++ b/packages/directory/src/upstream.ts
@@ -2,6 +2,7 @@
  * The upstreams that have announced themselves, one record for each life.
  */
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {isSocketAddress} from '@dogwooddeck/model/socket-address';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {type Life, sameLife} from '@dogwooddeck/key-lease/range';
 import {err, ok, type Result} from 'true-myth/result';
@@ -56,6 +57,10 @@
 }
 
 function announce(upstreams: Upstreams, upstream: UpstreamRecord): Result<Upstreams, Failure> {
+	if (!isSocketAddress(upstream.address)) {
+		return err(failure(FailureKind.malformed, `${upstream.id}: no connection can be made to ${upstream.address}`));
+	}
+
 	const problem = superseded(upstreams, upstream);
 	if (problem !== undefined) {
 		return err(failure(FailureKind.superseded, problem));
@@ -79,7 +84,7 @@
 /** The kinds of commands about upstreams. */
 export const upstreamCommandKinds = new Set<string>(Object.keys(handlers));
 
-/** Takes a command in. Fails with `superseded` where a later life is known. */
+/** Takes a command in. Fails with `superseded` where a later life is known, and with `malformed` where the address does not exist. */
 export function applyUpstreamCommand(upstreams: Upstreams, command: UpstreamCommand): Result<Upstreams, Failure> {
 	return dispatch(handlers, command, upstreams);
 }
--- a/packages/directory/test/test-upstreams.ts
+++ b/packages/directory/test/test-upstreams.ts
@@ -43,6 +43,9 @@
 	{
 		name: 'a departure of an earlier life', commands: [announced(record('a', 2)), {kind: 'upstreamDeparted', life: {id: 'a', born: 1}}], known: [['a', 2, 'ready']], refusals: 0,
 	},
+	{
+		name: 'an address that doesn\'t exist', commands: [announced(record('a', 1)), announced(record('b', 2, {address: '10.0.0.2:99999'}))], known: [['a', 1, 'ready']], refusals: 1,
+	},
 	{
 		name: 'silence is no departure', commands: [announced(record('a', 1)), {kind: 'upstreamRemoved', life: {id: 'a', born: 1}}, announced(record('a', 1))], known: [['a', 1, 'ready']], refusals: 0,
 	},
--- a/packages/entry/src/upstream-pool.ts
+++ b/packages/entry/src/upstream-pool.ts
@@ -3,6 +3,7 @@
  * used last first, so that those that aren't needed are closed by themselves.
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {isSocketAddress} from '@dogwooddeck/model/socket-address';
 import {Seen} from '@dogwooddeck/routing/outcome';
 import {type RequestSpecification, sendRequest, type SentAttempt} from './attempt.js';
 import {Connection, type ConnectionTerms} from './connection.js';
@@ -10,6 +11,14 @@
 /** After any other end, what the connection still brings belongs to nobody. */
 const keepsConnection: ReadonlySet<Seen> = new Set([Seen.wholeAnswer, Seen.shed]);
 
+/** Ends a request whose upstream has an address that can't be reached. */
+function unreachable({onEnd}: RequestSpecification): SentAttempt {
+	setImmediate(() => {
+		onEnd({seen: Seen.refusedConnection, milliseconds: 0});
+	});
+	return {cancel: () => undefined, resume: () => undefined};
+}
+
 /** The connections to one upstream. */
 export class UpstreamPool {
 	readonly #address: string;
@@ -32,6 +41,10 @@
 	send(specification: RequestSpecification): SentAttempt {
 		const {refusedOn} = specification;
 		const connection = this.#idle(refusedOn) ?? this.#open();
+		if (connection === undefined) {
+			return unreachable(specification);
+		}
+
 		connection.isBusy = true;
 		connection.requests += 1;
 		return sendRequest(connection, specification, seen => {
@@ -67,7 +80,12 @@
 		return newest;
 	}
 
-	#open(): Connection {
+	/** Undefined where no connection can ever be made to the address. */
+	#open(): Connection | undefined {
+		if (!isSocketAddress(this.#address)) {
+			return undefined;
+		}
+
 		const connection = new Connection(this.#address, this.#terms, over => {
 			this.#forget(over);
 		});
--- a/packages/entry/test/test-requests.ts
+++ b/packages/entry/test/test-requests.ts
@@ -330,3 +330,14 @@
 		assert.equal(upstream!.requests.length, 2);
 	});
 });
+
+test('requests: a record with an address that can\'t be reached ends nothing', async () => {
+	await withEntry([whole], true, async ({port, table}, upstreams) => {
+		const directory = directoryOf(upstreams);
+		const odd = {...directory.upstreams.u0!, id: 'odd', address: '127.0.0.1:99999'};
+		table.update({...directory, upstreams: {odd}}, 1);
+		assert.match(await call(port, requestText('/once/x', 'a', 'POST', 'booking'), hasHead), /^HTTP\/1\.1 503/v);
+		table.update(directory, 1);
+		assert.match(await call(port, requestText('/once/x', 'b', 'POST', 'booking'), hasHead), /^HTTP\/1\.1 200/v);
+	});
+});
