Compress long messages between instances

A change of 496 routes is some 300 KB of JSON in JSON, and went to two voters and all entries that way; on grown deployments an entry has 2 Mbit/s.

Messages of 2 KB or more are deflated at the fastest level; what is read back is bounded as before. test-encoding: a change of 500 routes shrinks to less than a fifth.

--- a/packages/control-node/src/followers.ts
+++ b/packages/control-node/src/followers.ts
@@ -5,7 +5,7 @@
 import {type Buffer} from 'node:buffer';
 import {type FollowMessage} from '@dogwooddeck/mesh/calls';
 import {type Follower} from '@dogwooddeck/mesh/server';
-import {encodeMessage} from '@dogwooddeck/mesh/service';
+import {encodeMessage} from '@dogwooddeck/mesh/encoding';
 import {type LogIndex, type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {type DirectoryHolder} from './directory-voter.js';
 
--- a/packages/entry/test/test-slow-stream.ts
+++ b/packages/entry/test/test-slow-stream.ts
@@ -15,7 +15,7 @@
 import {type FollowMessage} from '@dogwooddeck/mesh/calls';
 import {createMeshClients} from '@dogwooddeck/mesh/client';
 import {startMeshServer, type Follower, type MeshHandlers} from '@dogwooddeck/mesh/server';
-import {encodeMessage} from '@dogwooddeck/mesh/service';
+import {encodeMessage} from '@dogwooddeck/mesh/encoding';
 import {createStateHolder} from '@dogwooddeck/replica/state-holder';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {followDirectory} from '@dogwooddeck/entry/directory-follower';
--- a/packages/mesh/src/client.ts
+++ b/packages/mesh/src/client.ts
@@ -14,10 +14,9 @@
 import {
 	type FollowMessage, type FollowRequest, type MeshCall, type MeshCalls, type Reply,
 } from './calls.js';
+import {decodeMessage, largestMessageBytes} from './encoding.js';
 import {PartGathering} from './parts.js';
-import {
-	decodeMessage, followMethod, largestMessageBytes, methodOf,
-} from './service.js';
+import {followMethod, methodOf} from './service.js';
 
 /** A pause between attempts to connect, in milliseconds: short, since a peer may be back within a second. */
 const reconnectMilliseconds: Milliseconds = 200;
--- a/packages/mesh/src/server.ts
+++ b/packages/mesh/src/server.ts
@@ -12,10 +12,9 @@
 import {
 	type FollowRequest, type MeshCall, type MeshCalls, meshCalls, type Reply,
 } from './calls.js';
+import {largestMessageBytes} from './encoding.js';
 import {splitMessage} from './parts.js';
-import {
-	followMethod, largestMessageBytes, meshService,
-} from './service.js';
+import {followMethod, meshService} from './service.js';
 
 /** What answers each call. */
 export type MeshHandlers = {
--- a/packages/mesh/src/service.ts
+++ b/packages/mesh/src/service.ts
@@ -4,22 +4,13 @@
 import {Buffer} from 'node:buffer';
 import {type MethodDefinition, type ServiceDefinition} from '@grpc/grpc-js';
 import {meshCalls} from './calls.js';
-
-/** A message as it travels. */
-export function encodeMessage(value: unknown): Buffer {
-	return Buffer.from(JSON.stringify(value));
-}
+import {decodeMessage, encodeMessage} from './encoding.js';
 
 /** What was encoded before is sent as it is. */
 function serialize(value: unknown): Buffer {
 	return Buffer.isBuffer(value) ? value : encodeMessage(value);
 }
 
-/** Reads what `encodeMessage` made. Throws a `SyntaxError` where it can't be read. */
-export function decodeMessage(bytes: Buffer): unknown {
-	return JSON.parse(bytes.toString());
-}
-
 /** Parts of a stream's messages are put together by the client. */
 function keepBytes(bytes: Buffer): unknown {
 	return bytes;
@@ -46,6 +37,3 @@
 	...meshCalls.map(call => [call, methodOf(call, false)] as const),
 	[followMethod, methodOf(followMethod, true)],
 ]);
-
-/** The largest message that is taken, in bytes: a whole state of some ten thousand routes. */
-export const largestMessageBytes = 33_554_432;
--- /dev/null
+++ b/packages/mesh/test/test-encoding.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {deflateRawSync} from 'node:zlib';
+import {decodeMessage, encodeMessage, largestMessageBytes} from '@dogwooddeck/mesh/encoding';
+
+/** A change of routes, as an entry of the log carries it. */
+function change(routes: number): unknown {
+	const changes = Array.from({length: routes}, (_, position) => {
+		const value = {
+			hostname: `h${position * 7919}.example`, pathPrefix: `/p${position * 104_729}/`, idempotent: true, timeoutMilliseconds: 1000, objectiveMilliseconds: 500, priority: 2, targets: [{service: 's', weight: 1}],
+		};
+		return {kind: 'route', name: `r${position}`, item: {version: 7, value, document: JSON.stringify(value)}};
+	});
+	return {body: {kind: 'command', payload: JSON.stringify([{kind: 'itemsChanged', changes}])}};
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly value: unknown; readonly mostShare: number}> = [
+	{name: 'a short message', value: {kind: 'preVoteAnswered', term: 3, granted: true}, mostShare: 1},
+	{name: 'a change of 500 routes', value: change(500), mostShare: 0.2},
+	{name: 'text of several bytes a character', value: {text: 'é€𝄞'.repeat(1000)}, mostShare: 0.2},
+];
+
+for (const {name, value, mostShare} of cases) {
+	test(`encoding: ${name} is read back, and is not longer than ${mostShare} of its text`, () => {
+		const bytes = encodeMessage(value);
+		assert.deepEqual(decodeMessage(bytes), value);
+		assert.ok(bytes.length <= mostShare * Buffer.byteLength(JSON.stringify(value)), `${bytes.length}`);
+	});
+}
+
+const refused: ReadonlyArray<{readonly name: string; readonly bytes: Buffer}> = [
+	{name: 'nothing', bytes: Buffer.alloc(0)},
+	{name: 'what is neither JSON nor compressed', bytes: Buffer.from([7, 7, 7])},
+	{name: 'a compressed message that is cut', bytes: encodeMessage(change(50)).subarray(0, 200)},
+	{name: 'a short message that would fill the memory', bytes: Buffer.concat([Buffer.of(1), deflateRawSync(Buffer.alloc(largestMessageBytes + 1))])},
+];
+
+for (const {name, bytes} of refused) {
+	test(`encoding: ${name} is refused`, () => {
+		assert.throws(() => decodeMessage(bytes), Error);
+	});
+}
