Close connections on which bytes come without end in place of an answer

An entry looks at its connections every 100 ms and ends those on which more than 64 KB came without the head of an answer. A refused request gives its connection back once the refusal's body has come; one without a body does at once. When such a connection ends, its client is ended with it: undici connects again otherwise for a request that is over, which was one idle connection each.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -64,20 +64,31 @@
 /** Answers up to this size are gathered before they are passed on, so that a cut one can be asked for again. */
 export const gatheredBytes = 131_072;
 
+/** What a request does to its connection. */
+export type ConnectionHold = {
+	/** The head of an answer has come. */
+	readonly answering: () => void;
+	/** The request is over; the rest of a refusal may still come. */
+	readonly ended: (seen: Seen) => void;
+	/** Nothing more comes of the request. */
+	readonly release: () => void;
+};
+
 /** Gathers an answer; what is longer than `gatheredBytes` is passed on as it comes. */
 class Gathering implements AnswerSink {
 	readonly #specification: RequestSpecification;
 	readonly #startedAt = monotonicNow();
-	readonly #release: (seen: Seen) => void;
+	readonly #hold: ConnectionHold;
 	#status = 0;
 	#headers: RawHeaders = [];
 	#chunks: Uint8Array[] = [];
 	#bytes = 0;
 	#isLong = false;
+	#isDrained = false;
 
-	constructor(specification: RequestSpecification, release: (seen: Seen) => void) {
+	constructor(specification: RequestSpecification, hold: ConnectionHold) {
 		this.#specification = specification;
-		this.#release = release;
+		this.#hold = hold;
 	}
 
 	beforeFirstByte(): boolean {
@@ -85,6 +96,7 @@
 	}
 
 	onHead(status: number, headers: RawHeaders): void {
+		this.#hold.answering();
 		this.#status = status;
 		this.#headers = headers;
 	}
@@ -100,7 +112,11 @@
 	}
 
 	onEnd(seen: Seen, retryAfterMilliseconds?: Milliseconds): void {
-		this.#release(seen);
+		this.#hold.ended(seen);
+		if (seen !== Seen.shed || this.#isDrained) {
+			this.#hold.release();
+		}
+
 		const answer = seen === Seen.wholeAnswer && !this.#isLong
 			? {status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks)}
 			: undefined;
@@ -112,6 +128,11 @@
 		});
 	}
 
+	onDrained(): void {
+		this.#isDrained = true;
+		this.#hold.release();
+	}
+
 	#passOn(): boolean {
 		this.#isLong = true;
 		const {onLong} = this.#specification;
@@ -122,12 +143,12 @@
 	}
 }
 
-/** Sends a request on a connection. `release` is called when the request is over. */
-export function sendRequest(connection: Connection, specification: RequestSpecification, release: (seen: Seen) => void): SentAttempt {
+/** Sends a request on a connection. */
+export function sendRequest(connection: Connection, specification: RequestSpecification, hold: ConnectionHold): SentAttempt {
 	const {isNotRun, isForeign} = specification.rules;
 	const isFirst = connection.requests === 1;
 	const rules: AnswerRules = {isNotRun, isForeign: (status, head) => isForeign(status, head, isFirst), endedInOrder: () => connection.endedInOrder};
-	const exchange = new Exchange(new Gathering(specification, release), specification.method, rules, specification.timeoutMilliseconds);
+	const exchange = new Exchange(new Gathering(specification, hold), specification.method, rules, specification.timeoutMilliseconds);
 	connection.client.dispatch({
 		path: specification.path,
 		method: specification.method,
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -13,16 +13,26 @@
 	readonly idleMilliseconds: number;
 };
 
+/** Bytes that may come before the head of an answer is whole: `undici` bounds its fields, and neither its first line nor the heads before it. */
+const mostHeadBytes = 65_536;
+
 /** A connection that `undici` keeps. */
 export class Connection {
 	readonly client: Client;
 	isBusy = false;
 	isOpen = false;
+	/** Whether the rest of a refusal is awaited. */
+	isDraining = false;
 	/** The requests that it has carried, the present one among them. */
 	requests = 0;
 	/** Whether the connection has ended, or is about to. */
 	isOver = false;
 	usedAt: MonotonicTime = 0;
+	/** Whether the head of the present request's answer has come. */
+	hasHead = false;
+	#socket: Socket | undefined;
+	/** The bytes that had come when the present request began. */
+	#bytesBefore = 0;
 	#endedInOrder = false;
 
 	/** Connects when the first request is sent. `onOver` is called once. */
@@ -64,6 +74,19 @@
 		return this.#endedInOrder;
 	}
 
+	/** Whether far more has come since the present request began than the head of an answer, and no head. */
+	get isEndless(): boolean {
+		return this.isBusy && !this.hasHead && (this.#socket?.bytesRead ?? 0) - this.#bytesBefore > mostHeadBytes;
+	}
+
+	/** A request begins. */
+	begin(): void {
+		this.isBusy = true;
+		this.hasHead = false;
+		this.requests += 1;
+		this.#bytesBefore = this.#socket?.bytesRead ?? 0;
+	}
+
 	/** Ends the connection. */
 	destroy(): void {
 		this.isOver = true;
@@ -71,6 +94,7 @@
 	}
 
 	#watch(socket: Socket): void {
+		this.#socket = socket;
 		socket.setNoDelay(true);
 		socket.once('end', () => {
 			// A reset that comes right behind data reads as an end; only the peer's address is gone then.
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -39,6 +39,9 @@
 /** Waiting requests are looked at this often beside events: pauses end, and requests give up. */
 const advanceMilliseconds: Milliseconds = 10;
 
+/** How often connections are looked at for bytes without end: often enough that they take little of the processor, beside deadlines of a second. */
+const closeEndlessMilliseconds: Milliseconds = 100;
+
 /** After a stop was asked for, kept connections are used on for this long: the balancer asks each second and gives up after two misses. */
 const drainMilliseconds: Milliseconds = 2500;
 const closeIdleMilliseconds: Milliseconds = 100;
@@ -117,6 +120,9 @@
 		advanceAll();
 	});
 	const advancing = setInterval(advanceAll, advanceMilliseconds);
+	const closingEndless = setInterval(() => {
+		table.closeEndless();
+	}, closeEndlessMilliseconds);
 	const readiness = startReadiness(settings, isReady);
 
 	return {
@@ -133,6 +139,7 @@
 			}
 
 			clearInterval(advancing);
+			clearInterval(closingEndless);
 			follower.stop();
 			reporter.stop();
 			callers.closeAll();
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -150,6 +150,13 @@
 		return known !== undefined && sameLife(known.record, record) && known.record.state === UpstreamState.ready;
 	}
 
+	/** Closes connections on which bytes come without end in place of an answer. */
+	closeEndless(): void {
+		for (const {pool} of this.#upstreams.values()) {
+			pool.closeEndless();
+		}
+	}
+
 	/** Closes all connections. */
 	close(): void {
 		for (const {pool} of this.#upstreams.values()) {
--- a/packages/entry/src/upstream-pool.ts
+++ b/packages/entry/src/upstream-pool.ts
@@ -8,9 +8,6 @@
 import {type RequestSpecification, sendRequest, type SentAttempt} from './attempt.js';
 import {Connection, type ConnectionTerms} from './connection.js';
 
-/** After any other end, what the connection still brings belongs to nobody. */
-const keepsConnection: ReadonlySet<Seen> = new Set([Seen.wholeAnswer, Seen.shed]);
-
 /** Ends a request whose upstream has an address that can't be reached. */
 function unreachable({onEnd}: RequestSpecification): SentAttempt {
 	setImmediate(() => {
@@ -45,22 +42,37 @@
 			return unreachable(specification);
 		}
 
-		connection.isBusy = true;
-		connection.requests += 1;
-		return sendRequest(connection, specification, seen => {
-			connection.isBusy = false;
-			if (seen === Seen.shed) {
-				refusedOn.add(connection);
-			}
-
-			connection.usedAt = monotonicNow();
-			if (this.#isClosed || !keepsConnection.has(seen)) {
-				this.#forget(connection);
-				connection.destroy();
-			}
+		connection.begin();
+		return sendRequest(connection, specification, {
+			answering() {
+				connection.hasHead = true;
+			},
+			ended: seen => {
+				if (seen === Seen.shed) {
+					refusedOn.add(connection);
+					connection.isDraining = true;
+				} else if (seen !== Seen.wholeAnswer) {
+					this.#end(connection);
+				}
+			},
+			release: () => {
+				connection.isBusy = false;
+				connection.isDraining = false;
+				connection.usedAt = monotonicNow();
+				if (this.#isClosed) {
+					this.#end(connection);
+				}
+			},
 		});
 	}
 
+	/** Closes connections on which more has come than the head of an answer may take, and no head. */
+	closeEndless(): void {
+		for (const connection of this.#connections.filter(({isEndless}) => isEndless)) {
+			this.#end(connection);
+		}
+	}
+
 	/** Closes idle connections at once, and the others when their requests are over. */
 	close(): void {
 		this.#isClosed = true;
@@ -88,11 +100,21 @@
 
 		const connection = new Connection(this.#address, this.#terms, over => {
 			this.#forget(over);
+			if (over.isDraining) {
+				// Otherwise the client connects again for a request that is over.
+				over.destroy();
+			}
 		});
 		this.#connections.push(connection);
 		return connection;
 	}
 
+	/** After any end but a whole answer or a refusal, what a connection still brings belongs to nobody. */
+	#end(connection: Connection): void {
+		this.#forget(connection);
+		connection.destroy();
+	}
+
 	#forget(connection: Connection): void {
 		this.#connections = this.#connections.filter(one => one !== connection);
 	}
--- a/packages/entry/test/test-answers.ts
+++ b/packages/entry/test/test-answers.ts
@@ -51,7 +51,7 @@
 	name, status, headers, foreign, notRun = false, isFirst = false,
 } of answers) {
 	test(`answers: ${name}`, () => {
-		const head = {headers: [...headers], bounded: true};
+		const head = {headers: [...headers], bounded: true, isEmpty: true};
 		assert.equal(isForeign(fields, 'a', {status, head, isFirst}), foreign);
 		assert.equal(isNotRun(fields, head), notRun);
 	});
--- /dev/null
+++ b/packages/entry/test/test-endless.ts
@@ -0,0 +1,174 @@
+/**
+ * Upstreams that send bytes without end: a request ends by its deadline at the
+ * latest, the connection is closed, and what was read is not kept.
+ */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import process from 'node:process';
+import {test} from 'node:test';
+import {Seen} from '@dogwooddeck/routing/outcome';
+import {type AttemptResult} from '@dogwooddeck/entry/attempt';
+import {UpstreamPool} from '@dogwooddeck/entry/upstream-pool';
+
+const timeoutMilliseconds = 400;
+const slackMilliseconds = 500;
+/** As an entry does. */
+const closeMilliseconds = 100;
+/** What one answer may add to the memory of the process: many times what is gathered of it. */
+const mostMemoryBytes = 67_108_864;
+
+const named = 'Identifier: a\r\n';
+
+type Case = {
+	readonly name: string;
+	readonly begin: string;
+	/** What follows again and again. */
+	readonly more: string;
+	/** How often a second it is sent; as fast as it is read where left out. */
+	readonly perSecond?: number;
+	readonly seen: readonly Seen[];
+	/** Whether it has to end well before the deadline, as no answer can come of it any more. */
+	readonly endsEarly: boolean;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'bytes that are no answer', begin: '', more: '\u0000\u0001garbage', seen: [Seen.closedAfterFirstByte], endsEarly: true,
+	},
+	{
+		name: 'a status line', begin: 'HTTP/1.1 200 O', more: 'K'.repeat(1000), seen: [Seen.closedAfterFirstByte], endsEarly: true,
+	},
+	{
+		name: 'one header field', begin: 'HTTP/1.1 200 OK\r\nField: ', more: 'x'.repeat(1000), seen: [Seen.closedAfterFirstByte], endsEarly: true,
+	},
+	{
+		name: 'header fields', begin: 'HTTP/1.1 200 OK\r\n', more: 'Field: x\r\n'.repeat(100), seen: [Seen.closedAfterFirstByte], endsEarly: true,
+	},
+	{
+		name: 'heads that announce another', begin: '', more: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n', seen: [Seen.foreignAnswer, Seen.closedAfterFirstByte], endsEarly: true,
+	},
+	{
+		name: 'heads that announce another, slowly', begin: '', more: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n', perSecond: 100, seen: [Seen.deadlinePassedAfterFirstByte], endsEarly: false,
+	},
+	{
+		name: 'a body that ends with the connection', begin: `HTTP/1.1 200 OK\r\n${named}\r\n`, more: 'x'.repeat(1000), seen: [Seen.deadlinePassedAfterFirstByte], endsEarly: false,
+	},
+	{
+		name: 'a body in chunks', begin: `HTTP/1.1 200 OK\r\n${named}Transfer-Encoding: chunked\r\n\r\n`, more: '4\r\nmore\r\n', seen: [Seen.deadlinePassedAfterFirstByte], endsEarly: false,
+	},
+	{
+		name: 'the extension of a chunk', begin: `HTTP/1.1 200 OK\r\n${named}Transfer-Encoding: chunked\r\n\r\n4;`, more: 'x'.repeat(1000), seen: [Seen.deadlinePassedAfterFirstByte, Seen.cutAnswer], endsEarly: false,
+	},
+	{
+		name: 'trailers', begin: `HTTP/1.1 200 OK\r\n${named}Transfer-Encoding: chunked\r\n\r\n0\r\n`, more: 'Field: x\r\n'.repeat(100), seen: [Seen.cutAnswer], endsEarly: true,
+	},
+	{
+		name: 'the body of a refusal', begin: `HTTP/1.1 503 Full\r\n${named}Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n`, more: '4\r\nmore\r\n', seen: [Seen.shed], endsEarly: true,
+	},
+	{
+		name: 'the body of a refusal, slowly', begin: `HTTP/1.1 503 Full\r\n${named}Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n`, more: '4\r\nmore\r\n', perSecond: 20, seen: [Seen.shed], endsEarly: true,
+	},
+	{
+		name: 'the body of an answer to another request', begin: 'HTTP/1.1 200 OK\r\nIdentifier: b\r\n\r\n', more: 'x'.repeat(1000), seen: [Seen.foreignAnswer], endsEarly: true,
+	},
+];
+
+/** Writes the same again and again until the connection is closed by the other side. */
+function pour(socket: Socket, {begin, more, perSecond}: Case): void {
+	socket.write(begin);
+	if (perSecond !== undefined) {
+		const pouring = setInterval(() => {
+			socket.write(more);
+		}, 1000 / perSecond);
+		socket.on('close', () => {
+			clearInterval(pouring);
+		});
+		return;
+	}
+
+	const block = Buffer.from(more.repeat(Math.ceil(16_384 / more.length)));
+	const write = (): void => {
+		if (!socket.destroyed && socket.write(block)) {
+			setImmediate(write);
+		}
+	};
+
+	socket.on('drain', write);
+	write();
+}
+
+/** A request to a pool, by its deadline. */
+async function attempt(pool: UpstreamPool, milliseconds: number): Promise<AttemptResult> {
+	return new Promise(resolve => {
+		pool.send({
+			method: 'GET',
+			path: '/',
+			headers: ['Host', 'example'],
+			body: undefined,
+			timeoutMilliseconds: milliseconds,
+			refusedOn: new Set(),
+			rules: {
+				isNotRun: (_status, {headers}) => headers.includes('Not-Run'),
+				isForeign: (_status, {headers}) => !headers.includes('a'),
+			},
+			mayStart: () => true,
+			onLong: {
+				begin: () => undefined,
+				write: () => true,
+			},
+			onEnd: resolve,
+		});
+	});
+}
+
+for (const poured of cases) {
+	test(`endless: ${poured.name}`, async () => {
+		const counts = {open: 0, connections: 0};
+		const server = createServer(socket => {
+			counts.connections += 1;
+			counts.open += 1;
+			const isFirst = counts.connections === 1;
+			socket.on('error', () => {
+				socket.destroy();
+			});
+			socket.on('close', () => {
+				counts.open -= 1;
+			});
+			socket.once('data', () => {
+				if (isFirst) {
+					pour(socket, poured);
+				} else {
+					socket.write(`HTTP/1.1 200 OK\r\n${named}Content-Length: 5\r\n\r\nwhole`);
+				}
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 5000});
+		const memory = process.memoryUsage().rss;
+		const closing = setInterval(() => {
+			pool.closeEndless();
+		}, closeMilliseconds);
+		const startedAt = performance.now();
+		const result = await attempt(pool, timeoutMilliseconds);
+		const took = performance.now() - startedAt;
+		assert.ok(poured.seen.includes(result.seen), result.seen);
+		assert.ok(took < (poured.endsEarly ? timeoutMilliseconds : timeoutMilliseconds + slackMilliseconds), `${took} ms`);
+		const next = await attempt(pool, timeoutMilliseconds);
+		assert.equal(next.seen, Seen.wholeAnswer);
+		assert.ok(next.milliseconds < timeoutMilliseconds / 2, `the next request took ${next.milliseconds} ms`);
+		while (counts.open > 1) {
+			assert.ok(performance.now() - startedAt < timeoutMilliseconds + (2 * slackMilliseconds), 'the connection stays open');
+			await new Promise(resolve => {
+				setTimeout(resolve, 5);
+			});
+		}
+
+		assert.ok(process.memoryUsage().rss - memory < mostMemoryBytes, `${process.memoryUsage().rss - memory} bytes`);
+		clearInterval(closing);
+		pool.close();
+		server.close();
+	});
+}
--- a/packages/upstream-client/src/exchange.ts
+++ b/packages/upstream-client/src/exchange.ts
@@ -20,8 +20,10 @@
 	onHead(status: number, headers: RawHeaders): void;
 	/** A part of the body. `false` asks to wait until `resume`. */
 	onChunk(chunk: Uint8Array): boolean;
-	/** Called once and last. */
+	/** Called once, and last but for `onDrained`. */
 	onEnd(seen: Seen, retryAfterMilliseconds?: Milliseconds): void;
+	/** The rest of a shed answer was read: its connection can be used again. Before `onEnd` where the answer has no body. */
+	onDrained?(): void;
 };
 
 /** What an answer is held against. */
@@ -82,6 +84,8 @@
 	#unbounded = false;
 	#ended = false;
 	#drained = 0;
+	/** A shed answer without a body: its connection can be used again at once. */
+	#emptyShed: {readonly retryAfter: Milliseconds | undefined} | undefined;
 	#abort: (reason?: Error) => void = nothingToDo;
 	#resume: () => void = nothingToDo;
 
@@ -127,7 +131,7 @@
 		if (isForeign?.(status, head) === true) {
 			this.#finishAndAbort(Seen.foreignAnswer);
 		} else if (isNotRun(status, head)) {
-			this.#shed(bounded, retryAfterMilliseconds(head.retryAfter, Date.now()));
+			this.#shed(head, bounded);
 		} else if (bounded || endedInOrder !== undefined) {
 			this.#headSeen = true;
 			this.#sink.onHead(status, head.headers);
@@ -155,6 +159,12 @@
 	/** For `undici`. */
 	onComplete(): void {
 		clearTimeout(this.#timer);
+		if (this.#ended || this.#emptyShed !== undefined) {
+			this.#sink.onDrained?.();
+			this.#finish(Seen.shed, this.#emptyShed?.retryAfter);
+			return;
+		}
+
 		const isWhole = !this.#unbounded || this.#rules.endedInOrder?.() === true;
 		this.#finish(isWhole ? Seen.wholeAnswer : Seen.cutAnswer);
 	}
@@ -162,7 +172,9 @@
 	/** For `undici`. */
 	onError(error: Error & {readonly code?: string}): void {
 		clearTimeout(this.#timer);
-		if (this.#headSeen) {
+		if (this.#emptyShed !== undefined) {
+			this.#finish(Seen.shed, this.#emptyShed.retryAfter);
+		} else if (this.#headSeen) {
 			this.#finish(Seen.cutAnswer);
 		} else if (this.#handedOver) {
 			this.#finish(Seen.closedAfterFirstByte);
@@ -187,7 +199,13 @@
 	}
 
 	/** The head alone says that the request did not run; the rest is read only to keep the connection. */
-	#shed(bounded: boolean, retryAfter: Milliseconds | undefined): void {
+	#shed(head: AnswerHead, bounded: boolean): void {
+		const retryAfter = retryAfterMilliseconds(head.retryAfter, Date.now());
+		if (head.isEmpty) {
+			this.#emptyShed = {retryAfter};
+			return;
+		}
+
 		this.#finish(Seen.shed, retryAfter);
 		if (!bounded) {
 			this.#abort();
--- a/packages/upstream-client/src/headers.ts
+++ b/packages/upstream-client/src/headers.ts
@@ -50,6 +50,8 @@
 	readonly headers: string[];
 	/** Whether the end of the body can be told from a cut. */
 	readonly bounded: boolean;
+	/** Whether the body is known to be empty. */
+	readonly isEmpty: boolean;
 	/** The value of `Retry-After`. */
 	readonly retryAfter?: string;
 };
@@ -61,6 +63,7 @@
 	const fields = raw.map(field => (field as Buffer).toString('latin1'));
 	const headers: string[] = [];
 	let bounded = false;
+	let isEmpty = false;
 	let connection: string | undefined;
 	let retryAfter: string | undefined;
 	for (let position = 0; position < fields.length; position += 2) {
@@ -68,6 +71,7 @@
 		const value = fields[position + 1]!;
 		const lowerCase = name.toLowerCase();
 		bounded ||= lowerCase === 'content-length' || (lowerCase === 'transfer-encoding' && lastIsChunked.test(value));
+		isEmpty ||= lowerCase === 'content-length' && value.trim() === '0';
 		connection = lowerCase === 'connection' ? value.toLowerCase() : connection;
 		retryAfter = lowerCase === 'retry-after' ? value : retryAfter;
 		if (!stoppedInAnswers.has(lowerCase)) {
@@ -76,7 +80,9 @@
 	}
 
 	const named = namedFields(connection);
-	return {headers: named.size === 0 ? headers : withoutNamed(headers, named), bounded, ...(retryAfter === undefined ? {} : {retryAfter})};
+	return {
+		headers: named.size === 0 ? headers : withoutNamed(headers, named), bounded, isEmpty, ...(retryAfter === undefined ? {} : {retryAfter}),
+	};
 }
 
 function withoutNamed(headers: RawHeaders, named: ReadonlySet<string>): string[] {
