Make one entry of the log of a change that is sent again

Seen in the incident: the first call for a change of 503 items had run into its deadline, and the same items stood in the log twice, 0.4 s apart; each copy went to all voters and entries while the link was full.

A change that is taken already, or was overtaken, is confirmed by a round of the log and not written; one that is under way is joined.

--- a/packages/control-node/src/leader-desk.ts
+++ b/packages/control-node/src/leader-desk.ts
@@ -5,6 +5,8 @@
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {recordAnnouncement} from '@dogwooddeck/directory/announcement';
+import {type ItemChange} from '@dogwooddeck/directory/item';
+import {isTaken} from '@dogwooddeck/directory/item-change';
 import {planDirectory} from '@dogwooddeck/directory/key-plan';
 import {type DirectoryCommand, encodeCommands} from '@dogwooddeck/directory/state';
 import {type UpstreamRecord} from '@dogwooddeck/directory/upstream';
@@ -106,6 +108,8 @@
 	let joinedAt: MonotonicTime = -Infinity;
 	/** The rounds that have not begun yet, by the time that announcements are gathered for. */
 	const confirming = new Map<Milliseconds, Promise<Result<LogIndex, Failure>>>();
+	/** The changes of items that are under way, by their text. */
+	const declaring = new Map<string, Promise<Result<LogIndex, Failure>>>();
 	const propose = createProposals(async payload => voter().propose(payload));
 
 	function isKeyed(service: string): boolean {
@@ -166,6 +170,23 @@
 		return confirmed.isErr ? confirmed : waitForExpiry();
 	}
 
+	/**
+	 * Takes a change in, unless it is taken or under way already: operators send a
+	 * change again when they hear nothing, and each entry of the log goes to all instances.
+	 */
+	async function declareOnce(changes: readonly ItemChange[]): Promise<Result<LogIndex, Failure>> {
+		if (isTaken(holder.state().items, changes)) {
+			return voter().read();
+		}
+
+		const text = JSON.stringify(changes);
+		const known = declaring.get(text) ?? propose([{kind: 'itemsChanged', changes}]);
+		declaring.set(text, known);
+		const proposed = await known;
+		declaring.delete(text);
+		return proposed;
+	}
+
 	/** The record that an announcement is about; undefined where the sender's table was older and this one has another life. */
 	function recordOf({upstream, keys: {life}}: AnnouncementReport): UpstreamRecord | undefined {
 		const known = holder.state().upstreams[life.id];
@@ -285,7 +306,7 @@
 			return proposed.map(() => ({}));
 		},
 		async declare({changes}) {
-			const proposed = await propose([{kind: 'itemsChanged', changes}]);
+			const proposed = await declareOnce(changes);
 			log.event(EventName.itemsDeclared, {
 				items: changes.length,
 				first: changes[0]?.name,
--- a/packages/control-node/test/test-leader-desk.ts
+++ b/packages/control-node/test/test-leader-desk.ts
@@ -2,6 +2,7 @@
 import {test, type TestContext} from 'node:test';
 import {pause} from '@dogwooddeck/clock/pause';
 import {type Announcement} from '@dogwooddeck/directory/announcement';
+import {type ItemChange} from '@dogwooddeck/directory/item';
 import {directoryMachine, type DirectoryCommand, encodeCommands} from '@dogwooddeck/directory/state';
 import {UpstreamState} from '@dogwooddeck/directory/upstream';
 import {type AnnouncementAnswer} from '@dogwooddeck/mesh/calls';
@@ -18,12 +19,15 @@
 };
 
 type Scene = {
+	readonly declare: (changes: readonly ItemChange[]) => Promise<Result<{readonly index: number}, Failure>>;
 	readonly announce: (announcement: Announcement) => Promise<Result<AnnouncementAnswer, Failure>>;
 	readonly holder: DirectoryHolder;
 	readonly commit: (commands: readonly DirectoryCommand[]) => void;
 	readonly leads: {value: boolean};
 	/** How long a round of the log takes. */
 	readonly roundMilliseconds: {value: number};
+	/** How long the log takes to commit. */
+	readonly commitMilliseconds: {value: number};
 	readonly advance: (milliseconds: number) => Promise<void>;
 };
 
@@ -35,10 +39,15 @@
 	const holder = createStateHolder(directoryMachine);
 	const leads = {value: true};
 	const roundMilliseconds = {value: 0};
+	const commitMilliseconds = {value: 0};
 	const lost = failure(FailureKind.notLeader, 'another voter leads');
 	const commit = (commands: readonly DirectoryCommand[]) => holder.apply(holder.state().applied + 1, encodeCommands(commands));
 	const voter = {
 		async propose(payload: string) {
+			if (commitMilliseconds.value > 0) {
+				await pause(commitMilliseconds.value);
+			}
+
 			const index = holder.state().applied + 1;
 			return leads.value ? ok({index, answers: holder.apply(index, payload) ?? []}) : err(lost);
 		},
@@ -59,10 +68,12 @@
 	});
 	return {
 		announce,
+		declare: async changes => desk.declare({changes}),
 		holder,
 		commit,
 		leads,
 		roundMilliseconds,
+		commitMilliseconds,
 		async advance(milliseconds) {
 			for (let passed = 0; passed < milliseconds; passed += 10) {
 				now += 10;
@@ -161,3 +172,52 @@
 	assert.equal(answered.value?.isOk, true);
 	assert.equal(scene.holder.state().upstreams['1']?.state, UpstreamState.draining);
 });
+
+function service(name: string, version: number, maxConnections = 10): ItemChange {
+	return {kind: 'service', name, item: {version, value: {keyed: false, maxConnections}, document: String(maxConnections)}};
+}
+
+type Declared = {readonly changes: readonly ItemChange[]; readonly isTaken: boolean};
+
+const declarations: ReadonlyArray<{readonly name: string; readonly together: ReadonlyArray<readonly Declared[]>; readonly entries: number}> = [
+	{
+		name: 'sent twice at once', together: [[{changes: [service('t', 2)], isTaken: true}, {changes: [service('t', 2)], isTaken: true}]], entries: 1,
+	},
+	{
+		name: 'sent again later', together: [[{changes: [service('t', 2)], isTaken: true}], [{changes: [service('t', 2)], isTaken: true}]], entries: 1,
+	},
+	{
+		name: 'sent again after a later one', together: [[{changes: [service('t', 2)], isTaken: true}], [{changes: [service('t', 3)], isTaken: true}], [{changes: [service('t', 2)], isTaken: true}]], entries: 2,
+	},
+	{
+		name: 'with other content under its version', together: [[{changes: [service('t', 2)], isTaken: true}], [{changes: [service('t', 2, 11)], isTaken: false}]], entries: 2,
+	},
+];
+
+for (const {name, together, entries} of declarations) {
+	test(`leader desk: a change ${name} makes ${entries} ${entries === 1 ? 'entry' : 'entries'} of the log`, async context => {
+		const scene = startScene(context);
+		const before = scene.holder.state().applied;
+		for (const declared of together) {
+			const asked = Promise.all(declared.map(async ({changes}) => scene.declare(changes)));
+			await scene.advance(50);
+			const answers = await asked;
+			assert.deepEqual(answers.map(({isOk}) => isOk), declared.map(({isTaken}) => isTaken));
+		}
+
+		assert.equal(scene.holder.state().applied - before, entries);
+	});
+}
+
+test('leader desk: a change that is sent again while it is under way makes one entry of the log', async context => {
+	const scene = startScene(context);
+	const before = scene.holder.state().applied;
+	scene.commitMilliseconds.value = 300;
+	const first = scene.declare([service('t', 2)]);
+	await scene.advance(100);
+	const second = scene.declare([service('t', 2)]);
+	await scene.advance(700);
+	const answers = await Promise.all([first, second]);
+	assert.deepEqual(answers.map(({isOk}) => isOk), [true, true]);
+	assert.equal(scene.holder.state().applied - before, 1);
+});
--- a/packages/directory/src/item-change.ts
+++ b/packages/directory/src/item-change.ts
@@ -63,7 +63,7 @@
 		}
 	}
 
-	return {...items, ...copies as Partial<Items>};
+	return Object.keys(copies).length === 0 ? items : {...items, ...copies as Partial<Items>};
 }
 
 function unknownService(targets: ReadonlyArray<readonly [string, Route]>, isKnown: (service: string) => boolean): string | undefined {
@@ -97,6 +97,11 @@
 	return conflict === undefined ? undefined : failure(FailureKind.conflict, conflict);
 }
 
+/** Whether a change is valid and changes nothing, as it was taken before or was overtaken. */
+export function isTaken(items: Items, changes: readonly ItemChange[]): boolean {
+	return changeItems(items, changes).map(changed => changed === items).unwrapOr(false);
+}
+
 /**
  * The items after a change. Items of lower or equal versions change nothing, and
  * a change that was taken before is taken again. Fails with `settingsInvalid`,
