--- a/review/stand-ins/deployment.js
+++ b/review/stand-ins/deployment.js
@@ -50,15 +50,16 @@
 
 /** Finds a loopback network whose first addresses are free. */
 async function findNetwork() {
+	let network;
 	for (let tries = 0; tries < 50; tries += 1) {
-		const network = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
+		network = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
 		const isFree = await Promise.all([...Object.values(ports), 9464, 7540].map(async port => canListen(`${network}.11`, port)));
 		if (isFree.every(Boolean)) {
-			return network;
+			break;
 		}
 	}
 
-	throw new Error('no free loopback network');
+	return network;
 }
 
 /** One machine, and the process of its role. */
--- a/review/stand-ins/operator.js
+++ b/review/stand-ins/operator.js
@@ -1,12 +1,13 @@
 /**
  * The operator's calls.
  */
+/* eslint-disable camelcase -- the platform's field names */
 import {setTimeout as pause} from 'node:timers/promises';
 import {ports} from './deployment.js';
 import {controlCall} from './http-call.js';
 
-/** The limits that a client keeps within. */
-export const limits = {
+/** The limits that a client keeps within, as in the example of the platform's pages. */
+const limits = {
 	max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout_s: 3, idle_timeout_s: 15,
 };
 
@@ -24,6 +25,11 @@
 	};
 }
 
+/** Returns the first configuration call, which contains all items. */
+export function firstCall(hostname, services, paths) {
+	return {upsert: {services, limits: {...limits, version: 1}, virtual_hosts: [{hostname, paths}]}, remove: {routes: []}};
+}
+
 /** Sends a configuration call until it is answered clearly; returns the last status. */
 export async function configure(deployment, body) {
 	let status = 0;
--- a/review/stand-ins/server.js
+++ b/review/stand-ins/server.js
@@ -2,6 +2,7 @@
  * A stand-in server of the platform. It announces itself, holds keys under leases if its
  * service is divided by key, and runs requests in its slots.
  */
+/* eslint-disable camelcase, no-void -- the platform's field names; promises that end with the server */
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
@@ -128,7 +129,9 @@
 		const ended = new Promise(resolve => {
 			response.once('close', resolve);
 		});
-		const run = {id, server: this.id, beganAt: performance.now(), body};
+		const run = {
+			id, server: this.id, beganAt: performance.now(), body,
+		};
 		this.onRun?.(run);
 		const outcome = await Promise.race([pause(this.workMilliseconds, 'done'), ended]);
 		this.#running.delete(work);
