--- a/review/2/case.js
+++ b/review/2/case.js
@@ -27,7 +27,8 @@
 const spells = 6;
 const betweenMilliseconds = 5000;
 const readersPerEntry = 60;
-const buyersPerEntry = 8;
+const buyersPerEntry = 12;
+const orderTimeoutMilliseconds = 10_000;
 const lostThatBreakTheRule = 4;
 const oneByteChunks = Buffer.from('1\r\na\r\n'.repeat(10_000));
 
@@ -91,8 +92,8 @@
 			method: 'POST',
 			path: `/order/${order.id}`,
 			body: 'one satchel',
-			timeoutMilliseconds: 2500,
-			headers: {host: hostname, 'Dogwooddeck-Request-Id': order.id, 'Dogwooddeck-Deadline-Ms': '2500'},
+			timeoutMilliseconds: orderTimeoutMilliseconds,
+			headers: {host: hostname, 'Dogwooddeck-Request-Id': order.id, 'Dogwooddeck-Deadline-Ms': String(orderTimeoutMilliseconds)},
 		});
 		order.status = answer?.status;
 		order.endedAt = performance.now();
@@ -116,7 +117,9 @@
 		await pause(1500);
 		const status = await configure(deployment, firstCall(hostname, [serviceOf('reads'), serviceOf('orders')], [
 			routeOf('r-reads', {path_prefix: '/read/', service: 'reads', priority: 2}),
-			routeOf('r-orders', {path_prefix: '/order/', service: 'orders', kind: 'unsafe'}),
+			routeOf('r-orders', {
+				path_prefix: '/order/', service: 'orders', kind: 'unsafe', timeout_s: orderTimeoutMilliseconds / 1000, target_latency_s: 2,
+			}),
 		]));
 		const serverOf = (service, position, host) => new StandInServer(deployment, {
 			id: `i-${service}-${position}`,
@@ -163,7 +166,7 @@
 
 		state.isOver = true;
 		await Promise.all([...supervisors, ...clients]);
-		const lost = orders.filter(({id, isKept, status: answered, sentAt, endedAt}) => isKept && answered === undefined && runs.has(id) && endedAt - sentAt < 2400);
+		const lost = orders.filter(({id, isKept, status: answered, sentAt, endedAt}) => isKept && answered === undefined && runs.has(id) && endedAt - sentAt < orderTimeoutMilliseconds - 500);
 		for (const {id, entry, sentAt, endedAt} of lost) {
 			const times = `sent at ${Math.round(sentAt - startedAt)}, closed at ${Math.round(endedAt - startedAt)}`;
 			note(`LOST: order ${id} on a kept connection to ${entry} ran at ${runs.get(id).server}; the connection closed without an answer; ${times}`);
