--- a/review/2/case.js
+++ b/review/2/case.js
@@ -183,6 +183,12 @@
 	}
 }
 
-const code = await main();
+let code = 2;
+try {
+	code = await main();
+} catch (error) {
+	console.error(error);
+}
+
 writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
 process.exit(code); // eslint-disable-line unicorn/no-process-exit
