--- a/packages/entry/test/test-allowed-regions.ts
+++ b/packages/entry/test/test-allowed-regions.ts
@@ -48,7 +48,9 @@
 		name, {...item, value: {...item.value!, ...(allowedRegions === undefined ? {} : {allowedRegions})}},
 	]));
 	const records = Object.entries(directory.upstreams).map(([id, record], position) => [id, {...record, zone: zones[position]!}] as const);
-	return {...directory, applied: 2, items: {...directory.items, route}, upstreams: Object.fromEntries(records)};
+	return {
+		...directory, applied: 2, items: {...directory.items, route}, upstreams: Object.fromEntries(records),
+	};
 }
 
 async function reachedBy(entry: Entry, upstreams: readonly Upstream[], tested: Case): Promise<string> {
