Keep large bodies in the region in which they arrive

Cause: a request with a large body crossed regions as soon as no upstream of its region had room; such bodies take most of the narrow link between regions. Change: routes with large bodies use upstreams of another region only where the own one has none that is available; they wait or are refused otherwise. Routes with ordinary bodies are chosen for as before.

--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -2,6 +2,8 @@
  * The choice of an upstream for one request: which upstreams may process it, the
  * cheapest of them that has room now, and what the request waits for if none has.
  */
+import {BodySize} from '@dogwooddeck/directory/item';
+import {keepLocal} from '@dogwooddeck/gateway/body-locality';
 import {selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
 import {waitDeadline} from '@dogwooddeck/gateway/waiting';
 import {type NamedRoute} from '@dogwooddeck/gateway/route-table';
@@ -107,7 +109,8 @@
 	#chooseAny(connections: number, now: MonotonicTime): CachedUpstream | undefined {
 		const allowed = this.#allowed;
 		const use = leavingUseOf(allowed);
-		const available = allowed.filter(({notices, pool}) => notices.waitFor(use, now) === 0 && pool.hasRoom(connections, this.refusedOn));
+		const open = keepLocal(allowed.filter(({notices}) => notices.waitFor(use, now) === 0), this.#route.bodySize ?? BodySize.ordinary);
+		const available = open.filter(({pool}) => pool.hasRoom(connections, this.refusedOn));
 		return selectUpstream(available, this.attempted, now) ?? (this.attempted.length > 0 ? selectUpstream(available, [], now) : undefined);
 	}
 }
