Keep a key that no upstream can process where it is, and refuse its excess alone

Cause: the plan moved that key from holder to holder, because each holder's answers, which include the time in its queue, made it look slow, and moved its neighbours away piece by piece; and the holder's share was drawn for requests of all its keys. Change: a dominant key moves at most to a far faster upstream; its holder takes no part in balancing; the key has a share of its own beside which the requests for other keys keep their room; answers of overloaded upstreams no longer count for their speed.

--- a/packages/control-node/src/leader-coordinator.ts
+++ b/packages/control-node/src/leader-coordinator.ts
@@ -14,6 +14,7 @@
 import {
 	createGrantingState, type GrantingState, type GrantingOptions, lapsedRows, mayHoldUntil, recordAnswer, recordContact, grantedRows, vacatedByAnnouncement,
 } from '@dogwooddeck/key-lease/granting';
+import {dominantKeys} from '@dogwooddeck/key-lease/dominant-key';
 import {type HeldSpan, rangesOf} from '@dogwooddeck/key-lease/command';
 import {type HolderShare, holderShares, sustainableRate} from '@dogwooddeck/key-lease/holder-load';
 import {type KeyRate} from '@dogwooddeck/key-lease/planning';
@@ -272,13 +273,16 @@
 		}
 	}
 
-	/** The overloaded upstreams of a service. */
-	function overloadedHolders(service: string, rates: readonly KeyRate[], now: MonotonicTime): readonly HolderShare[] {
-		const {keys, upstreams} = holder.state();
+	/** The requests per second that an upstream of a service can process. */
+	function sustainableRateOf(service: string, now: MonotonicTime): (upstream: UpstreamIncarnation) => number {
+		const {upstreams} = holder.state();
 		const meanLatency = loads.meanLatency(service, now);
-		return holderShares(rangesOf(keys, service), rates, ({id}) => sustainableRate({
-			slots: upstreams[id]?.slots ?? 0, meanLatency, relativeSpeed: loads.speed(id, service, now),
-		}));
+		return ({id}) => sustainableRate({slots: upstreams[id]?.slots ?? 0, meanLatency, relativeSpeed: loads.speed(id, service, now)});
+	}
+
+	/** The overloaded upstreams and dominant keys of a service. */
+	function overloadedHolders(service: string, rates: readonly KeyRate[], now: MonotonicTime): readonly HolderShare[] {
+		return holderShares(rangesOf(holder.state().keys, service), rates, sustainableRateOf(service, now));
 	}
 
 	function planNow(): void {
@@ -300,6 +304,7 @@
 				rates: rates.get(service) ?? [],
 				countedMilliseconds: longDecayMilliseconds,
 				relativeSpeedOf: upstream => loads.speed(upstream, service, now),
+				dominant: dominantKeys(rangesOf(holder.state().keys, service), rates.get(service) ?? [], sustainableRateOf(service, now)),
 			}),
 		});
 		shares = [...rates].flatMap(([service, counted]) => overloadedHolders(service, counted, now));
@@ -340,7 +345,8 @@
 			return index.map(confirmed => ({index: confirmed}));
 		},
 		reportLoad(report) {
-			loads.add(report, monotonicNow());
+			const overloaded = new Set(shares.map(({life}) => life.id));
+			loads.add(report, monotonicNow(), upstream => overloaded.has(upstream));
 		},
 		shares: () => shares,
 		begin() {
--- a/packages/control-node/src/load-counts.ts
+++ b/packages/control-node/src/load-counts.ts
@@ -48,8 +48,8 @@
 export class LoadCounts {
 	readonly #services = new Map<string, ServiceCounts>();
 
-	/** Adds a load report. */
-	add(report: LoadReport, now: MonotonicTime): void {
+	/** Adds a load report. Answers of overloaded upstreams include the time in their queues, and tell nothing about their speed. */
+	add(report: LoadReport, now: MonotonicTime, isOverloaded: (upstream: string) => boolean = () => false): void {
 		for (const {service, counts, answers} of report.services) {
 			const serviceCounts = this.#decayedCounts(service, now);
 			for (const [key, count] of counts) {
@@ -59,7 +59,7 @@
 			}
 
 			const sums = new Map(serviceCounts.answers);
-			for (const [upstream, count, milliseconds] of answers) {
+			for (const [upstream, count, milliseconds] of answers.filter(([answering]) => !isOverloaded(answering))) {
 				const sum = sums.get(upstream) ?? {count: 0, milliseconds: 0};
 				sums.set(upstream, {count: sum.count + count, milliseconds: sum.milliseconds + milliseconds});
 			}
--- a/packages/directory/src/directory-plan.ts
+++ b/packages/directory/src/directory-plan.ts
@@ -4,6 +4,7 @@
  * keys.
  */
 import {rangesOf} from '@dogwooddeck/key-lease/command';
+import {type DominantKey} from '@dogwooddeck/key-lease/dominant-key';
 import {type GrantingState, type GrantingOptions, vacatedByTime} from '@dogwooddeck/key-lease/granting';
 import {type Candidate, type KeyRate, planKeys} from '@dogwooddeck/key-lease/planning';
 import {type UpstreamIncarnation, incarnationText, sameIncarnation} from '@dogwooddeck/key-lease/range';
@@ -21,6 +22,8 @@
 	readonly countedMilliseconds: Milliseconds;
 	/** The speed of an upstream relative to the others: 1 is equal, or not measured. */
 	readonly relativeSpeedOf: (upstream: string) => number;
+	/** The keys that alone exceed what their holders can process; none if omitted. */
+	readonly dominant?: readonly DominantKey[];
 };
 
 /** The input of a plan. */
@@ -87,7 +90,7 @@
 
 	const work = input.workOf(service);
 	const {granted, recalled} = planKeys({
-		ranges, candidates: candidatesOf(input, service, work), rates: work.rates, countedMilliseconds: work.countedMilliseconds, mostRanges: input.mostRanges,
+		ranges, candidates: candidatesOf(input, service, work), rates: work.rates, countedMilliseconds: work.countedMilliseconds, mostRanges: input.mostRanges, ...(work.dominant === undefined ? {} : {dominant: work.dominant}),
 	});
 	return [
 		...(granted.length === 0 ? [] : [{kind: 'keysGranted', service, rows: granted} as const]),
--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -30,6 +30,8 @@
 	readonly entryCount: () => number;
 	/** Returns the fraction of the requests for its keys that an overloaded upstream can process; 1 for other upstreams. */
 	readonly shareOf: (upstream: UpstreamIncarnation) => number;
+	/** Returns the fraction of the requests for one key that its holder can process; undefined if the key has no share of its own. */
+	readonly keyShareOf: (upstream: UpstreamIncarnation, key: number) => number | undefined;
 	/** Follows further control instances. */
 	readonly followAlso: (addresses: readonly string[]) => void;
 	readonly stop: () => void;
@@ -101,6 +103,11 @@
 	return isServed ? FollowMode.nothing : FollowMode.changes;
 }
 
+/** What a share is announced for: all keys of an upstream, or one of them. */
+function shareName(upstream: UpstreamIncarnation, key?: number): string {
+	return key === undefined ? incarnationText(upstream) : `${incarnationText(upstream)}#${key}`;
+}
+
 type ControlStream = {following?: FollowStream; distance?: Distance; mode: FollowMode; leaderContactAt: MonotonicTime; lastContactAt: MonotonicTime; isOpen: boolean; hasReceived: boolean; entries: number};
 
 /** Starts to follow the control instances at `seeds`, and the members that they report. */
@@ -116,6 +123,10 @@
 	/** The highest log index that any control instance reported as committed. */
 	let committed: LogIndex = 0;
 
+	function announcedShare(name: string): number | undefined {
+		return monotonicNow() - sharesAt <= sharesLifetimeMilliseconds ? shares.get(name) : undefined;
+	}
+
 	function receive(address: string, stream: ControlStream, message: FollowMessage): void {
 		if (!stream.hasReceived && stream.mode === FollowMode.changes) {
 			log.event(EventName.controlGained, {control: address, fresh: message.fresh, applied: holder.state().applied});
@@ -126,7 +137,7 @@
 		stream.leaderContactAt = message.fresh ? stream.lastContactAt : stream.leaderContactAt;
 		stream.distance = distanceOf(zone, message.zone, regions);
 		stream.entries = message.entryCount;
-		shares = new Map(message.shares.map(({life, share}) => [incarnationText(life), share]));
+		shares = new Map(message.shares.map(({life, share, key}) => [shareName(life, key), share]));
 		sharesAt = stream.lastContactAt;
 		if (message.catchUp !== undefined) {
 			holder.catchUp(message.catchUp);
@@ -220,7 +231,8 @@
 			return active.sort(([, one], [, other]) => ranks[one.distance!] - ranks[other.distance!])[0]?.[0];
 		},
 		entryCount: () => Math.max(1, ...[...streams.values()].map(({isOpen, entries}) => isOpen ? entries : 1)),
-		shareOf: upstream => monotonicNow() - sharesAt <= sharesLifetimeMilliseconds ? shares.get(incarnationText(upstream)) ?? 1 : 1,
+		shareOf: upstream => announcedShare(shareName(upstream)) ?? 1,
+		keyShareOf: (upstream, key) => announcedShare(shareName(upstream, key)),
 		followAlso(addresses) {
 			for (const address of addresses) {
 				open(address);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -113,6 +113,7 @@
 		},
 		endsAt: () => endsAt,
 		shareOf: follower.shareOf,
+		keyShareOf: follower.keyShareOf,
 		random,
 	};
 	const callers: CallerServer = await startCallerServer(settings.callers, (exchange, path) => {
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -41,6 +41,8 @@
 	readonly endsAt: () => MonotonicTime;
 	/** The fraction of the requests for its keys that an upstream can process, as reported by control instances. */
 	readonly shareOf: (upstream: UpstreamIncarnation) => number;
+	/** The fraction of the requests for one key that its holder can process; undefined if none is announced for the key. */
+	readonly keyShareOf: (upstream: UpstreamIncarnation, key: number) => number | undefined;
 };
 
 /** The maximum number of attempts of a request, including those that upstreams refuse. */
@@ -165,11 +167,23 @@
 		this.#dispatch();
 	}
 
-	/** Admits only a fraction of the least urgent requests for an overloaded holder, unless the pace of keys limits them already. */
+	/**
+	 * Admits only a fraction of the requests for a key that exceeds its holder's capacity, and of the least urgent
+	 * ones for an overloaded holder, unless the pace of keys limits them already.
+	 */
 	#isAdmitted(service: CachedService, target: KeyTarget): boolean {
-		const {table, shareOf, random} = this.#dependencies;
+		const {
+			table, shareOf, keyShareOf, random,
+		} = this.#dependencies;
 		const {holder} = target;
-		return holder === undefined || target.isPaced(holder) || this.#route!.priority < table.leastUrgentPriority(service.name) || random() < shareOf(holder.record);
+		if (holder === undefined || target.isPaced(holder)) {
+			return true;
+		}
+
+		const keyShare = keyShareOf(holder.record, target.key);
+		return keyShare === undefined
+			? this.#route!.priority < table.leastUrgentPriority(service.name) || random() < shareOf(holder.record)
+			: random() < keyShare;
 	}
 
 	/** Sends the request if there is room, or queues it, or refuses it. */
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -152,6 +152,7 @@
 		},
 		endsAt: () => Infinity,
 		shareOf: () => 1,
+		keyShareOf: () => undefined,
 		random: () => 0,
 		...overrides,
 	};
--- a/packages/gateway/test/test-overload.ts
+++ b/packages/gateway/test/test-overload.ts
@@ -8,7 +8,7 @@
 import {test} from 'node:test';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {holderShares, sustainableRate} from '@dogwooddeck/key-lease/holder-load';
+import {type HolderShare, holderShares, sustainableRate} from '@dogwooddeck/key-lease/holder-load';
 import {keyCount} from '@dogwooddeck/key-lease/range';
 import {isPaced, KeyPacer} from '@dogwooddeck/gateway/key-pace';
 import {Signal, UpstreamLoad} from '@dogwooddeck/gateway/upstream-load';
@@ -46,12 +46,12 @@
 /** The time constant of the counts: their weight decays to 1/e within this time. */
 const decayMilliseconds = 1000;
 
-/** The control role: counts requests and announces the holder's share after a delay. */
+/** The control role: counts requests, and announces the shares of the holder and of its hot key after a delay. */
 class Control {
-	share = 1;
 	readonly #pattern: Pattern;
 	readonly #counts = new Map<number, number>();
-	readonly #announced: Array<{readonly at: number; readonly share: number}> = [];
+	readonly #announced: Array<{readonly at: number; readonly shares: readonly HolderShare[]}> = [];
+	#shares: readonly HolderShare[] = [];
 
 	constructor(pattern: Pattern) {
 		this.#pattern = pattern;
@@ -61,26 +61,29 @@
 		this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
 	}
 
+	/** The share that is announced for one key, or for the holder's keys if `key` is undefined. */
+	shareOf(key: number | undefined): number | undefined {
+		return this.#shares.find(share => share.key === key)?.share;
+	}
+
 	step(now: number): void {
-		const announced = this.#announced.findLast(({at}) => at <= now);
-		this.share = announced?.share ?? 1;
+		this.#shares = this.#announced.findLast(({at}) => at <= now)?.shares ?? [];
 		if (now % countMilliseconds === 0) {
-			this.#announced.push({at: now + announcementDelayMilliseconds, share: this.#shareNow()});
+			this.#announced.push({at: now + announcementDelayMilliseconds, shares: this.#sharesNow()});
 			for (const [key, count] of this.#counts) {
 				this.#counts.set(key, count * Math.exp(-countMilliseconds / decayMilliseconds));
 			}
 		}
 	}
 
-	#shareNow(): number {
+	#sharesNow(): readonly HolderShare[] {
 		const {slots, workMilliseconds} = this.#pattern;
 		const holder = {id: 'u', born: 1};
 		const rates = [...this.#counts].map(([key, count]) => ({key, rate: count * 1000 / decayMilliseconds})).sort((one, other) => one.key - other.key);
 		const perSecond = sustainableRate({slots, meanLatency: workMilliseconds, relativeSpeed: 1});
-		const [overload] = holderShares([{
+		return holderShares([{
 			from: 0, to: keyCount - 1, fence: 1, holder, told: true, handover: '',
 		}], rates, () => perSecond);
-		return overload?.share ?? 1;
 	}
 }
 
@@ -192,7 +195,7 @@
 		});
 		counts = {...counts, arrived: counts.arrived + 1, others: counts.others + (isHot ? 0 : 1)};
 		control.count(key);
-		if (!isPaced(capacityOf(load)) && random() >= control.share) {
+		if (!isPaced(capacityOf(load)) && random() >= (control.shareOf(key) ?? control.shareOf(undefined) ?? 1)) {
 			return;
 		}
 
@@ -243,11 +246,13 @@
 /**
  * Of six seconds of overload, 2.7 s are lost until control has counted (1 s) and
  * announced the share (0.6 s) and the full queue has drained (1.1 s); after that the
- * holder is kept at 85% utilization: 0.47, less a margin for chance. Its other keys
- * get as small a share of it as the hot one.
+ * holder is kept at 85% utilization: 0.47, less a margin for chance.
  */
 const minShareWithDelayedControl = 0.45;
 
+/** The other keys of a holder keep their room from the time on at which the hot key has its share, 3.3 of six seconds: 0.55, less a margin for chance. */
+const minOthersBesideHotKey = 0.45;
+
 /**
  * Of six seconds of overload, 1.1 s pass until the queue, which the instances fill
  * together, has been processed and each of them has seen a late answer, 0.5 s until
@@ -272,6 +277,9 @@
 	{
 		name: 'three times the work, many instances', instances: 86, slots: 2, workMilliseconds: 220, queue: 8, hotLoad: 3, otherLoad: 0.2, objectiveMilliseconds: 800, minInObjective: minShareWithDelayedControl, minOtherInObjective: 0,
 	},
+	{
+		name: 'a hot key beside others that its holder could process, many instances', instances: 68, slots: 4, workMilliseconds: 270, queue: 16, hotLoad: 6, otherLoad: 0.6, objectiveMilliseconds: 1010, minInObjective: minShareWithDelayedControl, minOtherInObjective: minOthersBesideHotKey,
+	},
 	{
 		name: 'twice the work, an upstream that hangs when it is full', instances: 10, slots: 4, workMilliseconds: 220, queue: 16, whenFull: 'hangs', hotLoad: 0.4, otherLoad: 1.6, earlyLoad: 0.5, objectiveMilliseconds: 800, minInObjective: minShareWithLateAnswers, minOtherInObjective: 0.4, maxLost: 0.01,
 	},
--- a/packages/key-lease/src/holder-load.ts
+++ b/packages/key-lease/src/holder-load.ts
@@ -6,9 +6,11 @@
  * Until the keys have moved, their holders receive many times the work that they
  * can process. Where many instances send to a holder, each sees too few requests
  * to notice the overload; the leader has the counts of all instances, so it
- * announces the shares to them.
+ * announces the shares to them. A single key that exceeds its holder's capacity has
+ * a share of its own, so that requests for the holder's other keys keep their room.
  */
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {type DominantKey, dominantKeys} from './dominant-key.js';
 import {type KeyRate} from './planning.js';
 import {type KeyRange, type UpstreamIncarnation, incarnationText} from './range.js';
 
@@ -18,6 +20,8 @@
 	readonly life: UpstreamIncarnation;
 	/** The share of the requests for its keys that it can process, between 0 and 1. */
 	readonly share: number;
+	/** Set if the share is that of the requests for this key alone. */
+	readonly key?: number;
 };
 
 /** The measured speed of an upstream. */
@@ -39,6 +43,9 @@
 /** Shares from this value up are not announced: rates are estimates, and the holder's queue absorbs so small an excess. */
 const maxAnnouncedShare = 0.9;
 
+/** What remains for a dominant key at least, as a share of what its holder can sustain. */
+const minDominantRoom = 0.25;
+
 const millisecondsPerSecond = 1000;
 
 /** Returns the requests per second that a holder can process without a long queue; infinite if no latency was measured. */
@@ -68,10 +75,21 @@
 	return totals;
 }
 
-/** Returns the overloaded holders, each with the share of requests that may be sent to it. */
+/** Returns the share of the requests for a dominant key that its holder can process beside those for its other keys. */
+function shareOfDominant({holder, key, rate}: DominantKey, otherRate: number, sustainable: number): readonly HolderShare[] {
+	const share = Math.max(sustainable - otherRate, sustainable * minDominantRoom) / rate;
+	return share < maxAnnouncedShare ? [{life: holder, share, key}] : [];
+}
+
+/** Returns the overloaded holders and dominant keys, each with the share of requests that may be sent. */
 export function holderShares(ranges: readonly KeyRange[], rates: readonly KeyRate[], sustainableRateOf: (holder: UpstreamIncarnation) => number): readonly HolderShare[] {
-	return [...holderRates(ranges, rates).values()].flatMap(({holder, rate}) => {
+	const dominant = dominantKeys(ranges, rates, sustainableRateOf);
+	const dominating = new Set(dominant.map(({key}) => key));
+	const otherRates = holderRates(ranges, rates.filter(({key}) => !dominating.has(key)));
+	const holders = [...otherRates.values()].flatMap(({holder, rate}) => {
 		const share = sustainableRateOf(holder) / rate;
 		return share < maxAnnouncedShare ? [{life: holder, share}] : [];
 	});
+	const keys = dominant.flatMap(one => shareOfDominant(one, otherRates.get(incarnationText(one.holder))?.rate ?? 0, sustainableRateOf(one.holder)));
+	return [...holders, ...keys];
 }
--- a/packages/key-lease/src/planning.ts
+++ b/packages/key-lease/src/planning.ts
@@ -4,12 +4,14 @@
  *
  * Load patterns: a few adjacent keys suddenly get much of the work, so adjacent
  * keys are spread over different upstreams in advance; upstreams join; upstreams
- * leave or are lost, and their keys must not all go to one survivor.
+ * leave or are lost, and their keys must not all go to one survivor; one key gets
+ * more work than any upstream can process (see `dominant-key`).
  */
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {type HeldSpan} from './command.js';
+import {type DominantKey, dominatedHolders, shouldRelocate} from './dominant-key.js';
 import {
-	isSettled, keyCount, type KeyRange, type KeySpan, type UpstreamIncarnation, incarnationText, subtractSpans,
+	isSettled, keyCount, type KeyRange, type KeySpan, type UpstreamIncarnation, incarnationText, rangeOfKey, subtractSpans,
 } from './range.js';
 
 /** The requests per second for one key. */
@@ -36,6 +38,8 @@
 	readonly countedMilliseconds: Milliseconds;
 	/** The maximum number of ranges that one upstream may hold: each answer to it lists all of them. */
 	readonly mostRanges: number;
+	/** The keys that alone exceed what their holders can process; none if omitted. */
+	readonly dominant?: readonly DominantKey[];
 };
 
 /** The changes that a plan proposes. */
@@ -290,6 +294,26 @@
 		: []);
 }
 
+/** Recalls the dominant keys whose holders are far slower than another upstream that has none. */
+function relocateDominant({ranges, candidates, dominant = []}: PlanInput): readonly HeldSpan[] {
+	const dominated = dominatedHolders(dominant);
+	const weights = new Map(candidates.map(({upstream, weight}) => [incarnationText(upstream), weight]));
+	const free = candidates.filter(({upstream, accepting}) => accepting && !dominated.has(incarnationText(upstream)));
+	const highestWeight = Math.max(0, ...free.map(({weight}) => weight));
+	return dominant.flatMap(({key, holder}) => {
+		const range = rangeOfKey(ranges, key);
+		const weight = weights.get(incarnationText(holder));
+		return range !== undefined && isSettled(range) && weight !== undefined && shouldRelocate(weight, highestWeight) ? [{from: key, to: key, holder}] : [];
+	});
+}
+
+/** Balances the work of all but the dominant keys between the upstreams that hold none of these. */
+function balanceOthers(input: PlanInput, work: WorkEstimate, loads: readonly CandidateLoad[]): readonly HeldSpan[] {
+	const dominated = dominatedHolders(input.dominant ?? []);
+	const others = loads.filter(({candidate}) => !dominated.has(incarnationText(candidate.upstream)));
+	return [...relocateDominant(input), ...balance(input, work, others)];
+}
+
 /** Computes a plan from the current ranges, upstreams and request rates. */
 export function planKeys(input: PlanInput): Plan {
 	const work = new WorkEstimate(input.rates);
@@ -306,5 +330,5 @@
 	const granted = grantUnassigned(input, work, loads);
 	const leaving = recallFromLeaving(input);
 	addExpectedWork(input, work, loads);
-	return {granted, recalled: leaving.length > 0 ? leaving : balance(input, work, loads)};
+	return {granted, recalled: leaving.length > 0 ? leaving : balanceOthers(input, work, loads)};
 }
--- a/packages/key-lease/test/test-planning.ts
+++ b/packages/key-lease/test/test-planning.ts
@@ -171,3 +171,43 @@
 		assert.ok(moving.length <= maxMovingPlans, `${moving.length} of ${seeds.length} plans move keys`);
 	});
 }
+
+type DominantCase = {
+	readonly name: string;
+	/** The relative capacity of the upstream that holds the hot key; the others have 3. */
+	readonly weight: number;
+
+	readonly recalled: ReadonlyArray<readonly [from: number, to: number]>;
+};
+
+const hotKey = 500;
+const dominantCases: readonly DominantCase[] = [
+	{
+		name: 'stays with its holder, and so do its neighbours', weight: 3, recalled: [],
+	},
+	{
+		name: 'moves alone to a far faster upstream', weight: 1, recalled: [[hotKey, hotKey]],
+	},
+	{
+		name: 'stays with a holder that is little slower', weight: 2.5, recalled: [],
+	},
+];
+
+for (const {
+	name, weight, recalled,
+} of dominantCases) {
+	test(`planning: a key that no upstream can process ${name}`, () => {
+		const candidates = ['u0', 'u1', 'u2', 'u3'].map((id, position) => upstream(id, position === 0 ? {weight} : {}));
+		const perUpstream = keyCount / candidates.length;
+		const ranges = candidates.map(({upstream: holder}, position): KeyRange => ({
+			from: position * perUpstream, to: ((position + 1) * perUpstream) - 1, fence: 1, holder, told: true, handover: '',
+		}));
+		const share = weight / 3;
+		const rates = Array.from({length: keyCount}, (_value, key) => ({key, rate: key === hotKey ? 20_000 : (key < perUpstream ? share : 1)}));
+		const dominant = [{key: hotKey, rate: 20_000, holder: candidates[0]!.upstream}];
+		const plan = planKeys({
+			ranges, candidates, rates, countedMilliseconds: 1_000_000_000, mostRanges: 150, dominant,
+		});
+		assert.deepEqual(plan.recalled.map(({from, to}) => [from, to]), recalled);
+	});
+}
