Record orders to evacuate zones in the directory, and plan keys by them

Cause: nothing in the product knew that an operator wants a zone's upstreams to be sent nothing. Change: the commands zoneEvacuated, zoneRestored and zoneWarmed change two records of the directory. Each order carries the log index that its receiver had applied, so that a delayed copy of an earlier order can't undo a later one. The leader proposes an order once and acknowledges it when it is committed. The plan recalls the keys of an evacuated zone over a second, grants none to it, and lets the upstreams of a restored zone accept keys one after the other once they have had their service's cold time. Conclusion: orders are as durable as declared items.

--- a/packages/control-node/src/control-node.ts
+++ b/packages/control-node/src/control-node.ts
@@ -11,6 +11,7 @@
 import {type Announcement} from '@dogwooddeck/directory/announcement';
 import {type ItemChange, type Items} from '@dogwooddeck/directory/item';
 import {directoryMachine} from '@dogwooddeck/directory/state';
+import {type ZoneOrder} from '@dogwooddeck/directory/zone-order';
 import {type HolderShare} from '@dogwooddeck/key-lease/holder-load';
 import {
 	type AnnouncementAnswer, type AnnouncementOutcome, type AnnouncementReport, type LoadReport, type MeshCall, type MeshCalls, type Reply,
@@ -20,7 +21,9 @@
 import {
 	failure, FailureError, FailureKind, type Failure,
 } from '@dogwooddeck/model/failure';
-import {type LogIndex, type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {
+	type LogIndex, type Milliseconds, type MonotonicTime, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
 import {createStateHolder} from '@dogwooddeck/replica/state-holder';
 import {nextVoterSet, type VoterObservation} from '@dogwooddeck/replica/succession';
 import {EventName} from '@dogwooddeck/telemetry/event';
@@ -48,6 +51,8 @@
 	readonly depart: (incarnation: MeshCalls['depart']['request']['life']) => Promise<Result<unknown, Failure>>;
 	/** Applies an operator's changes of items. */
 	readonly declare: (changes: readonly ItemChange[]) => Promise<Result<{readonly index: LogIndex}, Failure>>;
+	/** Requests that no more requests be sent to the upstreams of a zone, or withdraws that. Fails with `notFound` if the settings don't name the zone. */
+	readonly orderZone: (kind: ZoneOrder['kind'], zone: ZoneName) => Promise<Result<{readonly index: LogIndex}, Failure>>;
 	/** Reads the newest items, confirmed by a majority. */
 	readonly readItems: () => Promise<Result<Items, Failure>>;
 	/** Adds addresses of control instances from the settings to the seeds. */
@@ -227,6 +232,7 @@
 		announce: async ({announcements}) => requireLeader(async () => ok({answers: await answerAll(announcements)})),
 		depart: async request => requireLeader(async () => leaderCoordinator.depart(request)),
 		declare: async request => requireLeader(async () => leaderCoordinator.declare(request)),
+		orderZone: async request => requireLeader(async () => leaderCoordinator.orderZone(request)),
 		confirm: async () => requireLeader(leaderCoordinator.confirm),
 		async reportLoad(report) {
 			relay.add(report);
@@ -327,6 +333,12 @@
 		},
 		depart: async incarnation => callLeader('depart', {life: incarnation}, async () => leaderCoordinator.depart({life: incarnation})),
 		declare: async changes => callLeader('declare', {changes}, async () => leaderCoordinator.declare({changes})),
+		async orderZone(kind, zone) {
+			const request = {order: {kind, zone, seen: holder.state().applied}};
+			return settings.zones.includes(zone)
+				? callLeader('orderZone', request, async () => leaderCoordinator.orderZone(request))
+				: err(failure(FailureKind.notFound, `there is no availability zone ${zone}`));
+		},
 		async readItems() {
 			const confirmed = await callLeader('confirm', {}, leaderCoordinator.confirm);
 			if (confirmed.isErr) {
--- a/packages/control-node/src/leader-coordinator.ts
+++ b/packages/control-node/src/leader-coordinator.ts
@@ -37,12 +37,14 @@
 import {longDecayMilliseconds} from './key-counts.js';
 import {LoadCounts} from './load-counts.js';
 import {createProposalBatcher} from './proposal-batcher.js';
+import {createZoneCoordinator} from './zone-coordinator.js';
 
 /** The calls that the leader alone answers. */
 export type LeaderCoordinator = {
 	readonly announce: (report: AnnouncementReport) => Promise<Result<AnnouncementOutcome, Failure>>;
 	readonly depart: (request: MeshCalls['depart']['request']) => Promise<Result<Record<string, never>, Failure>>;
 	readonly declare: (request: MeshCalls['declare']['request']) => Promise<Result<{readonly index: LogIndex}, Failure>>;
+	readonly orderZone: (request: MeshCalls['orderZone']['request']) => Promise<Result<{readonly index: LogIndex}, Failure>>;
 	readonly confirm: () => Promise<Result<{readonly index: LogIndex}, Failure>>;
 	readonly reportLoad: (report: LoadReport) => void;
 	/** The overloaded upstreams as of the last plan. */
@@ -96,6 +98,9 @@
 	const pendingDeclarations = new Map<string, Promise<Result<LogIndex, Failure>>>();
 	const lapseLines = new LineBudget(lapseLinesPerSecond);
 	const propose = createProposalBatcher(async payload => voter().propose(payload));
+	const zones = createZoneCoordinator({
+		holder, read: async () => voter().read(), propose, schedulePlan, log, measures,
+	});
 
 	function isKeyed(service: string): boolean {
 		return holder.state().items.service[service]?.value?.keyed ?? false;
@@ -300,6 +305,7 @@
 			now,
 			joinedAt,
 			mostRanges,
+			zoneTimes: zones.timesAt(now),
 			workOf: service => ({
 				rates: rates.get(service) ?? [],
 				countedMilliseconds: longDecayMilliseconds,
@@ -340,6 +346,7 @@
 			});
 			return proposed.map(index => ({index}));
 		},
+		orderZone: zones.order,
 		async confirm() {
 			const index = await voter().read();
 			return index.map(confirmed => ({index: confirmed}));
@@ -351,6 +358,7 @@
 		shares: () => shares,
 		begin() {
 			granting = createGrantingState(monotonicNow());
+			zones.begin();
 			loads = new LoadCounts();
 			joinedAt = monotonicNow();
 			clearInterval(planTimer);
--- a/packages/control-node/src/settings.ts
+++ b/packages/control-node/src/settings.ts
@@ -9,6 +9,8 @@
 	readonly address: string;
 	/** The availability zone of this instance. */
 	readonly zone: ZoneName;
+	/** All availability zones. */
+	readonly zones: readonly ZoneName[];
 	/** Addresses of control instances at the time the settings were written. */
 	readonly seeds: readonly string[];
 	/** Whether the whole deployment starts for the first time: the seeds bootstrap the cluster. */
--- a/packages/control-node/test/test-control-nodes.ts
+++ b/packages/control-node/test/test-control-nodes.ts
@@ -2,54 +2,11 @@
  * Control instances that communicate over real connections, each with its own data folder.
  */
 import assert from 'node:assert/strict';
-import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import {once} from 'node:events';
 import {test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {type Log} from '@dogwooddeck/telemetry/log';
-import {createMeasures, MeasureName, type Measures} from '@dogwooddeck/telemetry/measure';
-import {type ControlNode, startControlNode} from '@dogwooddeck/control-node/control-node';
-
-const silent: Log = {event: () => undefined, warning: () => undefined, error: () => undefined};
-
-async function freeAddress(): Promise<string> {
-	const server = createServer().listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return `127.0.0.1:${port}`;
-}
-
-type Running = {readonly node: ControlNode; readonly measures: Measures};
-
-async function start(address: string, seeds: readonly string[], dataFolder: string): Promise<Running> {
-	const measures = createMeasures();
-	const node = await startControlNode({
-		settings: {
-			address, zone: 'z', seeds, founding: true, dataFolder, toleratedLosses: 1, holdMilliseconds: 5000, mostRanges: 150, clockDrift: 0.02,
-		},
-		log: silent,
-		measures,
-		failed: () => undefined,
-	});
-	return {node, measures};
-}
-
-async function withNodes(use: (running: readonly Running[]) => Promise<void>): Promise<void> {
-	const folder = await mkdtemp(path.join(tmpdir(), 'control-nodes-'));
-	const seeds = [await freeAddress(), await freeAddress(), await freeAddress()];
-	const running = await Promise.all(seeds.map(async (address, position) => start(address, seeds, path.join(folder, String(position)))));
-	try {
-		await use(running);
-	} finally {
-		await Promise.all(running.map(async ({node}) => node.stop()));
-		await rm(folder, {recursive: true, force: true});
-	}
-}
+import {MeasureName} from '@dogwooddeck/telemetry/measure';
+import {type Running, withNodes} from './nodes.js';
+import {type ControlNode} from '@dogwooddeck/control-node/control-node';
 
 async function declare(node: ControlNode, version: number): Promise<boolean> {
 	const declared = await node.declare([{kind: 'service', name: 's', item: {version, value: {keyed: false, maxConnections: 10}, document: String(version)}}]);
--- a/packages/directory/src/directory-plan.ts
+++ b/packages/directory/src/directory-plan.ts
@@ -13,6 +13,8 @@
 import {definedItems} from './item.js';
 import {type DirectoryCommand, type DirectoryState} from './state.js';
 import {isReplaced, UpstreamState, type UpstreamRecord} from './upstream.js';
+import {planWarmZones, zoneDuties, type ZonePlanInput} from './zone-plan.js';
+import {type ZoneTimes} from './zone-times.js';
 
 /** The load of a service, as reported by the entries. */
 export type ServiceWork = {
@@ -37,6 +39,8 @@
 	readonly workOf: (service: string) => ServiceWork;
 	/** The maximum number of key ranges that one upstream may hold. */
 	readonly mostRanges: number;
+	/** When the leader first saw the orders for zones that are in force. */
+	readonly zoneTimes: ZoneTimes;
 };
 
 /** The first grant of keys waits until no upstream has joined for this long. */
@@ -61,16 +65,22 @@
 	return observationOf(input.granting.observations, upstream) !== undefined && input.now - lastContactAt(input, upstream) <= contactTimeoutMilliseconds;
 }
 
-/** Returns the candidates of a service. Cold upstreams, still slow after their start, are granted keys only while no warm one is ready. */
+function zonePlanInput({state, zoneTimes, now}: DirectoryPlanInput): ZonePlanInput {
+	return {orders: state, times: zoneTimes, now};
+}
+
+/** Returns the candidates of a service. Cold upstreams, still slow after their start, and those of zones that were just restored are granted keys only while no warm one is ready. */
 function candidatesOf(input: DirectoryPlanInput, service: string, {relativeSpeedOf}: ServiceWork): readonly Candidate[] {
 	const upstreams = Object.values(input.state.upstreams).filter(upstream => upstream.service === service);
-	const ready = upstreams.filter(upstream => upstream.state === UpstreamState.ready && isInContact(input, upstream));
-	const hasWarm = ready.some(({cold}) => !cold);
-	return upstreams.map(upstream => ({
+	const duties = zoneDuties(zonePlanInput(input), input.state.items.service[service]?.value, upstreams);
+	const isReady = upstreams.map((upstream, position) => upstream.state === UpstreamState.ready && !duties[position]!.isEvacuated && isInContact(input, upstream));
+	const isWarm = upstreams.map(({cold}, position) => !cold && !duties[position]!.isReturning);
+	const hasWarm = isWarm.some((warm, position) => warm && isReady[position]);
+	return upstreams.map((upstream, position) => ({
 		upstream: {id: upstream.id, born: upstream.born},
 		weight: upstream.slots * relativeSpeedOf(upstream.id),
-		accepting: ready.includes(upstream) && (!hasWarm || !upstream.cold),
-		leaving: upstream.state === UpstreamState.draining,
+		accepting: isReady[position]! && (!hasWarm || isWarm[position]!),
+		leaving: upstream.state === UpstreamState.draining || duties[position]!.isRecallDue,
 	}));
 }
 
@@ -107,5 +117,5 @@
 /** Returns the commands that the leader should propose now. */
 export function planDirectory(input: DirectoryPlanInput): readonly DirectoryCommand[] {
 	const keyed = definedItems(input.state.items.service).filter(([, {keyed: isKeyed}]) => isKeyed);
-	return [...removeUnresponsive(input), ...keyed.flatMap(([service]) => planService(input, service))];
+	return [...removeUnresponsive(input), ...planWarmZones(zonePlanInput(input), input.state.items.service), ...keyed.flatMap(([service]) => planService(input, service))];
 }
--- a/packages/directory/src/state.ts
+++ b/packages/directory/src/state.ts
@@ -19,9 +19,12 @@
 import {
 	applyUpstreamCommand, type UpstreamCommand, upstreamCommandKinds, type Upstreams,
 } from './upstream.js';
+import {
+	applyZoneCommand, noZoneOrders, type ZoneCommand, zoneCommandKinds, type ZoneOrders,
+} from './zone-order.js';
 
 /** The replicated state of the directory. */
-export type DirectoryState = {
+export type DirectoryState = ZoneOrders & {
 	/** The index of the last log entry that was applied. */
 	readonly applied: LogIndex;
 	readonly items: Items;
@@ -37,6 +40,7 @@
 export type DirectoryCommand =
 	| {readonly kind: 'itemsChanged'; readonly changes: readonly ItemChange[]}
 	| UpstreamCommand
+	| ZoneCommand
 	| KeyCommand;
 
 /** The answer to a command that was applied, with the index of its log entry. */
@@ -44,7 +48,7 @@
 
 /** The state before anything is declared or announced. */
 export const emptyDirectory: DirectoryState = {
-	applied: 0, items: noItems, upstreams: {}, formerAddresses: {}, departed: [], keys: {},
+	applied: 0, items: noItems, upstreams: {}, formerAddresses: {}, departed: [], keys: {}, ...noZoneOrders,
 };
 
 /** The maximum number of former addresses that are kept. */
@@ -82,6 +86,10 @@
 	return keyCommandKinds.has(command.kind);
 }
 
+function isZoneCommand(command: DirectoryCommand): command is ZoneCommand {
+	return zoneCommandKinds.has(command.kind);
+}
+
 function applyCommand(state: DirectoryState, command: DirectoryCommand, index: LogIndex): Result<DirectoryState, Failure> {
 	if (isUpstreamCommand(command)) {
 		return isStaleAnnouncement(state, command)
@@ -95,6 +103,10 @@
 		return ok({...state, keys: applyKeyCommand(state.keys, command, index)});
 	}
 
+	if (isZoneCommand(command)) {
+		return applyZoneCommand(state, command, index).map(({evacuatedZones, restoredZones}) => ({...state, evacuatedZones, restoredZones}));
+	}
+
 	return command.kind === 'itemsChanged'
 		? changeItems(state.items, command.changes).map(items => ({...state, items}))
 		: err(failure(FailureKind.malformed, 'unknown kind of command'));
@@ -133,12 +145,12 @@
 	return JSON.stringify({...state, keys: Object.fromEntries(Object.entries(state.keys).map(([service, ranges]) => [service, packRanges(ranges)]))});
 }
 
-/** Decodes a snapshot of the state. Fails with `malformed`. */
+/** Decodes a snapshot of the state; one that was written before there were orders for zones has none. Fails with `malformed`. */
 export function decodeDirectory(data: string): Result<DirectoryState, Failure> {
 	try {
 		const state = JSON.parse(data) as Omit<DirectoryState, 'keys'> & {readonly keys: Readonly<Record<string, PackedRanges>>};
 		return typeof state.applied === 'number' && typeof state.items === 'object' && typeof state.keys === 'object'
-			? ok({...state, keys: Object.fromEntries(Object.entries(state.keys).map(([service, packed]) => [service, unpackRanges(packed)]))})
+			? ok({...noZoneOrders, ...state, keys: Object.fromEntries(Object.entries(state.keys).map(([service, packed]) => [service, unpackRanges(packed)]))})
 			: err(failure(FailureKind.malformed, 'the snapshot is not a directory'));
 	} catch (error) {
 		return err(toFailure(error, FailureKind.malformed));
--- a/packages/directory/test/test-growth.ts
+++ b/packages/directory/test/test-growth.ts
@@ -9,6 +9,7 @@
 import {keyCount, type KeyRange} from '@dogwooddeck/key-lease/range';
 import {planDirectory} from '@dogwooddeck/directory/directory-plan';
 import {type DirectoryState, emptyDirectory} from '@dogwooddeck/directory/state';
+import {ZoneTimes} from '@dogwooddeck/directory/zone-times';
 import {UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
 
 const options = {holdMilliseconds: 5000, clockDrift: 0.02};
@@ -45,7 +46,7 @@
 	const granting = Object.values(state.upstreams).reduce((noted, {id, born}) => recordContact(noted, {id, born}, 1000, options), createGrantingState(0));
 	const before = process.cpuUsage();
 	const commands = planDirectory({
-		state, granting, options, now: 1100, joinedAt: 0, mostRanges: 150, workOf: () => ({rates: [], countedMilliseconds: 8000, relativeSpeedOf: () => 1}),
+		state, granting, options, now: 1100, joinedAt: 0, mostRanges: 150, zoneTimes: new ZoneTimes(), workOf: () => ({rates: [], countedMilliseconds: 8000, relativeSpeedOf: () => 1}),
 	});
 	assert.deepEqual(commands, []);
 	const {user, system} = process.cpuUsage(before);
--- a/packages/mesh/src/calls.ts
+++ b/packages/mesh/src/calls.ts
@@ -5,6 +5,7 @@
 import {type ConsensusEnvelope, type VoterIdentity} from '@dogwooddeck/consensus/message';
 import {type ItemChange} from '@dogwooddeck/directory/item';
 import {type UpstreamRecord} from '@dogwooddeck/directory/upstream';
+import {type ZoneOrder} from '@dogwooddeck/directory/zone-order';
 import {type HolderShare} from '@dogwooddeck/key-lease/holder-load';
 import {type KeyRange, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type KeyReport} from '@dogwooddeck/key-lease/report';
@@ -56,6 +57,8 @@
 	announce: {request: {readonly announcements: readonly AnnouncementReport[]}; /** One for each, in the same order. */ answer: {readonly answers: ReadonlyArray<Reply<AnnouncementOutcome>>}};
 	depart: {request: {readonly life: Partial<UpstreamIncarnation> & Pick<UpstreamIncarnation, 'id'>}; answer: Record<string, never>};
 	declare: {request: {readonly changes: readonly ItemChange[]}; answer: {readonly index: LogIndex}};
+	/** Forwards an operator's order to evacuate a zone or to restore it. */
+	orderZone: {request: {readonly order: ZoneOrder}; answer: {readonly index: LogIndex}};
 	/** Returns the newest log index, confirmed by a majority. */
 	confirm: {request: Record<string, never>; answer: {readonly index: LogIndex}};
 	/** Reports the counts of an entry to the control instance that it follows. */
@@ -68,7 +71,7 @@
 export type MeshCall = keyof MeshCalls;
 
 /** The names of all calls, for lookup tables. */
-export const meshCalls: readonly MeshCall[] = ['deliver', 'sight', 'announce', 'depart', 'declare', 'confirm', 'reportLoad', 'relayLoad'];
+export const meshCalls: readonly MeshCall[] = ['deliver', 'sight', 'announce', 'depart', 'declare', 'orderZone', 'confirm', 'reportLoad', 'relayLoad'];
 
 /** The request with which an entry starts to follow a control instance. */
 export type FollowRequest = {
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -46,6 +46,12 @@
 	upstreamLeft: 'upstream-left',
 	/** An operator's change of items was accepted or refused. */
 	itemsDeclared: 'items-declared',
+	/** An operator's order to evacuate a zone, or to restore it, was accepted or refused. */
+	zoneOrdered: 'zone-ordered',
+	/** An entry instance sends no more requests to the upstreams of a zone. */
+	zoneExcluded: 'zone-excluded',
+	/** An entry instance sends requests to the upstreams of a restored zone again. */
+	zoneIncluded: 'zone-included',
 	/** The leader assigns keys or recalls them. */
 	keysPlanned: 'keys-planned',
 	/** The leader changes the voter set. */
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -15,6 +15,10 @@
 	attempts: 'dogwooddeck_failed_attempts_total',
 	/** Notices in the answers of upstreams (it is leaving, it asks for a pause, or unreadable), by service and kind. */
 	notices: 'dogwooddeck_upstream_notices_total',
+	/** Operators' orders to evacuate or restore zones, at the leader, by order and outcome. */
+	zoneOrders: 'dogwooddeck_zone_orders_total',
+	/** The number of evacuated zones that this instance knows of. */
+	evacuatedZones: 'dogwooddeck_evacuated_zones',
 	/** The index of the newest applied log entry. */
 	applied: 'dogwooddeck_applied_index',
 	/** The index of the newest log entry known to be committed. */
