Exclude the upstreams of evacuated zones at the entry

Cause: an entry sent requests to every upstream that is ready. Change: an evacuated zone's upstreams are no candidates any more; the holder of a key is sent requests for a part of the bound, counted from the last time at which the directory was known to be current without the order. The moment before the first byte, waiting requests and retries ask the same. If no upstream is left, the request is refused at once as zone-evacuated, with Retry-After. Conclusion: unkeyed requests leave the zone with the order, keyed ones with the grace at the latest.

--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -24,6 +24,8 @@
 	readonly listen: (listener: (state: DirectoryState) => void) => void;
 	/** Whether a control instance in contact with the leader has confirmed the directory at least once. */
 	readonly isConfirmed: () => boolean;
+	/** Returns the last time at which the directory was known to be current, before the change that is being applied; `-Infinity` if it never was. */
+	readonly currentAt: () => MonotonicTime;
 	/** Returns the address of the nearest control instance with an active stream. */
 	readonly nearest: () => string | undefined;
 	/** Returns the number of entry instances of the deployment, as last reported; at least 1. */
@@ -118,6 +120,10 @@
 	const streams = new Map<string, ControlStream>();
 	const lag = new LagMonitor(log);
 	let isConfirmed = false;
+	let currentAt: MonotonicTime = -Infinity;
+	/** The last two runs of the check timer: what is read after the last arrived after the one before it, also if this process did not run in between. */
+	let checkedAt: MonotonicTime = -Infinity;
+	let checkedBefore: MonotonicTime = -Infinity;
 	let shares: ReadonlyMap<string, number> = new Map();
 	let sharesAt: MonotonicTime = -Infinity;
 	/** The highest log index that any control instance reported as committed. */
@@ -144,6 +150,7 @@
 		}
 
 		committed = Math.max(committed, message.committed);
+		currentAt = message.fresh && holder.state().applied >= committed ? checkedBefore : currentAt;
 		isConfirmed ||= message.fresh && stream.mode === FollowMode.changes;
 		for (const member of message.members) {
 			open(member);
@@ -217,7 +224,11 @@
 		}
 	}
 
-	const checkTimer = setInterval(check, checkMilliseconds);
+	const checkTimer = setInterval(() => {
+		checkedBefore = checkedAt;
+		checkedAt = monotonicNow();
+		check();
+	}, checkMilliseconds);
 	for (const seed of seeds) {
 		open(seed);
 	}
@@ -226,6 +237,7 @@
 		state: holder.state,
 		listen: holder.listen,
 		isConfirmed: () => isConfirmed,
+		currentAt: () => currentAt,
 		nearest() {
 			const active = [...streams].filter(([, {isOpen, hasReceived, distance}]) => isOpen && hasReceived && distance !== undefined);
 			return active.sort(([, one], [, other]) => ranks[one.distance!] - ranks[other.distance!])[0]?.[0];
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -16,6 +16,7 @@
 import {MeasureName, type Measures} from '@dogwooddeck/telemetry/measure';
 import {type CallerServer, startCallerServer} from './caller-server.js';
 import {followDirectory} from './directory-follower.js';
+import {createEvacuationLog} from './evacuation-log.js';
 import {startLoadReporter} from './load-reporter.js';
 import {LoopDelayGuard, turnIntervalMilliseconds} from './loop-delay-guard.js';
 import {createRequestLog} from './request-log.js';
@@ -133,8 +134,10 @@
 		}
 	}
 
+	const logEvacuations = createEvacuationLog(log, measures);
 	follower.listen(state => {
-		table.update(state, follower.entryCount());
+		table.update(state, follower.entryCount(), follower.currentAt());
+		logEvacuations(state);
 		callers.setLimits(dependencies.limits());
 		measures.set(MeasureName.applied, state.applied);
 		reportReadiness();
--- a/packages/entry/src/refusals.ts
+++ b/packages/entry/src/refusals.ts
@@ -21,6 +21,8 @@
 	upstreamsLeaving: 'upstreams-leaving',
 	/** No upstream of the service is in a region that the route allows. */
 	noAllowedRegion: 'no-allowed-region',
+	/** All upstreams that may run the request are in evacuated zones. */
+	zoneEvacuated: 'zone-evacuated',
 	/** The instance would stop before the request's deadline. */
 	stopping: 'stopping',
 	timeout: 'timeout',
@@ -46,6 +48,7 @@
 	[Refusal.upstreamsPaused]: 503,
 	[Refusal.upstreamsLeaving]: 503,
 	[Refusal.noAllowedRegion]: 503,
+	[Refusal.zoneEvacuated]: 503,
 	[Refusal.stopping]: 503,
 	[Refusal.timeout]: 503,
 	[Refusal.attemptsSpent]: 503,
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -236,8 +236,13 @@
 		queue.add(this.#waiter);
 	}
 
-	/** Refuses the request if the notices of its upstreams keep it from being sent by `until`. */
+	/** Refuses the request if its upstreams are in evacuated zones, or their notices keep it from being sent by `until`. */
 	#refuseIfClosed(now: MonotonicTime, until: MonotonicTime): boolean {
+		if (this.#choice!.isEvacuated(now)) {
+			this.#refuse(Refusal.zoneEvacuated);
+			return true;
+		}
+
 		const wait = this.#choice!.waitForOpen(now);
 		if (wait === 0 || now + wait <= until) {
 			return false;
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -17,6 +17,7 @@
 	allowsRetry, recordAttempt, withCapacity, createRetryBudget, type RetryBudget,
 } from '@dogwooddeck/routing/budget';
 import {type ConnectionTimeouts} from './connection.js';
+import {EvacuatedZones} from './evacuated-zones.js';
 import {type EntrySettings} from './settings.js';
 import {leavingUseOf, UpstreamNotices} from './upstream-notices.js';
 import {UpstreamPool} from './upstream-pool.js';
@@ -46,6 +47,8 @@
 	ranges: readonly KeyRange[];
 	/** The upstreams that requests may be sent to. */
 	upstreams: readonly CachedUpstream[];
+	/** Its other upstreams that are ready, in evacuated zones. */
+	evacuated: readonly CachedUpstream[];
 	budget: RetryBudget;
 };
 
@@ -88,6 +91,7 @@
 	readonly #upstreams = new Map<string, CachedUpstream>();
 	readonly #splits = new Map<string, {readonly key: string; readonly split: WeightedRoundRobin}>();
 	readonly #random: () => number;
+	readonly #evacuatedZones: EvacuatedZones;
 	#leastUrgentPriorities: ReadonlyMap<string, number> = new Map();
 	#items: DirectoryState['items'] | undefined;
 
@@ -95,10 +99,12 @@
 	constructor(settings: EntrySettings, random: () => number) {
 		this.#settings = settings;
 		this.#random = random;
+		this.#evacuatedZones = new EvacuatedZones(settings.evacuationGraceMilliseconds);
 	}
 
-	/** Updates the table to a newer directory. */
-	update(state: DirectoryState, entryCount: number): void {
+	/** Updates the table to a newer directory. `currentAt` is the last time at which the earlier one was known to be current. */
+	update(state: DirectoryState, entryCount: number, currentAt: MonotonicTime = -Infinity): void {
+		this.#evacuatedZones.update(state.evacuatedZones, currentAt);
 		if (state.items !== this.#items) {
 			this.#items = state.items;
 			this.routes = createRouteTable(state.items.route);
@@ -118,7 +124,9 @@
 		const savedRetries = Math.max(minimumSavedRetries, this.#settings.retries.slack * slackShare / entryCount);
 		for (const service of this.#services.values()) {
 			service.budget = withCapacity(service.budget, savedRetries);
-			service.upstreams = [...this.#upstreams.values()].filter(({record}) => record.service === service.name && record.state === UpstreamState.ready);
+			const ready = [...this.#upstreams.values()].filter(({record}) => record.service === service.name && record.state === UpstreamState.ready);
+			service.upstreams = ready.filter(({record}) => !this.#evacuatedZones.has(record.zone));
+			service.evacuated = ready.filter(({record}) => this.#evacuatedZones.has(record.zone));
 		}
 	}
 
@@ -130,7 +138,7 @@
 		}
 
 		const created: CachedService = {
-			name, queue: new WaitingQueue(), pace: new KeyPacer(), keyed: false, maxConnections: 1, ranges: [], upstreams: [], budget: createRetryBudget(this.#settings.retries.ratio * ratioShare, minimumSavedRetries),
+			name, queue: new WaitingQueue(), pace: new KeyPacer(), keyed: false, maxConnections: 1, ranges: [], upstreams: [], evacuated: [], budget: createRetryBudget(this.#settings.retries.ratio * ratioShare, minimumSavedRetries),
 		};
 		this.#services.set(name, created);
 		return created;
@@ -176,9 +184,15 @@
 		return cached !== undefined && sameIncarnation(cached.record, record) && cached.record.state === UpstreamState.ready;
 	}
 
-	/** Whether a request may be sent now as far as the upstream's notices say. The holder of a key may be leaving for a moment: no other can serve the key before it is handed over. */
-	isOpen({notices}: CachedUpstream, {keyed, upstreams}: CachedService, now: MonotonicTime): boolean {
-		return notices.waitFor(keyed ? LeavingUse.lastResort : leavingUseOf(upstreams), now) === 0;
+	/** Whether a request may be sent now as far as the upstream's notices and the orders for its zone say. The holder of a key may be leaving for a moment: no other can serve the key before it is handed over. */
+	isOpen(upstream: CachedUpstream, service: CachedService, now: MonotonicTime): boolean {
+		const {keyed, upstreams} = service;
+		return !this.isZoneClosed(upstream, service, now) && upstream.notices.waitFor(keyed ? LeavingUse.lastResort : leavingUseOf(upstreams), now) === 0;
+	}
+
+	/** Whether an upstream's zone is evacuated, and the upstream may not be sent requests of this service either for keys that it holds. */
+	isZoneClosed({record: {zone}}: CachedUpstream, {keyed}: CachedService, now: MonotonicTime): boolean {
+		return keyed ? this.#evacuatedZones.isClosed(zone, now) : this.#evacuatedZones.has(zone);
 	}
 
 	/** Closes connections that receive endless data in place of an answer. */
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -38,6 +38,8 @@
 	readonly retries: RetryBudgetSettings;
 	/** How long an upstream that is leaving may be sent requests that no other can serve, in milliseconds. */
 	readonly leavingGraceMilliseconds: number;
+	/** How long the upstreams of an evacuated zone may be sent requests for keys that they still hold, in milliseconds. */
+	readonly evacuationGraceMilliseconds: number;
 	/** The time limit of a graceful shutdown, in milliseconds. */
 	readonly graceMilliseconds: number;
 };
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -63,7 +63,16 @@
 			return holder !== undefined && !allowsRegion(this.#route, holder);
 		}
 
-		return this.#service.upstreams.length > 0 && this.#allowed.length === 0;
+		const {upstreams, evacuated} = this.#service;
+		return upstreams.length > 0 && this.#allowed.length === 0 && !this.#allows(evacuated);
+	}
+
+	/** Whether all upstreams that may process the request are in evacuated zones; with a key, whether its holder may be sent no more requests. */
+	isEvacuated(now: MonotonicTime): boolean {
+		const holder = this.target?.holder;
+		return holder === undefined
+			? this.#allowed.length === 0 && this.#allows(this.#service.evacuated)
+			: this.#dependencies.table.isZoneClosed(holder, this.#service, now);
 	}
 
 	/** Returns the upstream to send the request to now; undefined if none has room. */
@@ -99,6 +108,11 @@
 		return this.#route.allowedRegions === undefined ? upstreams : upstreams.filter(upstream => allowsRegion(this.#route, upstream));
 	}
 
+	/** Whether the route allows one of these upstreams. */
+	#allows(upstreams: readonly CachedUpstream[]): boolean {
+		return upstreams.some(upstream => allowsRegion(this.#route, upstream));
+	}
+
 	#chooseHolder(target: KeyTarget, connections: number, now: MonotonicTime): CachedUpstream | undefined {
 		const holder = target.availableHolder(now);
 		return holder !== undefined && allowsRegion(this.#route, holder) && holder.load.hasRoom(now) && holder.pool.hasRoom(connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -32,7 +32,7 @@
 
 /** The settings of the entry. */
 export const settings: EntrySettings = {
-	name: 'entry', zone: 'z', regions: {z: 'r'}, callers: {host: '127.0.0.1', port: 0}, readiness: {host: '127.0.0.1', port: 0, path: '/'}, seeds: [], fields, retries: {ratio: 0.2, slack: 20}, leavingGraceMilliseconds: 300, graceMilliseconds: 1000,
+	name: 'entry', zone: 'z', regions: {z: 'r', y: 'r', x: 'q'}, callers: {host: '127.0.0.1', port: 0}, readiness: {host: '127.0.0.1', port: 0, path: '/'}, seeds: [], fields, retries: {ratio: 0.2, slack: 20}, leavingGraceMilliseconds: 300, evacuationGraceMilliseconds: 300, graceMilliseconds: 1000,
 };
 
 /** Answers a request successfully with a body. */
--- a/packages/entry/test/test-retry-budget.ts
+++ b/packages/entry/test/test-retry-budget.ts
@@ -16,6 +16,7 @@
 	},
 	retries: {ratio: 0.2, slack: 58},
 	leavingGraceMilliseconds: 300,
+	evacuationGraceMilliseconds: 300,
 	graceMilliseconds: 1000,
 };
 
