--- a/packages/control-node/src/zone-coordinator.ts
+++ b/packages/control-node/src/zone-coordinator.ts
@@ -40,6 +40,9 @@
 	holder, read, propose, schedulePlan, log, measures,
 }: ZoneCoordinatorDependencies): ZoneCoordinator {
 	let times = new ZoneTimes();
+	holder.listen(({evacuatedZones}) => {
+		measures.set(MeasureName.evacuatedZones, Object.keys(evacuatedZones).length);
+	});
 	return {
 		async order({order}) {
 			const ordered = isInForce(holder.state(), order) ? await read() : await propose([order]);
