Compare a message's own committed index when an entry tells whether it is current

Cause: another control instance's message may name an entry that the stream in use brings a moment later, so that an entry of a busy directory would seldom count as current, and the holders of keys in an evacuated zone get less grace. Change: the sender is in contact with the leader; its own index is enough. Conclusion: the cases of test-evacuation-age hold as before.

--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -150,7 +150,7 @@
 		}
 
 		committed = Math.max(committed, message.committed);
-		currentAt = message.fresh && holder.state().applied >= committed ? checkedBefore : currentAt;
+		currentAt = message.fresh && holder.state().applied >= message.committed ? checkedBefore : currentAt;
 		isConfirmed ||= message.fresh && stream.mode === FollowMode.changes;
 		for (const member of message.members) {
 			open(member);
