Give the choice of an upstream a module, and read regions, uploads and cold capacities

Cause: a configuration with routes of kind upload was refused whole, and nothing kept a request to the regions that its route allows. Change: UpstreamChoice holds what request-execution decided about the upstream of a request, and filters by the allowed regions; a request whose service has no upstream there is refused at once.

--- a/packages/directory/src/item.ts
+++ b/packages/directory/src/item.ts
@@ -2,6 +2,7 @@
  * The configuration as named items (routes, services and limits), each with its
  * own version.
  */
+import {type RegionName} from '@dogwooddeck/model/identifiers';
 
 /** A service that a route sends a share of its requests to. */
 export type Target = {readonly service: string; readonly weight: number};
@@ -15,6 +16,15 @@
 
 export type AnswerSize = (typeof AnswerSize)[keyof typeof AnswerSize];
 
+/** How large the bodies of a route's requests are. */
+export const BodySize = {
+	ordinary: 'ordinary',
+	/** So large that receiving and sending one takes long, such as an upload. */
+	large: 'large',
+} as const;
+
+export type BodySize = (typeof BodySize)[keyof typeof BodySize];
+
 /** Where requests for a host and path prefix are sent, and how they are handled. */
 export type Route = {
 	readonly hostname: string;
@@ -24,6 +34,10 @@
 	readonly idempotent: boolean;
 	/** If omitted, answers are of ordinary size. */
 	readonly answerSize?: AnswerSize;
+	/** If omitted, bodies are of ordinary size. */
+	readonly bodySize?: BodySize;
+	/** The regions whose upstreams may process a request. If omitted, all may. */
+	readonly allowedRegions?: readonly RegionName[];
 	/** The maximum time until the caller gets an answer. */
 	readonly timeoutMilliseconds: number;
 	/** The latency objective: the time within which an answer has its full value. */
@@ -35,12 +49,22 @@
 	readonly targets: readonly Target[];
 };
 
+/** What an upstream bears while it is cold: for some time after its start, or when it says so. */
+export type ColdCapacity = {
+	/** How long an upstream is cold after its start, in milliseconds. */
+	readonly milliseconds: number;
+	/** The requests a second that a cold upstream bears, from all instances together. */
+	readonly requestsPerSecond: number;
+};
+
 /** The settings that all upstreams of a service share. */
 export type ServiceItem = {
 	/** Whether each request belongs to a key, which a single upstream holds. */
 	readonly keyed: boolean;
 	/** The maximum number of connections that one upstream accepts from all instances together. */
 	readonly maxConnections: number;
+	/** If omitted, cold upstreams are slow, but bear any number of requests. */
+	readonly coldCapacity?: ColdCapacity;
 };
 
 /** Limits on what callers may send. */
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -10,8 +10,7 @@
 import {type BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
 import {retryDelay} from '@dogwooddeck/gateway/refusal';
 import {findRoute, type NamedRoute} from '@dogwooddeck/gateway/route-table';
-import {selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
-import {type WaitingRequest, waitDeadline} from '@dogwooddeck/gateway/waiting';
+import {type WaitingRequest} from '@dogwooddeck/gateway/waiting';
 import {keyCount, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
@@ -21,16 +20,16 @@
 	isForeign, isMisdirected, isNotRun, noticesOf, signalOf,
 } from './answer-rules.js';
 import {type AttemptResult, type SentAttempt} from './attempt.js';
-import {type Connection} from './connection.js';
 import {BodyProblem, type CallerExchange} from './caller-exchange.js';
-import {KeyTarget} from './key-target.js';
+import {type KeyTarget} from './key-target.js';
 import {notRunStatus, Refusal, refusalStatus} from './refusals.js';
 import {type RequestLog} from './request-log.js';
 import {
 	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream, type ServiceTable,
 } from './service-table.js';
 import {type FieldNames} from './settings.js';
-import {leavingUseOf, recordUpstreamNotice, waitForOpen} from './upstream-notices.js';
+import {recordUpstreamNotice} from './upstream-notices.js';
+import {UpstreamChoice, type WaitEstimate} from './upstream-choice.js';
 
 /** The dependencies that all requests of an instance share. */
 export type RequestDependencies = {
@@ -86,26 +85,17 @@
 	return typeof value === 'string' ? value : value?.[0];
 }
 
-/** What a request waits for, and how long. */
-type WaitEstimate = {
-	/** The holder of its key; undefined if the service has no keys or the key has no holder. */
-	readonly holder: CachedUpstream | undefined;
-	readonly key: number | undefined;
-	/** The number of requests for its key that wait already. */
-	readonly turn: number;
-	/** The expected wait behind other requests, and for its key's pace. */
-	readonly lineWait: Milliseconds;
-	readonly paceWait: Milliseconds;
-	/** When it stops waiting and is refused. */
-	readonly until: MonotonicTime;
-};
-
 /** Why a wait would have been too long. */
 type RefusalDetails = Partial<Pick<WaitEstimate, 'lineWait' | 'paceWait'>> & {
 	/** The rest of the pause that the upstreams asked for. */
 	readonly pauseMilliseconds?: Milliseconds;
 };
 
+/** Returns the key of a request; undefined if the field is missing or holds no key. */
+function keyOf(text: string | undefined): number | undefined {
+	return text !== undefined && keyPattern.test(text) && Number(text) < keyCount ? Number(text) : undefined;
+}
+
 /** One request, from its arrival to its answer. */
 export class RequestExecution {
 	readonly identifier: string | undefined;
@@ -115,16 +105,13 @@
 	readonly #path: string;
 	#route: NamedRoute | undefined;
 	#service: CachedService | undefined;
-	/** Undefined if the service has no keys. */
-	#target: KeyTarget | undefined;
+	/** Set with the service. */
+	#choice: UpstreamChoice | undefined;
 	#body: Buffer | undefined;
 	#deadline: MonotonicTime = Infinity;
 	#attempt: SentAttempt | undefined;
 	#waiter: WaitingRequest | undefined;
-	/** Connections on which an upstream refused the request. */
-	readonly #refusedOn = new Set<Connection>();
-	/** The upstreams of all attempts, and the number of attempts that may have run the request. */
-	readonly #attemptedUpstreams: string[] = [];
+	/** The number of attempts that may have run the request. */
 	#uncertainAttempts = 0;
 	/** The status of the last upstream's refusal; 0 if it did not refuse. */
 	#upstreamRefusalStatus = 0;
@@ -136,6 +123,10 @@
 		this.identifier = firstValue(exchange.request.headers[dependencies.fields.requestIdentifier]);
 	}
 
+	get #attempts(): number {
+		return this.#choice?.attempted.length ?? 0;
+	}
+
 	/** Finds the route and reads the body. */
 	start(): void {
 		const {
@@ -180,16 +171,17 @@
 		this.#body = body;
 		this.#service = table.service(table.split(route.name, route.targets).next());
 		recordFirstAttempt(this.#service);
-		if (this.#service.keyed) {
-			const key = firstValue(this.#exchange.request.headers[fields.key]);
-			if (key === undefined || !keyPattern.test(key) || Number(key) >= keyCount) {
-				this.#refuse(Refusal.badKey);
-				return;
-			}
+		const key = this.#service.keyed ? keyOf(firstValue(this.#exchange.request.headers[fields.key])) : undefined;
+		if (this.#service.keyed && key === undefined) {
+			this.#refuse(Refusal.badKey);
+			return;
+		}
 
-			this.#target = new KeyTarget(this.#dependencies, this.#service, Number(key));
-			countKey(this.#service.name, this.#target.key);
-			if (!this.#isAdmitted(this.#service, this.#target)) {
+		this.#choice = new UpstreamChoice(this.#dependencies, this.#service, route, key);
+		const {target} = this.#choice;
+		if (target !== undefined) {
+			countKey(this.#service.name, target.key);
+			if (!this.#isAdmitted(this.#service, target)) {
 				this.#refuse(Refusal.holderOverloaded);
 				return;
 			}
@@ -220,8 +212,13 @@
 			return;
 		}
 
+		if (this.#choice!.isOutsideAllowedRegions) {
+			this.#refuse(Refusal.noAllowedRegion);
+			return;
+		}
+
 		const {queue} = this.#service!;
-		const estimate = this.#estimateWait(now);
+		const estimate = this.#choice!.estimateWait(this.arrivedAt, this.#deadline, now);
 		if (this.#refuseIfClosed(now, estimate.until)) {
 			return;
 		}
@@ -252,7 +249,7 @@
 
 	/** Refuses the request if the notices of its upstreams keep it from being sent by `until`. */
 	#refuseIfClosed(now: MonotonicTime, until: MonotonicTime): boolean {
-		const wait = this.#target === undefined ? waitForOpen(this.#service!.upstreams, now) : this.#target.pauseOfHolder(now);
+		const wait = this.#choice!.waitForOpen(now);
 		if (wait === 0 || now + wait <= until) {
 			return false;
 		}
@@ -261,41 +258,8 @@
 		return true;
 	}
 
-	/** Returns what the request would wait for, the expected wait and its limit. */
-	#estimateWait(now: MonotonicTime): WaitEstimate {
-		const service = this.#service!;
-		const {priority, objectiveMilliseconds} = this.#route!;
-		const key = this.#target?.key;
-		const holder = this.#target?.holder;
-		const turn = service.queue.nextTurn(key);
-		const until = waitDeadline({
-			arrivedAt: this.arrivedAt,
-			objectiveMilliseconds,
-			deadline: this.#deadline,
-			expectedMilliseconds: (holder ?? service.upstreams[0])?.load.latency ?? 0,
-		});
-		const lineWait = holder === undefined ? 0 : holder.load.expectedWait(service.queue.countAhead(holder.id, priority, turn), now);
-		const paceWait = holder === undefined ? 0 : this.#target!.waitFor(holder, turn, now);
-		return {
-			holder, key, turn, lineWait, paceWait, until,
-		};
-	}
-
-	#choose(now: MonotonicTime): CachedUpstream | undefined {
-		const service = this.#service!;
-		const connections = Math.max(1, Math.floor(service.maxConnections / (this.#dependencies.entryCount() + 1)));
-		if (this.#target !== undefined) {
-			const holder = this.#target.availableHolder(now);
-			return holder?.load.hasRoom(now) === true && holder.pool.hasRoom(connections, this.#refusedOn) && this.#target.waitFor(holder, 0, now) === 0 ? holder : undefined;
-		}
-
-		const use = leavingUseOf(service.upstreams);
-		const available = service.upstreams.filter(({notices, pool}) => notices.waitFor(use, now) === 0 && pool.hasRoom(connections, this.#refusedOn));
-		return selectUpstream(available, this.#attemptedUpstreams, now) ?? (this.#attemptedUpstreams.length > 0 ? selectUpstream(available, [], now) : undefined);
-	}
-
 	#tryToSend(now: MonotonicTime): boolean {
-		const chosen = this.#deadline - now < minimumSendMilliseconds ? undefined : this.#choose(now);
+		const chosen = this.#deadline - now < minimumSendMilliseconds ? undefined : this.#choice!.choose(now);
 		if (chosen === undefined) {
 			return false;
 		}
@@ -310,9 +274,10 @@
 		const {request} = this.#exchange;
 		const timeoutMilliseconds = this.#deadline - now;
 		upstream.load.inFlight += 1;
-		this.#target?.recordSend(upstream, now);
+		const {target, refusedOn, attempted} = this.#choice!;
+		target?.recordSend(upstream, now);
 		this.#upstreamRefusalStatus = 0;
-		this.#attemptedUpstreams.push(upstream.id);
+		attempted.push(upstream.id);
 		const headers = requestHeaders(request.rawHeaders, request.headers.connection, new Set([fields.deadline, fields.expectedUpstream]));
 		headers.push(fields.deadline, String(Math.floor(timeoutMilliseconds)), fields.expectedUpstream, upstream.id);
 		this.#attempt = upstream.pool.send({
@@ -321,7 +286,7 @@
 			headers,
 			body: this.#body,
 			timeoutMilliseconds,
-			refusedOn: this.#refusedOn,
+			refusedOn,
 			rules: {
 				onAnswerHead: (status, head) => {
 					this.#recordNotices(upstream, status, head);
@@ -378,12 +343,12 @@
 			});
 		}
 
-		if (result.observation === AttemptObservation.wholeAnswer && this.#target !== undefined) {
+		if (result.observation === AttemptObservation.wholeAnswer && this.#choice?.target !== undefined) {
 			countAnswer(this.#service!.name, upstream.id, result.milliseconds);
 		}
 
 		if (isMisdirected(result.observation, this.#upstreamRefusalStatus)) {
-			this.#target?.recordMisdirected(now);
+			this.#choice?.target?.recordMisdirected(now);
 		}
 
 		this.#uncertainAttempts += observationRules[result.observation].outcome === Outcome.notRun ? 0 : 1;
@@ -403,7 +368,7 @@
 		} else {
 			this.#exchange.answer(result.answer.status, result.answer.headers, result.answer.body);
 			this.#dependencies.requestLog.answered({
-				request: this, upstream, service: this.#service!.name, route: this.#route!.name, status: result.answer.status, attempts: this.#attemptedUpstreams.length,
+				request: this, upstream, service: this.#service!.name, route: this.#route!.name, status: result.answer.status, attempts: this.#attempts,
 			});
 		}
 	}
@@ -416,7 +381,7 @@
 		}
 
 		this.#dependencies.requestLog.answered({
-			request: this, upstream, service: this.#service!.name, route: this.#route!.name, status: 0, attempts: this.#attemptedUpstreams.length,
+			request: this, upstream, service: this.#service!.name, route: this.#route!.name, status: 0, attempts: this.#attempts,
 		});
 	}
 
@@ -429,7 +394,7 @@
 
 		if (!mayRetry(observation, route.idempotent)) {
 			this.#refuse(Refusal.unknownOutcome);
-		} else if (this.#uncertainAttempts >= route.maxAttempts || this.#attemptedUpstreams.length >= maximumAttempts) {
+		} else if (this.#uncertainAttempts >= route.maxAttempts || this.#attempts >= maximumAttempts) {
 			this.#refuse(Refusal.attemptsSpent);
 		} else if (tryRecordRetry(this.#service!)) {
 			this.#dispatch();
@@ -463,8 +428,8 @@
 			status,
 			service: this.#service?.name,
 			route: this.#route?.name,
-			key: this.#target?.key,
-			attempts: this.#attemptedUpstreams.length,
+			key: this.#choice?.target?.key,
+			attempts: this.#attempts,
 			waiting: this.#service?.queue.length ?? 0,
 			lineWait,
 			paceWait,
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -12,7 +12,7 @@
 import {LeavingUse} from '@dogwooddeck/gateway/upstream-notice';
 import {WaitingQueue} from '@dogwooddeck/gateway/waiting';
 import {type KeyRange, rangeOfKey, sameIncarnation} from '@dogwooddeck/key-lease/range';
-import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type MonotonicTime, type RegionName} from '@dogwooddeck/model/identifiers';
 import {
 	allowsRetry, recordAttempt, withCapacity, createRetryBudget, type RetryBudget,
 } from '@dogwooddeck/routing/budget';
@@ -26,6 +26,8 @@
 	readonly id: string;
 	readonly record: UpstreamRecord;
 	readonly distance: Distance;
+	/** Undefined if the settings don't name the zone's region. */
+	readonly region: RegionName | undefined;
 	readonly load: UpstreamLoad;
 	/** What this incarnation has asked for in its answers. */
 	readonly notices: UpstreamNotices;
@@ -215,6 +217,7 @@
 			id: record.id,
 			record,
 			distance: distanceOf(this.#settings.zone, record.zone, this.#settings.regions),
+			region: this.#settings.regions[record.zone],
 			load: earlier?.load ?? new UpstreamLoad(record.slots),
 			notices: earlier?.notices ?? new UpstreamNotices(this.#settings.leavingGraceMilliseconds),
 			pool,
--- /dev/null
+++ b/packages/entry/src/upstream-choice.ts
@@ -0,0 +1,113 @@
+/**
+ * The choice of an upstream for one request: which upstreams may process it, the
+ * cheapest of them that has room now, and what the request waits for if none has.
+ */
+import {selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
+import {waitDeadline} from '@dogwooddeck/gateway/waiting';
+import {type NamedRoute} from '@dogwooddeck/gateway/route-table';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type Connection} from './connection.js';
+import {type KeyDependencies, KeyTarget} from './key-target.js';
+import {type CachedService, type CachedUpstream} from './service-table.js';
+import {leavingUseOf, waitForOpen} from './upstream-notices.js';
+
+/** What a request waits for, and how long. */
+export type WaitEstimate = {
+	/** The holder of its key; undefined if the service has no keys or the key has no holder. */
+	readonly holder: CachedUpstream | undefined;
+	readonly key: number | undefined;
+	/** The number of requests for its key that wait already. */
+	readonly turn: number;
+	/** The expected wait behind other requests, and for its key's pace. */
+	readonly lineWait: Milliseconds;
+	readonly paceWait: Milliseconds;
+	/** When it stops waiting and is refused. */
+	readonly until: MonotonicTime;
+};
+
+/** Whether the route allows an upstream of this region. */
+function allowsRegion({allowedRegions}: NamedRoute, {region}: CachedUpstream): boolean {
+	return allowedRegions === undefined || (region !== undefined && allowedRegions.includes(region));
+}
+
+/** The upstreams that one request may be sent to, and those that it was sent to. */
+export class UpstreamChoice {
+	/** Undefined if the service has no keys. */
+	readonly target: KeyTarget | undefined;
+	/** Connections on which an upstream refused the request. */
+	readonly refusedOn = new Set<Connection>();
+	/** The upstreams of all attempts. */
+	readonly attempted: string[] = [];
+	readonly #dependencies: KeyDependencies;
+	readonly #service: CachedService;
+	readonly #route: NamedRoute;
+
+	/** `key` is undefined if the service has no keys. */
+	constructor(dependencies: KeyDependencies, service: CachedService, route: NamedRoute, key: number | undefined) {
+		this.#dependencies = dependencies;
+		this.#service = service;
+		this.#route = route;
+		this.target = key === undefined ? undefined : new KeyTarget(dependencies, service, key);
+	}
+
+	/** Whether the service has upstreams, but none in a region that the route allows; with a key, whether its holder is in another region. */
+	get isOutsideAllowedRegions(): boolean {
+		if (this.#route.allowedRegions === undefined) {
+			return false;
+		}
+
+		if (this.target !== undefined) {
+			const {holder} = this.target;
+			return holder !== undefined && !allowsRegion(this.#route, holder);
+		}
+
+		return this.#service.upstreams.length > 0 && this.#allowed.length === 0;
+	}
+
+	/** Returns the upstream to send the request to now; undefined if none has room. */
+	choose(now: MonotonicTime): CachedUpstream | undefined {
+		const connections = Math.max(1, Math.floor(this.#service.maxConnections / (this.#dependencies.entryCount() + 1)));
+		return this.target === undefined ? this.#chooseAny(connections, now) : this.#chooseHolder(this.target, connections, now);
+	}
+
+	/** Returns how long the notices of the upstreams keep the request from being sent: 0 if they don't, `Infinity` for good. */
+	waitForOpen(now: MonotonicTime): Milliseconds {
+		return this.target === undefined ? waitForOpen(this.#allowed, now) : this.target.pauseOfHolder(now);
+	}
+
+	/** Returns what a request that arrived at `arrivedAt` would wait for, the expected wait and its limit. */
+	estimateWait(arrivedAt: MonotonicTime, deadline: MonotonicTime, now: MonotonicTime): WaitEstimate {
+		const {queue} = this.#service;
+		const {priority, objectiveMilliseconds} = this.#route;
+		const key = this.target?.key;
+		const holder = this.target?.holder;
+		const turn = queue.nextTurn(key);
+		const until = waitDeadline({
+			arrivedAt, objectiveMilliseconds, deadline, expectedMilliseconds: (holder ?? this.#allowed[0])?.load.latency ?? 0,
+		});
+		const lineWait = holder === undefined ? 0 : holder.load.expectedWait(queue.countAhead(holder.id, priority, turn), now);
+		const paceWait = holder === undefined ? 0 : this.target!.waitFor(holder, turn, now);
+		return {
+			holder, key, turn, lineWait, paceWait, until,
+		};
+	}
+
+	get #allowed(): readonly CachedUpstream[] {
+		const {upstreams} = this.#service;
+		return this.#route.allowedRegions === undefined ? upstreams : upstreams.filter(upstream => allowsRegion(this.#route, upstream));
+	}
+
+	#chooseHolder(target: KeyTarget, connections: number, now: MonotonicTime): CachedUpstream | undefined {
+		const holder = target.availableHolder(now);
+		return holder !== undefined && allowsRegion(this.#route, holder) && holder.load.hasRoom(now) && holder.pool.hasRoom(connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
+			? holder
+			: undefined;
+	}
+
+	#chooseAny(connections: number, now: MonotonicTime): CachedUpstream | undefined {
+		const allowed = this.#allowed;
+		const use = leavingUseOf(allowed);
+		const available = allowed.filter(({notices, pool}) => notices.waitFor(use, now) === 0 && pool.hasRoom(connections, this.refusedOn));
+		return selectUpstream(available, this.attempted, now) ?? (this.attempted.length > 0 ? selectUpstream(available, [], now) : undefined);
+	}
+}
