Name one entry for each cold upstream in the stream of the directory

Cause: requests without a key need one sender for a cold upstream. The assignments ride in each message of the stream, with its time, and are left out while nothing is cold.

--- a/packages/control-node/src/control-node.ts
+++ b/packages/control-node/src/control-node.ts
@@ -31,6 +31,7 @@
 import {createAnnouncementBatcher} from './announcement-batcher.js';
 import {createAnnouncementCoordinator} from './announcement-coordinator.js';
 import {countCalls} from './call-counts.js';
+import {ColdAssigner} from './cold-assigner.js';
 import {type DirectoryVoter, startDirectoryVoter} from './directory-voter.js';
 import {EntryCount} from './entry-count.js';
 import {createFollowers} from './followers.js';
@@ -238,8 +239,11 @@
 		},
 	});
 
+	const coldAssigner = new ColdAssigner(settings.zone, monotonicNow());
 	const followers = createFollowers(holder, () => {
 		const leader = leaderAddress();
+		const sentAt = Math.round(monotonicNow());
+		const cold = coldAssigner.assign(holder.state(), followers.changeReceivers(), sentAt);
 		return {
 			fresh: isFresh(),
 			committed: own.voter?.knownCommitted() ?? 0,
@@ -247,6 +251,8 @@
 			zone: settings.zone,
 			shares: shares(),
 			members: own.voter?.members() ?? [],
+			sentAt,
+			...(cold === undefined ? {} : {cold}),
 			...(leader === undefined ? {} : {leader}),
 		};
 	});
--- a/packages/control-node/src/followers.ts
+++ b/packages/control-node/src/followers.ts
@@ -25,6 +25,8 @@
 	readonly add: (follower: Follower) => void;
 	/** The names of the following entries. */
 	readonly names: () => readonly string[];
+	/** The names of the entries that receive the changes. */
+	readonly changeReceivers: () => readonly string[];
 	readonly stop: () => void;
 };
 
@@ -72,6 +74,7 @@
 			});
 			sendTo([one]);
 		},
+		changeReceivers: () => [...new Set([...followerStates].flatMap(({follower: {request}}) => request.wantsChanges ? [request.entry] : []))],
 		names: () => [...new Set([...followerStates].map(({follower}) => follower.request.entry))],
 		stop() {
 			clearInterval(heartbeatTimer);
--- a/packages/mesh/src/calls.ts
+++ b/packages/mesh/src/calls.ts
@@ -10,7 +10,9 @@
 import {type KeyReport} from '@dogwooddeck/key-lease/report';
 import {type CatchUp} from '@dogwooddeck/model/catch-up';
 import {type Failure} from '@dogwooddeck/model/failure';
-import {type LogIndex, type Milliseconds, type ZoneName} from '@dogwooddeck/model/identifiers';
+import {
+	type InstanceName, type LogIndex, type Milliseconds, type MonotonicTime, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
 
 /** An announcement, as a control instance forwards it to the leader. */
 export type AnnouncementReport = {
@@ -95,4 +97,8 @@
 	readonly entryCount: number;
 	/** The overloaded upstreams, with the fraction of the requests for their keys that each can process. */
 	readonly shares: readonly HolderShare[];
+	/** When the message was sent, on the sender's monotonic clock. */
+	readonly sentAt?: MonotonicTime;
+	/** The cold upstreams of the sender's zone, by the one entry that may send to them; omitted if there are none. */
+	readonly cold?: Readonly<Record<InstanceName, readonly string[]>>;
 };
