Send to cold upstreams within their capacity, and refuse what can't be sent

Cause: an entry sent to cold upstreams as to warm ones; 63 entries together exceed what they bear. Change: the choice of an upstream, and the check right before the first byte, ask ColdUpstreams. A request whose upstreams are all cold and that can't be sent in time is refused at once as upstreams-cold. Leases gained and lost are logged, requests to cold upstreams counted. Seen to fail: 'the upstream has become cold' before the first byte passed the request on while the check asked the record from the choice, not the newest one.

--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -5,6 +5,7 @@
  */
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {directoryMachine, type DirectoryState} from '@dogwooddeck/directory/state';
+import {ColdLeases} from '@dogwooddeck/gateway/cold-lease';
 import {Distance, distanceOf} from '@dogwooddeck/gateway/upstream-selection';
 import {type UpstreamIncarnation, incarnationText} from '@dogwooddeck/key-lease/range';
 import {type FollowMessage} from '@dogwooddeck/mesh/calls';
@@ -30,6 +31,10 @@
 	readonly entryCount: () => number;
 	/** Returns the fraction of the requests for its keys that an overloaded upstream can process; 1 for other upstreams. */
 	readonly shareOf: (upstream: UpstreamIncarnation) => number;
+	/** Returns the fraction of a cold upstream's capacity that this instance may use; 0 without a lease. */
+	readonly coldFractionOf: (upstream: string, zone: ZoneName, now: MonotonicTime) => number;
+	/** Returns when a control instance in contact with the leader last sent a message. */
+	readonly contactAt: () => MonotonicTime;
 	/** Follows further control instances. */
 	readonly followAlso: (addresses: readonly string[]) => void;
 	readonly stop: () => void;
@@ -69,6 +74,9 @@
 /** Reported overloads are valid for this long: a key is hot for seconds. */
 const sharesLifetimeMilliseconds: Milliseconds = 1500;
 
+/** How much of a list of upstreams is logged. */
+const maximumLoggedCharacters = 400;
+
 const ranks: Readonly<Record<Distance, number>> = {
 	[Distance.sameZone]: 0,
 	[Distance.sameRegion]: 1,
@@ -113,9 +121,20 @@
 	let isConfirmed = false;
 	let shares: ReadonlyMap<string, number> = new Map();
 	let sharesAt: MonotonicTime = -Infinity;
+	let contactAt: MonotonicTime = -Infinity;
+	const coldLeases = new ColdLeases(name);
 	/** The highest log index that any control instance reported as committed. */
 	let committed: LogIndex = 0;
 
+	function logLeaseChanges(): void {
+		const {gained, lost} = coldLeases.takeChanges(monotonicNow());
+		for (const [event, upstreams] of [[EventName.coldLeaseGained, gained], [EventName.coldLeaseLost, lost]] as const) {
+			if (upstreams.length > 0) {
+				log.event(event, {count: upstreams.length, upstreams: upstreams.join(',').slice(0, maximumLoggedCharacters)});
+			}
+		}
+	}
+
 	function receive(address: string, stream: ControlStream, message: FollowMessage): void {
 		if (!stream.hasReceived && stream.mode === FollowMode.changes) {
 			log.event(EventName.controlGained, {control: address, fresh: message.fresh, applied: holder.state().applied});
@@ -128,6 +147,9 @@
 		stream.entries = message.entryCount;
 		shares = new Map(message.shares.map(({life, share}) => [incarnationText(life), share]));
 		sharesAt = stream.lastContactAt;
+		coldLeases.receive(address, message, stream.lastContactAt);
+		logLeaseChanges();
+		contactAt = message.fresh && stream.mode === FollowMode.changes ? stream.lastContactAt : contactAt;
 		if (message.catchUp !== undefined) {
 			holder.catchUp(message.catchUp);
 		}
@@ -158,6 +180,7 @@
 		stream.hasReceived = false;
 		stream.lastContactAt = monotonicNow();
 		stream.leaderContactAt = stream.lastContactAt;
+		coldLeases.open(address, stream.lastContactAt);
 		stream.following = clients.follow(address, {entry: name, applied: holder.state().applied, wantsChanges: mode === FollowMode.changes}, {
 			onPart() {
 				stream.lastContactAt = monotonicNow();
@@ -185,6 +208,7 @@
 		const now = monotonicNow();
 		const all = [...streams.values()];
 		lag.record(holder.state().applied, committed, now);
+		logLeaseChanges();
 		for (const [address, stream] of streams) {
 			const isTimedOut = now - stream.lastContactAt > (stream.hasReceived ? contactTimeoutMilliseconds : connectMilliseconds);
 			if (stream.isOpen && isTimedOut) {
@@ -221,6 +245,8 @@
 		},
 		entryCount: () => Math.max(1, ...[...streams.values()].map(({isOpen, entries}) => isOpen ? entries : 1)),
 		shareOf: upstream => monotonicNow() - sharesAt <= sharesLifetimeMilliseconds ? shares.get(incarnationText(upstream)) ?? 1 : 1,
+		coldFractionOf: (upstream, upstreamZone, now) => coldLeases.fractionOf(upstream, upstreamZone, now),
+		contactAt: () => contactAt,
 		followAlso(addresses) {
 			for (const address of addresses) {
 				open(address);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -74,6 +74,14 @@
 		name: settings.name, zone: settings.zone, regions: settings.regions, seeds: settings.seeds, clients, log,
 	});
 	const table = new ServiceTable(settings, random);
+	table.cold.connect({
+		fractionOf: follower.coldFractionOf,
+		contactAt: follower.contactAt,
+		entryCount: follower.entryCount,
+		onSend(service) {
+			measures.counter(MeasureName.coldRequests, {service}).value += 1;
+		},
+	});
 	const reporter = startLoadReporter(clients, follower.nearest);
 	let isStopping = false;
 	let endsAt: MonotonicTime = Infinity;
--- a/packages/entry/src/refusals.ts
+++ b/packages/entry/src/refusals.ts
@@ -19,6 +19,8 @@
 	upstreamsPaused: 'upstreams-paused',
 	/** All upstreams that may run the request are leaving. */
 	upstreamsLeaving: 'upstreams-leaving',
+	/** All upstreams that may run the request are cold, and this instance may not send to them in time. */
+	upstreamsCold: 'upstreams-cold',
 	/** No upstream of the service is in a region that the route allows. */
 	noAllowedRegion: 'no-allowed-region',
 	/** The instance would stop before the request's deadline. */
@@ -45,6 +47,7 @@
 	[Refusal.holderOverloaded]: 503,
 	[Refusal.upstreamsPaused]: 503,
 	[Refusal.upstreamsLeaving]: 503,
+	[Refusal.upstreamsCold]: 503,
 	[Refusal.noAllowedRegion]: 503,
 	[Refusal.stopping]: 503,
 	[Refusal.timeout]: 503,
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -247,8 +247,14 @@
 		queue.add(this.#waiter);
 	}
 
-	/** Refuses the request if the notices of its upstreams keep it from being sent by `until`. */
+	/** Refuses the request if the notices of its upstreams, or their being cold, keep it from being sent by `until`. */
 	#refuseIfClosed(now: MonotonicTime, until: MonotonicTime): boolean {
+		const coldWait = this.#choice!.waitForCold(now);
+		if (now + coldWait > until && coldWait > 0) {
+			this.#refuse(Refusal.upstreamsCold, {pauseMilliseconds: coldWait});
+			return true;
+		}
+
 		const wait = this.#choice!.waitForOpen(now);
 		if (wait === 0 || now + wait <= until) {
 			return false;
@@ -274,8 +280,9 @@
 		const {request} = this.#exchange;
 		const timeoutMilliseconds = this.#deadline - now;
 		upstream.load.inFlight += 1;
-		const {target, refusedOn, attempted} = this.#choice!;
-		target?.recordSend(upstream, now);
+		const choice = this.#choice!;
+		const {refusedOn, attempted} = choice;
+		choice.recordSend(upstream, now);
 		this.#upstreamRefusalStatus = 0;
 		attempted.push(upstream.id);
 		const headers = requestHeaders(request.rawHeaders, request.headers.connection, new Set([fields.deadline, fields.expectedUpstream]));
@@ -299,7 +306,7 @@
 			},
 			buffering: this.#dependencies.buffering,
 			answerSize: this.#route!.answerSize ?? AnswerSize.ordinary,
-			mayStart: () => !this.#exchange.hasDisconnected && table.isCurrent(upstream) && table.isOpen(upstream, this.#service!, monotonicNow()),
+			mayStart: () => !this.#exchange.hasDisconnected && table.isCurrent(upstream) && table.isOpen(upstream, this.#service!, monotonicNow()) && choice.mayStart(upstream, monotonicNow()),
 			streamedAnswer: {
 				begin: (status, answerHeaders) => {
 					this.#exchange.startStream(status, answerHeaders);
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -2,6 +2,7 @@
  * The services and upstreams of this instance: the directory's records, with
  * the instance's own measurements and connections.
  */
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {type DirectoryState} from '@dogwooddeck/directory/state';
 import {UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
 import {KeyPacer} from '@dogwooddeck/gateway/key-pace';
@@ -16,6 +17,7 @@
 import {
 	allowsRetry, recordAttempt, withCapacity, createRetryBudget, type RetryBudget,
 } from '@dogwooddeck/routing/budget';
+import {ColdUpstreams} from './cold-upstreams.js';
 import {type ConnectionTimeouts} from './connection.js';
 import {type EntrySettings} from './settings.js';
 import {leavingUseOf, UpstreamNotices} from './upstream-notices.js';
@@ -83,6 +85,7 @@
 /** The services, upstreams and routes of this instance. */
 export class ServiceTable {
 	routes: RouteTable = new Map();
+	readonly cold: ColdUpstreams;
 	readonly #settings: EntrySettings;
 	readonly #services = new Map<string, CachedService>();
 	readonly #upstreams = new Map<string, CachedUpstream>();
@@ -95,6 +98,7 @@
 	constructor(settings: EntrySettings, random: () => number) {
 		this.#settings = settings;
 		this.#random = random;
+		this.cold = new ColdUpstreams(random);
 	}
 
 	/** Updates the table to a newer directory. */
@@ -105,6 +109,7 @@
 			this.#leastUrgentPriorities = leastUrgentPriorities(this.routes);
 		}
 
+		this.cold.update(state, monotonicNow());
 		this.#updateUpstreams(state.upstreams);
 		for (const [name, {value}] of Object.entries(state.items.service)) {
 			if (value !== undefined) {
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -41,6 +41,8 @@
 	readonly #dependencies: KeyDependencies;
 	readonly #service: CachedService;
 	readonly #route: NamedRoute;
+	/** Whether the last attempt was counted as one to a cold upstream. */
+	#isCountedAsCold = false;
 
 	/** `key` is undefined if the service has no keys. */
 	constructor(dependencies: KeyDependencies, service: CachedService, route: NamedRoute, key: number | undefined) {
@@ -75,6 +77,43 @@
 		return this.target === undefined ? waitForOpen(this.#allowed, now) : this.target.pauseOfHolder(now);
 	}
 
+	/** Returns how long until the request may be sent although all upstreams that may process it are cold; 0 if one isn't. */
+	waitForCold(now: MonotonicTime): Milliseconds {
+		const {cold} = this.#dependencies.table;
+		if (this.target !== undefined) {
+			const {holder} = this.target;
+			return holder === undefined ? 0 : cold.waitFor(holder.record, now);
+		}
+
+		let shortest = this.#allowed.length === 0 ? 0 : Infinity;
+		for (const {record} of this.#allowed) {
+			shortest = Math.min(shortest, cold.waitFor(record, now));
+		}
+
+		return shortest;
+	}
+
+	/** Records that the request is being sent. */
+	recordSend(upstream: CachedUpstream, now: MonotonicTime): void {
+		this.target?.recordSend(upstream, now);
+		this.#isCountedAsCold = this.#dependencies.table.cold.recordSend(upstream.record, now);
+	}
+
+	/** Whether the first byte may still be sent to the upstream, which may have become cold while a connection was opened. */
+	mayStart({record}: CachedUpstream, now: MonotonicTime): boolean {
+		const {cold} = this.#dependencies.table;
+		if (this.#isCountedAsCold) {
+			return cold.mayStart(record, now);
+		}
+
+		if (cold.waitFor(record, now) > 0) {
+			return false;
+		}
+
+		this.#isCountedAsCold = cold.recordSend(record, now);
+		return true;
+	}
+
 	/** Returns what a request that arrived at `arrivedAt` would wait for, the expected wait and its limit. */
 	estimateWait(arrivedAt: MonotonicTime, deadline: MonotonicTime, now: MonotonicTime): WaitEstimate {
 		const {queue} = this.#service;
@@ -99,7 +138,8 @@
 
 	#chooseHolder(target: KeyTarget, connections: number, now: MonotonicTime): CachedUpstream | undefined {
 		const holder = target.availableHolder(now);
-		return holder !== undefined && allowsRegion(this.#route, holder) && holder.load.hasRoom(now) && holder.pool.hasRoom(connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
+		const isAllowed = holder !== undefined && allowsRegion(this.#route, holder) && this.#dependencies.table.cold.waitFor(holder.record, now) === 0;
+		return isAllowed && holder.load.hasRoom(now) && holder.pool.hasRoom(connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
 			? holder
 			: undefined;
 	}
@@ -107,7 +147,8 @@
 	#chooseAny(connections: number, now: MonotonicTime): CachedUpstream | undefined {
 		const allowed = this.#allowed;
 		const use = leavingUseOf(allowed);
-		const available = allowed.filter(({notices, pool}) => notices.waitFor(use, now) === 0 && pool.hasRoom(connections, this.refusedOn));
+		const {cold} = this.#dependencies.table;
+		const available = allowed.filter(({notices, pool, record}) => notices.waitFor(use, now) === 0 && cold.waitFor(record, now) === 0 && pool.hasRoom(connections, this.refusedOn));
 		return selectUpstream(available, this.attempted, now) ?? (this.attempted.length > 0 ? selectUpstream(available, [], now) : undefined);
 	}
 }
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -125,7 +125,7 @@
 
 /** Starts an entry; `hasDirectory`: whether it has a directory. `overrides` replaces dependencies of its requests. */
 export async function startEntry(upstreams: readonly Upstream[], hasDirectory: boolean, overrides: Partial<RequestDependencies> = {}): Promise<Entry> {
-	const table = new ServiceTable(settings, () => 0);
+	const table = new ServiceTable(settings, overrides.random ?? (() => 0));
 	const loopDelayGuard = new LoopDelayGuard();
 	const advance = ({queue: line}: CachedService) => {
 		loopDelayGuard.afterPendingReads(() => {
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -63,6 +63,9 @@
 	attemptFailed: 'attempt-failed',
 	/** A notice in an upstream's answer changed what this instance sends to it. */
 	upstreamNoticed: 'upstream-noticed',
+	/** This instance alone may send requests to these cold upstreams, or no longer. */
+	coldLeaseGained: 'cold-lease-gained',
+	coldLeaseLost: 'cold-lease-lost',
 	/** A request was answered by an upstream. */
 	requestAnswered: 'request-answered',
 	/** A request was refused or ended without an upstream's answer. */
