Weigh the load that upstreams tell when one is chosen

Cause: neighbours make a machine slow for some hundred milliseconds, and other entries fill a server, before this entry's latencies show it. Change: ToldLoad holds the figures of the last answers with their age; the cost of an upstream leans to them for 600 ms, less with each moment, and less where measured latencies foretold answers better. Without figures the cost is computed as before.

--- a/packages/gateway/src/upstream-load.ts
+++ b/packages/gateway/src/upstream-load.ts
@@ -11,6 +11,7 @@
  * a pause, and must not be full again as soon as they return.
  */
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {ToldLoad} from './told-load.js';
 
 /** What the outcome of an attempt indicates about the upstream. */
 export const Signal = {
@@ -78,6 +79,8 @@
 /** The load of one upstream. It is on the request path, so it is updated in place. */
 export class UpstreamLoad {
 	inFlight = 0;
+	/** What it tells in its answers; without effect if it tells nothing. */
+	readonly told = new ToldLoad();
 	#concurrencyLimit = initialConcurrencyLimit;
 	#latency = initialLatencyMilliseconds;
 	#uncontendedLatency = Infinity;
@@ -93,6 +96,7 @@
 	readonly #maxConcurrencyLimit: number;
 	readonly #signalHandlers: Readonly<Record<Signal, (latency: Milliseconds, now: MonotonicTime) => void>> = {
 		answered: (latency, now) => {
+			this.told.compare(latency, this.#latency, now);
 			this.#answers += 1;
 			this.#latency += (latency - this.#latency) * Math.max(sampleWeight, 1 / (this.#answers + 1));
 			this.#recordSuccess(latency, now);
@@ -190,6 +194,7 @@
 	}
 
 	#recordFailure(): void {
+		this.told.discard();
 		this.#failureShare += (1 - this.#failureShare) * sampleWeight;
 	}
 
--- a/packages/gateway/src/upstream-selection.ts
+++ b/packages/gateway/src/upstream-selection.ts
@@ -72,9 +72,9 @@
 	return count === 0 ? undefined : sum / count;
 }
 
-function costOf({distance, load, cold, isConnected}: UpstreamCandidate, meanLatency: Milliseconds | undefined): number {
-	const latency = load.isMeasured ? load.latency : meanLatency ?? load.latency;
-	const expectedMilliseconds = (load.inFlight + 1) * latency * (cold ? coldFactor : 1);
+function costOf({distance, load, cold, isConnected}: UpstreamCandidate, meanLatency: Milliseconds | undefined, now: MonotonicTime): number {
+	const latency = (load.isMeasured ? load.latency : meanLatency ?? load.latency) * (cold ? coldFactor : 1);
+	const expectedMilliseconds = load.told.expect((load.inFlight + 1) * latency, latency, load.inFlight, now);
 	return distanceMilliseconds[distance] + (isConnected ? 0 : newConnectionMilliseconds) + (expectedMilliseconds * (1 + (failurePenalty * load.failureShare)));
 }
 
@@ -88,7 +88,7 @@
 			continue;
 		}
 
-		const cost = costOf(candidate, meanLatency);
+		const cost = costOf(candidate, meanLatency, now);
 		if (cost < bestCost) {
 			best = candidate;
 			bestCost = cost;
