Read the load that upstreams tell in their answers

Change: the adapter names the field (FieldNames.load, optional); the entry reads three or four figures from answers that name the request, and logs an unreadable value once as it does for other fields.

--- a/packages/entry/src/answer-rules.ts
+++ b/packages/entry/src/answer-rules.ts
@@ -1,6 +1,7 @@
 /**
  * Classifies the answers of upstreams, and derives from each attempt the signal for its upstream's load control.
  */
+import {type LoadFigures} from '@dogwooddeck/gateway/told-load';
 import {Signal} from '@dogwooddeck/gateway/upstream-load';
 import {type Notice} from '@dogwooddeck/gateway/upstream-notice';
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
@@ -14,6 +15,11 @@
 const unavailable = 503;
 const isLeaving = '1';
 
+/** Requests running, waiting, slots, and optionally the time that work takes in percent of the usual. */
+const loadPattern = /^(?<running>\d{1,6}),(?<waiting>\d{1,6}),(?<slots>[1-9]\d{0,5})(?:,(?<percent>[1-9]\d{0,4}))?$/v;
+const wholePercent = 100;
+const spaces = /[ \t]/gv;
+
 const signalOfObservation: Readonly<Record<AttemptObservation, Signal>> = {
 	[AttemptObservation.refusedConnection]: Signal.broken,
 	[AttemptObservation.closedBeforeFirstByte]: Signal.broken,
@@ -68,12 +74,32 @@
 	return milliseconds === undefined ? {kind: 'unreadable', field: 'retry-after', value: retryAfter} : {kind: 'pause', milliseconds};
 }
 
+function readLoad(value: string): LoadFigures | undefined {
+	const groups = loadPattern.exec(value.replaceAll(spaces, ''))?.groups;
+	return groups === undefined
+		? undefined
+		: {
+			running: Number(groups.running), waiting: Number(groups.waiting), slots: Number(groups.slots), slowdown: Number(groups.percent ?? wholePercent) / wholePercent,
+		};
+}
+
+function loadNotice(fields: FieldNames, {headers}: AnswerHead): Notice | undefined {
+	const value = fields.load === undefined ? undefined : fieldOf(headers, fields.load);
+	return fields.load === undefined || value === undefined || readLoad(value) !== undefined ? undefined : {kind: 'unreadable', field: fields.load, value};
+}
+
+/** Returns the load that an answer tells; undefined if it tells none, or may be the late copy of an earlier answer. */
+export function toldLoadOf(fields: FieldNames, identifier: string | undefined, {headers}: AnswerHead): LoadFigures | undefined {
+	const value = fields.load === undefined || fieldOf(headers, fields.requestIdentifier) !== identifier ? undefined : fieldOf(headers, fields.load);
+	return value === undefined ? undefined : readLoad(value);
+}
+
 /**
  * Returns the notices in an answer. They count on any answer, also on one that belongs to another request:
  * whatever is received on a connection comes from the upstream that it was opened to.
  */
 export function noticesOf(fields: FieldNames, status: number, head: AnswerHead, wallNow: number): readonly Notice[] {
-	return [leavingNotice(fields, head), pauseNotice(status, head, wallNow)].filter(notice => notice !== undefined);
+	return [leavingNotice(fields, head), pauseNotice(status, head, wallNow), loadNotice(fields, head)].filter(notice => notice !== undefined);
 }
 
 /** Whether an upstream refused a request that is addressed to another upstream, or whose key it doesn't hold. */
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -17,7 +17,7 @@
 import {mayRetry, AttemptObservation, observationRules} from '@dogwooddeck/routing/outcome';
 import {type AnswerHead, requestHeaders} from '@dogwooddeck/upstream-client/headers';
 import {
-	isForeign, isMisdirected, isNotRun, noticesOf, signalOf,
+	isForeign, isMisdirected, isNotRun, noticesOf, signalOf, toldLoadOf,
 } from './answer-rules.js';
 import {type AttemptResult, type SentAttempt} from './attempt.js';
 import {BodyProblem, type CallerExchange} from './caller-exchange.js';
@@ -321,6 +321,11 @@
 
 	#recordNotices(upstream: CachedUpstream, status: number, head: AnswerHead): void {
 		const {fields, entryCount, random, requestLog} = this.#dependencies;
+		const figures = toldLoadOf(fields, this.identifier, head);
+		if (figures !== undefined) {
+			upstream.load.told.record(figures, upstream.load.inFlight - 1, monotonicNow());
+		}
+
 		for (const notice of noticesOf(fields, status, head, wallNow())) {
 			const changes = recordUpstreamNotice(upstream, notice, entryCount(), random());
 			requestLog.noticed({
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -22,6 +22,8 @@
 	readonly key: string;
 	/** `1` on all answers of an upstream that is leaving. */
 	readonly leaving: string;
+	/** The load that an upstream tells: requests running, waiting, slots, and how long work takes now in percent of the usual. Omitted if upstreams tell none. */
+	readonly load?: string;
 };
 
 /** The settings of an entry instance. */
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -24,7 +24,7 @@
 export type Behaviour = (socket: Socket, request: Request, received: number) => void;
 
 const fields = {
-	requestIdentifier: 'request', deadline: 'deadline', expectedUpstream: 'expected', stamp: 'stamp', notRun: 'not-run', key: 'key', leaving: 'leaving',
+	requestIdentifier: 'request', deadline: 'deadline', expectedUpstream: 'expected', stamp: 'stamp', notRun: 'not-run', key: 'key', leaving: 'leaving', load: 'load',
 };
 
 /** What the answers of an entry may buffer together. */
