--- a/packages/entry/src/request-attempt.ts
+++ b/packages/entry/src/request-attempt.ts
@@ -11,7 +11,7 @@
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
 import {type AnswerHead, type RawHeaders, requestHeaders} from '@dogwooddeck/upstream-client/headers';
 import {
-	isForeign, isMisdirected, isNotRun, noticesOf, signalOf,
+	isForeign, isMisdirected, isNotRun, noticesOf, signalOf, toldLoadOf,
 } from './answer-rules.js';
 import {type AttemptResult, type SentAttempt} from './attempt.js';
 import {type CallerExchange} from './caller-exchange.js';
@@ -73,7 +73,7 @@
 		const {upstream} = this;
 		const timeoutMilliseconds = deadline - now;
 		upstream.load.inFlight += 1;
-		choice.target?.recordSend(upstream, now);
+		choice.recordSend(upstream, now);
 		choice.attempted.push(upstream.id);
 		this.#sent = upstream.pool.send({
 			method: exchange.request.method ?? 'GET',
@@ -85,7 +85,7 @@
 			rules: this.#rules(),
 			buffering,
 			answerSize: route.answerSize ?? AnswerSize.ordinary,
-			mayStart: () => !exchange.hasDisconnected && table.isCurrent(upstream) && table.isOpen(upstream, service, monotonicNow()),
+			mayStart: () => !exchange.hasDisconnected && table.isCurrent(upstream) && table.isOpen(upstream, service, monotonicNow()) && choice.mayStart(upstream, monotonicNow()),
 			streamedAnswer: {
 				begin(status, answerHeaders) {
 					exchange.startStream(status, answerHeaders);
@@ -128,6 +128,11 @@
 	#recordNotices(status: number, head: AnswerHead): void {
 		const {fields, entryCount, random, requestLog} = this.#dependencies;
 		const {upstream} = this;
+		const figures = toldLoadOf(fields, this.#request.identifier, head);
+		if (figures !== undefined) {
+			upstream.load.told.record(figures, upstream.load.inFlight - 1, monotonicNow());
+		}
+
 		for (const notice of noticesOf(fields, status, head, wallNow())) {
 			const changes = recordUpstreamNotice(upstream, notice, entryCount(), random());
 			requestLog.noticed({
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -236,13 +236,19 @@
 		queue.add(this.#waiter);
 	}
 
-	/** Refuses the request if its upstreams are in evacuated zones, or their notices keep it from being sent by `until`. */
+	/** Refuses the request if its upstreams are in evacuated zones, or their being cold or their notices keep it from being sent by `until`. */
 	#refuseIfClosed(now: MonotonicTime, until: MonotonicTime): boolean {
 		if (this.#choice!.isEvacuated(now)) {
 			this.#refuse(Refusal.zoneEvacuated);
 			return true;
 		}
 
+		const coldWait = this.#choice!.waitForCold(now);
+		if (now + coldWait > until && coldWait > 0) {
+			this.#refuse(Refusal.upstreamsCold, {pauseMilliseconds: coldWait});
+			return true;
+		}
+
 		const wait = this.#choice!.waitForOpen(now);
 		if (wait === 0 || now + wait <= until) {
 			return false;
--- a/packages/entry/test/test-allowed-regions.ts
+++ b/packages/entry/test/test-allowed-regions.ts
@@ -5,9 +5,9 @@
 	call, directoryOf, type Entry, hasHead, requestText, type Upstream, whole, withEntry,
 } from './scenario.js';
 
-/** The entry's settings name the region `r` for zone `z`, and none for the zone `y`. */
+/** The entry's settings name the region `r` for zone `z`, and none for this one. */
 const ownZone = 'z';
-const unnamedZone = 'y';
+const unnamedZone = 'unnamed';
 
 type Case = {
 	readonly name: string;
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -19,6 +19,8 @@
 	zoneOrders: 'dogwooddeck_zone_orders_total',
 	/** The number of evacuated zones that this instance knows of. */
 	evacuatedZones: 'dogwooddeck_evacuated_zones',
+	/** Requests that were sent to cold upstreams, by service. */
+	coldRequests: 'dogwooddeck_cold_requests_total',
 	/** The index of the newest applied log entry. */
 	applied: 'dogwooddeck_applied_index',
 	/** The index of the newest log entry known to be committed. */
