Split the execution of a request by job

Change: one attempt (what is sent, notices, signal, log line) is request-attempt.ts; the answer of a refusal and its log line are refusal-answer.ts; the rest stays. No change of behaviour.

--- /dev/null
+++ b/packages/entry/src/request-attempt.ts
@@ -0,0 +1,174 @@
+/**
+ * One attempt of a request at one upstream: builds what is sent, and records what
+ * the attempt says about the upstream (notices, load, log lines).
+ */
+import {type Buffer} from 'node:buffer';
+import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
+import {AnswerSize} from '@dogwooddeck/directory/item';
+import {type AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
+import {type NamedRoute} from '@dogwooddeck/gateway/route-table';
+import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {AttemptObservation} from '@dogwooddeck/routing/outcome';
+import {type AnswerHead, type RawHeaders, requestHeaders} from '@dogwooddeck/upstream-client/headers';
+import {
+	isForeign, isMisdirected, isNotRun, noticesOf, signalOf,
+} from './answer-rules.js';
+import {type AttemptResult, type SentAttempt} from './attempt.js';
+import {type CallerExchange} from './caller-exchange.js';
+import {type LoggedRequest, type RequestLog} from './request-log.js';
+import {type CachedService, type CachedUpstream, type ServiceTable} from './service-table.js';
+import {type FieldNames} from './settings.js';
+import {type UpstreamChoice} from './upstream-choice.js';
+import {recordUpstreamNotice} from './upstream-notices.js';
+
+/** What an attempt depends on. */
+export type AttemptDependencies = {
+	readonly table: ServiceTable;
+	readonly fields: FieldNames;
+	readonly requestLog: RequestLog;
+	readonly entryCount: () => number;
+	/** The buffered bytes of all answers. */
+	readonly buffering: AnswerBuffering;
+	/** Counts an answer of an upstream of a keyed service, and the time it took. */
+	readonly countAnswer: (service: string, upstream: string, took: Milliseconds) => void;
+	/** Returns numbers between 0 and 1. */
+	readonly random: () => number;
+};
+
+/** The request that is attempted. */
+export type AttemptedRequest = LoggedRequest & {
+	readonly exchange: CallerExchange;
+	readonly path: string;
+	readonly body: Buffer | undefined;
+	readonly deadline: MonotonicTime;
+	readonly route: NamedRoute;
+	readonly service: CachedService;
+	readonly choice: UpstreamChoice;
+};
+
+/** Receives how an attempt ended; called once. */
+export type AttemptListener = (attempt: RequestAttempt, result: AttemptResult, now: MonotonicTime) => void;
+
+/** One attempt. `send` is called once. */
+export class RequestAttempt {
+	readonly #dependencies: AttemptDependencies;
+	readonly #request: AttemptedRequest;
+	readonly #onEnd: AttemptListener;
+	#sent: SentAttempt | undefined;
+	/** The status of the upstream's refusal; 0 if it did not refuse. */
+	#refusalStatus = 0;
+
+	constructor(dependencies: AttemptDependencies, request: AttemptedRequest, readonly upstream: CachedUpstream, onEnd: AttemptListener) {
+		this.#dependencies = dependencies;
+		this.#request = request;
+		this.#onEnd = onEnd;
+	}
+
+	/** Sends the request to the upstream. */
+	send(now: MonotonicTime): void {
+		const {table, buffering} = this.#dependencies;
+		const {
+			exchange, path, body, deadline, route, service, choice,
+		} = this.#request;
+		const {upstream} = this;
+		const timeoutMilliseconds = deadline - now;
+		upstream.load.inFlight += 1;
+		choice.target?.recordSend(upstream, now);
+		choice.attempted.push(upstream.id);
+		this.#sent = upstream.pool.send({
+			method: exchange.request.method ?? 'GET',
+			path,
+			headers: this.#headers(timeoutMilliseconds),
+			body,
+			timeoutMilliseconds,
+			refusedOn: choice.refusedOn,
+			rules: this.#rules(),
+			buffering,
+			answerSize: route.answerSize ?? AnswerSize.ordinary,
+			mayStart: () => !exchange.hasDisconnected && table.isCurrent(upstream) && table.isOpen(upstream, service, monotonicNow()),
+			streamedAnswer: {
+				begin(status, answerHeaders) {
+					exchange.startStream(status, answerHeaders);
+				},
+				write: chunk => this.#forwardChunk(chunk),
+			},
+			onEnd: result => {
+				this.#finish(result);
+			},
+		});
+	}
+
+	/** Closes the connection to the upstream. */
+	cancel(): void {
+		this.#sent?.cancel();
+	}
+
+	#headers(timeoutMilliseconds: Milliseconds): RawHeaders {
+		const {fields} = this.#dependencies;
+		const {request} = this.#request.exchange;
+		const headers = requestHeaders(request.rawHeaders, request.headers.connection, new Set([fields.deadline, fields.expectedUpstream]));
+		headers.push(fields.deadline, String(Math.floor(timeoutMilliseconds)), fields.expectedUpstream, this.upstream.id);
+		return headers;
+	}
+
+	#rules(): Parameters<CachedUpstream['pool']['send']>[0]['rules'] {
+		const {fields} = this.#dependencies;
+		return {
+			onAnswerHead: (status, head) => {
+				this.#recordNotices(status, head);
+			},
+			isNotRun: (status, head) => {
+				this.#refusalStatus = status;
+				return isNotRun(fields, head);
+			},
+			isForeign: (status, head, isFirst) => isForeign(fields, this.#request.identifier, {status, head, isFirst}),
+		};
+	}
+
+	#recordNotices(status: number, head: AnswerHead): void {
+		const {fields, entryCount, random, requestLog} = this.#dependencies;
+		const {upstream} = this;
+		for (const notice of noticesOf(fields, status, head, wallNow())) {
+			const changes = recordUpstreamNotice(upstream, notice, entryCount(), random());
+			requestLog.noticed({
+				request: this.#request, upstream, notice, changes,
+			});
+		}
+	}
+
+	#forwardChunk(chunk: Uint8Array): boolean {
+		const {exchange} = this.#request;
+		const hasRoom = exchange.write(chunk);
+		if (!hasRoom) {
+			exchange.onDrain(() => this.#sent?.resume());
+		}
+
+		return hasRoom;
+	}
+
+	#finish(result: AttemptResult): void {
+		const now = monotonicNow();
+		const {upstream} = this;
+		const {observation, milliseconds} = result;
+		upstream.load.inFlight -= 1;
+		upstream.load.record(signalOf(observation, this.#refusalStatus, result.answer?.status), milliseconds, now);
+		this.#recordResult(result, now);
+		if (isMisdirected(observation, this.#refusalStatus)) {
+			this.#request.choice.target?.recordMisdirected(now);
+		}
+
+		this.#onEnd(this, result, now);
+	}
+
+	#recordResult({observation, milliseconds}: AttemptResult, now: MonotonicTime): void {
+		const {requestLog, countAnswer} = this.#dependencies;
+		const {choice, service, deadline} = this.#request;
+		if (observation !== AttemptObservation.wholeAnswer) {
+			requestLog.attemptFailed({
+				request: this.#request, upstream: this.upstream, observation, status: this.#refusalStatus, milliseconds, left: deadline - now,
+			});
+		} else if (choice.target !== undefined) {
+			countAnswer(service.name, this.upstream.id, milliseconds);
+		}
+	}
+}
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -3,51 +3,36 @@
  * The tables of `routing` and `gateway` decide what to do next; this file carries
  * it out.
  */
-import {Buffer} from 'node:buffer';
-import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
-import {AnswerSize, type CallerLimits} from '@dogwooddeck/directory/item';
-import {type AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
+import {type Buffer} from 'node:buffer';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type CallerLimits} from '@dogwooddeck/directory/item';
 import {type BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
-import {retryDelay} from '@dogwooddeck/gateway/refusal';
 import {findRoute, type NamedRoute} from '@dogwooddeck/gateway/route-table';
 import {type WaitingRequest} from '@dogwooddeck/gateway/waiting';
 import {keyCount, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
 import {mayRetry, AttemptObservation, observationRules} from '@dogwooddeck/routing/outcome';
-import {type AnswerHead, requestHeaders} from '@dogwooddeck/upstream-client/headers';
-import {
-	isForeign, isMisdirected, isNotRun, noticesOf, signalOf,
-} from './answer-rules.js';
-import {type AttemptResult, type SentAttempt} from './attempt.js';
+import {type AttemptResult} from './attempt.js';
 import {BodyProblem, type CallerExchange} from './caller-exchange.js';
 import {type KeyTarget} from './key-target.js';
-import {notRunStatus, Refusal, refusalStatus} from './refusals.js';
-import {type RequestLog} from './request-log.js';
+import {answerRefusal, type RefusalDependencies, type RefusalDetails} from './refusal-answer.js';
+import {Refusal} from './refusals.js';
+import {type AttemptDependencies, RequestAttempt} from './request-attempt.js';
 import {
-	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream, type ServiceTable,
+	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream,
 } from './service-table.js';
-import {type FieldNames} from './settings.js';
-import {recordUpstreamNotice} from './upstream-notices.js';
-import {UpstreamChoice, type WaitEstimate} from './upstream-choice.js';
+import {UpstreamChoice} from './upstream-choice.js';
 
 /** The dependencies that all requests of an instance share. */
-export type RequestDependencies = {
-	readonly table: ServiceTable;
-	readonly fields: FieldNames;
-	readonly requestLog: RequestLog;
+export type RequestDependencies = AttemptDependencies & RefusalDependencies & {
 	/** Whether the directory has routes. Until then, every request is refused as `noDirectory`. */
 	readonly isReady: () => boolean;
 	readonly limits: () => CallerLimits | undefined;
-	readonly entryCount: () => number;
-	/** The buffered bytes of all answers. */
-	readonly buffering: AnswerBuffering;
 	/** The kept bytes of all bodies of requests. */
 	readonly bodyBuffering: BodyBuffering;
 	/** Counts a request for a key. */
 	readonly countKey: (service: string, key: number) => void;
-	/** Counts an answer of an upstream of a keyed service, and the time it took. */
-	readonly countAnswer: (service: string, upstream: string, took: Milliseconds) => void;
 	/** Starts waiting requests of a service for which there is room now. */
 	readonly advance: (service: CachedService) => void;
 	/** Calls back once closed connections of callers have been noticed. */
@@ -56,8 +41,6 @@
 	readonly endsAt: () => MonotonicTime;
 	/** The fraction of the requests for its keys that an upstream can process, as reported by control instances. */
 	readonly shareOf: (upstream: UpstreamIncarnation) => number;
-	/** Returns numbers between 0 and 1. */
-	readonly random: () => number;
 };
 
 /** The maximum number of attempts of a request, including those that upstreams refuse. */
@@ -85,12 +68,6 @@
 	return typeof value === 'string' ? value : value?.[0];
 }
 
-/** Why a wait would have been too long. */
-type RefusalDetails = Partial<Pick<WaitEstimate, 'lineWait' | 'paceWait'>> & {
-	/** The rest of the pause that the upstreams asked for. */
-	readonly pauseMilliseconds?: Milliseconds;
-};
-
 /** Returns the key of a request; undefined if the field is missing or holds no key. */
 function keyOf(text: string | undefined): number | undefined {
 	return text !== undefined && keyPattern.test(text) && Number(text) < keyCount ? Number(text) : undefined;
@@ -109,12 +86,10 @@
 	#choice: UpstreamChoice | undefined;
 	#body: Buffer | undefined;
 	#deadline: MonotonicTime = Infinity;
-	#attempt: SentAttempt | undefined;
+	#attempt: RequestAttempt | undefined;
 	#waiter: WaitingRequest | undefined;
 	/** The number of attempts that may have run the request. */
 	#uncertainAttempts = 0;
-	/** The status of the last upstream's refusal; 0 if it did not refuse. */
-	#upstreamRefusalStatus = 0;
 
 	constructor(dependencies: RequestDependencies, exchange: CallerExchange, path: string) {
 		this.#dependencies = dependencies;
@@ -270,90 +245,27 @@
 	}
 
 	#send(upstream: CachedUpstream, now: MonotonicTime): void {
-		const {fields, table} = this.#dependencies;
-		const {request} = this.#exchange;
-		const timeoutMilliseconds = this.#deadline - now;
-		upstream.load.inFlight += 1;
-		const {target, refusedOn, attempted} = this.#choice!;
-		target?.recordSend(upstream, now);
-		this.#upstreamRefusalStatus = 0;
-		attempted.push(upstream.id);
-		const headers = requestHeaders(request.rawHeaders, request.headers.connection, new Set([fields.deadline, fields.expectedUpstream]));
-		headers.push(fields.deadline, String(Math.floor(timeoutMilliseconds)), fields.expectedUpstream, upstream.id);
-		this.#attempt = upstream.pool.send({
-			method: request.method ?? 'GET',
+		this.#attempt = new RequestAttempt(this.#dependencies, {
+			identifier: this.identifier,
+			arrivedAt: this.arrivedAt,
+			exchange: this.#exchange,
 			path: this.#path,
-			headers,
 			body: this.#body,
-			timeoutMilliseconds,
-			refusedOn,
-			rules: {
-				onAnswerHead: (status, head) => {
-					this.#recordNotices(upstream, status, head);
-				},
-				isNotRun: (status, head) => {
-					this.#upstreamRefusalStatus = status;
-					return isNotRun(fields, head);
-				},
-				isForeign: (status, head, isFirst) => isForeign(fields, this.identifier, {status, head, isFirst}),
-			},
-			buffering: this.#dependencies.buffering,
-			answerSize: this.#route!.answerSize ?? AnswerSize.ordinary,
-			mayStart: () => !this.#exchange.hasDisconnected && table.isCurrent(upstream) && table.isOpen(upstream, this.#service!, monotonicNow()),
-			streamedAnswer: {
-				begin: (status, answerHeaders) => {
-					this.#exchange.startStream(status, answerHeaders);
-				},
-				write: chunk => this.#forwardChunk(chunk),
-			},
-			onEnd: result => {
-				this.#finishAttempt(upstream, result);
-			},
+			deadline: this.#deadline,
+			route: this.#route!,
+			service: this.#service!,
+			choice: this.#choice!,
+		}, upstream, (_attempt, result, endedAt) => {
+			this.#finishAttempt(upstream, result, endedAt);
 		});
+		this.#attempt.send(now);
 	}
 
-	#recordNotices(upstream: CachedUpstream, status: number, head: AnswerHead): void {
-		const {fields, entryCount, random, requestLog} = this.#dependencies;
-		for (const notice of noticesOf(fields, status, head, wallNow())) {
-			const changes = recordUpstreamNotice(upstream, notice, entryCount(), random());
-			requestLog.noticed({
-				request: this, upstream, notice, changes,
-			});
-		}
-	}
-
-	#forwardChunk(chunk: Uint8Array): boolean {
-		const hasRoom = this.#exchange.write(chunk);
-		if (!hasRoom) {
-			this.#exchange.onDrain(() => this.#attempt?.resume());
-		}
-
-		return hasRoom;
-	}
-
-	#finishAttempt(upstream: CachedUpstream, result: AttemptResult): void {
-		const {requestLog, advance, countAnswer} = this.#dependencies;
-		const now = monotonicNow();
+	#finishAttempt(upstream: CachedUpstream, result: AttemptResult, now: MonotonicTime): void {
 		this.#attempt = undefined;
-		upstream.load.inFlight -= 1;
-		upstream.load.record(signalOf(result.observation, this.#upstreamRefusalStatus, result.answer?.status), result.milliseconds, now);
-		if (result.observation !== AttemptObservation.wholeAnswer) {
-			requestLog.attemptFailed({
-				request: this, upstream, observation: result.observation, status: this.#upstreamRefusalStatus, milliseconds: result.milliseconds, left: this.#deadline - now,
-			});
-		}
-
-		if (result.observation === AttemptObservation.wholeAnswer && this.#choice?.target !== undefined) {
-			countAnswer(this.#service!.name, upstream.id, result.milliseconds);
-		}
-
-		if (isMisdirected(result.observation, this.#upstreamRefusalStatus)) {
-			this.#choice?.target?.recordMisdirected(now);
-		}
-
 		this.#uncertainAttempts += observationRules[result.observation].outcome === Outcome.notRun ? 0 : 1;
 		this.#conclude(upstream, result, now);
-		advance(this.#service!);
+		this.#dependencies.advance(this.#service!);
 	}
 
 	#conclude(upstream: CachedUpstream, result: AttemptResult, now: MonotonicTime): void {
@@ -413,27 +325,17 @@
 		}
 	}
 
-	/** Answers without an upstream. A status that means "not run" is sent only if that is certain. */
-	#refuse(refusal: Refusal, {lineWait, paceWait, pauseMilliseconds = 0}: RefusalDetails = {}): void {
+	#refuse(refusal: Refusal, details: RefusalDetails = {}): void {
 		this.#waiter = undefined;
-		const status = refusalStatus(refusal, this.#uncertainAttempts > 0);
-		const pause = pauseMilliseconds + retryDelay(this.#route?.objectiveMilliseconds ?? 1000, this.#dependencies.random());
-		const body = Buffer.from(`${refusal}\n`);
-		const identified = this.identifier === undefined ? [] : [this.#dependencies.fields.requestIdentifier, this.identifier];
-		const retry = status === notRunStatus ? ['Retry-After', (pause / 1000).toFixed(3)] : [];
-		this.#exchange.answer(status, ['Content-Type', 'text/plain', ...identified, ...retry], body);
-		this.#dependencies.requestLog.refused({
-			request: this,
-			refusal,
-			status,
-			service: this.#service?.name,
-			route: this.#route?.name,
+		answerRefusal(this.#dependencies, {
+			identifier: this.identifier,
+			arrivedAt: this.arrivedAt,
+			exchange: this.#exchange,
+			route: this.#route,
+			service: this.#service,
 			key: this.#choice?.target?.key,
 			attempts: this.#attempts,
-			waiting: this.#service?.queue.length ?? 0,
-			lineWait,
-			paceWait,
-			pauseWait: pauseMilliseconds === 0 ? undefined : pauseMilliseconds,
-		});
+			mayHaveRun: this.#uncertainAttempts > 0,
+		}, refusal, details);
 	}
 }
