--- a/packages/gateway/src/upstream-load.ts
+++ b/packages/gateway/src/upstream-load.ts
@@ -24,6 +24,8 @@
 	silent: 'silent',
 	/** The connection failed or was closed. */
 	broken: 'broken',
+	/** Another upstream answered the request first; this one would have taken at least so long. */
+	overtaken: 'overtaken',
 	/** The attempt indicates nothing about the upstream. */
 	none: 'none',
 } as const;
@@ -65,6 +67,9 @@
 /** After this many answers the smoothed latency no longer depends on the assumed one. */
 const minLatencySamples = 5;
 
+/** An upstream that fails a larger share of attempts doesn't count as idle. */
+const maxIdleFailureShare = 0.1;
+
 /** The pause after the second consecutive broken connection; each further one doubles it. */
 const minPauseMilliseconds: Milliseconds = 100;
 const maxPauseMilliseconds: Milliseconds = 2000;
@@ -93,8 +98,7 @@
 	readonly #maxConcurrencyLimit: number;
 	readonly #signalHandlers: Readonly<Record<Signal, (latency: Milliseconds, now: MonotonicTime) => void>> = {
 		answered: (latency, now) => {
-			this.#answers += 1;
-			this.#latency += (latency - this.#latency) * Math.max(sampleWeight, 1 / (this.#answers + 1));
+			this.#recordLatency(latency);
 			this.#recordSuccess(latency, now);
 		},
 		failed: () => {
@@ -116,6 +120,12 @@
 			this.#pausedUntil = this.#consecutiveBroken === 0 ? now : now + Math.min(maxPauseMilliseconds, minPauseMilliseconds * (2 ** (this.#consecutiveBroken - 1)));
 			this.#consecutiveBroken += 1;
 		},
+		overtaken: (latency, now) => {
+			if (latency > this.#latency) {
+				this.#recordLatency(latency);
+				this.#decreaseIfCongested(latency, now);
+			}
+		},
 		none() {
 			// Changes no estimate.
 		},
@@ -141,6 +151,16 @@
 		return this.#failureShare;
 	}
 
+	/** Whether answers take clearly longer than without contention. */
+	get isCongested(): boolean {
+		return this.#latency > this.#uncontendedLatency * uncongestedRatio;
+	}
+
+	/** Whether this instance has no request in flight, and no sign that the upstream is busy or failing. */
+	get isIdle(): boolean {
+		return this.inFlight === 0 && !this.isCongested && this.#failureShare < maxIdleFailureShare;
+	}
+
 	/** Whether one more request may be sent now. */
 	hasRoom(now: MonotonicTime): boolean {
 		return now >= this.#pausedUntil && now >= this.#returnsAt && this.inFlight < this.concurrencyLimit;
@@ -175,6 +195,11 @@
 		}
 	}
 
+	#recordLatency(latency: Milliseconds): void {
+		this.#answers += 1;
+		this.#latency += (latency - this.#latency) * Math.max(sampleWeight, 1 / (this.#answers + 1));
+	}
+
 	#recordSuccess(latency: Milliseconds, now: MonotonicTime): void {
 		this.#failureShare -= this.#failureShare * sampleWeight;
 		this.#consecutiveBroken = 0;
@@ -182,13 +207,21 @@
 			this.#uncontendedLatency = this.#latency < this.#uncontendedLatency ? this.#latency : this.#uncontendedLatency + ((this.#latency - this.#uncontendedLatency) * uncontendedWeight);
 		}
 
-		if (latency > this.#uncontendedLatency * congestedRatio && now - this.#decreasedAt >= this.#latency) {
-			this.#decrease(congestionDecrease, minConcurrencyLimit, now);
-		} else if (latency <= this.#uncontendedLatency * uncongestedRatio && this.inFlight + 1 >= this.concurrencyLimit) {
+		if (!this.#decreaseIfCongested(latency, now) && latency <= this.#uncontendedLatency * uncongestedRatio && this.inFlight + 1 >= this.concurrencyLimit) {
 			this.#concurrencyLimit = Math.min(this.#maxConcurrencyLimit, this.#concurrencyLimit + (additiveIncrease / Math.max(1, this.#concurrencyLimit)));
 		}
 	}
 
+	/** Lowers the limit if an answer that took this long has waited in the upstream's queue. Returns whether it did. */
+	#decreaseIfCongested(latency: Milliseconds, now: MonotonicTime): boolean {
+		const isCongested = latency > this.#uncontendedLatency * congestedRatio && now - this.#decreasedAt >= this.#latency;
+		if (isCongested) {
+			this.#decrease(congestionDecrease, minConcurrencyLimit, now);
+		}
+
+		return isCongested;
+	}
+
 	#recordFailure(): void {
 		this.#failureShare += (1 - this.#failureShare) * sampleWeight;
 	}
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -63,6 +63,8 @@
 	attemptFailed: 'attempt-failed',
 	/** A notice in an upstream's answer changed what this instance sends to it. */
 	upstreamNoticed: 'upstream-noticed',
+	/** A request whose answer is late was sent to a second upstream as well. */
+	secondSent: 'second-sent',
 	/** A request was answered by an upstream. */
 	requestAnswered: 'request-answered',
 	/** A request was refused or ended without an upstream's answer. */
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -13,6 +13,10 @@
 	latency: 'dogwooddeck_request_milliseconds',
 	/** Attempts at upstreams without an answer, by service and observation. */
 	attempts: 'dogwooddeck_failed_attempts_total',
+	/** Decisions about sending a request whose answer is late to a second upstream, by service and verdict. */
+	secondSends: 'dogwooddeck_second_sends_total',
+	/** Requests that were answered by the second upstream first, by service. */
+	secondAnswers: 'dogwooddeck_second_answers_total',
 	/** Notices in the answers of upstreams (it is leaving, it asks for a pause, or unreadable), by service and kind. */
 	notices: 'dogwooddeck_upstream_notices_total',
 	/** The index of the newest applied log entry. */
