Send a request whose answer is late to a second upstream

Change: AttemptGroup holds the attempts of one request that are in flight. The first whole or streamed answer is the request's; the other attempt is cancelled and its connection closed. The failure of one counts only once the other has failed too. Second sends and retries together keep within the budget of all instances. Without EntrySettings.secondSends nothing changes: no timer, no count.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -20,6 +20,7 @@
 import {LoopDelayGuard, turnIntervalMilliseconds} from './loop-delay-guard.js';
 import {createRequestLog} from './request-log.js';
 import {RequestExecution, type RequestDependencies} from './request-execution.js';
+import {createSecondSendLog} from './second-send-log.js';
 import {type CachedService, ServiceTable} from './service-table.js';
 import {type EntrySettings} from './settings.js';
 
@@ -114,6 +115,7 @@
 		endsAt: () => endsAt,
 		shareOf: follower.shareOf,
 		random,
+		...(settings.secondSends === undefined ? {} : {secondSendLog: createSecondSendLog(log, measures, () => follower.state().applied)}),
 	};
 	const callers: CallerServer = await startCallerServer(settings.callers, (exchange, path) => {
 		new RequestExecution(dependencies, exchange, path).start();
--- a/packages/entry/src/request-attempt.ts
+++ b/packages/entry/src/request-attempt.ts
@@ -6,7 +6,9 @@
 import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {AnswerSize} from '@dogwooddeck/directory/item';
 import {type AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
+import {type SecondSends} from '@dogwooddeck/gateway/second-send';
 import {type NamedRoute} from '@dogwooddeck/gateway/route-table';
+import {Signal} from '@dogwooddeck/gateway/upstream-load';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
 import {type AnswerHead, type RawHeaders, requestHeaders} from '@dogwooddeck/upstream-client/headers';
@@ -46,22 +48,57 @@
 	readonly choice: UpstreamChoice;
 };
 
-/** Receives how an attempt ended; called once. */
-export type AttemptListener = (attempt: RequestAttempt, result: AttemptResult, now: MonotonicTime) => void;
+/** Receives the progress of an attempt. */
+export type AttemptListener = {
+	/** Called right before the answer begins to be streamed to the caller. */
+	readonly onStream: (attempt: RequestAttempt) => void;
+	/** Called once. */
+	readonly onEnd: (attempt: RequestAttempt, result: AttemptResult, now: MonotonicTime) => void;
+};
+
+type SecondSendRecord = (secondSends: SecondSends, milliseconds: Milliseconds, now: MonotonicTime) => void;
+
+/** What a signal says to the service's second sends. */
+const secondSendRecords: Partial<Record<Signal, SecondSendRecord>> = {
+	[Signal.answered](secondSends, milliseconds) {
+		secondSends.recordAnswer(milliseconds);
+	},
+	[Signal.overtaken](secondSends, milliseconds) {
+		secondSends.recordSilence(milliseconds);
+	},
+	[Signal.silent](secondSends, milliseconds) {
+		secondSends.recordSilence(milliseconds);
+	},
+	[Signal.full](secondSends, _milliseconds, now) {
+		secondSends.recordScarcity(now);
+	},
+};
 
 /** One attempt. `send` is called once. */
 export class RequestAttempt {
 	readonly #dependencies: AttemptDependencies;
 	readonly #request: AttemptedRequest;
-	readonly #onEnd: AttemptListener;
+	readonly #listener: AttemptListener;
 	#sent: SentAttempt | undefined;
 	/** The status of the upstream's refusal; 0 if it did not refuse. */
 	#refusalStatus = 0;
+	#hasHead = false;
+	#isOvertaken = false;
 
-	constructor(dependencies: AttemptDependencies, request: AttemptedRequest, readonly upstream: CachedUpstream, onEnd: AttemptListener) {
+	constructor(dependencies: AttemptDependencies, request: AttemptedRequest, readonly upstream: CachedUpstream, listener: AttemptListener) {
 		this.#dependencies = dependencies;
 		this.#request = request;
-		this.#onEnd = onEnd;
+		this.#listener = listener;
+	}
+
+	/** Whether the head of an answer was received. */
+	get hasHead(): boolean {
+		return this.#hasHead;
+	}
+
+	/** Whether another attempt answered first. */
+	get isOvertaken(): boolean {
+		return this.#isOvertaken;
 	}
 
 	/** Sends the request to the upstream. */
@@ -87,7 +124,8 @@
 			answerSize: route.answerSize ?? AnswerSize.ordinary,
 			mayStart: () => !exchange.hasDisconnected && table.isCurrent(upstream) && table.isOpen(upstream, service, monotonicNow()),
 			streamedAnswer: {
-				begin(status, answerHeaders) {
+				begin: (status, answerHeaders) => {
+					this.#listener.onStream(this);
 					exchange.startStream(status, answerHeaders);
 				},
 				write: chunk => this.#forwardChunk(chunk),
@@ -103,6 +141,12 @@
 		this.#sent?.cancel();
 	}
 
+	/** Closes the connection to the upstream, as another attempt answered first. */
+	overtake(): void {
+		this.#isOvertaken = true;
+		this.cancel();
+	}
+
 	#headers(timeoutMilliseconds: Milliseconds): RawHeaders {
 		const {fields} = this.#dependencies;
 		const {request} = this.#request.exchange;
@@ -115,6 +159,7 @@
 		const {fields} = this.#dependencies;
 		return {
 			onAnswerHead: (status, head) => {
+				this.#hasHead = true;
 				this.#recordNotices(status, head);
 			},
 			isNotRun: (status, head) => {
@@ -150,19 +195,33 @@
 		const now = monotonicNow();
 		const {upstream} = this;
 		const {observation, milliseconds} = result;
+		const signal = this.#signalOf(result);
 		upstream.load.inFlight -= 1;
-		upstream.load.record(signalOf(observation, this.#refusalStatus, result.answer?.status), milliseconds, now);
+		upstream.load.record(signal, milliseconds, now);
+		const {choice, service} = this.#request;
+		if (service.secondSends !== undefined) {
+			secondSendRecords[signal]?.(service.secondSends, milliseconds, now);
+		}
+
 		this.#recordResult(result, now);
 		if (isMisdirected(observation, this.#refusalStatus)) {
-			this.#request.choice.target?.recordMisdirected(now);
+			choice.target?.recordMisdirected(now);
 		}
 
-		this.#onEnd(this, result, now);
+		this.#listener.onEnd(this, result, now);
+	}
+
+	#signalOf({observation, answer}: AttemptResult): Signal {
+		return this.#isOvertaken && observation === AttemptObservation.cancelledAfterFirstByte ? Signal.overtaken : signalOf(observation, this.#refusalStatus, answer?.status);
 	}
 
 	#recordResult({observation, milliseconds}: AttemptResult, now: MonotonicTime): void {
 		const {requestLog, countAnswer} = this.#dependencies;
 		const {choice, service, deadline} = this.#request;
+		if (this.#isOvertaken) {
+			return;
+		}
+
 		if (observation !== AttemptObservation.wholeAnswer) {
 			requestLog.attemptFailed({
 				request: this.#request, upstream: this.upstream, observation, status: this.#refusalStatus, milliseconds, left: deadline - now,
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -11,21 +11,20 @@
 import {type WaitingRequest} from '@dogwooddeck/gateway/waiting';
 import {keyCount, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
-import {Outcome} from '@dogwooddeck/model/outcome';
-import {mayRetry, AttemptObservation, observationRules} from '@dogwooddeck/routing/outcome';
+import {mayRetry, AttemptObservation} from '@dogwooddeck/routing/outcome';
 import {type AttemptResult} from './attempt.js';
+import {AttemptGroup, type GroupDependencies, maximumAttempts} from './attempt-group.js';
 import {BodyProblem, type CallerExchange} from './caller-exchange.js';
 import {type KeyTarget} from './key-target.js';
 import {answerRefusal, type RefusalDependencies, type RefusalDetails} from './refusal-answer.js';
 import {Refusal} from './refusals.js';
-import {type AttemptDependencies, RequestAttempt} from './request-attempt.js';
 import {
 	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream,
 } from './service-table.js';
 import {UpstreamChoice} from './upstream-choice.js';
 
 /** The dependencies that all requests of an instance share. */
-export type RequestDependencies = AttemptDependencies & RefusalDependencies & {
+export type RequestDependencies = GroupDependencies & RefusalDependencies & {
 	/** Whether the directory has routes. Until then, every request is refused as `noDirectory`. */
 	readonly isReady: () => boolean;
 	readonly limits: () => CallerLimits | undefined;
@@ -33,19 +32,12 @@
 	readonly bodyBuffering: BodyBuffering;
 	/** Counts a request for a key. */
 	readonly countKey: (service: string, key: number) => void;
-	/** Starts waiting requests of a service for which there is room now. */
-	readonly advance: (service: CachedService) => void;
-	/** Calls back once closed connections of callers have been noticed. */
-	readonly afterPendingReads: (callback: () => void) => void;
 	/** When this instance ends requests in flight; infinite unless it is stopping. */
 	readonly endsAt: () => MonotonicTime;
 	/** The fraction of the requests for its keys that an upstream can process, as reported by control instances. */
 	readonly shareOf: (upstream: UpstreamIncarnation) => number;
 };
 
-/** The maximum number of attempts of a request, including those that upstreams refuse. */
-const maximumAttempts = 4;
-
 /** The largest body that is accepted before limits are declared, in bytes. */
 const maximumBodyBytes = 67_108_864;
 
@@ -86,10 +78,9 @@
 	#choice: UpstreamChoice | undefined;
 	#body: Buffer | undefined;
 	#deadline: MonotonicTime = Infinity;
-	#attempt: RequestAttempt | undefined;
+	/** Set with the first attempt. */
+	#attemptGroup: AttemptGroup | undefined;
 	#waiter: WaitingRequest | undefined;
-	/** The number of attempts that may have run the request. */
-	#uncertainAttempts = 0;
 
 	constructor(dependencies: RequestDependencies, exchange: CallerExchange, path: string) {
 		this.#dependencies = dependencies;
@@ -102,6 +93,11 @@
 		return this.#choice?.attempted.length ?? 0;
 	}
 
+	/** The number of attempts that may have run the request. */
+	get #uncertainAttempts(): number {
+		return this.#attemptGroup?.uncertainAttempts ?? 0;
+	}
+
 	/** Finds the route and reads the body. */
 	start(): void {
 		const {
@@ -187,6 +183,8 @@
 			return;
 		}
 
+		this.#service!.secondSends?.recordScarcity(now);
+
 		if (this.#choice!.isOutsideAllowedRegions) {
 			this.#refuse(Refusal.noAllowedRegion);
 			return;
@@ -245,7 +243,7 @@
 	}
 
 	#send(upstream: CachedUpstream, now: MonotonicTime): void {
-		this.#attempt = new RequestAttempt(this.#dependencies, {
+		this.#attemptGroup ??= new AttemptGroup(this.#dependencies, {
 			identifier: this.identifier,
 			arrivedAt: this.arrivedAt,
 			exchange: this.#exchange,
@@ -255,17 +253,11 @@
 			route: this.#route!,
 			service: this.#service!,
 			choice: this.#choice!,
-		}, upstream, (_attempt, result, endedAt) => {
-			this.#finishAttempt(upstream, result, endedAt);
+		}, (answering, result, endedAt) => {
+			this.#conclude(answering, result, endedAt);
+			this.#dependencies.advance(this.#service!);
 		});
-		this.#attempt.send(now);
-	}
-
-	#finishAttempt(upstream: CachedUpstream, result: AttemptResult, now: MonotonicTime): void {
-		this.#attempt = undefined;
-		this.#uncertainAttempts += observationRules[result.observation].outcome === Outcome.notRun ? 0 : 1;
-		this.#conclude(upstream, result, now);
-		this.#dependencies.advance(this.#service!);
+		this.#attemptGroup.send(upstream, now);
 	}
 
 	#conclude(upstream: CachedUpstream, result: AttemptResult, now: MonotonicTime): void {
@@ -317,8 +309,7 @@
 
 	/** Cancels the request, as the caller has disconnected. */
 	#cancel(): void {
-		this.#attempt?.cancel();
-		this.#attempt = undefined;
+		this.#attemptGroup?.cancel();
 		if (this.#waiter !== undefined) {
 			this.#service?.queue.remove(this.#waiter);
 			this.#waiter = undefined;
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -6,6 +6,7 @@
 import {UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
 import {KeyPacer} from '@dogwooddeck/gateway/key-pace';
 import {createRouteTable, type RouteTable} from '@dogwooddeck/gateway/route-table';
+import {SecondSends} from '@dogwooddeck/gateway/second-send';
 import {type Distance, distanceOf} from '@dogwooddeck/gateway/upstream-selection';
 import {WeightedRoundRobin} from '@dogwooddeck/gateway/weighted-round-robin';
 import {UpstreamLoad} from '@dogwooddeck/gateway/upstream-load';
@@ -47,6 +48,8 @@
 	/** The upstreams that requests may be sent to. */
 	upstreams: readonly CachedUpstream[];
 	budget: RetryBudget;
+	/** Undefined unless the settings allow second sends. */
+	secondSends: SecondSends | undefined;
 };
 
 /** The upstream that requests for a key are sent to, and the range that assigns it. */
@@ -118,6 +121,7 @@
 		const savedRetries = Math.max(minimumSavedRetries, this.#settings.retries.slack * slackShare / entryCount);
 		for (const service of this.#services.values()) {
 			service.budget = withCapacity(service.budget, savedRetries);
+			service.secondSends?.divide(entryCount, this.#settings.retries.slack * (1 - slackShare));
 			service.upstreams = [...this.#upstreams.values()].filter(({record}) => record.service === service.name && record.state === UpstreamState.ready);
 		}
 	}
@@ -129,8 +133,17 @@
 			return cached;
 		}
 
+		const {retries, secondSends} = this.#settings;
 		const created: CachedService = {
-			name, queue: new WaitingQueue(), pace: new KeyPacer(), keyed: false, maxConnections: 1, ranges: [], upstreams: [], budget: createRetryBudget(this.#settings.retries.ratio * ratioShare, minimumSavedRetries),
+			name,
+			queue: new WaitingQueue(),
+			pace: new KeyPacer(),
+			keyed: false,
+			maxConnections: 1,
+			ranges: [],
+			upstreams: [],
+			budget: createRetryBudget(retries.ratio * ratioShare, minimumSavedRetries),
+			secondSends: secondSends === undefined ? undefined : new SecondSends(secondSends),
 		};
 		this.#services.set(name, created);
 		return created;
@@ -241,5 +254,7 @@
 
 /** Records the first attempt of a request. */
 export function recordFirstAttempt(service: CachedService): void {
+	const {ratio, balance, capacity} = service.budget;
+	service.secondSends?.recordRequest(Math.max(0, balance + ratio - capacity));
 	service.budget = recordAttempt(service.budget, {kind: 'first-attempt'}).state;
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,6 +1,7 @@
 /**
  * The settings of an entry instance.
  */
+import {type SecondSendSettings} from '@dogwooddeck/gateway/second-send';
 import {type RegionName, type ZoneName} from '@dogwooddeck/model/identifiers';
 
 /** An address to listen at. */
@@ -36,6 +37,8 @@
 	readonly seeds: readonly string[];
 	readonly fields: FieldNames;
 	readonly retries: RetryBudgetSettings;
+	/** If omitted, no request is sent to two upstreams at a time. */
+	readonly secondSends?: SecondSendSettings;
 	/** How long an upstream that is leaving may be sent requests that no other can serve, in milliseconds. */
 	readonly leavingGraceMilliseconds: number;
 	/** The time limit of a graceful shutdown, in milliseconds. */
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -2,7 +2,9 @@
  * The choice of an upstream for one request: which upstreams may process it, the
  * cheapest of them that has room now, and what the request waits for if none has.
  */
-import {selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
+import {type UpstreamLoad} from '@dogwooddeck/gateway/upstream-load';
+import {LeavingUse} from '@dogwooddeck/gateway/upstream-notice';
+import {Distance, selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
 import {waitDeadline} from '@dogwooddeck/gateway/waiting';
 import {type NamedRoute} from '@dogwooddeck/gateway/route-table';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
@@ -25,6 +27,14 @@
 	readonly until: MonotonicTime;
 };
 
+/** Where a request may be sent a second time while its first attempt runs. */
+export type Alternative = {
+	/** The loads of the upstreams that may process it now. */
+	readonly loads: readonly UpstreamLoad[];
+	/** The cheapest idle one that was not attempted. */
+	readonly upstream: CachedUpstream | undefined;
+};
+
 /** Whether the route allows an upstream of this region. */
 function allowsRegion({allowedRegions}: NamedRoute, {region}: CachedUpstream): boolean {
 	return allowedRegions === undefined || (region !== undefined && allowedRegions.includes(region));
@@ -66,8 +76,16 @@
 
 	/** Returns the upstream to send the request to now; undefined if none has room. */
 	choose(now: MonotonicTime): CachedUpstream | undefined {
-		const connections = Math.max(1, Math.floor(this.#service.maxConnections / (this.#dependencies.entryCount() + 1)));
-		return this.target === undefined ? this.#chooseAny(connections, now) : this.#chooseHolder(this.target, connections, now);
+		return this.target === undefined ? this.#chooseAny(now) : this.#chooseHolder(this.target, now);
+	}
+
+	/** Returns where the request may be sent beside its first attempt: never to an upstream that is leaving, paused or cold, and to other regions only if `otherRegions` is set. */
+	chooseAlternative(otherRegions: boolean, now: MonotonicTime): Alternative {
+		const candidates = this.target === undefined
+			? this.#available(LeavingUse.none, now).filter(({cold, distance}) => !cold && (otherRegions || distance !== Distance.otherRegion))
+			: [];
+		const idle = candidates.filter(({load}) => load.isIdle);
+		return {loads: candidates.map(({load}) => load), upstream: selectUpstream(idle, this.attempted, now)};
 	}
 
 	/** Returns how long the notices of the upstreams keep the request from being sent: 0 if they don't, `Infinity` for good. */
@@ -97,17 +115,26 @@
 		return this.#route.allowedRegions === undefined ? upstreams : upstreams.filter(upstream => allowsRegion(this.#route, upstream));
 	}
 
-	#chooseHolder(target: KeyTarget, connections: number, now: MonotonicTime): CachedUpstream | undefined {
+	/** The most connections that this instance opens to one upstream. */
+	get #connections(): number {
+		return Math.max(1, Math.floor(this.#service.maxConnections / (this.#dependencies.entryCount() + 1)));
+	}
+
+	/** Returns the upstreams that may be sent the request and have a connection for it. */
+	#available(use: LeavingUse, now: MonotonicTime): readonly CachedUpstream[] {
+		const connections = this.#connections;
+		return this.#allowed.filter(({notices, pool}) => notices.waitFor(use, now) === 0 && pool.hasRoom(connections, this.refusedOn));
+	}
+
+	#chooseHolder(target: KeyTarget, now: MonotonicTime): CachedUpstream | undefined {
 		const holder = target.availableHolder(now);
-		return holder !== undefined && allowsRegion(this.#route, holder) && holder.load.hasRoom(now) && holder.pool.hasRoom(connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
+		return holder !== undefined && allowsRegion(this.#route, holder) && holder.load.hasRoom(now) && holder.pool.hasRoom(this.#connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
 			? holder
 			: undefined;
 	}
 
-	#chooseAny(connections: number, now: MonotonicTime): CachedUpstream | undefined {
-		const allowed = this.#allowed;
-		const use = leavingUseOf(allowed);
-		const available = allowed.filter(({notices, pool}) => notices.waitFor(use, now) === 0 && pool.hasRoom(connections, this.refusedOn));
+	#chooseAny(now: MonotonicTime): CachedUpstream | undefined {
+		const available = this.#available(leavingUseOf(this.#allowed), now);
 		return selectUpstream(available, this.attempted, now) ?? (this.attempted.length > 0 ? selectUpstream(available, [], now) : undefined);
 	}
 }
