--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -72,6 +72,8 @@
 	/** This instance alone may send requests to these cold upstreams, or no longer. */
 	coldLeaseGained: 'cold-lease-gained',
 	coldLeaseLost: 'cold-lease-lost',
+	/** A request whose answer is late was sent to a second upstream as well. */
+	secondSent: 'second-sent',
 	/** A request was answered by an upstream. */
 	requestAnswered: 'request-answered',
 	/** A request was refused or ended without an upstream's answer. */
