--- /dev/null
+++ b/packages/room/src/keeper.ts
@@ -0,0 +1,278 @@
+/**
+ * The keeper of the room that a zone's upstreams of one service have: it grants
+ * places to the instances that ask, so that there is one queue for all of them.
+ *
+ * Load patterns: many instances stand before upstreams of few slots, so that the
+ * limits that each finds by itself exceed the upstream; urgent requests at one
+ * instance wait while another sends less urgent ones; fast upstreams are idle for
+ * one instance while another waits for slow ones; a zone has more work than room
+ * while the next one has room.
+ *
+ * A keeper begins with nothing known. Each instance may hold at most `perEntry`
+ * places at an upstream, and takes no grant of an older keeper once it has reported
+ * to a newer one. So the keeper withholds `perEntry` places for each instance that
+ * hasn't reported, until the longest request of an earlier keeper is over.
+ */
+import {
+	type InstanceName, type Milliseconds, type MonotonicTime, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {
+	type Ask, type KeeperAnswer, type KeeperRequest, RefusalCause, type Release, type Report,
+} from './message.js';
+import {type UpstreamRoom} from './upstream-room.js';
+import {type WaitingAsk, WaitingOrder} from './waiting-order.js';
+
+/** An instance doesn't take a grant later than this after it asked. */
+export const grantLifeMilliseconds: Milliseconds = 1000;
+
+/** The places that one instance may hold at an upstream. */
+export const placesPerEntry = 2;
+
+/** Requests that an upstream is sent beyond its slots, so that a slot isn't idle while a release and the next grant are on their way. */
+const sentAhead = 1;
+
+/** The service time that is assumed before the first answer. */
+const initialMilliseconds: Milliseconds = 100;
+
+/** What other zones have told of their free places. */
+export type ZoneRoom = {
+	readonly zone: ZoneName;
+	/** The free slots that it lends to this zone. */
+	free: number;
+	/** What a request loses by going there. */
+	readonly costMilliseconds: Milliseconds;
+	readonly toldAt: MonotonicTime;
+};
+
+/** What another zone has told isn't used for longer than this. */
+const toldLifeMilliseconds: Milliseconds = 500;
+
+export type KeeperOptions = {
+	/** Later keepers of the same zone have greater terms. */
+	readonly term: number;
+	readonly startedAt: MonotonicTime;
+	/** The longest time from asking to the end of a request. */
+	readonly longestMilliseconds: Milliseconds;
+	/** The instances that an earlier keeper may have granted to, in the own zone and in others. */
+	readonly own: readonly InstanceName[];
+	readonly foreign: readonly InstanceName[];
+};
+
+function keyOf({entry, ask}: {readonly entry: InstanceName; readonly ask: number}): string {
+	return `${entry} ${ask}`;
+}
+
+/** The state of a keeper for one service. It is on the request path, so it is updated in place. */
+export class RoomKeeper {
+	readonly #options: KeeperOptions;
+	#upstreams: readonly UpstreamRoom[] = [];
+	/** Also those that were removed, while something is in flight at them. */
+	readonly #known = new Map<string, UpstreamRoom>();
+	readonly #holderOf = new Map<string, UpstreamRoom>();
+	readonly #waiting = new WaitingOrder();
+	readonly #unreportedOwn: Set<InstanceName>;
+	readonly #unreportedForeign: Set<InstanceName>;
+	#zones: readonly ZoneRoom[] = [];
+	readonly #handlers: HandlerTable<KeeperRequest, [now: MonotonicTime], readonly KeeperAnswer[]> = {
+		ask: (ask, now) => this.#handleAsk(ask, now),
+		release: (release, now) => this.#handleRelease(release, now),
+		report: (report, now) => this.#handleReport(report, now),
+	};
+
+	constructor(options: KeeperOptions) {
+		this.#options = options;
+		this.#unreportedOwn = new Set(options.own);
+		this.#unreportedForeign = new Set(options.foreign);
+	}
+
+	get waitingCount(): number {
+		return this.#waiting.length;
+	}
+
+	/** The free slots that instances of other zones may use. */
+	get lendable(): number {
+		return this.#waiting.length > 0 ? 0 : this.#upstreams.reduce((sum, room) => sum + (room.hasPlace(true, this.#withheld(true)) ? Math.max(0, room.places.slots - room.inFlight - 1) : 0), 0);
+	}
+
+	/** Replaces the upstreams; what is in flight at those that stay is kept. */
+	setUpstreams(upstreams: readonly UpstreamRoom[]): void {
+		this.#upstreams = upstreams.map(room => this.#known.get(room.id) ?? room);
+		for (const room of this.#upstreams) {
+			this.#known.set(room.id, room);
+		}
+	}
+
+	/** Replaces what other zones have told, the nearest first. */
+	setZones(zones: readonly ZoneRoom[]): void {
+		this.#zones = zones;
+	}
+
+	/** Handles a message of an instance; returns the answers, also to others. */
+	handle(request: KeeperRequest, now: MonotonicTime): readonly KeeperAnswer[] {
+		return dispatch(this.#handlers, request, now);
+	}
+
+	/** Ends what is over, grants what is free and refuses what can't start in time any more. */
+	advance(now: MonotonicTime): readonly KeeperAnswer[] {
+		if (now >= this.#options.startedAt + grantLifeMilliseconds + this.#options.longestMilliseconds) {
+			this.#unreportedOwn.clear();
+			this.#unreportedForeign.clear();
+		}
+
+		this.#expire(now);
+		return [...this.#grantWaiting(now), ...this.#refuseLate(now)];
+	}
+
+	#expire(now: MonotonicTime): void {
+		const current = new Set(this.#upstreams);
+		for (const room of this.#known.values()) {
+			for (const key of room.expire(now)) {
+				this.#holderOf.delete(key);
+			}
+
+			if (room.inFlight === 0 && !current.has(room)) {
+				this.#known.delete(room.id);
+			}
+		}
+	}
+
+	#withheld(isForeign: boolean): number {
+		return placesPerEntry * (isForeign ? this.#unreportedForeign : this.#unreportedOwn).size;
+	}
+
+	#handleAsk(ask: Ask, now: MonotonicTime): readonly KeeperAnswer[] {
+		const key = keyOf(ask);
+		if (this.#holderOf.has(key) || this.#waiting.asks.some(waiting => waiting.key === key)) {
+			return [];
+		}
+
+		const {waiting, ahead} = this.#waiting.place(key, ask, now);
+		const grant = ahead === 0 ? this.#tryToGrant(waiting, now) : undefined;
+		if (grant !== undefined) {
+			return [grant];
+		}
+
+		const expectedWait = (ahead + 1) * this.#startMilliseconds(now);
+		const zone = ask.isForeign ? undefined : this.#zones.find(({free, toldAt, costMilliseconds}) => free >= 1 && now - toldAt <= toldLifeMilliseconds && costMilliseconds < Math.min(expectedWait, ask.startWithin));
+		if (zone !== undefined) {
+			zone.free -= 1;
+			return [{...this.#answerTo(ask), kind: 'elsewhere', zone: zone.zone}];
+		}
+
+		if (expectedWait > ask.startWithin || ask.isForeign) {
+			return [{...this.#answerTo(ask), kind: 'refuse', cause: RefusalCause.noTimeToWait, retryWithin: expectedWait}];
+		}
+
+		this.#waiting.add(waiting);
+		return [];
+	}
+
+	#handleRelease(release: Release, now: MonotonicTime): readonly KeeperAnswer[] {
+		const key = keyOf(release);
+		this.#holderOf.get(key)?.remove(key, release.took, now);
+		this.#holderOf.delete(key);
+		this.#waiting.remove(key);
+		return this.#grantWaiting(now);
+	}
+
+	#handleReport({entry, held, isForeign}: Report, now: MonotonicTime): readonly KeeperAnswer[] {
+		(isForeign ? this.#unreportedForeign : this.#unreportedOwn).delete(entry);
+		for (const {ask, upstream, endWithin} of held) {
+			const key = keyOf({entry, ask});
+			const room = this.#known.get(upstream);
+			if (room !== undefined && !this.#holderOf.has(key)) {
+				room.add(key, {
+					entry, isForeign, at: now, endsAt: now + endWithin,
+				});
+				this.#holderOf.set(key, room);
+			}
+		}
+
+		return this.#grantWaiting(now);
+	}
+
+	#grantWaiting(now: MonotonicTime): readonly KeeperAnswer[] {
+		const answers: KeeperAnswer[] = [];
+		for (const waiting of this.#waiting.asks) {
+			if (!this.#upstreams.some(room => this.#hasRoom(room, false))) {
+				break;
+			}
+
+			const grant = this.#tryToGrant(waiting, now);
+			if (grant !== undefined) {
+				answers.push(grant);
+				this.#waiting.remove(waiting.key);
+			}
+		}
+
+		return answers;
+	}
+
+	#refuseLate(now: MonotonicTime): readonly KeeperAnswer[] {
+		const startMilliseconds = this.#startMilliseconds(now);
+		return this.#waiting.removeLate(startMilliseconds, now).map(({ask}) => ({
+			...this.#answerTo(ask), kind: 'refuse', cause: RefusalCause.waitedTooLong, retryWithin: this.#waiting.length * startMilliseconds,
+		}));
+	}
+
+	#hasRoom(room: UpstreamRoom, isForeign: boolean): boolean {
+		return room.inFlight < room.places.slots + sentAhead && room.hasPlace(isForeign, this.#withheld(isForeign));
+	}
+
+	/** Grants a place at the upstream that is expected to answer first, if it does so before the deadline. */
+	#tryToGrant({key, ask, arrivedAt}: WaitingAsk, now: MonotonicTime): KeeperAnswer | undefined {
+		const mean = this.#meanMilliseconds();
+		const left = arrivedAt + ask.endWithin - now;
+		let best: UpstreamRoom | undefined;
+		let bestMilliseconds = left;
+		for (const room of this.#upstreams) {
+			const {slots} = room.places;
+			if (!this.#hasRoom(room, ask.isForeign) || room.countOf(ask.entry) >= placesPerEntry) {
+				continue;
+			}
+
+			const milliseconds = room.serviceTime(mean, now) * Math.max(1 + (room.inFlight / slots / 10), (room.inFlight + 1) / slots);
+			if (milliseconds < bestMilliseconds) {
+				best = room;
+				bestMilliseconds = milliseconds;
+			}
+		}
+
+		if (best === undefined) {
+			return undefined;
+		}
+
+		best.add(key, {
+			entry: ask.entry, isForeign: ask.isForeign, at: now, endsAt: now + grantLifeMilliseconds + left,
+		});
+		this.#holderOf.set(key, best);
+		return {...this.#answerTo(ask), kind: 'grant', upstream: best.id};
+	}
+
+	#answerTo({entry, ask}: Ask): {readonly entry: InstanceName; readonly ask: number; readonly term: number} {
+		return {entry, ask, term: this.#options.term};
+	}
+
+	#meanMilliseconds(): Milliseconds {
+		let sum = 0;
+		let count = 0;
+		for (const {measured} of this.#upstreams) {
+			sum += measured ?? 0;
+			count += measured === undefined ? 0 : 1;
+		}
+
+		return count === 0 ? initialMilliseconds : sum / count;
+	}
+
+	/** The expected time between two starts while all slots are taken. */
+	#startMilliseconds(now: MonotonicTime): Milliseconds {
+		const mean = this.#meanMilliseconds();
+		let startsPerMillisecond = 0;
+		for (const room of this.#upstreams) {
+			startsPerMillisecond += room.places.slots / room.serviceTime(mean, now);
+		}
+
+		return 1 / startsPerMillisecond;
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,7 @@
 	membership: ['model'],
 	configuration: ['model'],
 	limits: ['model'],
+	room: ['model'],
 	routing: ['model'],
 	burn: ['model'],
 	control: ['model', 'configuration', 'membership', 'ownership', 'placement', 'limits'],
@@ -31,7 +32,7 @@
 	'stand-in': ['model', 'clock'],
 };
 
-const decisions = new Set(['model', 'consensus', 'ownership', 'placement', 'membership', 'configuration', 'limits', 'routing', 'burn', 'control', 'key-lease', 'directory', 'gateway']);
+const decisions = new Set(['model', 'consensus', 'ownership', 'placement', 'membership', 'configuration', 'limits', 'room', 'routing', 'burn', 'control', 'key-lease', 'directory', 'gateway']);
 
 const restrictedSyntax = [
 	{selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.'},
