Keep a zone's room for upstreams without keys in one place

The keeper grants places of upstreams to the instances that ask, so that there is one queue over all of them, by priority and by turns of the instances. An instance takes grants of the newest keeper that it knows, reports what it holds, and uses a few places of its own while its keeper is lost.

--- a/packages/bench/src/room-replay.ts
+++ b/packages/bench/src/room-replay.ts
@@ -84,6 +84,7 @@
 export const zoneCount = 4;
 const entryCount = 68;
 const neighbourMilliseconds: Milliseconds = 400;
+const drainSeconds = 4;
 const brokenMilliseconds: Milliseconds = 300;
 const tail = {share: 0.03, factor: 7, longest: 10};
 
@@ -182,8 +183,11 @@
 	}
 
 	run(rule: RoomRule, seconds: number): void {
-		for (this.now = 0; this.now < seconds * 1000; this.now++) {
-			this.#arrivals(rule);
+		for (this.now = 0; this.now < (seconds + drainSeconds) * 1000; this.now++) {
+			if (this.now < seconds * 1000) {
+				this.#arrivals(rule);
+			}
+
 			const runs = this.#due.get(this.now) ?? [];
 			this.#due.delete(this.now);
 			for (const run of runs) {
--- a/packages/bench/src/room-rules.ts
+++ b/packages/bench/src/room-rules.ts
@@ -6,9 +6,11 @@
 import {Distance, selectUpstream, type UpstreamCandidate} from '@dogwooddeck/gateway/upstream-selection';
 import {Signal, UpstreamLoad} from '@dogwooddeck/gateway/upstream-load';
 import {waitDeadline, WaitingQueue} from '@dogwooddeck/gateway/waiting';
-import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {RoomKeeper} from '@dogwooddeck/room/keeper';
-import {type KeeperAnswer} from '@dogwooddeck/room/message';
+import {type KeeperAnswer, type KeeperRequest} from '@dogwooddeck/room/message';
+import {type RoomDecision, RoomShare} from '@dogwooddeck/room/room-share';
 import {dividePlaces, UpstreamRoom} from '@dogwooddeck/room/upstream-room';
 import {
 	delayBetween, type ReplayEntry, type ReplayRequest, type ReplayUpstream, type RoomReplay, type RoomRule, zoneCount,
@@ -16,6 +18,9 @@
 
 const advanceMilliseconds: Milliseconds = 20;
 const mostAttempts = 4;
+const reportMilliseconds: Milliseconds = 250;
+const tellMilliseconds: Milliseconds = 100;
+
 /** The sizes of messages, with their part of the framing of a connection. */
 const askBytes = 110;
 const grantBytes = 90;
@@ -157,134 +162,145 @@
 export function keeperInZone(replay: RoomReplay): RoomRule {
 	const {slots, queue} = replay.service;
 	const places = dividePlaces(slots, queue);
-	const perZone = replay.entries.length / zoneCount;
-	const alone = replay.entries.map(entry => new SendingEntry(replay, entry, upstream => upstream.zone === entry.zone && (Math.floor(entry.index / zoneCount) + (upstream.index * 5)) % perZone < places.unkept ? 1 : 0));
-	const lostUntil = replay.entries.map(() => -Infinity);
-	const waiting = new Map<string, {readonly request: ReplayRequest; readonly answer: (answer: KeeperAnswer) => void}>();
-	let term = 0;
-	const createKeeper = () => {
+	const zones = Array.from({length: zoneCount}, (_, zone) => zone);
+	const keepers = zones.map(zone => {
 		const keeper = new RoomKeeper({
-			term: term++, startedAt: replay.now, longestMilliseconds: 0, own: [], foreign: [],
+			term: 0, startedAt: replay.now, longestMilliseconds: 0, own: [], foreign: [],
 		});
+		keeper.setUpstreams(replay.upstreams.filter(upstream => upstream.zone === zone).map(({index}) => new UpstreamRoom(String(index), places)));
 		return keeper;
-	};
+	});
+	const shares = replay.entries.map(({index, zone}) => new RoomShare(String(index), String(zone)));
+	const alone = replay.entries.map(entry => new SendingEntry(replay, entry, () => 0));
+	const pending = new Map<string, ReplayRequest>();
+	const isLost = (zone: number) => replay.scenario.isKeeperLost(zone, replay.now);
+	const nearestFirst = (zone: number) => [(zone + 2) % zoneCount, (zone + 1) % zoneCount, (zone + 3) % zoneCount];
 
-	const keepers = Array.from({length: zoneCount}, createKeeper);
-	for (const [zone, keeper] of keepers.entries()) {
-		keeper.setUpstreams(replay.upstreams.filter(upstream => upstream.zone === zone).map(({index}) => new UpstreamRoom(String(index), places)));
+	function deliver(zone: number, answers: readonly KeeperAnswer[]): void {
+		for (const answer of answers) {
+			const entry = replay.entries[Number(answer.entry)]!;
+			replay.message(zone, entry.zone, grantBytes, () => {
+				const decision = shares[entry.index]!.answer(answer, replay.now);
+				const key = `${answer.entry} ${answer.ask}`;
+				const request = pending.get(key);
+				if (request !== undefined && decision.kind !== 'ignore') {
+					pending.delete(key);
+					decide(request, answer.ask, decision);
+				}
+			});
+		}
 	}
 
-	const deliver = (zone: number, answers: readonly KeeperAnswer[]) => {
-		for (const answer of answers) {
-			const {request, answer: take} = waiting.get(`${answer.entry} ${answer.ask}`) ?? {};
-			if (request !== undefined) {
-				replay.message(zone, request.entry.zone, grantBytes, () => {
-					take!(answer);
-				});
-			}
+	function release(entry: ReplayEntry, ask: number, took: Milliseconds | undefined): void {
+		const released = shares[entry.index]!.release(ask, took);
+		if (released !== undefined) {
+			tell(entry, Number(released.zone), releaseBytes, released.release);
 		}
-	};
+	}
 
-	const isLost = (zone: number) => replay.scenario.isKeeperLost(zone, replay.now);
-	const tell = () => {
-		for (const [zone, keeper] of keepers.entries()) {
+	function tell(entry: ReplayEntry, zone: number, bytes: number, request: KeeperRequest): void {
+		replay.message(entry.zone, zone, bytes, () => {
 			if (!isLost(zone)) {
-				deliver(zone, keeper.advance(replay.now));
-				const others = [(zone + 2) % zoneCount, (zone + 1) % zoneCount, (zone + 3) % zoneCount].filter(other => !isLost(other) && !replay.isCut(zone, other));
-				keeper.setZones(others.map(other => ({
-					zone: String(other), free: Math.floor(keepers[other]!.lendable / 3), costMilliseconds: delayBetween(zone, other) * 4, toldAt: replay.now,
-				})));
-				replay.counts.messages += others.length;
-				replay.counts.bytes += others.length * releaseBytes;
+				deliver(zone, keepers[zone]!.handle(request, replay.now));
 			}
-		}
+		});
+	}
 
-		replay.after(100, tell);
+	const handlers: HandlerTable<RoomDecision, [ReplayRequest, number], void> = {
+		send({upstream}, request, ask) {
+			replay.send(request, request.entry.zone, replay.upstreams[Number(upstream)]!, (signal, took) => {
+				release(request.entry, ask, signal === Signal.answered ? took : undefined);
+				if ((signal === Signal.full || signal === Signal.broken) && request.attempts < mostAttempts) {
+					begin(request);
+				} else {
+					replay.finish(request, signal === Signal.answered);
+				}
+			});
+		},
+		ask({zone, ask}, request) {
+			pending.set(`${ask.entry} ${ask.ask}`, request);
+			tell(request.entry, Number(zone), askBytes, ask);
+		},
+		refuse(_decision, request) {
+			replay.finish(request, false);
+		},
+		alone(_decision, request, ask) {
+			release(request.entry, ask, undefined);
+			const entry = alone[request.entry.index]!;
+			for (const candidate of entry.candidates) {
+				const {index, zone} = candidate.upstream;
+				candidate.limit = zone === request.entry.zone && shares[request.entry.index]!.mayUseAlone(index / zoneCount | 0, places) ? 1 : 0;
+			}
+
+			entry.arrive(request);
+		},
+		ignore() {
+			// It was decided on before.
+		},
 	};
 
-	replay.after(1, tell);
-	let asks = 0;
-	const ask = (request: ReplayRequest, zone: number) => {
-		const own = request.entry.zone;
-		const entry = String(request.entry.index);
-		const number = asks++;
-		const key = `${entry} ${number}`;
-		const {kind, arrivedAt} = request;
-		const left = arrivedAt + kind.timeoutMilliseconds - replay.now;
-		const handle = (handleNow: (now: MonotonicTime) => readonly KeeperAnswer[]) => {
-			if (!isLost(zone)) {
-				deliver(zone, handleNow(replay.now));
-			}
-		};
+	function decide(request: ReplayRequest, ask: number, decision: RoomDecision): void {
+		dispatch(handlers, decision, request, ask);
+	}
 
-		const release = (took: Milliseconds | undefined) => {
-			waiting.delete(key);
-			replay.message(own, zone, releaseBytes, () => {
-				handle(now => keepers[zone]!.handle({
-					kind: 'release', entry, ask: number, took,
-				}, now));
-			});
-		};
+	function begin(request: ReplayRequest): void {
+		const {kind, arrivedAt, entry} = request;
+		decide(request, 0, shares[entry.index]!.request({
+			priority: kind.priority, startBy: arrivedAt + (kind.objectiveMilliseconds * 0.6), deadline: arrivedAt + kind.timeoutMilliseconds, otherZones: nearestFirst(entry.zone).map(String),
+		}, replay.now));
+	}
 
-		const handlers: {readonly [Kind in KeeperAnswer['kind']]: (answer: Extract<KeeperAnswer, {readonly kind: Kind}>) => void} = {
-			grant({upstream}) {
-				waiting.delete(key);
-				replay.send(request, own, replay.upstreams[Number(upstream)]!, (signal, took) => {
-					release(signal === Signal.answered ? took : undefined);
-					if ((signal === Signal.full || signal === Signal.broken) && request.attempts < mostAttempts) {
-						ask(request, own);
-					} else {
-						replay.finish(request, signal === Signal.answered);
-					}
+	function report(entry: ReplayEntry): void {
+		const share = shares[entry.index]!;
+		for (const ask of share.advance(replay.now)) {
+			const key = `${entry.index} ${ask}`;
+			const request = pending.get(key);
+			if (pending.delete(key)) {
+				decide(request!, ask, {kind: 'alone'});
+			}
+		}
+
+		const sent = share.report(String(entry.zone), replay.now);
+		replay.message(entry.zone, entry.zone, askBytes, () => {
+			if (!isLost(entry.zone)) {
+				deliver(entry.zone, keepers[entry.zone]!.handle(sent, replay.now));
+				const answer = keepers[entry.zone]!.answerReport(sent);
+				replay.message(entry.zone, entry.zone, grantBytes, () => {
+					share.reported(String(entry.zone), answer, replay.now);
 				});
-			},
-			refuse() {
-				waiting.delete(key);
-				replay.finish(request, false);
-			},
-			elsewhere({zone: other}) {
-				waiting.delete(key);
-				ask(request, Number(other));
-			},
-		};
-		waiting.set(key, {
-			request,
-			answer(answer) {
-				if (waiting.has(key)) {
-					handlers[answer.kind](answer as never);
-				}
-			},
-		});
-		replay.message(own, zone, askBytes, () => {
-			handle(now => keepers[zone]!.handle({
-				kind: 'ask', entry, ask: number, priority: kind.priority, startWithin: (arrivedAt + (kind.objectiveMilliseconds * 0.6)) - now, endWithin: left, isForeign: zone !== own,
-			}, now));
-		});
-		// A keeper that doesn't answer, not even with a refusal, is lost.
-		replay.after((kind.objectiveMilliseconds * 0.6) + 150, () => {
-			if (waiting.delete(key)) {
-				replay.finish(request, false);
 			}
 		});
-		replay.after(100, () => {
-			if (waiting.has(key) && isLost(zone)) {
-				waiting.delete(key);
-				lostUntil[request.entry.index] = replay.now + 500;
-				alone[request.entry.index]!.arrive(request);
-			}
+		replay.after(reportMilliseconds, () => {
+			report(entry);
 		});
-	};
+	}
 
-	return {
-		arrive(request) {
-			const {index, zone} = request.entry;
-			if (replay.now < lostUntil[index]!) {
-				alone[index]!.arrive(request);
-			} else {
-				ask(request, zone);
+	function advance(): void {
+		for (const [zone, keeper] of keepers.entries()) {
+			if (isLost(zone)) {
+				continue;
 			}
-		},
-	};
+
+			deliver(zone, keeper.advance(replay.now));
+			const others = nearestFirst(zone).filter(other => !isLost(other) && !replay.isCut(zone, other));
+			keeper.setZones(others.map(other => ({
+				zone: String(other), free: Math.floor(keepers[other]!.lendable / (zoneCount - 1)), costMilliseconds: delayBetween(zone, other) * 4, toldAt: replay.now,
+			})));
+			replay.counts.messages += others.length;
+			replay.counts.bytes += others.length * releaseBytes;
+		}
+
+		replay.after(tellMilliseconds, advance);
+	}
+
+	for (const entry of replay.entries) {
+		replay.after(replay.random.whole(1, reportMilliseconds / 10), () => {
+			report(entry);
+		});
+	}
+
+	replay.after(1, advance);
+	return {arrive: begin};
 }
 
 /** One entry sends to each upstream; the others hand their requests to it, by what it has told of its waiting. */
--- a/packages/bench/src/room-scenarios.ts
+++ b/packages/bench/src/room-scenarios.ts
@@ -78,22 +78,3 @@
 	replay.run(maker(replay), seconds);
 	return replay;
 }
-
-/** The lines of a table of all rules. */
-export function roomTable(seed: number): readonly string[] {
-	const columns = ['inTime', 'late', 'refused', 'overRoom', 'dropped', 'messages', 'bytes'] as const;
-	const lines = [`| service | load | rule | ${columns.join(' | ')} |`, `|---|---|---|${columns.map(() => '---:').join('|')}|`];
-	for (const service of services) {
-		for (const scenario of scenarios) {
-			for (const [name, maker] of Object.entries(rules)) {
-				const {countsOf, counts} = replayRoom(service, scenario, maker, seed);
-				const asked = Math.max(1, counts.asked);
-				const cells = columns.map(column => column === 'messages' || column === 'bytes' ? Math.round(counts[column] / 17) : column === 'overRoom' || column === 'dropped' ? counts[column] : (counts[column] / asked).toFixed(3));
-				const kinds = countsOf.size > 1 ? ` (${[...countsOf].map(([kindName, one]) => `${kindName} ${(one.inTime / Math.max(1, one.asked)).toFixed(3)}`).join(', ')})` : '';
-				lines.push(`| ${service.name} | ${scenario.name} | ${name}${kinds} | ${cells.join(' | ')} |`);
-			}
-		}
-	}
-
-	return lines;
-}
--- a/packages/room/src/keeper.ts
+++ b/packages/room/src/keeper.ts
@@ -18,14 +18,11 @@
 } from '@dogwooddeck/model/identifiers';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {
-	type Ask, type KeeperAnswer, type KeeperRequest, RefusalCause, type Release, type Report,
+	type Ask, type KeeperAnswer, type KeeperRequest, RefusalCause, type Release, type Report, type ReportAnswer,
 } from './message.js';
 import {type UpstreamRoom} from './upstream-room.js';
 import {type WaitingAsk, WaitingOrder} from './waiting-order.js';
 
-/** An instance doesn't take a grant later than this after it asked. */
-export const grantLifeMilliseconds: Milliseconds = 1000;
-
 /** The places that one instance may hold at an upstream. */
 export const placesPerEntry = 2;
 
@@ -35,6 +32,9 @@
 /** The service time that is assumed before the first answer. */
 const initialMilliseconds: Milliseconds = 100;
 
+/** An instance that has reported nothing for this long no longer counts as one of the zone. */
+const entryLifeMilliseconds: Milliseconds = 30_000;
+
 /** What other zones have told of their free places. */
 export type ZoneRoom = {
 	readonly zone: ZoneName;
@@ -52,7 +52,7 @@
 	/** Later keepers of the same zone have greater terms. */
 	readonly term: number;
 	readonly startedAt: MonotonicTime;
-	/** The longest time from asking to the end of a request. */
+	/** The longest time left until the deadline of any request. */
 	readonly longestMilliseconds: Milliseconds;
 	/** The instances that an earlier keeper may have granted to, in the own zone and in others. */
 	readonly own: readonly InstanceName[];
@@ -71,9 +71,13 @@
 	readonly #known = new Map<string, UpstreamRoom>();
 	readonly #holderOf = new Map<string, UpstreamRoom>();
 	readonly #waiting = new WaitingOrder();
+	/** The instances of the own zone. */
+	readonly #entries = new Map<InstanceName, MonotonicTime>();
 	readonly #unreportedOwn: Set<InstanceName>;
 	readonly #unreportedForeign: Set<InstanceName>;
 	#zones: readonly ZoneRoom[] = [];
+	/** A keeper that may have a successor grants nothing, also after its process was frozen. */
+	#tenureEndsAt: MonotonicTime = Infinity;
 	readonly #handlers: HandlerTable<KeeperRequest, [now: MonotonicTime], readonly KeeperAnswer[]> = {
 		ask: (ask, now) => this.#handleAsk(ask, now),
 		release: (release, now) => this.#handleRelease(release, now),
@@ -95,6 +99,12 @@
 		return this.#waiting.length > 0 ? 0 : this.#upstreams.reduce((sum, room) => sum + (room.hasPlace(true, this.#withheld(true)) ? Math.max(0, room.places.slots - room.inFlight - 1) : 0), 0);
 	}
 
+	/** Returns the answer to a report. */
+	answerReport({entry}: Report): ReportAnswer {
+		const entries = [...this.#entries.keys()].sort();
+		return {term: this.#options.term, position: Math.max(0, entries.indexOf(entry)), count: entries.length};
+	}
+
 	/** Replaces the upstreams; what is in flight at those that stay is kept. */
 	setUpstreams(upstreams: readonly UpstreamRoom[]): void {
 		this.#upstreams = upstreams.map(room => this.#known.get(room.id) ?? room);
@@ -103,6 +113,11 @@
 		}
 	}
 
+	/** Whoever decides on keepers lets this one grant until a moment, before which it has no successor. */
+	setTenure(endsAt: MonotonicTime): void {
+		this.#tenureEndsAt = endsAt;
+	}
+
 	/** Replaces what other zones have told, the nearest first. */
 	setZones(zones: readonly ZoneRoom[]): void {
 		this.#zones = zones;
@@ -115,12 +130,18 @@
 
 	/** Ends what is over, grants what is free and refuses what can't start in time any more. */
 	advance(now: MonotonicTime): readonly KeeperAnswer[] {
-		if (now >= this.#options.startedAt + grantLifeMilliseconds + this.#options.longestMilliseconds) {
+		if (now >= this.#options.startedAt + this.#options.longestMilliseconds) {
 			this.#unreportedOwn.clear();
 			this.#unreportedForeign.clear();
 		}
 
 		this.#expire(now);
+		for (const [entry, reportedAt] of this.#entries) {
+			if (now - reportedAt > entryLifeMilliseconds) {
+				this.#entries.delete(entry);
+			}
+		}
+
 		return [...this.#grantWaiting(now), ...this.#refuseLate(now)];
 	}
 
@@ -154,7 +175,7 @@
 		}
 
 		const expectedWait = (ahead + 1) * this.#startMilliseconds(now);
-		const zone = ask.isForeign ? undefined : this.#zones.find(({free, toldAt, costMilliseconds}) => free >= 1 && now - toldAt <= toldLifeMilliseconds && costMilliseconds < Math.min(expectedWait, ask.startWithin));
+		const zone = this.#zones.find(({zone: name, free, toldAt, costMilliseconds}) => ask.otherZones.includes(name) && free >= 1 && now - toldAt <= toldLifeMilliseconds && costMilliseconds < Math.min(expectedWait, ask.startWithin));
 		if (zone !== undefined) {
 			zone.free -= 1;
 			return [{...this.#answerTo(ask), kind: 'elsewhere', zone: zone.zone}];
@@ -178,6 +199,10 @@
 
 	#handleReport({entry, held, isForeign}: Report, now: MonotonicTime): readonly KeeperAnswer[] {
 		(isForeign ? this.#unreportedForeign : this.#unreportedOwn).delete(entry);
+		if (!isForeign) {
+			this.#entries.set(entry, now);
+		}
+
 		for (const {ask, upstream, endWithin} of held) {
 			const key = keyOf({entry, ask});
 			const room = this.#known.get(upstream);
@@ -224,6 +249,10 @@
 	#tryToGrant({key, ask, arrivedAt}: WaitingAsk, now: MonotonicTime): KeeperAnswer | undefined {
 		const mean = this.#meanMilliseconds();
 		const left = arrivedAt + ask.endWithin - now;
+		if (now >= this.#tenureEndsAt) {
+			return undefined;
+		}
+
 		let best: UpstreamRoom | undefined;
 		let bestMilliseconds = left;
 		for (const room of this.#upstreams) {
@@ -244,7 +273,7 @@
 		}
 
 		best.add(key, {
-			entry: ask.entry, isForeign: ask.isForeign, at: now, endsAt: now + grantLifeMilliseconds + left,
+			entry: ask.entry, isForeign: ask.isForeign, at: now, endsAt: arrivedAt + ask.endWithin,
 		});
 		this.#holderOf.set(key, best);
 		return {...this.#answerTo(ask), kind: 'grant', upstream: best.id};
--- a/packages/room/src/message.ts
+++ b/packages/room/src/message.ts
@@ -15,8 +15,10 @@
 	readonly startWithin: Milliseconds;
 	/** The time left until its deadline. */
 	readonly endWithin: Milliseconds;
-	/** Whether the instance is in another zone. */
+	/** Whether the instance is in another zone. Such an ask doesn't wait. */
 	readonly isForeign: boolean;
+	/** Zones of allowed regions that it may be sent to instead. */
+	readonly otherZones: readonly ZoneName[];
 };
 
 /** The request of a grant has ended, or its instance doesn't wait any more. Sent again until it is confirmed. */
@@ -37,6 +39,14 @@
 	readonly held: readonly HeldGrant[];
 };
 
+/** The answer to a report. */
+export type ReportAnswer = {
+	readonly term: number;
+	/** The position of the instance among the `count` instances of the zone that the keeper knows: it tells which places it may use without a keeper. */
+	readonly position: number;
+	readonly count: number;
+};
+
 export type KeeperRequest = Ask | Release | Report;
 
 /** Why a keeper refuses. */
