Count an instance as reported only once it knows the keeper's term

An instance reported what it held, and then took a grant that the earlier keeper had sent: the report lacked it, and the new keeper gave its place away.

--- a/packages/bench/src/room-replay.ts
+++ b/packages/bench/src/room-replay.ts
@@ -90,7 +90,7 @@
 
 /** The time one way between zones: 0 and 2 are in one region, 1 and 3 in the other. */
 export function delayBetween(one: number, other: number): Milliseconds {
-	return one === other ? 1 : (one - other) % 2 === 0 ? 2 : 30;
+	return one === other ? 1 : ((one - other) % 2 === 0 ? 2 : 30);
 }
 
 /** The state of one replay. */
--- a/packages/bench/src/room-rules.ts
+++ b/packages/bench/src/room-rules.ts
@@ -30,7 +30,7 @@
 type Candidate = UpstreamCandidate & {readonly upstream: ReplayUpstream; limit: number; isConnected: boolean};
 
 function distanceOf(one: number, other: number): Distance {
-	return one === other ? Distance.sameZone : (one - other) % 2 === 0 ? Distance.sameRegion : Distance.otherRegion;
+	return one === other ? Distance.sameZone : ((one - other) % 2 === 0 ? Distance.sameRegion : Distance.otherRegion);
 }
 
 /** What an entry does by itself, with the real classes of `gateway`; `limit` bounds what it has in flight at each upstream. */
@@ -131,7 +131,7 @@
 		}
 
 		for (const upstream of replay.upstreams) {
-			const weights = replay.entries.map(({index, zone}) => demands[index]! * (zone === upstream.zone ? 1 : distanceOf(zone, upstream.zone) === Distance.sameRegion ? 0.2 : 0.02));
+			const weights = replay.entries.map(({index, zone}) => demands[index]! * (zone === upstream.zone ? 1 : (distanceOf(zone, upstream.zone) === Distance.sameRegion ? 0.2 : 0.02)));
 			const sum = weights.reduce((total, weight) => total + weight, 0);
 			// The start of the rounding differs by upstream, so that each entry gets some.
 			let rest = replay.random.fraction();
@@ -165,7 +165,7 @@
 	const zones = Array.from({length: zoneCount}, (_, zone) => zone);
 	const keepers = zones.map(zone => {
 		const keeper = new RoomKeeper({
-			term: 0, startedAt: replay.now, longestMilliseconds: 0, own: [], foreign: [],
+			term: 1, startedAt: replay.now, longestMilliseconds: 0, own: [], foreign: [],
 		});
 		keeper.setUpstreams(replay.upstreams.filter(upstream => upstream.zone === zone).map(({index}) => new UpstreamRoom(String(index), places)));
 		return keeper;
@@ -343,7 +343,7 @@
 		});
 		if (!tryToStart()) {
 			owner.queue.add({
-				priority: kind.priority, turn: 0, key: undefined, upstream: undefined, timesOutAt, tryToStart, onTimeout: () => {
+				priority: kind.priority, turn: 0, key: undefined, upstream: undefined, timesOutAt, tryToStart, onTimeout() {
 					answer(false);
 				},
 			});
--- a/packages/room/src/keeper.ts
+++ b/packages/room/src/keeper.ts
@@ -8,10 +8,10 @@
  * one instance while another waits for slow ones; a zone has more work than room
  * while the next one has room.
  *
- * A keeper begins with nothing known. Each instance may hold at most `perEntry`
- * places at an upstream, and takes no grant of an older keeper once it has reported
- * to a newer one. So the keeper withholds `perEntry` places for each instance that
- * hasn't reported, until the longest request of an earlier keeper is over.
+ * A keeper begins with nothing known. Each instance may hold at most
+ * `placesPerEntry` at an upstream, and takes no grant of an older keeper once it knows a
+ * newer one. So the keeper withholds as many places for each instance that hasn't
+ * reported since it knows this keeper, until the longest request of an earlier keeper is over.
  */
 import {
 	type InstanceName, type Milliseconds, type MonotonicTime, type ZoneName,
@@ -182,7 +182,9 @@
 		}
 
 		if (expectedWait > ask.startWithin || ask.isForeign) {
-			return [{...this.#answerTo(ask), kind: 'refuse', cause: RefusalCause.noTimeToWait, retryWithin: expectedWait}];
+			return [{
+				...this.#answerTo(ask), kind: 'refuse', cause: RefusalCause.noTimeToWait, retryWithin: expectedWait,
+			}];
 		}
 
 		this.#waiting.add(waiting);
@@ -197,8 +199,14 @@
 		return this.#grantWaiting(now);
 	}
 
-	#handleReport({entry, held, isForeign}: Report, now: MonotonicTime): readonly KeeperAnswer[] {
-		(isForeign ? this.#unreportedForeign : this.#unreportedOwn).delete(entry);
+	#handleReport({
+		entry, held, isForeign, term,
+	}: Report, now: MonotonicTime): readonly KeeperAnswer[] {
+		// Before it knows this term, the instance may still take a grant of the earlier keeper.
+		if (term === this.#options.term) {
+			(isForeign ? this.#unreportedForeign : this.#unreportedOwn).delete(entry);
+		}
+
 		if (!isForeign) {
 			this.#entries.set(entry, now);
 		}
--- a/packages/room/src/message.ts
+++ b/packages/room/src/message.ts
@@ -1,7 +1,9 @@
 /**
  * The messages between the entries and the keeper of a zone's room for one service.
  */
-import {type InstanceName, type Milliseconds, type UpstreamName, type ZoneName} from '@dogwooddeck/model/identifiers';
+import {
+	type InstanceName, type Milliseconds, type UpstreamName, type ZoneName,
+} from '@dogwooddeck/model/identifiers';
 
 /** Identifies what an instance asks for: unique in the incarnation of the instance, which is part of `entry`. */
 export type AskIdentifier = {readonly entry: InstanceName; readonly ask: number};
@@ -36,6 +38,8 @@
 	readonly kind: 'report';
 	readonly entry: InstanceName;
 	readonly isForeign: boolean;
+	/** The newest term that the instance knows: it takes no grants of older ones. */
+	readonly term: number;
 	readonly held: readonly HeldGrant[];
 };
 
--- a/packages/room/src/room-share.ts
+++ b/packages/room/src/room-share.ts
@@ -119,11 +119,13 @@
 		const zone = (this.#held.get(ask) ?? this.#asked.get(ask))?.zone;
 		this.#held.delete(ask);
 		this.#asked.delete(ask);
-		return zone === undefined ? undefined : {
-			zone, release: {
-				kind: 'release', entry: this.#entry, ask, took,
-			},
-		};
+		return zone === undefined
+			? undefined
+			: {
+				zone, release: {
+					kind: 'release', entry: this.#entry, ask, took,
+				},
+			};
 	}
 
 	/** Returns the report to the keeper of a zone. */
@@ -136,7 +138,7 @@
 		}
 
 		return {
-			kind: 'report', entry: this.#entry, isForeign: zone !== this.#zone, held,
+			kind: 'report', entry: this.#entry, isForeign: zone !== this.#zone, term: this.#keeperOf(zone, now).term, held,
 		};
 	}
 
@@ -204,7 +206,7 @@
 		}
 
 		const keeper = {
-			term: -Infinity, lastContactAt: now, isLost: false, position: 0, count: 0,
+			term: 0, lastContactAt: now, isLost: false, position: 0, count: 0,
 		};
 		this.#keepers.set(zone, keeper);
 		return keeper;
