--- a/packages/bench/src/room-replay.ts
+++ b/packages/bench/src/room-replay.ts
@@ -104,14 +104,10 @@
 	};
 
 	readonly countsOf = new Map<string, RoomCounts>();
-	readonly service: ReplayService;
-	readonly scenario: Scenario;
 	readonly #due = new Map<number, Array<() => void>>();
 	readonly #neighbours: ReadonlyArray<readonly boolean[]>;
 
-	constructor(service: ReplayService, scenario: Scenario, seconds: number, seed: number) {
-		this.service = service;
-		this.scenario = scenario;
+	constructor(readonly service: ReplayService, readonly scenario: Scenario, seconds: number, seed: number) {
 		this.random = createRandom(seed, service.upstreams);
 		this.entries = Array.from({length: entryCount}, (_, index) => ({index, zone: index % zoneCount, weight: 0.5 + this.random.fraction()}));
 		this.upstreams = Array.from({length: service.upstreams}, (_, index) => ({
--- a/packages/bench/src/room-rules.ts
+++ b/packages/bench/src/room-rules.ts
@@ -9,7 +9,7 @@
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {RoomKeeper} from '@dogwooddeck/room/keeper';
-import {type KeeperAnswer, type KeeperRequest} from '@dogwooddeck/room/message';
+import {type KeeperAnswer, type KeeperRequest, type Release} from '@dogwooddeck/room/message';
 import {type RoomDecision, RoomShare} from '@dogwooddeck/room/room-share';
 import {dividePlaces, UpstreamRoom} from '@dogwooddeck/room/upstream-room';
 import {
@@ -167,6 +167,7 @@
 		const keeper = new RoomKeeper({
 			term: 1, startedAt: replay.now, longestMilliseconds: 0, own: [], foreign: [],
 		});
+		keeper.setTenure(Infinity);
 		keeper.setUpstreams(replay.upstreams.filter(upstream => upstream.zone === zone).map(({index}) => new UpstreamRoom(String(index), places)));
 		return keeper;
 	});
@@ -191,8 +192,8 @@
 		}
 	}
 
-	function release(entry: ReplayEntry, ask: number, took: Milliseconds | undefined): void {
-		const released = shares[entry.index]!.release(ask, took);
+	function release(entry: ReplayEntry, ask: number, ended?: Pick<Release, 'took' | 'hasFailed'>): void {
+		const released = shares[entry.index]!.release(ask, ended);
 		if (released !== undefined) {
 			tell(entry, Number(released.zone), releaseBytes, released.release);
 		}
@@ -209,7 +210,7 @@
 	const handlers: HandlerTable<RoomDecision, [ReplayRequest, number], void> = {
 		send({upstream}, request, ask) {
 			replay.send(request, request.entry.zone, replay.upstreams[Number(upstream)]!, (signal, took) => {
-				release(request.entry, ask, signal === Signal.answered ? took : undefined);
+				release(request.entry, ask, signal === Signal.answered ? {took, hasFailed: false} : {hasFailed: true});
 				if ((signal === Signal.full || signal === Signal.broken) && request.attempts < mostAttempts) {
 					begin(request);
 				} else {
@@ -225,11 +226,11 @@
 			replay.finish(request, false);
 		},
 		alone(_decision, request, ask) {
-			release(request.entry, ask, undefined);
+			release(request.entry, ask);
 			const entry = alone[request.entry.index]!;
 			for (const candidate of entry.candidates) {
 				const {index, zone} = candidate.upstream;
-				candidate.limit = zone === request.entry.zone && shares[request.entry.index]!.mayUseAlone(index / zoneCount | 0, places) ? 1 : 0;
+				candidate.limit = zone === request.entry.zone && shares[request.entry.index]!.mayUseAlone(Math.floor(index / zoneCount), places) ? 1 : 0;
 			}
 
 			entry.arrive(request);
@@ -284,7 +285,7 @@
 			deliver(zone, keeper.advance(replay.now));
 			const others = nearestFirst(zone).filter(other => !isLost(other) && !replay.isCut(zone, other));
 			keeper.setZones(others.map(other => ({
-				zone: String(other), free: Math.floor(keepers[other]!.lendable / (zoneCount - 1)), costMilliseconds: delayBetween(zone, other) * 4, toldAt: replay.now,
+				zone: String(other), free: Math.floor(keepers[other]!.lendable(replay.now) / (zoneCount - 1)), costMilliseconds: delayBetween(zone, other) * 4, toldAt: replay.now,
 			})));
 			replay.counts.messages += others.length;
 			replay.counts.bytes += others.length * releaseBytes;
--- a/packages/room/src/keeper.ts
+++ b/packages/room/src/keeper.ts
@@ -54,9 +54,9 @@
 	readonly startedAt: MonotonicTime;
 	/** The longest time left until the deadline of any request. */
 	readonly longestMilliseconds: Milliseconds;
-	/** The instances that an earlier keeper may have granted to, in the own zone and in others. */
-	readonly own: readonly InstanceName[];
-	readonly foreign: readonly InstanceName[];
+	/** The instances that an earlier keeper may have granted to, in the own zone and in others; undefined if they aren't known. */
+	readonly own?: readonly InstanceName[];
+	readonly foreign?: readonly InstanceName[];
 };
 
 function keyOf({entry, ask}: {readonly entry: InstanceName; readonly ask: number}): string {
@@ -75,9 +75,10 @@
 	readonly #entries = new Map<InstanceName, MonotonicTime>();
 	readonly #unreportedOwn: Set<InstanceName>;
 	readonly #unreportedForeign: Set<InstanceName>;
+	#isSettled: boolean;
 	#zones: readonly ZoneRoom[] = [];
 	/** A keeper that may have a successor grants nothing, also after its process was frozen. */
-	#tenureEndsAt: MonotonicTime = Infinity;
+	#tenureEndsAt: MonotonicTime = -Infinity;
 	readonly #handlers: HandlerTable<KeeperRequest, [now: MonotonicTime], readonly KeeperAnswer[]> = {
 		ask: (ask, now) => this.#handleAsk(ask, now),
 		release: (release, now) => this.#handleRelease(release, now),
@@ -86,6 +87,7 @@
 
 	constructor(options: KeeperOptions) {
 		this.#options = options;
+		this.#isSettled = options.own !== undefined;
 		this.#unreportedOwn = new Set(options.own);
 		this.#unreportedForeign = new Set(options.foreign);
 	}
@@ -95,8 +97,13 @@
 	}
 
 	/** The free slots that instances of other zones may use. */
-	get lendable(): number {
-		return this.#waiting.length > 0 ? 0 : this.#upstreams.reduce((sum, room) => sum + (room.hasPlace(true, this.#withheld(true)) ? Math.max(0, room.places.slots - room.inFlight - 1) : 0), 0);
+	lendable(now: MonotonicTime): number {
+		if (this.#waiting.length > 0 || !this.#isSettled) {
+			return 0;
+		}
+
+		const withheld = this.#withheld(true);
+		return this.#upstreams.reduce((sum, room) => sum + (room.hasPlace(true, withheld, now) ? Math.max(0, room.places.slots - room.inFlight - 1) : 0), 0);
 	}
 
 	/** Returns the answer to a report. */
@@ -113,7 +120,12 @@
 		}
 	}
 
-	/** Whoever decides on keepers lets this one grant until a moment, before which it has no successor. */
+	/** Whether what earlier grants use is not known at all. */
+	get isUnsettled(): boolean {
+		return !this.#isSettled;
+	}
+
+	/** Whoever decides on keepers lets this one grant until a moment, before which it has no successor. Until it is called, nothing is granted. */
 	setTenure(endsAt: MonotonicTime): void {
 		this.#tenureEndsAt = endsAt;
 	}
@@ -131,6 +143,7 @@
 	/** Ends what is over, grants what is free and refuses what can't start in time any more. */
 	advance(now: MonotonicTime): readonly KeeperAnswer[] {
 		if (now >= this.#options.startedAt + this.#options.longestMilliseconds) {
+			this.#isSettled = true;
 			this.#unreportedOwn.clear();
 			this.#unreportedForeign.clear();
 		}
@@ -168,6 +181,10 @@
 			return [];
 		}
 
+		if (!this.#isSettled) {
+			return [{...this.#answerTo(ask), kind: 'unsettled'}];
+		}
+
 		const {waiting, ahead} = this.#waiting.place(key, ask, now);
 		const grant = ahead === 0 ? this.#tryToGrant(waiting, now) : undefined;
 		if (grant !== undefined) {
@@ -175,7 +192,9 @@
 		}
 
 		const expectedWait = (ahead + 1) * this.#startMilliseconds(now);
-		const zone = this.#zones.find(({zone: name, free, toldAt, costMilliseconds}) => ask.otherZones.includes(name) && free >= 1 && now - toldAt <= toldLifeMilliseconds && costMilliseconds < Math.min(expectedWait, ask.startWithin));
+		const longestDetour = Math.min(expectedWait, ask.startWithin);
+		const zone = this.#zones.find(({zone: name, free, toldAt, costMilliseconds}) =>
+			ask.otherZones.includes(name) && free >= 1 && now - toldAt <= toldLifeMilliseconds && costMilliseconds < longestDetour);
 		if (zone !== undefined) {
 			zone.free -= 1;
 			return [{...this.#answerTo(ask), kind: 'elsewhere', zone: zone.zone}];
@@ -193,7 +212,7 @@
 
 	#handleRelease(release: Release, now: MonotonicTime): readonly KeeperAnswer[] {
 		const key = keyOf(release);
-		this.#holderOf.get(key)?.remove(key, release.took, now);
+		this.#holderOf.get(key)?.remove(key, release, now);
 		this.#holderOf.delete(key);
 		this.#waiting.remove(key);
 		return this.#grantWaiting(now);
@@ -228,7 +247,7 @@
 	#grantWaiting(now: MonotonicTime): readonly KeeperAnswer[] {
 		const answers: KeeperAnswer[] = [];
 		for (const waiting of this.#waiting.asks) {
-			if (!this.#upstreams.some(room => this.#hasRoom(room, false))) {
+			if (!this.#upstreams.some(room => this.#hasRoom(room, false, now))) {
 				break;
 			}
 
@@ -249,15 +268,15 @@
 		}));
 	}
 
-	#hasRoom(room: UpstreamRoom, isForeign: boolean): boolean {
-		return room.inFlight < room.places.slots + sentAhead && room.hasPlace(isForeign, this.#withheld(isForeign));
+	#hasRoom(room: UpstreamRoom, isForeign: boolean, now: MonotonicTime): boolean {
+		return room.inFlight < room.places.slots + sentAhead && room.hasPlace(isForeign, this.#withheld(isForeign), now);
 	}
 
 	/** Grants a place at the upstream that is expected to answer first, if it does so before the deadline. */
 	#tryToGrant({key, ask, arrivedAt}: WaitingAsk, now: MonotonicTime): KeeperAnswer | undefined {
 		const mean = this.#meanMilliseconds();
 		const left = arrivedAt + ask.endWithin - now;
-		if (now >= this.#tenureEndsAt) {
+		if (now >= this.#tenureEndsAt || !this.#isSettled) {
 			return undefined;
 		}
 
@@ -265,7 +284,7 @@
 		let bestMilliseconds = left;
 		for (const room of this.#upstreams) {
 			const {slots} = room.places;
-			if (!this.#hasRoom(room, ask.isForeign) || room.countOf(ask.entry) >= placesPerEntry) {
+			if (!this.#hasRoom(room, ask.isForeign, now) || room.countOf(ask.entry) >= placesPerEntry) {
 				continue;
 			}
 
--- a/packages/room/src/message.ts
+++ b/packages/room/src/message.ts
@@ -27,7 +27,9 @@
 export type Release = AskIdentifier & {
 	readonly kind: 'release';
 	/** The time that the upstream took to answer; undefined if it didn't answer. */
-	readonly took: Milliseconds | undefined;
+	readonly took?: Milliseconds;
+	/** Whether the upstream failed the request, had no room for it or could not be used. */
+	readonly hasFailed: boolean;
 };
 
 /** One request that is in flight by a grant. */
@@ -68,4 +70,6 @@
 	| {readonly kind: 'grant'; readonly upstream: UpstreamName}
 	| {readonly kind: 'refuse'; readonly cause: RefusalCause; readonly retryWithin: Milliseconds}
 	| {readonly kind: 'elsewhere'; readonly zone: ZoneName}
+	/** The keeper has just begun, and what earlier grants use isn't known yet. */
+	| {readonly kind: 'unsettled'}
 );
--- a/packages/room/src/room-share.ts
+++ b/packages/room/src/room-share.ts
@@ -19,6 +19,9 @@
 /** A keeper that was asked and has answered nothing for this long is lost. */
 export const lostAfterMilliseconds: Milliseconds = 250;
 
+/** A keeper of an older term is taken after this time without a newer one: the clock that terms are taken from may have been set back. */
+const termLifeMilliseconds: Milliseconds = 10_000;
+
 /** What a request needs of a place. */
 export type PlaceTerms = {
 	readonly priority: number;
@@ -39,6 +42,9 @@
 	/** It has been decided on before. */
 	| {readonly kind: 'ignore'};
 
+/** How a request ended that wasn't sent. */
+const withoutOutcome = {hasFailed: false} as const;
+
 type Asked = {readonly zone: ZoneName; readonly at: MonotonicTime; readonly terms: PlaceTerms};
 type Held = {readonly zone: ZoneName; readonly upstream: UpstreamName; readonly deadline: MonotonicTime};
 type KnownKeeper = {term: number; lastContactAt: MonotonicTime; isLost: boolean; position: number; count: number};
@@ -64,6 +70,10 @@
 		refuse: ({cause, retryWithin}, {zone, terms}, now) => zone === this.#zone
 			? {kind: 'refuse', cause, retryWithin}
 			: this.#askAt(this.#zone, {...terms, otherZones: []}, now),
+		unsettled: (_answer, {zone}, now) => {
+			Object.assign(this.#keeperOf(zone, now), {isLost: true});
+			return {kind: 'alone'};
+		},
 		elsewhere: ({zone}, {terms}, now) => this.#askAt(zone, terms, now),
 	};
 
@@ -87,35 +97,35 @@
 		return this.#keeperOf(this.#zone, now).isLost ? {kind: 'alone'} : this.#askAt(this.#zone, terms, now);
 	}
 
-	/** Takes a keeper's answer. After `alone` and `ignore`, the ask is released. */
+	/** Takes a keeper's answer. After `alone`, the ask is released. */
 	answer(answer: KeeperAnswer, now: MonotonicTime): RoomDecision {
 		const asked = this.#asked.get(answer.ask);
 		if (asked === undefined) {
 			return {kind: 'ignore'};
 		}
 
-		const keeper = this.#keeperOf(asked.zone, now);
-		this.#recordContact(keeper, now);
-		if (answer.term < keeper.term) {
+		if (!this.#recordContact(this.#keeperOf(asked.zone, now), answer.term, now)) {
 			return {kind: 'ignore'};
 		}
 
-		keeper.term = answer.term;
-		this.#asked.delete(answer.ask);
-		return dispatch(this.#handlers, answer, asked, now);
+		const decision = dispatch(this.#handlers, answer, asked, now);
+		if (decision.kind !== 'alone') {
+			this.#asked.delete(answer.ask);
+		}
+
+		return decision;
 	}
 
 	/** Takes the answer to a report. */
 	reported(zone: ZoneName, {term, position, count}: ReportAnswer, now: MonotonicTime): void {
 		const keeper = this.#keeperOf(zone, now);
-		this.#recordContact(keeper, now);
-		if (term >= keeper.term) {
-			Object.assign(keeper, {term, position, count});
+		if (this.#recordContact(keeper, term, now)) {
+			Object.assign(keeper, {position, count});
 		}
 	}
 
 	/** Ends an ask or a grant; returns the message to its keeper, which is sent until it arrives. */
-	release(ask: number, took: Milliseconds | undefined): {readonly zone: ZoneName; readonly release: Release} | undefined {
+	release(ask: number, ended: Pick<Release, 'took' | 'hasFailed'> = withoutOutcome): {readonly zone: ZoneName; readonly release: Release} | undefined {
 		const zone = (this.#held.get(ask) ?? this.#asked.get(ask))?.zone;
 		this.#held.delete(ask);
 		this.#asked.delete(ask);
@@ -123,7 +133,7 @@
 			? undefined
 			: {
 				zone, release: {
-					kind: 'release', entry: this.#entry, ask, took,
+					kind: 'release', entry: this.#entry, ask, ...ended,
 				},
 			};
 	}
@@ -180,7 +190,14 @@
 			kind: 'ask',
 			zone,
 			ask: {
-				kind: 'ask', entry: this.#entry, ask: this.#asks, priority, startWithin: Math.max(0, startBy - now), endWithin: Math.max(0, deadline - now), isForeign, otherZones: isForeign ? [] : otherZones,
+				kind: 'ask',
+				entry: this.#entry,
+				ask: this.#asks,
+				priority,
+				startWithin: Math.max(0, startBy - now),
+				endWithin: Math.max(0, deadline - now),
+				isForeign,
+				otherZones: isForeign ? [] : otherZones,
 			},
 		};
 	}
@@ -194,9 +211,14 @@
 		return count;
 	}
 
-	#recordContact(keeper: KnownKeeper, now: MonotonicTime): void {
-		keeper.lastContactAt = now;
-		keeper.isLost = false;
+	/** Returns whether it is the newest keeper that is known. */
+	#recordContact(keeper: KnownKeeper, term: number, now: MonotonicTime): boolean {
+		if (term < keeper.term && now - keeper.lastContactAt < termLifeMilliseconds) {
+			return false;
+		}
+
+		Object.assign(keeper, {term, lastContactAt: now, isLost: false});
+		return true;
 	}
 
 	#keeperOf(zone: ZoneName, now: MonotonicTime): KnownKeeper {
--- a/packages/room/src/upstream-room.ts
+++ b/packages/room/src/upstream-room.ts
@@ -6,6 +6,7 @@
  * becomes slow, or answers nothing any more, while others are idle.
  */
 import {type Milliseconds, type MonotonicTime, type UpstreamName} from '@dogwooddeck/model/identifiers';
+import {type Release} from './message.js';
 
 /** The places of an upstream: how many requests it can process and queue, and who may use them. */
 export type Places = {
@@ -43,29 +44,40 @@
 /** The measured time returns to the mean of the others in this time, so that an upstream that has recovered is tried again. */
 const decayMilliseconds: Milliseconds = 4000;
 
+/** A failure share of 1 adds this many times the expected time. */
+const failurePenalty = 8;
+
+/** The pause after a failure; each further one without an answer in between doubles it. */
+const minimumPauseMilliseconds: Milliseconds = 100;
+const maximumPauseMilliseconds: Milliseconds = 2000;
+
 /** Updated in place, as it is on the request path. */
 export class UpstreamRoom {
 	readonly grants = new Map<string, Grant>();
-	readonly id: UpstreamName;
-	readonly places: Places;
 	#inFlightOwn = 0;
 	#inFlightForeign = 0;
 	#took: Milliseconds | undefined;
+	#failureShare = 0;
+	#consecutiveFailures = 0;
+	#pausedUntil: MonotonicTime = -Infinity;
 	#measuredAt: MonotonicTime = -Infinity;
 	#oldestAt: MonotonicTime | undefined;
 
-	constructor(id: UpstreamName, places: Places) {
-		this.id = id;
-		this.places = places;
-	}
+	constructor(readonly id: UpstreamName, readonly places: Places) {}
 
 	get inFlight(): number {
 		return this.grants.size;
 	}
 
+	/** The measured time; undefined before the first answer. */
+	get measured(): Milliseconds | undefined {
+		return this.#took;
+	}
+
 	/** Whether a place of its part is free. `withheld`: places that unknown grants of an earlier keeper may take. */
-	hasPlace(isForeign: boolean, withheld: number): boolean {
-		return isForeign ? this.#inFlightForeign + withheld < this.places.foreign : this.#inFlightOwn + withheld < this.places.own;
+	hasPlace(isForeign: boolean, withheld: number, now: MonotonicTime): boolean {
+		const free = isForeign ? this.places.foreign - this.#inFlightForeign : this.places.own - this.#inFlightOwn;
+		return free > withheld && now >= this.#pausedUntil;
 	}
 
 	/** The number of requests in flight of one instance. */
@@ -88,8 +100,8 @@
 		this.#oldestAt ??= grant.at;
 	}
 
-	/** Removes a grant; `took` as in its release. */
-	remove(key: string, took: Milliseconds | undefined, now: MonotonicTime): void {
+	/** Removes a grant whose request ended as its release says. */
+	remove(key: string, {took, hasFailed}: Pick<Release, 'took' | 'hasFailed'>, now: MonotonicTime): void {
 		const grant = this.grants.get(key);
 		if (grant === undefined) {
 			return;
@@ -98,7 +110,15 @@
 		this.grants.delete(key);
 		this.#count(grant, -1);
 		this.#oldestAt = this.grants.values().next().value?.at;
+		if (hasFailed) {
+			this.#failureShare += (1 - this.#failureShare) * sampleWeight;
+			this.#consecutiveFailures += 1;
+			this.#pausedUntil = now + Math.min(maximumPauseMilliseconds, minimumPauseMilliseconds * (2 ** (this.#consecutiveFailures - 1)));
+		}
+
 		if (took !== undefined) {
+			this.#failureShare -= this.#failureShare * sampleWeight;
+			this.#consecutiveFailures = 0;
 			this.#took = this.#took === undefined ? took : this.#took + ((took - this.#took) * sampleWeight);
 			this.#measuredAt = now;
 		}
@@ -108,14 +128,18 @@
 	expire(now: MonotonicTime): readonly string[] {
 		const over = [...this.grants].filter(([, {endsAt}]) => endsAt <= now).map(([key]) => key);
 		for (const key of over) {
-			this.remove(key, undefined, now);
+			this.remove(key, {hasFailed: false}, now);
 		}
 
 		return over;
 	}
 
-	/** The expected time of an answer without waiting: the measured one, drawn to `mean` with its age, and at least half the age of the oldest request in flight. */
+	/** The expected time of an answer without waiting: the measured one, drawn to `mean` with its age, and at least half the age of the oldest request in flight; more after failures. */
 	serviceTime(mean: Milliseconds, now: MonotonicTime): Milliseconds {
+		return this.#answerTime(mean, now) * (1 + (failurePenalty * this.#failureShare));
+	}
+
+	#answerTime(mean: Milliseconds, now: MonotonicTime): Milliseconds {
 		const oldest = this.#oldestAt === undefined ? 0 : (now - this.#oldestAt) / 2;
 		if (this.#took === undefined) {
 			return Math.max(mean, oldest);
@@ -125,11 +149,6 @@
 		return Math.max((this.#took * weight) + (mean * (1 - weight)), oldest);
 	}
 
-	/** The measured time; undefined before the first answer. */
-	get measured(): Milliseconds | undefined {
-		return this.#took;
-	}
-
 	#count({isForeign}: Grant, change: number): void {
 		if (isForeign) {
 			this.#inFlightForeign += change;
--- a/packages/room/test/test-shared-room-invariant.ts
+++ b/packages/room/test/test-shared-room-invariant.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {RoomKeeper} from '@dogwooddeck/room/keeper';
 import {type KeeperAnswer, type KeeperRequest} from '@dogwooddeck/room/message';
 import {type RoomDecision, RoomShare} from '@dogwooddeck/room/room-share';
@@ -12,14 +13,24 @@
 
 const seed = 20_261_206;
 const own = ['own 0', 'own 1', 'own 2', 'own 3', 'own 4'];
+const cutOff = new Set(['own 0', 'own 1', 'own 2']);
 const foreign = ['other 0', 'other 1'];
 const upstreams = ['one', 'two'];
 const longestMilliseconds = 800;
 const tenureMilliseconds = 300;
 const places = dividePlaces(2, 6);
 const zone = 'zone';
+const stepMilliseconds = 5;
 
-type Trouble = {readonly lossShare: number; readonly duplicateShare: number; readonly longestDelay: number; readonly freezes: boolean; readonly changes: boolean};
+type Trouble = {
+	readonly lossShare: number;
+	readonly duplicateShare: number;
+	readonly longestDelay: number;
+	readonly freezes: boolean;
+	readonly changes: boolean;
+	/** Some instances reach only the keeper before the newest one. */
+	readonly splits: boolean;
+};
 
 /** A small deterministic generator: each schedule is one whole number. */
 function generator(start: number): () => number {
@@ -30,11 +41,17 @@
 	};
 }
 
+function runSteps(step: () => void, count: number): void {
+	for (let one = 0; one < count; one++) {
+		step();
+	}
+}
+
 /** Plays one schedule; returns the most that was in flight by kept places, own and foreign, and the number of requests that were sent. */
 function play(trouble: Trouble, schedule: number): {readonly own: number; readonly foreign: number; readonly sent: number} {
 	const random = generator(schedule);
 	const due: Array<{readonly at: number; readonly run: () => void}> = [];
-	const shares = new Map([...own, ...foreign].map(name => [name, new RoomShare(name, own.includes(name) ? zone : 'elsewhere')]));
+	const shares = new Map([...own, ...foreign].map(name => [name, new RoomShare(name, zone)]));
 	const inFlight = new Map<string, {readonly upstream: string; readonly isForeign: boolean}>();
 	const most = {own: 0, foreign: 0, sent: 0};
 	let now = 0;
@@ -48,10 +65,17 @@
 	};
 
 	const message = (run: () => void) => {
-		for (let copy = random() < trouble.duplicateShare ? 2 : 1; copy > 0; copy--) {
-			if (random() >= trouble.lossShare) {
-				after(1 + (random() * trouble.longestDelay), run);
-			}
+		const copies = random() < trouble.duplicateShare ? [0, 1] : [0];
+		for (const _copy of copies.filter(() => random() >= trouble.lossShare)) {
+			after(1 + (random() * trouble.longestDelay), run);
+		}
+	};
+
+	const runDue = () => {
+		const ready = due.filter(({at}) => at <= now);
+		due.splice(0, due.length, ...due.filter(({at}) => at > now));
+		for (const {run} of ready) {
+			run();
 		}
 	};
 
@@ -66,7 +90,8 @@
 
 	const tell = (request: KeeperRequest, handled: (keeper: RoomKeeper) => void = () => undefined) => {
 		const [keeper, old] = keepers;
-		const target = old !== undefined && random() < 0.3 ? old : keeper!;
+		const isCutOff = trouble.splits && cutOff.has(request.entry);
+		const target = old !== undefined && (isCutOff || random() < 0.3) ? old : keeper!;
 		message(() => {
 			due.push({
 				at: Math.max(now, frozenUntil), run() {
@@ -78,51 +103,55 @@
 	};
 
 	const release = (entry: string, ask: number) => {
-		const released = shares.get(entry)!.release(ask, 20);
+		const released = shares.get(entry)!.release(ask, {took: 20, hasFailed: false});
 		if (released !== undefined) {
 			tell(released.release);
 		}
 	};
 
-	const decide = (entry: string, ask: number, decision: RoomDecision) => {
-		switch (decision.kind) {
-			case 'ask': {
-				tell(decision.ask);
-
-				break;
-			}
-
-			case 'send': {
-				const key = `${entry} ${ask}`;
-				inFlight.set(key, {upstream: decision.upstream, isForeign: foreign.includes(entry)});
-				most.sent += 1;
-				after(random() < 0.2 ? deadlines.get(key)! - now : Math.min(deadlines.get(key)! - now, 10 + (random() * 100)), () => {
-					inFlight.delete(key);
-					release(entry, ask);
-				});
-
-				break;
-			}
-
-			case 'alone': {
+	const deadlines = new Map<string, number>();
+	const handlers: HandlerTable<RoomDecision, [entry: string, ask: number], void> = {
+		ask({ask}) {
+			tell(ask);
+		},
+		send({upstream}, entry, ask) {
+			const key = `${entry} ${ask}`;
+			const left = deadlines.get(key)! - now;
+			inFlight.set(key, {upstream, isForeign: foreign.includes(entry)});
+			most.sent += 1;
+			after(random() < 0.2 ? left : Math.min(left, 10 + (random() * 100)), () => {
+				inFlight.delete(key);
 				release(entry, ask);
+			});
+		},
+		alone(_decision, entry, ask) {
+			release(entry, ask);
+		},
+		refuse() {
+			// Nothing is asked for any more.
+		},
+		ignore() {
+			// It was decided on before.
+		},
+	};
 
-				break;
-			}
-		// No default
-		}
+	const decide = (entry: string, ask: number, decision: RoomDecision) => {
+		dispatch(handlers, decision, entry, ask);
+	};
+
+	const take = (answer: KeeperAnswer) => {
+		decide(answer.entry, answer.ask, shares.get(answer.entry)!.answer(answer, now));
 	};
 
-	const deadlines = new Map<string, number>();
 	const deliver = (answers: readonly KeeperAnswer[]) => {
 		for (const answer of answers) {
 			message(() => {
-				decide(answer.entry, answer.ask, shares.get(answer.entry)!.answer(answer, now));
+				take(answer);
 			});
 		}
 	};
 
-	for (now = 0; now < 5000; now += 5) {
+	const advanceKeepers = () => {
 		if (now >= nextChangeAt) {
 			replaceKeeper();
 			nextChangeAt = trouble.changes ? now + tenureMilliseconds + (random() * 1200) : Infinity;
@@ -139,54 +168,63 @@
 				deliver(keeper.advance(now));
 			}
 		}
+	};
+
+	const arrive = (entry: string, share: RoomShare) => {
+		const deadline = now + (longestMilliseconds * random());
+		const decision = share.request({
+			priority: Math.floor(random() * 3), startBy: now + (random() * 300), deadline, otherZones: [],
+		}, now);
+		if (decision.kind === 'ask') {
+			const ask = {...decision.ask, isForeign: foreign.includes(entry)};
+			deadlines.set(`${entry} ${ask.ask}`, deadline);
+			tell(ask);
+		}
+	};
+
+	const report = (entry: string, share: RoomShare) => {
+		const sent = {...share.report(zone, now), isForeign: foreign.includes(entry)};
+		tell(sent, keeper => {
+			const answer = keeper.answerReport(sent);
+			message(() => {
+				share.reported(zone, answer, now);
+			});
+		});
+		for (const ask of share.advance(now)) {
+			release(entry, ask);
+		}
+	};
 
+	const step = () => {
+		advanceKeepers();
 		for (const [entry, share] of shares) {
 			if (random() < 0.2) {
-				const deadline = now + (longestMilliseconds * random());
-				const decision = share.request({
-					priority: Math.floor(random() * 3), startBy: now + (random() * 300), deadline, otherZones: [],
-				}, now);
-				const atKeeper: RoomDecision = decision.kind === 'ask' ? {...decision, ask: {...decision.ask, isForeign: foreign.includes(entry)}} : decision;
-				if (atKeeper.kind === 'ask') {
-					deadlines.set(`${entry} ${atKeeper.ask.ask}`, deadline);
-				}
-
-				decide(entry, 0, atKeeper);
+				arrive(entry, share);
 			}
 
 			if (now % 50 === 0) {
-				const sent = {...share.report(own.includes(entry) ? zone : 'elsewhere', now), isForeign: foreign.includes(entry)};
-				tell(sent, keeper => {
-					const answer = keeper.answerReport(sent);
-					message(() => {
-						share.reported(own.includes(entry) ? zone : 'elsewhere', answer, now);
-					});
-				});
-				for (const ask of share.advance(now)) {
-					release(entry, ask);
-				}
+				report(entry, share);
 			}
 		}
 
-		const ready = due.filter(({at}) => at <= now);
-		due.splice(0, due.length, ...due.filter(({at}) => at > now));
-		for (const {run} of ready) {
-			run();
-		}
-
+		runDue();
 		for (const upstream of upstreams) {
 			const there = [...inFlight.values()].filter(one => one.upstream === upstream);
 			const others = there.filter(({isForeign}) => isForeign).length;
 			most.own = Math.max(most.own, there.length - others);
 			most.foreign = Math.max(most.foreign, others);
 		}
-	}
+
+		now += stepMilliseconds;
+	};
+
+	runSteps(step, 1000);
 
 	return most;
 }
 
 const calm: Trouble = {
-	lossShare: 0, duplicateShare: 0, longestDelay: 5, freezes: false, changes: false,
+	lossShare: 0, duplicateShare: 0, longestDelay: 5, freezes: false, changes: false, splits: false,
 };
 
 const cases: ReadonlyArray<{readonly name: string; readonly trouble: Trouble; readonly leastSent: number}> = [
@@ -199,9 +237,10 @@
 	},
 	{name: 'the keeper freezes and thaws', trouble: {...calm, freezes: true}, leastSent: 50},
 	{name: 'keepers follow each other', trouble: {...calm, changes: true}, leastSent: 50},
+	{name: 'instances are cut off with the old keeper', trouble: {...calm, changes: true, splits: true}, leastSent: 1},
 	{
 		name: 'all of it', trouble: {
-			lossShare: 0.1, duplicateShare: 0.1, longestDelay: 100, freezes: true, changes: true,
+			lossShare: 0.1, duplicateShare: 0.1, longestDelay: 100, freezes: true, changes: true, splits: true,
 		}, leastSent: 1,
 	},
 ];
