Ask the zone's keeper for places where the settings share room

Entries ask the control instance of their zone by a call that is answered once it is decided, release in batches and report each 200 ms; without a keeper they use the places that it doesn't grant. Off unless settings.sharedRoom is set: then requests take the path of before.

--- a/packages/bench/src/room-rules.ts
+++ b/packages/bench/src/room-rules.ts
@@ -162,6 +162,7 @@
 export function keeperInZone(replay: RoomReplay): RoomRule {
 	const {slots, queue} = replay.service;
 	const places = dividePlaces(slots, queue);
+	const perZone = replay.entries.length / zoneCount;
 	const zones = Array.from({length: zoneCount}, (_, zone) => zone);
 	const keepers = zones.map(zone => {
 		const keeper = new RoomKeeper({
@@ -230,7 +231,7 @@
 			const entry = alone[request.entry.index]!;
 			for (const candidate of entry.candidates) {
 				const {index, zone} = candidate.upstream;
-				candidate.limit = zone === request.entry.zone && shares[request.entry.index]!.mayUseAlone(Math.floor(index / zoneCount), places) ? 1 : 0;
+				candidate.limit = zone === request.entry.zone && shares[request.entry.index]!.mayUseAlone(Math.floor(index / zoneCount), places, {position: 0, count: perZone}) ? 1 : 0;
 			}
 
 			entry.arrive(request);
--- a/packages/control-node/src/control-node.ts
+++ b/packages/control-node/src/control-node.ts
@@ -38,6 +38,7 @@
 import {createLeaderCoordinator} from './leader-coordinator.js';
 import {createLoadRelay} from './load-relay.js';
 import {type ReplicationWatch, startReplicationWatch} from './replication-watch.js';
+import {type RoomKeepers, startRoomKeepers} from './room-keepers.js';
 import {type ControlSettings} from './settings.js';
 
 /** A running control instance. */
@@ -78,6 +79,7 @@
 const catchUpTimeoutMilliseconds: Milliseconds = 700;
 const pollMilliseconds: Milliseconds = 5;
 
+const noKeeper = failure(FailureKind.notReady, 'this instance keeps no room');
 const noLeader = failure(FailureKind.noQuorum, 'no leader is currently known');
 
 type MeshAnswer<Call extends MeshCall> = Promise<Result<MeshCalls[Call]['answer'], Failure>>;
@@ -214,6 +216,18 @@
 		return monotonicNow() - reportedShares.at <= sharesLifetimeMilliseconds ? reportedShares.shares : [];
 	}
 
+	const keepers: RoomKeepers | undefined = settings.sharedRoom === undefined
+		? undefined
+		: startRoomKeepers({
+			holder,
+			zone: settings.zone,
+			queuePerSlot: settings.sharedRoom.queuePerSlot,
+			others: () => (own.voter?.members() ?? []).filter(address => address !== settings.address),
+			clients,
+			log,
+			measures,
+		});
+
 	const handlers: MeshHandlers = calls.countReceived({
 		async deliver(envelope) {
 			return own.voter?.deliver(envelope) ?? err(failure(FailureKind.notReady, 'the voter has not started'));
@@ -236,6 +250,9 @@
 			leaderCoordinator.reportLoad(report);
 			return ok({shares: leaderCoordinator.shares()});
 		},
+		askPlace: async request => keepers?.askPlace(request) ?? err(noKeeper),
+		updatePlaces: async request => keepers?.updatePlaces(request) ?? err(noKeeper),
+		tellRoom: async request => keepers?.tellRoom(request) ?? err(noKeeper),
 	});
 
 	const followers = createFollowers(holder, () => {
@@ -346,6 +363,7 @@
 			}
 
 			leaderCoordinator.end();
+			keepers?.stop();
 			relay.stop();
 			replication.stop();
 			load.stop();
--- a/packages/control-node/src/settings.ts
+++ b/packages/control-node/src/settings.ts
@@ -22,4 +22,9 @@
 	readonly mostRanges: number;
 	/** The maximum fraction by which an upstream's clock may run slow. */
 	readonly clockDrift: number;
+	/** If set, this instance keeps the room that its zone's upstreams without keys have. It must be the only control instance of its zone. */
+	readonly sharedRoom?: {
+		/** How many requests an upstream queues for each of its slots. */
+		readonly queuePerSlot: number;
+	};
 };
--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -26,6 +26,8 @@
 	readonly isConfirmed: () => boolean;
 	/** Returns the address of the nearest control instance with an active stream. */
 	readonly nearest: () => string | undefined;
+	/** Returns the address of the control instance of a zone; the same at all instances that know the same members. */
+	readonly controlOf: (zone: ZoneName) => string | undefined;
 	/** Returns the number of entry instances of the deployment, as last reported; at least 1. */
 	readonly entryCount: () => number;
 	/** Returns the fraction of the requests for its keys that an overloaded upstream can process; 1 for other upstreams. */
@@ -101,7 +103,7 @@
 	return isServed ? FollowMode.nothing : FollowMode.changes;
 }
 
-type ControlStream = {following?: FollowStream; distance?: Distance; mode: FollowMode; leaderContactAt: MonotonicTime; lastContactAt: MonotonicTime; isOpen: boolean; hasReceived: boolean; entries: number};
+type ControlStream = {following?: FollowStream; distance?: Distance; zone?: ZoneName; mode: FollowMode; leaderContactAt: MonotonicTime; lastContactAt: MonotonicTime; isOpen: boolean; hasReceived: boolean; entries: number};
 
 /** Starts to follow the control instances at `seeds`, and the members that they report. */
 export function followDirectory({
@@ -111,6 +113,8 @@
 	const streams = new Map<string, ControlStream>();
 	const lag = new LagMonitor(log);
 	let isConfirmed = false;
+	/** The control instances that the last message listed. */
+	let members: ReadonlySet<string> = new Set();
 	let shares: ReadonlyMap<string, number> = new Map();
 	let sharesAt: MonotonicTime = -Infinity;
 	/** The highest log index that any control instance reported as committed. */
@@ -125,6 +129,8 @@
 		stream.hasReceived = true;
 		stream.leaderContactAt = message.fresh ? stream.lastContactAt : stream.leaderContactAt;
 		stream.distance = distanceOf(zone, message.zone, regions);
+		stream.zone = message.zone;
+		members = new Set([...message.members, address]);
 		stream.entries = message.entryCount;
 		shares = new Map(message.shares.map(({life, share}) => [incarnationText(life), share]));
 		sharesAt = stream.lastContactAt;
@@ -219,6 +225,7 @@
 			const active = [...streams].filter(([, {isOpen, hasReceived, distance}]) => isOpen && hasReceived && distance !== undefined);
 			return active.sort(([, one], [, other]) => ranks[one.distance!] - ranks[other.distance!])[0]?.[0];
 		},
+		controlOf: wanted => [...streams].filter(([address, stream]) => stream.zone === wanted && members.has(address)).map(([address]) => address).sort()[0],
 		entryCount: () => Math.max(1, ...[...streams.values()].map(({isOpen, entries}) => isOpen ? entries : 1)),
 		shareOf: upstream => monotonicNow() - sharesAt <= sharesLifetimeMilliseconds ? shares.get(incarnationText(upstream)) ?? 1 : 1,
 		followAlso(addresses) {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,7 @@
  * readiness check, and shuts down gracefully, without aborting requests.
  */
 import {createServer, type Server} from 'node:http';
-import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {limitsName} from '@dogwooddeck/directory/item';
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
@@ -22,6 +22,7 @@
 import {RequestExecution, type RequestDependencies} from './request-execution.js';
 import {type CachedService, ServiceTable} from './service-table.js';
 import {type EntrySettings} from './settings.js';
+import {SharedRoom} from './shared-room.js';
 
 /** A running entry instance. */
 export type Entry = {
@@ -95,6 +96,22 @@
 		}
 	}
 
+	const assumedPosition = settings.sharedRoom === undefined ? 0 : random();
+	const sharedRoom = settings.sharedRoom === undefined
+		? undefined
+		: new SharedRoom({
+			entry: `${settings.name}/${wallNow()}`,
+			zone: settings.zone,
+			queuePerSlot: settings.sharedRoom.queuePerSlot,
+			controlOf: follower.controlOf,
+			assumed() {
+				const count = Math.max(1, Math.ceil(follower.entryCount() / Math.max(1, Object.keys(settings.regions).length)));
+				return {position: Math.floor(assumedPosition * count), count};
+			},
+			clients,
+			log,
+			measures,
+		});
 	const hasRoutes = () => table.routes.size > 0;
 	const dependencies: RequestDependencies = {
 		table,
@@ -114,6 +131,7 @@
 		endsAt: () => endsAt,
 		shareOf: follower.shareOf,
 		random,
+		sharedRoom,
 	};
 	const callers: CallerServer = await startCallerServer(settings.callers, (exchange, path) => {
 		new RequestExecution(dependencies, exchange, path).start();
@@ -168,6 +186,7 @@
 			load.stop();
 			follower.stop();
 			reporter.stop();
+			sharedRoom?.stop();
 			callers.closeAll();
 			table.close();
 			clients.close();
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -10,10 +10,13 @@
 import {type BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
 import {retryDelay} from '@dogwooddeck/gateway/refusal';
 import {findRoute, type NamedRoute} from '@dogwooddeck/gateway/route-table';
+import {Signal} from '@dogwooddeck/gateway/upstream-load';
 import {type WaitingRequest} from '@dogwooddeck/gateway/waiting';
 import {keyCount, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {Outcome} from '@dogwooddeck/model/outcome';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {RefusalCause} from '@dogwooddeck/room/message';
 import {mayRetry, AttemptObservation, observationRules} from '@dogwooddeck/routing/outcome';
 import {type AnswerHead, requestHeaders} from '@dogwooddeck/upstream-client/headers';
 import {
@@ -28,6 +31,7 @@
 	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream, type ServiceTable,
 } from './service-table.js';
 import {type FieldNames} from './settings.js';
+import {type PlaceHolder, type Placement, type SharedRoom} from './shared-room.js';
 import {recordUpstreamNotice} from './upstream-notices.js';
 import {UpstreamChoice, type WaitEstimate} from './upstream-choice.js';
 
@@ -58,6 +62,8 @@
 	readonly shareOf: (upstream: UpstreamIncarnation) => number;
 	/** Returns numbers between 0 and 1. */
 	readonly random: () => number;
+	/** Undefined if the settings don't call for it. */
+	readonly sharedRoom?: SharedRoom | undefined;
 };
 
 /** The maximum number of attempts of a request, including those that upstreams refuse. */
@@ -78,6 +84,11 @@
 	[BodyProblem.noRoom]: Refusal.noBodyRoom,
 };
 
+const refusalOfKeeper: Readonly<Record<RefusalCause, Refusal>> = {
+	[RefusalCause.noTimeToWait]: Refusal.noTimeToWait,
+	[RefusalCause.waitedTooLong]: Refusal.waitedTooLong,
+};
+
 const millisecondsPattern = /^\d{1,9}$/v;
 const keyPattern = /^\d{1,5}$/v;
 
@@ -87,7 +98,7 @@
 
 /** Why a wait would have been too long. */
 type RefusalDetails = Partial<Pick<WaitEstimate, 'lineWait' | 'paceWait'>> & {
-	/** The rest of the pause that the upstreams asked for. */
+	/** The rest of the pause that the upstreams asked for, or the wait that the keeper of the room expects. */
 	readonly pauseMilliseconds?: Milliseconds;
 };
 
@@ -111,6 +122,7 @@
 	#deadline: MonotonicTime = Infinity;
 	#attempt: SentAttempt | undefined;
 	#waiter: WaitingRequest | undefined;
+	#place: PlaceHolder | undefined;
 	/** The number of attempts that may have run the request. */
 	#uncertainAttempts = 0;
 	/** The status of the last upstream's refusal; 0 if it did not refuse. */
@@ -207,6 +219,54 @@
 	}
 
 	#dispatchNow(): void {
+		const {sharedRoom} = this.#dependencies;
+		if (sharedRoom === undefined || this.#service!.keyed || this.#choice!.isOutsideAllowedRegions) {
+			this.#dispatchByGuess();
+		} else {
+			this.#requestPlace(sharedRoom, monotonicNow());
+		}
+	}
+
+	/** Asks for a place at an upstream; without a keeper, the request uses what no keeper grants. */
+	#requestPlace(sharedRoom: SharedRoom, now: MonotonicTime): void {
+		const choice = this.#choice!;
+		const service = this.#service!;
+		const {until} = choice.estimateWait(this.arrivedAt, this.#deadline, now);
+		if (this.#refuseIfClosed(now, until)) {
+			return;
+		}
+
+		const dispatchAlone = () => {
+			choice.restrictTo(upstream => sharedRoom.mayUseAlone(service, upstream));
+			this.#dispatchByGuess();
+		};
+
+		const handlers: HandlerTable<Placement, [], void> = {
+			send: ({upstream}) => {
+				const at = monotonicNow();
+				const chosen = this.#deadline - at < minimumSendMilliseconds ? undefined : choice.findAvailable(upstream, at);
+				if (chosen === undefined) {
+					this.#place?.release({hasFailed: true});
+					dispatchAlone();
+				} else {
+					this.#send(chosen, at);
+				}
+			},
+			refuse: ({cause, retryWithin}) => {
+				this.#refuse(refusalOfKeeper[cause], {lineWait: retryWithin, pauseMilliseconds: retryWithin});
+			},
+			alone: dispatchAlone,
+		};
+		choice.restrictTo(() => true);
+		this.#place = sharedRoom.request(service.name, {
+			priority: this.#route!.priority, startBy: Math.max(now, until), deadline: this.#deadline, otherZones: choice.otherZones,
+		}, placement => {
+			dispatch(handlers, placement);
+		});
+	}
+
+	/** Sends the request if this instance expects room, or queues it, or refuses it. */
+	#dispatchByGuess(): void {
 		const now = monotonicNow();
 		if (this.#tryToSend(now) || this.#exchange.hasDisconnected) {
 			return;
@@ -336,7 +396,10 @@
 		const now = monotonicNow();
 		this.#attempt = undefined;
 		upstream.load.inFlight -= 1;
-		upstream.load.record(signalOf(result.observation, this.#upstreamRefusalStatus, result.answer?.status), result.milliseconds, now);
+		const signal = signalOf(result.observation, this.#upstreamRefusalStatus, result.answer?.status);
+		upstream.load.record(signal, result.milliseconds, now);
+		this.#place?.release(signal === Signal.answered ? {took: Math.round(result.milliseconds), hasFailed: false} : {hasFailed: signal !== Signal.none});
+		this.#place = undefined;
 		if (result.observation !== AttemptObservation.wholeAnswer) {
 			requestLog.attemptFailed({
 				request: this, upstream, observation: result.observation, status: this.#upstreamRefusalStatus, milliseconds: result.milliseconds, left: this.#deadline - now,
@@ -407,6 +470,7 @@
 	#cancel(): void {
 		this.#attempt?.cancel();
 		this.#attempt = undefined;
+		this.#place?.release();
 		if (this.#waiter !== undefined) {
 			this.#service?.queue.remove(this.#waiter);
 			this.#waiter = undefined;
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -38,6 +38,11 @@
 	readonly retries: RetryBudgetSettings;
 	/** How long an upstream that is leaving may be sent requests that no other can serve, in milliseconds. */
 	readonly leavingGraceMilliseconds: number;
+	/** If set, requests without keys ask the keeper of the zone's room for a place at an upstream. */
+	readonly sharedRoom?: {
+		/** How many requests an upstream queues for each of its slots. */
+		readonly queuePerSlot: number;
+	};
 	/** The time limit of a graceful shutdown, in milliseconds. */
 	readonly graceMilliseconds: number;
 };
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -2,10 +2,10 @@
  * The choice of an upstream for one request: which upstreams may process it, the
  * cheapest of them that has room now, and what the request waits for if none has.
  */
-import {selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
+import {Distance, selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
 import {waitDeadline} from '@dogwooddeck/gateway/waiting';
 import {type NamedRoute} from '@dogwooddeck/gateway/route-table';
-import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type Milliseconds, type MonotonicTime, type ZoneName} from '@dogwooddeck/model/identifiers';
 import {type Connection} from './connection.js';
 import {type KeyDependencies, KeyTarget} from './key-target.js';
 import {type CachedService, type CachedUpstream} from './service-table.js';
@@ -41,6 +41,7 @@
 	readonly #dependencies: KeyDependencies;
 	readonly #service: CachedService;
 	readonly #route: NamedRoute;
+	#mayUse: (upstream: CachedUpstream) => boolean = () => true;
 
 	/** `key` is undefined if the service has no keys. */
 	constructor(dependencies: KeyDependencies, service: CachedService, route: NamedRoute, key: number | undefined) {
@@ -66,8 +67,24 @@
 
 	/** Returns the upstream to send the request to now; undefined if none has room. */
 	choose(now: MonotonicTime): CachedUpstream | undefined {
-		const connections = Math.max(1, Math.floor(this.#service.maxConnections / (this.#dependencies.entryCount() + 1)));
-		return this.target === undefined ? this.#chooseAny(connections, now) : this.#chooseHolder(this.target, connections, now);
+		return this.target === undefined ? this.#chooseAny(now) : this.#chooseHolder(this.target, now);
+	}
+
+	/** Restricts the choice further than the route does. */
+	restrictTo(mayUse: (upstream: CachedUpstream) => boolean): void {
+		this.#mayUse = mayUse;
+	}
+
+	/** Returns the upstream with this identifier if the request may be sent to it now. */
+	findAvailable(id: string, now: MonotonicTime): CachedUpstream | undefined {
+		return this.#available(now).find(upstream => upstream.id === id);
+	}
+
+	/** The other zones with upstreams that the request may be sent to, the nearest first. */
+	get otherZones(): readonly ZoneName[] {
+		const others = this.#allowed.filter(({distance}) => distance !== Distance.sameZone);
+		const inRegion = others.filter(({distance}) => distance === Distance.sameRegion);
+		return [...new Set([...inRegion, ...others].map(({record}) => record.zone))];
 	}
 
 	/** Returns how long the notices of the upstreams keep the request from being sent: 0 if they don't, `Infinity` for good. */
@@ -97,17 +114,27 @@
 		return this.#route.allowedRegions === undefined ? upstreams : upstreams.filter(upstream => allowsRegion(this.#route, upstream));
 	}
 
-	#chooseHolder(target: KeyTarget, connections: number, now: MonotonicTime): CachedUpstream | undefined {
+	/** The most connections to one upstream. */
+	get #connections(): number {
+		return Math.max(1, Math.floor(this.#service.maxConnections / (this.#dependencies.entryCount() + 1)));
+	}
+
+	#chooseHolder(target: KeyTarget, now: MonotonicTime): CachedUpstream | undefined {
 		const holder = target.availableHolder(now);
-		return holder !== undefined && allowsRegion(this.#route, holder) && holder.load.hasRoom(now) && holder.pool.hasRoom(connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
+		return holder !== undefined && allowsRegion(this.#route, holder) && holder.load.hasRoom(now) && holder.pool.hasRoom(this.#connections, this.refusedOn) && target.waitFor(holder, 0, now) === 0
 			? holder
 			: undefined;
 	}
 
-	#chooseAny(connections: number, now: MonotonicTime): CachedUpstream | undefined {
+	#available(now: MonotonicTime): readonly CachedUpstream[] {
 		const allowed = this.#allowed;
 		const use = leavingUseOf(allowed);
-		const available = allowed.filter(({notices, pool}) => notices.waitFor(use, now) === 0 && pool.hasRoom(connections, this.refusedOn));
+		const connections = this.#connections;
+		return allowed.filter(upstream => upstream.notices.waitFor(use, now) === 0 && upstream.pool.hasRoom(connections, this.refusedOn) && this.#mayUse(upstream));
+	}
+
+	#chooseAny(now: MonotonicTime): CachedUpstream | undefined {
+		const available = this.#available(now);
 		return selectUpstream(available, this.attempted, now) ?? (this.attempted.length > 0 ? selectUpstream(available, [], now) : undefined);
 	}
 }
--- a/packages/mesh/src/calls.ts
+++ b/packages/mesh/src/calls.ts
@@ -9,6 +9,9 @@
 import {type KeyRange, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type KeyReport} from '@dogwooddeck/key-lease/report';
 import {type CatchUp} from '@dogwooddeck/model/catch-up';
+import {
+	type Ask, type KeeperAnswer, type Release, type Report, type ReportAnswer,
+} from '@dogwooddeck/room/message';
 import {type Failure} from '@dogwooddeck/model/failure';
 import {type LogIndex, type Milliseconds, type ZoneName} from '@dogwooddeck/model/identifiers';
 
@@ -45,7 +48,14 @@
 	readonly services: ReadonlyArray<{readonly service: string; readonly counts: ReadonlyArray<readonly [number, number]>; readonly answers: ReadonlyArray<readonly [string, number, number]>}>;
 };
 
-/** The request and answer of each call. All but `deliver`, `sight` and `reportLoad` are served by the leader alone. */
+/** What an entry tells the keeper of one service's room. */
+export type PlacesUpdate = {
+	readonly service: string;
+	readonly releases: readonly Release[];
+	readonly report?: Report;
+};
+
+/** The request and answer of each call. All but `deliver`, `sight`, `reportLoad` and those about places are served by the leader alone. */
 export type MeshCalls = {
 	deliver: {request: ConsensusEnvelope; /** The voter's answer, if it was ready in time. */ answer: {readonly envelope?: ConsensusEnvelope}};
 	/** Reports that a control instance is alive; the answer lists the leader and all known control instances. */
@@ -62,13 +72,18 @@
 	reportLoad: {request: LoadReport; answer: Record<string, never>};
 	/** Forwards the aggregated counts of the entries of a control instance to the leader. */
 	relayLoad: {request: LoadReport; /** The overloaded upstreams of all services. */ answer: {readonly shares: readonly HolderShare[]}};
+	/** Asks a zone's control instance for a place at an upstream of the zone. It is answered once that is decided. */
+	askPlace: {request: {readonly service: string; readonly ask: Ask}; answer: KeeperAnswer};
+	updatePlaces: {request: {readonly services: readonly PlacesUpdate[]}; /** One for each report. */ answer: {readonly reports: ReadonlyArray<{readonly service: string; readonly answer: ReportAnswer}>}};
+	/** Tells the control instance of another zone how many slots that zone's entries may use. */
+	tellRoom: {request: {readonly zone: ZoneName; readonly services: ReadonlyArray<readonly [service: string, free: number]>; /** The time that the last such call took. */ readonly roundTrip: Milliseconds}; answer: Record<string, never>};
 };
 
 /** The name of a call. */
 export type MeshCall = keyof MeshCalls;
 
 /** The names of all calls, for lookup tables. */
-export const meshCalls: readonly MeshCall[] = ['deliver', 'sight', 'announce', 'depart', 'declare', 'confirm', 'reportLoad', 'relayLoad'];
+export const meshCalls: readonly MeshCall[] = ['deliver', 'sight', 'announce', 'depart', 'declare', 'confirm', 'reportLoad', 'relayLoad', 'askPlace', 'updatePlaces', 'tellRoom'];
 
 /** The request with which an entry starts to follow a control instance. */
 export type FollowRequest = {
--- a/packages/room/src/keeper.ts
+++ b/packages/room/src/keeper.ts
@@ -120,6 +120,19 @@
 		}
 	}
 
+	/** The inputs of its decisions, for the log: `reportAge` is that of the oldest report of an instance of the zone. */
+	figures(now: MonotonicTime): Readonly<Record<'waiting' | 'inFlight' | 'places' | 'unreported' | 'entries' | 'reportAge' | 'mean', number>> {
+		return {
+			waiting: this.#waiting.length,
+			inFlight: this.#upstreams.reduce((sum, room) => sum + room.inFlight, 0),
+			places: this.#upstreams.reduce((sum, {places: {slots}}) => sum + slots + sentAhead, 0),
+			unreported: this.#unreportedOwn.size + this.#unreportedForeign.size,
+			entries: this.#entries.size,
+			reportAge: Math.round(now - Math.min(now, ...this.#entries.values())),
+			mean: Math.round(this.#meanMilliseconds()),
+		};
+	}
+
 	/** Whether what earlier grants use is not known at all. */
 	get isUnsettled(): boolean {
 		return !this.#isSettled;
--- a/packages/room/src/room-share.ts
+++ b/packages/room/src/room-share.ts
@@ -17,7 +17,10 @@
 import {type Places} from './upstream-room.js';
 
 /** A keeper that was asked and has answered nothing for this long is lost. */
-export const lostAfterMilliseconds: Milliseconds = 250;
+export const lostAfterMilliseconds: Milliseconds = 500;
+
+/** An ask ends this long after its time to wait if its keeper hasn't ended it. */
+const lateAnswerMilliseconds: Milliseconds = 100;
 
 /** A keeper of an older term is taken after this time without a newer one: the clock that terms are taken from may have been set back. */
 const termLifeMilliseconds: Milliseconds = 10_000;
@@ -92,6 +95,16 @@
 		return this.#held.size;
 	}
 
+	/** The zones whose keepers it asks or holds grants of; its own is always one of them. */
+	get zones(): readonly ZoneName[] {
+		return [...new Set([this.#zone, ...[...this.#asked.values(), ...this.#held.values()].map(({zone}) => zone)])];
+	}
+
+	/** Whether the keeper of its zone is lost. */
+	get isAlone(): boolean {
+		return this.#keepers.get(this.#zone)?.isLost === true;
+	}
+
 	/** Returns how to get a place for a request. */
 	request(terms: PlaceTerms, now: MonotonicTime): RoomDecision {
 		return this.#keeperOf(this.#zone, now).isLost ? {kind: 'alone'} : this.#askAt(this.#zone, terms, now);
@@ -143,7 +156,7 @@
 		const held: HeldGrant[] = [];
 		for (const [ask, grant] of this.#held) {
 			if (grant.zone === zone) {
-				held.push({ask, upstream: grant.upstream, endWithin: Math.max(0, grant.deadline - now)});
+				held.push({ask, upstream: grant.upstream, endWithin: Math.max(0, Math.ceil(grant.deadline - now))});
 			}
 		}
 
@@ -158,7 +171,7 @@
 		for (const [ask, {zone, at, terms}] of this.#asked) {
 			const keeper = this.#keeperOf(zone, now);
 			keeper.isLost ||= now - Math.max(at, keeper.lastContactAt) > lostAfterMilliseconds;
-			if (keeper.isLost || now >= terms.startBy + lostAfterMilliseconds) {
+			if (keeper.isLost || now >= terms.startBy + lateAnswerMilliseconds) {
 				over.push(ask);
 			}
 		}
@@ -166,10 +179,16 @@
 		return over;
 	}
 
-	/** Whether one request may be in flight at this upstream without a keeper. `index` numbers the upstreams of the zone alike at all instances. Half of the places stay free, as instances learn their number at different moments. */
-	mayUseAlone(index: number, {unkept}: Pick<Places, 'unkept'>): boolean {
-		const {position, count} = this.#keepers.get(this.#zone) ?? {position: 0, count: 0};
-		return count > 0 && (position + index) % count < Math.floor(unkept / 2);
+	/**
+	 * Whether one request may be in flight at this upstream without a keeper. `index`
+	 * numbers the upstreams of the zone alike at all instances; `assumed` is the number
+	 * of the instance among those of the zone until a keeper has told it. Half of the
+	 * places stay free, as instances learn their number at different moments.
+	 */
+	mayUseAlone(index: number, {unkept}: Pick<Places, 'unkept'>, assumed: Pick<ReportAnswer, 'position' | 'count'>): boolean {
+		const known = this.#keepers.get(this.#zone);
+		const {position, count} = known === undefined || known.count === 0 ? assumed : known;
+		return (position + index) % count < Math.floor(unkept / 2);
 	}
 
 	#askAt(zone: ZoneName, {
@@ -194,8 +213,8 @@
 				entry: this.#entry,
 				ask: this.#asks,
 				priority,
-				startWithin: Math.max(0, startBy - now),
-				endWithin: Math.max(0, deadline - now),
+				startWithin: Math.max(0, Math.round(startBy - now)),
+				endWithin: Math.max(0, Math.ceil(deadline - now)),
 				isForeign,
 				otherZones: isForeign ? [] : otherZones,
 			},
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -67,6 +67,11 @@
 	requestAnswered: 'request-answered',
 	/** A request was refused or ended without an upstream's answer. */
 	requestRefused: 'request-refused',
+	/** What the keeper of a service's room decided in the last second, and by what. */
+	roomKept: 'room-kept',
+	/** The keeper of a zone's room answers again, or no longer. */
+	keeperGained: 'keeper-gained',
+	keeperLost: 'keeper-lost',
 	/** A timer of this process fired late: the event loop was busy, or the process did not run. */
 	loopLate: 'loop-late',
 	/** Resource use and activity of the process since the previous such line. */
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -43,6 +43,12 @@
 	callsTaken: 'dogwooddeck_calls_taken_total',
 	/** Holds (key leases at upstreams) that had expired when their upstream announced itself. */
 	holdsLapsed: 'dogwooddeck_holds_lapsed_total',
+	/** Answers of a keeper of room, by service and kind. */
+	roomAnswers: 'dogwooddeck_room_answers_total',
+	/** Time from an ask for a place to the keeper's answer, in milliseconds, by service. */
+	roomWait: 'dogwooddeck_room_wait_milliseconds',
+	/** Requests for which an entry had no keeper, by service. */
+	roomUnkept: 'dogwooddeck_room_unkept_total',
 	/** Processor time that the process has used, in milliseconds. */
 	processor: 'dogwooddeck_processor_milliseconds_total',
 } as const;
--- a/xo.config.js
+++ b/xo.config.js
@@ -26,9 +26,9 @@
 	directory: ['model', 'key-lease'],
 	gateway: ['model', 'directory', 'key-lease', 'routing'],
 	replica: ['model', 'clock', 'consensus', 'storage', 'telemetry'],
-	mesh: ['model', 'consensus', 'directory', 'key-lease'],
-	'control-node': ['model', 'clock', 'consensus', 'storage', 'telemetry', 'key-lease', 'directory', 'replica', 'mesh'],
-	entry: ['model', 'clock', 'telemetry', 'routing', 'directory', 'key-lease', 'gateway', 'mesh', 'replica', 'upstream-client'],
+	mesh: ['model', 'consensus', 'directory', 'key-lease', 'room'],
+	'control-node': ['model', 'clock', 'consensus', 'storage', 'telemetry', 'key-lease', 'directory', 'replica', 'mesh', 'room'],
+	entry: ['model', 'clock', 'telemetry', 'routing', 'directory', 'key-lease', 'gateway', 'mesh', 'replica', 'room', 'upstream-client'],
 	'stand-in': ['model', 'clock'],
 };
 
