Divide an upstream's places by what a keeper uses

A keeper uses one place more than there are slots; what it never granted now belongs to the entries without a keeper.

--- a/packages/room/src/keeper.ts
+++ b/packages/room/src/keeper.ts
@@ -26,9 +26,6 @@
 /** The places that one instance may hold at an upstream. */
 export const placesPerEntry = 2;
 
-/** Requests that an upstream is sent beyond its slots, so that a slot isn't idle while a release and the next grant are on their way. */
-const sentAhead = 1;
-
 /** The service time that is assumed before the first answer. */
 const initialMilliseconds: Milliseconds = 100;
 
@@ -125,7 +122,7 @@
 		return {
 			waiting: this.#waiting.length,
 			inFlight: this.#upstreams.reduce((sum, room) => sum + room.inFlight, 0),
-			places: this.#upstreams.reduce((sum, {places: {slots}}) => sum + slots + sentAhead, 0),
+			places: this.#upstreams.reduce((sum, {places: {own}}) => sum + own, 0),
 			unreported: this.#unreportedOwn.size + this.#unreportedForeign.size,
 			entries: this.#entries.size,
 			reportAge: Math.round(now - Math.min(now, ...this.#entries.values())),
@@ -282,7 +279,7 @@
 	}
 
 	#hasRoom(room: UpstreamRoom, isForeign: boolean, now: MonotonicTime): boolean {
-		return room.inFlight < room.places.slots + sentAhead && room.hasPlace(isForeign, this.#withheld(isForeign), now);
+		return room.inFlight < room.places.own && room.hasPlace(isForeign, this.#withheld(isForeign), now);
 	}
 
 	/** Grants a place at the upstream that is expected to answer first, if it does so before the deadline. */
--- a/packages/room/src/upstream-room.ts
+++ b/packages/room/src/upstream-room.ts
@@ -20,11 +20,14 @@
 	readonly unkept: number;
 };
 
+/** Requests that a keeper sends beyond the slots, so that a slot isn't idle while a release and the next grant are on their way. */
+const sentAhead = 1;
+
 /** Divides what an upstream can process and queue. The three parts never exceed it together, so that it is never sent more, whoever decides. */
 export function dividePlaces(slots: number, queue: number): Places {
 	const all = slots + queue;
-	const own = Math.min(all, slots + Math.max(1, Math.floor(queue / 4)));
-	const foreign = Math.min(all - own, slots);
+	const own = Math.min(all, slots + sentAhead);
+	const foreign = Math.min(all - own, Math.ceil(slots / 2));
 	return {
 		slots, own, foreign, unkept: all - own - foreign,
 	};
