--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -103,6 +103,7 @@
 			entry: `${settings.name}/${wallNow()}`,
 			zone: settings.zone,
 			queuePerSlot: settings.sharedRoom.queuePerSlot,
+			entryCount: follower.entryCount,
 			controlOf: follower.controlOf,
 			assumed() {
 				const count = Math.max(1, Math.ceil(follower.entryCount() / Math.max(1, Object.keys(settings.regions).length)));
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -220,7 +220,7 @@
 
 	#dispatchNow(): void {
 		const {sharedRoom} = this.#dependencies;
-		if (sharedRoom === undefined || this.#service!.keyed || this.#choice!.isOutsideAllowedRegions) {
+		if (sharedRoom?.covers(this.#service!) !== true || this.#choice!.isOutsideAllowedRegions) {
 			this.#dispatchByGuess();
 		} else {
 			this.#requestPlace(sharedRoom, monotonicNow());
@@ -257,7 +257,7 @@
 			},
 			alone: dispatchAlone,
 		};
-		choice.restrictTo(() => true);
+		choice.restrictTo(undefined);
 		this.#place = sharedRoom.request(service.name, {
 			priority: this.#route!.priority, startBy: Math.max(now, until), deadline: this.#deadline, otherZones: choice.otherZones,
 		}, placement => {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -38,7 +38,7 @@
 	readonly retries: RetryBudgetSettings;
 	/** How long an upstream that is leaving may be sent requests that no other can serve, in milliseconds. */
 	readonly leavingGraceMilliseconds: number;
-	/** If set, requests without keys ask the keeper of the zone's room for a place at an upstream. */
+	/** If set, requests without keys ask the keeper of the zone's room for a place at an upstream, for services whose upstreams can't queue one request of each entry instance. */
 	readonly sharedRoom?: {
 		/** How many requests an upstream queues for each of its slots. */
 		readonly queuePerSlot: number;
--- a/packages/entry/src/shared-room.ts
+++ b/packages/entry/src/shared-room.ts
@@ -24,6 +24,8 @@
 	readonly entry: InstanceName;
 	readonly zone: ZoneName;
 	readonly queuePerSlot: number;
+	/** The number of entry instances of the deployment. */
+	readonly entryCount: () => number;
 	/** The address of the control instance of a zone. */
 	readonly controlOf: (zone: ZoneName) => string | undefined;
 	/** The assumed number of this instance among those of its zone, until a keeper tells it. */
@@ -89,6 +91,13 @@
 		}, reportMilliseconds);
 	}
 
+	/** Whether requests for a service need a place: with one request each, all instances together could send an upstream more than it can queue. */
+	covers({keyed, upstreams}: CachedService): boolean {
+		const {entryCount, queuePerSlot} = this.#dependencies;
+		const slots = upstreams[0]?.record.slots;
+		return !keyed && slots !== undefined && entryCount() > slots * (1 + queuePerSlot);
+	}
+
 	/** Gets a place for a request; `decide` is called once, also at once, unless it is released before. */
 	request(service: string, terms: PlaceTerms, decide: (placement: Placement) => void): PlaceHolder {
 		const room = this.#roomOf(service);
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -25,6 +25,9 @@
 	readonly until: MonotonicTime;
 };
 
+/** Whether an upstream may be chosen. */
+export type UpstreamRestriction = (upstream: CachedUpstream) => boolean;
+
 /** Whether the route allows an upstream of this region. */
 function allowsRegion({allowedRegions}: NamedRoute, {region}: CachedUpstream): boolean {
 	return allowedRegions === undefined || (region !== undefined && allowedRegions.includes(region));
@@ -41,7 +44,7 @@
 	readonly #dependencies: KeyDependencies;
 	readonly #service: CachedService;
 	readonly #route: NamedRoute;
-	#mayUse: (upstream: CachedUpstream) => boolean = () => true;
+	#restriction: UpstreamRestriction | undefined;
 
 	/** `key` is undefined if the service has no keys. */
 	constructor(dependencies: KeyDependencies, service: CachedService, route: NamedRoute, key: number | undefined) {
@@ -70,9 +73,9 @@
 		return this.target === undefined ? this.#chooseAny(now) : this.#chooseHolder(this.target, now);
 	}
 
-	/** Restricts the choice further than the route does. */
-	restrictTo(mayUse: (upstream: CachedUpstream) => boolean): void {
-		this.#mayUse = mayUse;
+	/** Restricts the choice further than the route does; undefined: no further. */
+	restrictTo(restriction: UpstreamRestriction | undefined): void {
+		this.#restriction = restriction;
 	}
 
 	/** Returns the upstream with this identifier if the request may be sent to it now. */
@@ -130,7 +133,7 @@
 		const allowed = this.#allowed;
 		const use = leavingUseOf(allowed);
 		const connections = this.#connections;
-		return allowed.filter(upstream => upstream.notices.waitFor(use, now) === 0 && upstream.pool.hasRoom(connections, this.refusedOn) && this.#mayUse(upstream));
+		return allowed.filter(upstream => upstream.notices.waitFor(use, now) === 0 && upstream.pool.hasRoom(connections, this.refusedOn) && this.#restriction?.(upstream) !== false);
 	}
 
 	#chooseAny(now: MonotonicTime): CachedUpstream | undefined {
--- a/packages/entry/test/test-shared-room-requests.ts
+++ b/packages/entry/test/test-shared-room-requests.ts
@@ -20,6 +20,13 @@
 
 const silent: Log = {event: () => undefined, warning: () => undefined, error: () => undefined};
 
+const noClients: MeshClients = {
+	call: async () => err(failure(FailureKind.unreachable, 'there are no others')),
+	follow: () => ({stop: () => undefined}),
+	reopen: () => undefined,
+	close: () => undefined,
+};
+
 /** Which calls the control instance answers. */
 const Control = {answers: 'answers', silent: 'silent', unreachable: 'unreachable'} as const;
 type Control = (typeof Control)[keyof typeof Control];
@@ -27,27 +34,29 @@
 type Shared = {readonly room: SharedRoom; readonly calls: string[]; readonly measures: ReturnType<typeof createMeasures>; control: Control};
 
 /** Runs with shared room: the keepers are called directly, and `upstreams` are those of their directory. */
-async function withSharedRoom(behaviours: readonly Behaviour[], use: (entry: Entry, shared: Shared, upstreams: readonly Upstream[]) => Promise<void>): Promise<void> {
+async function withSharedRoom(behaviours: readonly Behaviour[], use: (entry: Entry, shared: Shared, upstreams: readonly Upstream[]) => Promise<void>, entries = 13): Promise<void> {
 	const holder = createStateHolder(directoryMachine);
 	const calls: string[] = [];
 	const measures = createMeasures();
 	const dependencies = {log: silent, measures, queuePerSlot: 3};
 	const keepers = startRoomKeepers({
-		...dependencies, holder, zone: 'z', others: () => [], clients: {} as MeshClients,
+		...dependencies, holder, zone: 'z', others: () => [], clients: noClients,
 	});
 	const clients = {
 		async call(_address: string, name: 'askPlace' | 'updatePlaces', request: never) {
 			calls.push(name);
 			const handlers = {
 				[Control.answers]: async () => keepers[name](structuredClone(request)),
-				[Control.silent]: async () => new Promise(() => undefined),
+				[Control.silent]: async () => new Promise<never>(() => {
+					// It never answers.
+				}),
 				[Control.unreachable]: async () => err(failure(FailureKind.unreachable, 'no connection')),
 			};
 			return handlers[shared.control]();
 		},
 	} as unknown as MeshClients;
 	const room = new SharedRoom({
-		...dependencies, entry: 'entry', zone: 'z', controlOf: () => 'control', assumed: () => ({position: 0, count: 1}), clients,
+		...dependencies, entry: 'entry', zone: 'z', controlOf: () => 'control', entryCount: () => entries, assumed: () => ({position: 0, count: 1}), clients,
 	});
 	const shared: Shared = {
 		room, calls, measures, control: Control.answers,
@@ -154,6 +163,11 @@
 	});
 });
 
+test('shared room, requests: with no more instances than an upstream can queue requests, no keeper is asked', async () => withSharedRoom([whole], async (entry, shared) => {
+	assert.equal(await statusOf(entry.port, 'a'), 'HTTP/1.1 200 OK');
+	assert.ok(!shared.calls.includes('askPlace'));
+}, 12));
+
 test('shared room, requests: without the setting, no keeper is asked', async () => withEntry([whole], true, async entry => {
 	assert.equal(await statusOf(entry.port, 'a'), 'HTTP/1.1 200 OK');
 }));
