Merge the room that entries share

A request whose route doesn't allow the own zone asks the keeper of a zone that it allows, which may let it wait there: the own zone's keeper would have granted places that the request can't use (test-shared-room-home). Second sends stop where a keeper grants the places.

--- a/packages/entry/src/directory-follower.ts
+++ b/packages/entry/src/directory-follower.ts
@@ -29,6 +29,8 @@
 	readonly currentAt: () => MonotonicTime;
 	/** Returns the address of the nearest control instance with an active stream. */
 	readonly nearest: () => string | undefined;
+	/** Returns the address of the control instance of a zone; the same at all instances that know the same members. */
+	readonly controlOf: (zone: ZoneName) => string | undefined;
 	/** Returns the number of entry instances of the deployment, as last reported; at least 1. */
 	readonly entryCount: () => number;
 	/** Returns the fraction of the requests for its keys that an overloaded upstream can process; 1 for other upstreams. */
@@ -118,7 +120,7 @@
 	return key === undefined ? incarnationText(upstream) : `${incarnationText(upstream)}#${key}`;
 }
 
-type ControlStream = {following?: FollowStream; distance?: Distance; mode: FollowMode; leaderContactAt: MonotonicTime; lastContactAt: MonotonicTime; isOpen: boolean; hasReceived: boolean; entries: number};
+type ControlStream = {following?: FollowStream; distance?: Distance; zone?: ZoneName; mode: FollowMode; leaderContactAt: MonotonicTime; lastContactAt: MonotonicTime; isOpen: boolean; hasReceived: boolean; entries: number};
 
 /** Starts to follow the control instances at `seeds`, and the members that they report. */
 export function followDirectory({
@@ -132,6 +134,8 @@
 	/** The last two runs of the check timer: what is read after the last arrived after the one before it, also if this process did not run in between. */
 	let checkedAt: MonotonicTime = -Infinity;
 	let checkedBefore: MonotonicTime = -Infinity;
+	/** The control instances that the last message listed. */
+	let members: ReadonlySet<string> = new Set();
 	let shares: ReadonlyMap<string, number> = new Map();
 	let sharesAt: MonotonicTime = -Infinity;
 	let contactAt: MonotonicTime = -Infinity;
@@ -161,6 +165,8 @@
 		stream.hasReceived = true;
 		stream.leaderContactAt = message.fresh ? stream.lastContactAt : stream.leaderContactAt;
 		stream.distance = distanceOf(zone, message.zone, regions);
+		stream.zone = message.zone;
+		members = new Set([...message.members, address]);
 		stream.entries = message.entryCount;
 		shares = new Map(message.shares.map(({life, share, key}) => [shareName(life, key), share]));
 		sharesAt = stream.lastContactAt;
@@ -266,6 +272,7 @@
 			const active = [...streams].filter(([, {isOpen, hasReceived, distance}]) => isOpen && hasReceived && distance !== undefined);
 			return active.sort(([, one], [, other]) => ranks[one.distance!] - ranks[other.distance!])[0]?.[0];
 		},
+		controlOf: wanted => [...streams].filter(([address, stream]) => stream.zone === wanted && members.has(address)).map(([address]) => address).sort()[0],
 		entryCount: () => Math.max(1, ...[...streams.values()].map(({isOpen, entries}) => isOpen ? entries : 1)),
 		shareOf: upstream => announcedShare(shareName(upstream)) ?? 1,
 		keyShareOf: (upstream, key) => announcedShare(shareName(upstream, key)),
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -11,6 +11,8 @@
 import {type WaitingRequest} from '@dogwooddeck/gateway/waiting';
 import {keyCount, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
+import {RefusalCause} from '@dogwooddeck/room/message';
 import {mayRetry, AttemptObservation} from '@dogwooddeck/routing/outcome';
 import {type AttemptResult} from './attempt.js';
 import {AttemptGroup, type GroupDependencies, maximumAttempts} from './attempt-group.js';
@@ -21,6 +23,9 @@
 import {
 	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream,
 } from './service-table.js';
+import {
+	type PlaceEnd, placeEnd, type PlaceHolder, type Placement, type SharedRoom,
+} from './shared-room.js';
 import {UpstreamChoice} from './upstream-choice.js';
 
 /** The dependencies that all requests of an instance share. */
@@ -38,6 +43,8 @@
 	readonly shareOf: (upstream: UpstreamIncarnation) => number;
 	/** The fraction of the requests for one key that its holder can process; undefined if none is announced for the key. */
 	readonly keyShareOf: (upstream: UpstreamIncarnation, key: number) => number | undefined;
+	/** Undefined if the settings don't call for it. */
+	readonly sharedRoom?: SharedRoom | undefined;
 };
 
 /** The largest body that is accepted before limits are declared, in bytes. */
@@ -55,6 +62,11 @@
 	[BodyProblem.noRoom]: Refusal.noBodyRoom,
 };
 
+const refusalOfKeeper: Readonly<Record<RefusalCause, Refusal>> = {
+	[RefusalCause.noTimeToWait]: Refusal.noTimeToWait,
+	[RefusalCause.waitedTooLong]: Refusal.waitedTooLong,
+};
+
 const millisecondsPattern = /^\d{1,9}$/v;
 const keyPattern = /^\d{1,5}$/v;
 
@@ -83,6 +95,7 @@
 	/** Set with the first attempt. */
 	#attemptGroup: AttemptGroup | undefined;
 	#waiter: WaitingRequest | undefined;
+	#place: PlaceHolder | undefined;
 
 	constructor(dependencies: RequestDependencies, exchange: CallerExchange, path: string) {
 		this.#dependencies = dependencies;
@@ -192,6 +205,58 @@
 	}
 
 	#dispatchNow(): void {
+		const {sharedRoom} = this.#dependencies;
+		if (sharedRoom?.covers(this.#service!) !== true || this.#choice!.isOutsideAllowedRegions) {
+			this.#dispatchByGuess();
+		} else {
+			this.#requestPlace(sharedRoom, monotonicNow());
+		}
+	}
+
+	/** Asks for a place at an upstream; without a keeper, the request uses what no keeper grants. */
+	#requestPlace(sharedRoom: SharedRoom, now: MonotonicTime): void {
+		const choice = this.#choice!;
+		const service = this.#service!;
+		const {until} = choice.estimateWait(this.arrivedAt, this.#deadline, now);
+		if (this.#refuseIfClosed(now, until)) {
+			return;
+		}
+
+		const dispatchAlone = () => {
+			choice.restrictTo(upstream => sharedRoom.mayUseAlone(service, upstream));
+			this.#dispatchByGuess();
+		};
+
+		const handlers: HandlerTable<Placement, [], void> = {
+			send: ({upstream}) => {
+				choice.hasPlace = true;
+				const at = monotonicNow();
+				const chosen = this.#deadline - at < minimumSendMilliseconds ? undefined : choice.findAvailable(upstream, at);
+				if (chosen === undefined) {
+					this.#releasePlace({hasFailed: true});
+					dispatchAlone();
+				} else {
+					this.#send(chosen, at);
+				}
+			},
+			refuse: ({cause, retryWithin}) => {
+				this.#refuse(refusalOfKeeper[cause], {lineWait: retryWithin, pauseMilliseconds: retryWithin});
+			},
+			alone: dispatchAlone,
+		};
+		choice.restrictTo(undefined);
+		const {nearest, others} = choice.zones;
+		const first = Math.floor(this.#dependencies.random() * nearest.length);
+		const homeZones = [...nearest.slice(first), ...nearest.slice(0, first)];
+		this.#place = sharedRoom.request(service.name, {
+			priority: this.#route!.priority, startBy: Math.max(now, until), deadline: this.#deadline, homeZones, otherZones: [...homeZones.slice(1), ...others],
+		}, placement => {
+			dispatch(handlers, placement);
+		});
+	}
+
+	/** Sends the request if this instance expects room, or queues it, or refuses it. */
+	#dispatchByGuess(): void {
 		const now = monotonicNow();
 		if (this.#tryToSend(now) || this.#exchange.hasDisconnected) {
 			return;
@@ -279,12 +344,22 @@
 			service: this.#service!,
 			choice: this.#choice!,
 		}, (answering, result, endedAt) => {
+			this.#releasePlace(placeEnd(result));
 			this.#conclude(answering, result, endedAt);
 			this.#dependencies.advance(this.#service!);
 		});
 		this.#attemptGroup.send(upstream, now);
 	}
 
+	#releasePlace(end?: PlaceEnd): void {
+		if (this.#choice !== undefined) {
+			this.#choice.hasPlace = false;
+		}
+
+		this.#place?.release(end);
+		this.#place = undefined;
+	}
+
 	#conclude(upstream: CachedUpstream, result: AttemptResult, now: MonotonicTime): void {
 		if (this.#exchange.hasDisconnected) {
 			return;
@@ -335,6 +410,7 @@
 	/** Cancels the request, as the caller has disconnected. */
 	#cancel(): void {
 		this.#attemptGroup?.cancel();
+		this.#releasePlace();
 		if (this.#waiter !== undefined) {
 			this.#service?.queue.remove(this.#waiter);
 			this.#waiter = undefined;
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -45,6 +45,11 @@
 	readonly leavingGraceMilliseconds: number;
 	/** How long the upstreams of an evacuated zone may be sent requests for keys that they still hold, in milliseconds. */
 	readonly evacuationGraceMilliseconds: number;
+	/** If set, requests without keys ask the keeper of the zone's room for a place at an upstream, for services whose upstreams can't queue one request of each entry instance. */
+	readonly sharedRoom?: {
+		/** How many requests an upstream queues for each of its slots. */
+		readonly queuePerSlot: number;
+	};
 	/** The time limit of a graceful shutdown, in milliseconds. */
 	readonly graceMilliseconds: number;
 };
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -9,7 +9,7 @@
 import {Distance, selectUpstream} from '@dogwooddeck/gateway/upstream-selection';
 import {waitDeadline} from '@dogwooddeck/gateway/waiting';
 import {type NamedRoute} from '@dogwooddeck/gateway/route-table';
-import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
+import {type Milliseconds, type MonotonicTime, type ZoneName} from '@dogwooddeck/model/identifiers';
 import {type Connection} from './connection.js';
 import {type KeyDependencies, KeyTarget} from './key-target.js';
 import {type CachedService, type CachedUpstream} from './service-table.js';
@@ -36,6 +36,8 @@
 	/** The cheapest idle one that was not attempted. */
 	readonly upstream: CachedUpstream | undefined;
 };
+/** Whether an upstream may be chosen. */
+export type UpstreamRestriction = (upstream: CachedUpstream) => boolean;
 
 /** Whether the route allows an upstream of this region. */
 function allowsRegion({allowedRegions}: NamedRoute, {region}: CachedUpstream): boolean {
@@ -44,6 +46,8 @@
 
 /** The upstreams that one request may be sent to, and those that it was sent to. */
 export class UpstreamChoice {
+	/** Whether a keeper of room has granted the place of the attempt in flight. */
+	hasPlace = false;
 	/** Undefined if the service has no keys. */
 	readonly target: KeyTarget | undefined;
 	/** Connections on which an upstream refused the request. */
@@ -55,6 +59,7 @@
 	readonly #route: NamedRoute;
 	/** Whether the last attempt was counted as one to a cold upstream. */
 	#isCountedAsCold = false;
+	#restriction: UpstreamRestriction | undefined;
 
 	/** `key` is undefined if the service has no keys. */
 	constructor(dependencies: KeyDependencies, service: CachedService, route: NamedRoute, key: number | undefined) {
@@ -92,16 +97,38 @@
 		return this.target === undefined ? this.#chooseAny(now) : this.#chooseHolder(this.target, now);
 	}
 
-	/** Returns where the request may be sent beside its first attempt: never to an upstream that is leaving, paused or cold, and to other regions only if `otherRegions` is set. */
+	/**
+	 * Returns where the request may be sent beside its first attempt: never to an upstream that is leaving, paused or
+	 * cold, to other regions only if `otherRegions` is set, and nowhere while a keeper grants the places.
+	 */
 	chooseAlternative(otherRegions: boolean, now: MonotonicTime): Alternative {
 		const coldUpstreams = this.#dependencies.table.cold;
-		const candidates = this.target === undefined
+		const candidates = this.target === undefined && !this.hasPlace
 			? this.#available(LeavingUse.none, now).filter(({cold, record, distance}) => !cold && coldUpstreams.coldFor(record, now) === 0 && (otherRegions || distance !== Distance.otherRegion))
 			: [];
 		const idle = candidates.filter(({load}) => load.isIdle);
 		return {loads: candidates.map(({load}) => load), upstream: selectUpstream(idle, this.attempted, now)};
 	}
 
+	/** Restricts the choice further than the route does; undefined: no further. */
+	restrictTo(restriction: UpstreamRestriction | undefined): void {
+		this.#restriction = restriction;
+	}
+
+	/** Returns the upstream with this identifier if the request may be sent to it now. */
+	findAvailable(id: string, now: MonotonicTime): CachedUpstream | undefined {
+		return this.#available(leavingUseOf(this.#allowed), now).find(upstream => upstream.id === id);
+	}
+
+	/** The zones with upstreams that the request may be sent to: those of the smallest distance, and the others, the nearest first. */
+	get zones(): {readonly nearest: readonly ZoneName[]; readonly others: readonly ZoneName[]} {
+		const upstreams = keepLocal(this.#allowed, this.#route.bodySize ?? BodySize.ordinary);
+		const [nearest = [], ...others] = [Distance.sameZone, Distance.sameRegion, Distance.otherRegion]
+			.map(wanted => [...new Set(upstreams.filter(({distance}) => distance === wanted).map(({record}) => record.zone))])
+			.filter(zones => zones.length > 0);
+		return {nearest, others: others.flat()};
+	}
+
 	/** Returns how long the notices of the upstreams keep the request from being sent: 0 if they don't, `Infinity` for good. */
 	waitForOpen(now: MonotonicTime): Milliseconds {
 		return this.target === undefined ? waitForOpen(this.#allowed, now) : this.target.pauseOfHolder(now);
@@ -181,7 +208,7 @@
 		const connections = this.#connections;
 		const {cold} = this.#dependencies.table;
 		const open = keepLocal(this.#allowed.filter(({notices}) => notices.waitFor(use, now) === 0), this.#route.bodySize ?? BodySize.ordinary);
-		return open.filter(({pool, record}) => cold.waitFor(record, now) === 0 && pool.hasRoom(connections, this.refusedOn));
+		return open.filter(upstream => cold.waitFor(upstream.record, now) === 0 && upstream.pool.hasRoom(connections, this.refusedOn) && this.#restriction?.(upstream) !== false);
 	}
 
 	#chooseHolder(target: KeyTarget, now: MonotonicTime): CachedUpstream | undefined {
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,7 @@
 	membership: ['model'],
 	configuration: ['model'],
 	limits: ['model'],
+	room: ['model'],
 	routing: ['model'],
 	burn: ['model'],
 	control: ['model', 'configuration', 'membership', 'ownership', 'placement', 'limits'],
@@ -25,13 +26,13 @@
 	directory: ['model', 'key-lease'],
 	gateway: ['model', 'directory', 'key-lease', 'routing'],
 	replica: ['model', 'clock', 'consensus', 'storage', 'telemetry'],
-	mesh: ['model', 'consensus', 'directory', 'key-lease'],
-	'control-node': ['model', 'clock', 'consensus', 'storage', 'telemetry', 'key-lease', 'directory', 'replica', 'mesh'],
-	entry: ['model', 'clock', 'telemetry', 'routing', 'directory', 'key-lease', 'gateway', 'mesh', 'replica', 'upstream-client'],
+	mesh: ['model', 'consensus', 'directory', 'key-lease', 'room'],
+	'control-node': ['model', 'clock', 'consensus', 'storage', 'telemetry', 'key-lease', 'directory', 'replica', 'mesh', 'room'],
+	entry: ['model', 'clock', 'telemetry', 'routing', 'directory', 'key-lease', 'gateway', 'mesh', 'replica', 'room', 'upstream-client'],
 	'stand-in': ['model', 'clock'],
 };
 
-const decisions = new Set(['model', 'consensus', 'ownership', 'placement', 'membership', 'configuration', 'limits', 'routing', 'burn', 'control', 'key-lease', 'directory', 'gateway']);
+const decisions = new Set(['model', 'consensus', 'ownership', 'placement', 'membership', 'configuration', 'limits', 'room', 'routing', 'burn', 'control', 'key-lease', 'directory', 'gateway']);
 
 const restrictedSyntax = [
 	{selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.'},
