--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -9,7 +9,7 @@
 import {type BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
 import {findRoute, type NamedRoute} from '@dogwooddeck/gateway/route-table';
 import {type WaitingRequest} from '@dogwooddeck/gateway/waiting';
-import {keyCount, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
+import {type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {mayRetry, AttemptObservation} from '@dogwooddeck/routing/outcome';
 import {type AttemptResult} from './attempt.js';
@@ -18,6 +18,7 @@
 import {type KeyTarget} from './key-target.js';
 import {answerRefusal, type RefusalDependencies, type RefusalDetails} from './refusal-answer.js';
 import {Refusal} from './refusals.js';
+import {firstValue, keyOf, timeoutOf} from './request-fields.js';
 import {
 	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream,
 } from './service-table.js';
@@ -53,18 +54,6 @@
 	[BodyProblem.noRoom]: Refusal.noBodyRoom,
 };
 
-const millisecondsPattern = /^\d{1,9}$/v;
-const keyPattern = /^\d{1,5}$/v;
-
-function firstValue(value: string | readonly string[] | undefined): string | undefined {
-	return typeof value === 'string' ? value : value?.[0];
-}
-
-/** Returns the key of a request; undefined if the field is missing or holds no key. */
-function keyOf(text: string | undefined): number | undefined {
-	return text !== undefined && keyPattern.test(text) && Number(text) < keyCount ? Number(text) : undefined;
-}
-
 /** One request, from its arrival to its answer. */
 export class RequestExecution {
 	readonly identifier: string | undefined;
@@ -115,9 +104,7 @@
 			return;
 		}
 
-		const requestedTimeout = firstValue(headers[this.#dependencies.fields.deadline]);
-		const timeout = this.#route.timeoutMilliseconds;
-		this.#deadline = this.arrivedAt + (requestedTimeout !== undefined && millisecondsPattern.test(requestedTimeout) ? Math.min(Number(requestedTimeout), timeout) : timeout);
+		this.#deadline = this.arrivedAt + timeoutOf(headers[this.#dependencies.fields.deadline], this.#route.timeoutMilliseconds);
 		if (this.#deadline > this.#dependencies.endsAt()) {
 			this.#refuse(Refusal.stopping);
 			return;
@@ -142,7 +129,7 @@
 		this.#body = body;
 		this.#service = table.service(table.split(route.name, route.targets).next());
 		recordFirstAttempt(this.#service);
-		const key = this.#service.keyed ? keyOf(firstValue(this.#exchange.request.headers[fields.key])) : undefined;
+		const key = this.#service.keyed ? keyOf(this.#exchange.request.headers[fields.key]) : undefined;
 		if (this.#service.keyed && key === undefined) {
 			this.#refuse(Refusal.badKey);
 			return;
