Hold no more for peers than the machine has room for

Cause: what a process keeps for its peers had no common limit. Bodies that stop short were kept without an end, requests sent ahead were all taken into memory however many answers waited, connections were taken without a count, and pieces of bodies gathered outside the heap until the runtime collected them, 64 MB later. Nothing followed the machine's memory and descriptors.

Each closing is counted and logged with its reason. A refusal after a request may have run promises nothing, 408 too.

--- a/packages/entry/src/caller-exchange.ts
+++ b/packages/entry/src/caller-exchange.ts
@@ -4,10 +4,12 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 import {ByteCollector} from '@dogwooddeck/upstream-client/byte-collector';
 import {type CallerConnection} from '@dogwooddeck/upstream-client/caller-connection';
 import {DrainWait} from '@dogwooddeck/upstream-client/drain-wait';
 import {type RawHeaders} from '@dogwooddeck/upstream-client/headers';
+import {PeerClosing, type PeerGuard} from './peer-guard.js';
 
 /** Why a body was rejected. */
 export const BodyProblem = {
@@ -15,6 +17,8 @@
 	truncated: 'cut',
 	/** There is no room for it beside the bodies of other requests. */
 	noRoom: 'no-room',
+	/** It was not whole when the request's time was over. */
+	late: 'late',
 } as const;
 
 /** One of the values of `BodyProblem`. */
@@ -25,6 +29,15 @@
 
 const statusesWithoutBody = new Set([204, 304]);
 
+/** The limits of a request's body. */
+export type BodyLimits = {
+	readonly maximumBytes: number;
+	/** The time until the whole body must have been received. */
+	readonly timeoutMilliseconds: Milliseconds;
+	/** The bodies of all requests of this instance. */
+	readonly buffering: BodyBuffering;
+};
+
 /** Where a request stands on its connection. */
 export type ConnectionPlace = {
 	readonly connection: CallerConnection;
@@ -32,6 +45,7 @@
 	readonly number: number;
 	/** Whether the connection may carry further requests. */
 	readonly keepsConnection: () => boolean;
+	readonly guard: PeerGuard;
 };
 
 /** A caller's request, and the operations that answer it. */
@@ -42,6 +56,7 @@
 	readonly #place: ConnectionPlace;
 	#hasDisconnected = false;
 	#isAnswered = false;
+	#isBodyLate = false;
 	#disconnectListener: (() => void) | undefined;
 	/** Removes the body from what is kept of all bodies. */
 	#releaseBody: (() => void) | undefined;
@@ -77,9 +92,10 @@
 
 	/**
 	 * Reads the whole body, of at most `maximumBytes`, which is kept in `buffering` until the whole answer was handed over.
+	 * A connection whose body is not whole after `timeoutMilliseconds` closes, behind the answer if none was sent.
 	 * Calls back without a body if the request has none or on a problem.
 	 */
-	readBody(maximumBytes: number, buffering: BodyBuffering, done: (body: Buffer | undefined, problem?: BodyProblem) => void): void {
+	readBody({maximumBytes, timeoutMilliseconds, buffering}: BodyLimits, done: (body: Buffer | undefined, problem?: BodyProblem) => void): void {
 		const {headers} = this.request;
 		if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
 			done(undefined);
@@ -119,7 +135,20 @@
 			fail(BodyProblem.noRoom);
 		}
 
+		const {guard} = this.#place;
+		const timer = setTimeout(() => {
+			if (isFinished) {
+				guard.close(this.request.socket, PeerClosing.bodyLate);
+			} else {
+				this.#isBodyLate = true;
+				fail(BodyProblem.late);
+			}
+		}, timeoutMilliseconds);
+		this.request.once('close', () => {
+			clearTimeout(timer);
+		});
 		this.request.on('data', (chunk: Buffer) => {
+			guard.countPiece(this.request, chunk.length);
 			if (isFinished || this.#hasDisconnected) {
 				return;
 			}
@@ -133,6 +162,7 @@
 			}
 		});
 		this.request.on('end', () => {
+			clearTimeout(timer);
 			finish(collected.take());
 		});
 		this.request.on('error', () => {
@@ -150,6 +180,10 @@
 		const length = hasLength || statusesWithoutBody.has(status) || this.request.method === 'HEAD' ? [] : ['Content-Length', String(body.length)];
 		this.#response.writeHead(status, [...headers, ...length]);
 		this.#response.end(body);
+		if (this.#response.writableLength > 0) {
+			this.#place.guard.holdAnswer(this.#response, this.#response.writableLength);
+		}
+
 		this.#finish();
 	}
 
@@ -194,7 +228,7 @@
 
 		this.#isAnswered = true;
 		const {connection, number, keepsConnection} = this.#place;
-		if ((!this.#response.shouldKeepAlive || !keepsConnection()) && connection.tryEndAfter(number)) {
+		if ((!this.#response.shouldKeepAlive || this.#isBodyLate || !keepsConnection()) && connection.tryEndAfter(number)) {
 			this.#response.shouldKeepAlive = false;
 		}
 
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -3,11 +3,13 @@
  * interprets neither their path nor their body.
  */
 import {type Server} from 'node:http';
-import {Server as NetServer, type Socket} from 'node:net';
+import {Server as NetServer} from 'node:net';
 import {type CallerLimits} from '@dogwooddeck/directory/item';
+import {type PeerLimits} from '@dogwooddeck/gateway/peer-memory';
 import {CallerConnection} from '@dogwooddeck/upstream-client/caller-connection';
 import {fastify} from 'fastify';
 import {CallerExchange} from './caller-exchange.js';
+import {PeerGuard, type PeerLog} from './peer-guard.js';
 import {type ListenAddress} from './settings.js';
 
 /** The running server. */
@@ -42,8 +44,19 @@
 	buildSerializer: (() => () => String) as never,
 };
 
-/** Starts the server. `keepsConnection` returns whether a connection may carry another request after the current one. */
-export async function startCallerServer({host, port}: ListenAddress, onRequest: RequestListener, keepsConnection: () => boolean): Promise<CallerServer> {
+/** What the server needs beside its address. */
+export type CallerServerOptions = {
+	readonly onRequest: RequestListener;
+	/** Returns whether a connection may carry another request after the current one. */
+	readonly keepsConnection: () => boolean;
+	readonly limits: PeerLimits;
+	readonly peerLog: PeerLog;
+};
+
+/** Starts the server. */
+export async function startCallerServer({host, port}: ListenAddress, {
+	onRequest, keepsConnection, limits: peerLimits, peerLog,
+}: CallerServerOptions): Promise<CallerServer> {
 	const application = fastify({
 		logger: false,
 		http: {maxHeaderSize: Math.max(headerBytes, maximumHeaderBytes)},
@@ -62,18 +75,16 @@
 		const connection = CallerConnection.of(request.raw.socket);
 		const number = connection.accept(reply.raw);
 		if (number !== undefined) {
-			onRequest(new CallerExchange(request.raw, reply.raw, {connection, number, keepsConnection}), request.originalUrl);
+			onRequest(new CallerExchange(request.raw, reply.raw, {
+				connection, number, keepsConnection, guard,
+			}), request.originalUrl);
 		}
 	});
 	const {server}: {readonly server: Server} = application;
-	const sockets = new Set<Socket>();
+	const guard = new PeerGuard(server, peerLimits, peerLog);
 	server.headersTimeout = defaultHeaderTimeoutMilliseconds;
 	server.on('connection', socket => {
-		sockets.add(socket);
 		socket.setNoDelay(true);
-		socket.once('close', () => {
-			sockets.delete(socket);
-		});
 	});
 	await application.listen({host, port});
 	return {
@@ -81,20 +92,21 @@
 			server.keepAliveTimeout = (limits?.idleTimeoutMilliseconds ?? defaultIdleTimeoutMilliseconds) + idleMarginMilliseconds;
 			server.headersTimeout = limits?.headerTimeoutMilliseconds ?? defaultHeaderTimeoutMilliseconds;
 		},
-		connections: () => sockets.size,
+		connections: () => guard.sockets.size,
 		stopListening() {
 			// The method of HTTP servers also closes the connections that Node.js counts as idle.
 			NetServer.prototype.close.call(server);
 		},
 		closeIdle() {
 			// Node.js counts a connection as idle once an answer was handed to its socket, also while the socket has to send it and other requests wait behind it.
-			for (const socket of sockets) {
+			for (const socket of guard.sockets) {
 				if (CallerConnection.of(socket).isIdle) {
 					socket.destroy();
 				}
 			}
 		},
 		closeAll() {
+			guard.stop();
 			server.closeAllConnections();
 		},
 	};
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,6 +8,7 @@
 import {limitsName} from '@dogwooddeck/directory/item';
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
 import {BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
+import {peerLimitsOf} from '@dogwooddeck/gateway/peer-memory';
 import {createMeshClients} from '@dogwooddeck/mesh/client';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {EventName} from '@dogwooddeck/telemetry/event';
@@ -18,6 +19,7 @@
 import {followDirectory} from './directory-follower.js';
 import {startLoadReporter} from './load-reporter.js';
 import {LoopDelayGuard, turnIntervalMilliseconds} from './loop-delay-guard.js';
+import {createPeerLog} from './peer-guard.js';
 import {createRequestLog} from './request-log.js';
 import {RequestExecution, type RequestDependencies} from './request-execution.js';
 import {type CachedService, ServiceTable} from './service-table.js';
@@ -47,13 +49,6 @@
 const drainMilliseconds: Milliseconds = 2500;
 const closeIdleMilliseconds: Milliseconds = 100;
 
-/** The most that is buffered of all answers together, well below the memory of a small instance. */
-const maximumBufferedBytes = 33_554_432;
-
-/** The most that is kept of all bodies of requests together, and what is kept of short ones besides. */
-const maximumBodiesBytes = 67_108_864;
-const reservedForShortBodiesBytes = 16_777_216;
-
 /** Reserved at the end of the grace period. */
 const stopMarginMilliseconds: Milliseconds = 700;
 
@@ -95,6 +90,7 @@
 		}
 	}
 
+	const peerLimits = peerLimitsOf(settings.machine);
 	const hasRoutes = () => table.routes.size > 0;
 	const dependencies: RequestDependencies = {
 		table,
@@ -103,8 +99,8 @@
 		isReady: hasRoutes,
 		limits: () => follower.state().items.limits[limitsName]?.value,
 		entryCount: follower.entryCount,
-		buffering: new AnswerBuffering(maximumBufferedBytes),
-		bodyBuffering: new BodyBuffering(maximumBodiesBytes, reservedForShortBodiesBytes),
+		buffering: new AnswerBuffering(peerLimits.bufferedAnswersBytes),
+		bodyBuffering: new BodyBuffering(peerLimits.bodiesBytes, peerLimits.shortBodiesBytes),
 		countKey: reporter.count,
 		countAnswer: reporter.recordAnswer,
 		advance,
@@ -115,9 +111,14 @@
 		shareOf: follower.shareOf,
 		random,
 	};
-	const callers: CallerServer = await startCallerServer(settings.callers, (exchange, path) => {
-		new RequestExecution(dependencies, exchange, path).start();
-	}, () => !isStopping);
+	const callers: CallerServer = await startCallerServer(settings.callers, {
+		onRequest(exchange, path) {
+			new RequestExecution(dependencies, exchange, path).start();
+		},
+		keepsConnection: () => !isStopping,
+		limits: peerLimits,
+		peerLog: createPeerLog(log, measures),
+	});
 
 	function isReady(): boolean {
 		return hasRoutes() && follower.isConfirmed() && !isStopping;
--- /dev/null
+++ b/packages/entry/src/peer-guard.ts
@@ -0,0 +1,193 @@
+/**
+ * Keeps what the connections of a server take within the limits of its machine: it closes the connections for which
+ * most is held, those that make the loop late, and for new ones those that have been idle for longest.
+ */
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {type PeerLimits, PeerMemory, waitingBytesOf} from '@dogwooddeck/gateway/peer-memory';
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {LineBudget} from '@dogwooddeck/telemetry/line-budget';
+import {type Log} from '@dogwooddeck/telemetry/log';
+import {MeasureName, type Measures} from '@dogwooddeck/telemetry/measure';
+import {CallerConnection} from '@dogwooddeck/upstream-client/caller-connection';
+import {BodyGarbage} from './body-garbage.js';
+
+/** Why a connection of a peer is closed. */
+export const PeerClosing = {
+	/** More connections are open than may be. */
+	connections: 'connections',
+	/** All connections together hold too much, and this one most. */
+	memory: 'memory',
+	/** More requests wait on it for their answers than may. */
+	requestsAhead: 'requests-ahead',
+	/** Its body comes in pieces that make the loop late. */
+	pieces: 'pieces',
+	/** Its body was not whole when its request's time was over. */
+	bodyLate: 'body-late',
+} as const;
+
+/** One of the values of `PeerClosing`. */
+export type PeerClosing = (typeof PeerClosing)[keyof typeof PeerClosing];
+
+/** Records a connection that is closed. */
+export type PeerLog = (reason: PeerClosing, socket: Socket) => void;
+
+const turnMilliseconds: Milliseconds = 100;
+const linesPerSecond = 10;
+
+/** Records closed connections: a counter for each reason, and log lines that are limited to a number a second. */
+export function createPeerLog(log: Log, measures: Measures): PeerLog {
+	const lines = new LineBudget(linesPerSecond);
+	return (reason, socket) => {
+		measures.counter(MeasureName.peersClosed, {reason}).value += 1;
+		if (lines.take(monotonicNow())) {
+			log.warning(EventName.peerClosed, {reason, peer: socket.remoteAddress, received: socket.bytesRead});
+		}
+	};
+}
+
+function headBytesOf({rawHeaders, url}: IncomingMessage): number {
+	let bytes = url?.length ?? 0;
+	for (const part of rawHeaders) {
+		bytes += part.length;
+	}
+
+	return bytes;
+}
+
+/** Guards the connections of one server. */
+export class PeerGuard {
+	readonly #limits: PeerLimits;
+	readonly #record: PeerLog;
+	readonly #memory: PeerMemory<Socket>;
+	readonly #sockets = new Set<Socket>();
+	readonly #timer: NodeJS.Timeout;
+	readonly #garbage = new BodyGarbage();
+	#turnAt = monotonicNow();
+
+	constructor(server: Server, limits: PeerLimits, record: PeerLog) {
+		this.#limits = limits;
+		this.#record = record;
+		this.#memory = new PeerMemory(limits.waitingBytes);
+		server.on('connection', socket => {
+			this.#open(socket);
+		});
+		this.#standBefore(server);
+		this.#timer = setInterval(() => {
+			this.#endTurn();
+		}, turnMilliseconds);
+		this.#timer.unref();
+	}
+
+	/** The open connections. */
+	get sockets(): ReadonlySet<Socket> {
+		return this.#sockets;
+	}
+
+	/** Stops the timer; connections stay as they are. */
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	/** Holds bytes of an answer until it was handed over. */
+	holdAnswer(response: ServerResponse, bytes: number): void {
+		const {socket} = response.req;
+		this.#memory.add(socket, bytes);
+		response.once('close', () => {
+			this.#memory.release(socket, bytes);
+		});
+		this.#closeGreediest();
+	}
+
+	/** Counts a piece of a request's body. */
+	countPiece({socket}: IncomingMessage, bytes: number): void {
+		this.#memory.countPiece(socket, bytes);
+		this.#garbage.add(bytes);
+	}
+
+	/** Closes a connection at once. */
+	close(socket: Socket, reason: PeerClosing): void {
+		if (!socket.destroyed) {
+			this.#record(reason, socket);
+			socket.destroy();
+		}
+	}
+
+	#closeGreediest(): void {
+		for (let greediest = this.#memory.takeGreediest(); greediest !== undefined; greediest = this.#memory.takeGreediest()) {
+			this.close(greediest, PeerClosing.memory);
+		}
+	}
+
+	/** What was received behind a request is parsed even after its connection was closed; it isn't passed on then. */
+	#standBefore(server: Server): void {
+		const listeners = server.listeners('request') as Array<(request: IncomingMessage, response: ServerResponse) => void>;
+		server.removeAllListeners('request');
+		server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+			if (this.#admit(request, response)) {
+				for (const listener of listeners) {
+					listener.call(server, request, response);
+				}
+			}
+		});
+	}
+
+	/** Holds a request until its answer was handed over. Returns false if its connection is closed. */
+	#admit(request: IncomingMessage, response: ServerResponse): boolean {
+		const {socket} = request;
+		if (socket.destroyed) {
+			return false;
+		}
+
+		const bytes = waitingBytesOf(headBytesOf(request));
+		if (!this.#memory.tryAddRequest(socket, bytes)) {
+			this.close(socket, PeerClosing.requestsAhead);
+			return false;
+		}
+
+		response.once('close', () => {
+			this.#memory.releaseRequest(socket, bytes);
+		});
+		this.#closeGreediest();
+		return !socket.destroyed;
+	}
+
+	#open(socket: Socket): void {
+		this.#sockets.add(socket);
+		this.#memory.add(socket, 0);
+		// Known from its first moment, so that the time without a request counts.
+		CallerConnection.of(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+			this.#memory.forget(socket);
+		});
+		if (this.#sockets.size > this.#limits.connections) {
+			this.close(this.#longestIdle() ?? socket, PeerClosing.connections);
+		}
+	}
+
+	#longestIdle(): Socket | undefined {
+		let longest: Socket | undefined;
+		let since = Infinity;
+		for (const socket of this.#sockets) {
+			const connection = CallerConnection.of(socket);
+			if (connection.openRequests === 0 && !socket.destroyed && connection.lastUse < since) {
+				longest = socket;
+				since = connection.lastUse;
+			}
+		}
+
+		return longest;
+	}
+
+	#endTurn(): void {
+		const now = monotonicNow();
+		const delay = now - this.#turnAt - turnMilliseconds;
+		this.#turnAt = now;
+		for (const socket of this.#memory.takeBusiest(delay)) {
+			this.close(socket, PeerClosing.pieces);
+		}
+	}
+}
--- a/packages/entry/src/refusals.ts
+++ b/packages/entry/src/refusals.ts
@@ -9,6 +9,8 @@
 	bodyTooLarge: 'body-too-large',
 	/** The bodies of other requests take all memory that is meant for bodies. */
 	noBodyRoom: 'no-body-room',
+	/** The body was not whole at the request's deadline. */
+	bodyLate: 'body-late',
 	queueFull: 'line-full',
 	/** The requests that wait already would delay it beyond its time. */
 	noTimeToWait: 'no-time-to-wait',
@@ -37,6 +39,7 @@
 	[Refusal.badKey]: 400,
 	[Refusal.bodyTooLarge]: 413,
 	[Refusal.noBodyRoom]: 503,
+	[Refusal.bodyLate]: 408,
 	[Refusal.queueFull]: 503,
 	[Refusal.noTimeToWait]: 503,
 	[Refusal.waitedTooLong]: 503,
@@ -50,7 +53,8 @@
 	[Refusal.unknownOutcome]: 502,
 };
 
-const firstServerFailure = 500;
+/** Statuses that promise that the request did not run and never will. */
+const promises: ReadonlySet<number> = new Set([408, 503]);
 const gatewayTimeout = 504;
 
 /** An answer with this status states that the request did not run, and when to retry. */
@@ -63,5 +67,5 @@
 export function refusalStatus(refusal: Refusal, mayHaveRun: boolean): number {
 	const status = statusOfRefusal[refusal];
 	const uncertainStatus = refusal === Refusal.timeout ? gatewayTimeout : statusOfRefusal[Refusal.unknownOutcome];
-	return mayHaveRun && status >= firstServerFailure ? uncertainStatus : status;
+	return mayHaveRun && promises.has(status) ? uncertainStatus : status;
 }
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -77,6 +77,7 @@
 	[BodyProblem.tooLarge]: Refusal.bodyTooLarge,
 	[BodyProblem.truncated]: Refusal.unknownOutcome,
 	[BodyProblem.noRoom]: Refusal.noBodyRoom,
+	[BodyProblem.late]: Refusal.bodyLate,
 };
 
 const millisecondsPattern = /^\d{1,9}$/v;
@@ -164,7 +165,7 @@
 		this.#exchange.onDisconnect(() => {
 			this.#cancel();
 		});
-		this.#exchange.readBody(limits()?.bodyBytes ?? maximumBodyBytes, bodyBuffering, (body, problem) => {
+		this.#exchange.readBody({maximumBytes: limits()?.bodyBytes ?? maximumBodyBytes, timeoutMilliseconds: this.#deadline - this.arrivedAt, buffering: bodyBuffering}, (body, problem) => {
 			this.#handleBody(body, problem);
 		});
 	}
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,6 +1,7 @@
 /**
  * The settings of an entry instance.
  */
+import {type MachineLimits} from '@dogwooddeck/gateway/peer-memory';
 import {type RegionName, type ZoneName} from '@dogwooddeck/model/identifiers';
 
 /** An address to listen at. */
@@ -36,6 +37,8 @@
 	readonly seeds: readonly string[];
 	readonly fields: FieldNames;
 	readonly retries: RetryBudgetSettings;
+	/** Undefined: memory and descriptors are not limited. */
+	readonly machine?: MachineLimits;
 	/** How long an upstream that is leaving may be sent requests that no other can serve, in milliseconds. */
 	readonly leavingGraceMilliseconds: number;
 	/** The time limit of a graceful shutdown, in milliseconds. */
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -11,6 +11,7 @@
 import {UpstreamState} from '@dogwooddeck/directory/upstream';
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
 import {BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
+import {peerLimitsOf} from '@dogwooddeck/gateway/peer-memory';
 import {type RequestSpecification} from '@dogwooddeck/entry/attempt';
 import {LoopDelayGuard, turnIntervalMilliseconds} from '@dogwooddeck/entry/loop-delay-guard';
 import {RequestExecution, type RequestDependencies} from '@dogwooddeck/entry/request-execution';
@@ -167,9 +168,14 @@
 	const {port} = probe.address() as AddressInfo;
 	probe.close();
 	await once(probe, 'close');
-	const callers = await startCallerServer({host: '127.0.0.1', port}, (exchange, path) => {
-		new RequestExecution(dependencies, exchange, path).start();
-	}, () => true);
+	const callers = await startCallerServer({host: '127.0.0.1', port}, {
+		onRequest(exchange, path) {
+			new RequestExecution(dependencies, exchange, path).start();
+		},
+		keepsConnection: () => true,
+		limits: peerLimitsOf(undefined),
+		peerLog: () => undefined,
+	});
 	const advancing = setInterval(() => {
 		loopDelayGuard.recordTurn();
 		for (const service of table.services()) {
--- /dev/null
+++ b/packages/gateway/src/peer-memory.ts
@@ -0,0 +1,223 @@
+/**
+ * What a process holds for its peers, by connection, and which connections are closed when that is too much.
+ *
+ * Load pattern: clients that keep to no limit. Some dozens of connections carry bodies that stop just short of their
+ * end, requests sent ahead whose answers are never read, or bodies in chunks of a byte. What a client holds grows with
+ * what it sends, so the connections that hold most are closed first, and ordinary callers, which hold little, go on.
+ */
+import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+
+/** What the machine gives to the process. */
+export type MachineLimits = {
+	readonly memoryBytes: number;
+	/** The descriptors that the process may have open. */
+	readonly descriptors: number;
+};
+
+/** What may be held for all peers together. */
+export type PeerLimits = {
+	/** Bodies of requests, and short ones besides. */
+	readonly bodiesBytes: number;
+	readonly shortBodiesBytes: number;
+	/** Answers of upstreams until they are forwarded. */
+	readonly bufferedAnswersBytes: number;
+	/** Requests that wait for their answers, and answers that were not taken. */
+	readonly waitingBytes: number;
+	/** Connections of peers. */
+	readonly connections: number;
+};
+
+const megabyte = 1_048_576;
+
+/** The limits of a machine with memory to spare. */
+const largest: PeerLimits = {
+	bodiesBytes: 64 * megabyte, shortBodiesBytes: 16 * megabyte, bufferedAnswersBytes: 32 * megabyte, waitingBytes: 32 * megabyte, connections: Infinity,
+};
+const largestBytes = largest.bodiesBytes + largest.shortBodiesBytes + largest.bufferedAnswersBytes + largest.waitingBytes;
+
+/** What the process takes without peers, while its code is compiled. */
+const ownBytes = 118 * megabyte;
+
+/** The smallest part of `largest` that is given to peers: less serves nobody. */
+const smallestShare = 1 / 16;
+
+/** The share of the descriptors that connections of peers may take; the others are for upstreams and other instances. */
+const connectionShare = 0.75;
+
+/** Divides what a machine has beside the process itself. Undefined: a machine with memory and descriptors to spare. */
+export function peerLimitsOf(machine: MachineLimits | undefined): PeerLimits {
+	if (machine === undefined) {
+		return largest;
+	}
+
+	const share = Math.min(1, Math.max(smallestShare, (machine.memoryBytes - ownBytes) / largestBytes));
+	return {
+		bodiesBytes: Math.floor(largest.bodiesBytes * share),
+		shortBodiesBytes: Math.floor(largest.shortBodiesBytes * share),
+		bufferedAnswersBytes: Math.floor(largest.bufferedAnswersBytes * share),
+		waitingBytes: Math.floor(largest.waitingBytes * share),
+		connections: Math.max(1, Math.floor(machine.descriptors * connectionShare)),
+	};
+}
+
+/** The maximum number of requests of a connection that wait for their answers. */
+const maximumRequestsAhead = 256;
+
+/** The objects of a request that waits, in bytes. */
+const requestBytes = 8192;
+
+/** The text of a head is kept twice: as fields, and as what is sent on. */
+const copiesOfHead = 2;
+
+/** What a request takes until its answer was handed over, without its body. */
+export function waitingBytesOf(headBytes: number): number {
+	return requestBytes + (copiesOfHead * headBytes);
+}
+
+/** A piece of a body that is shorter costs more processor time than its bytes are worth. */
+const shortPieceBytes = 64;
+
+/** An owner that holds so many times its even part is greedy. */
+const greedyParts = 2;
+
+/** Turns of the loop that are late by less are ordinary. */
+const ordinaryDelay: Milliseconds = 200;
+
+type Holding = {bytes: number; pieces: number; requests: number};
+
+/** What is held for each owner, which is a connection. It is on the request path, so it is updated in place. */
+export class PeerMemory<Owner> {
+	#bytes = 0;
+	#pieces = 0;
+	readonly #holdings = new Map<Owner, Holding>();
+	readonly #maximumBytes: number;
+
+	constructor(maximumBytes: number) {
+		this.#maximumBytes = maximumBytes;
+	}
+
+	/** What is held for all owners. */
+	get bytes(): number {
+		return this.#bytes;
+	}
+
+	/** Adds what is held for an owner from now on. */
+	add(owner: Owner, bytes: number): void {
+		this.#holdingOf(owner).bytes += bytes;
+		this.#bytes += bytes;
+	}
+
+	/** Adds a request that waits for its answer. Returns false if too many wait on its connection; nothing is added then. */
+	tryAddRequest(owner: Owner, bytes: number): boolean {
+		const holding = this.#holdingOf(owner);
+		if (holding.requests >= maximumRequestsAhead) {
+			return false;
+		}
+
+		holding.requests += 1;
+		this.add(owner, bytes);
+		return true;
+	}
+
+	/** Removes a request whose answer was handed over. */
+	releaseRequest(owner: Owner, bytes: number): void {
+		const holding = this.#holdings.get(owner);
+		if (holding !== undefined) {
+			holding.requests -= 1;
+			this.release(owner, bytes);
+		}
+	}
+
+	/** Removes what is no longer held. Nothing is held for an owner that was forgotten. */
+	release(owner: Owner, bytes: number): void {
+		const holding = this.#holdings.get(owner);
+		if (holding !== undefined) {
+			holding.bytes -= bytes;
+			this.#bytes -= bytes;
+		}
+	}
+
+	/** Counts a piece of a body. */
+	countPiece(owner: Owner, bytes: number): void {
+		const holding = bytes < shortPieceBytes ? this.#holdings.get(owner) : undefined;
+		if (holding !== undefined) {
+			holding.pieces += 1;
+			this.#pieces += 1;
+		}
+	}
+
+	/** Removes an owner whose connection has closed. */
+	forget(owner: Owner): void {
+		const holding = this.#holdings.get(owner);
+		if (holding !== undefined) {
+			this.#bytes -= holding.bytes;
+			this.#pieces -= holding.pieces;
+			this.#holdings.delete(owner);
+		}
+	}
+
+	/**
+	 * Forgets and returns the owner for which most is held, if all together is too much and it has much more than an
+	 * even part. So connections with a request each are never closed, and all together hold `greedyParts` times the most.
+	 */
+	takeGreediest(): Owner | undefined {
+		if (this.#bytes <= this.#maximumBytes) {
+			return undefined;
+		}
+
+		const owners = this.#holdings.size;
+		let greediest: Owner | undefined;
+		let mostBytes = 0;
+		for (const [owner, {bytes}] of this.#holdings) {
+			if (bytes > mostBytes) {
+				greediest = owner;
+				mostBytes = bytes;
+			}
+		}
+
+		if (greediest === undefined || mostBytes * owners <= greedyParts * this.#maximumBytes) {
+			return undefined;
+		}
+
+		this.forget(greediest);
+		return greediest;
+	}
+
+	/**
+	 * Forgets and returns the owners whose short pieces make the loop late, those with most first, and starts a new
+	 * count. Those that are left would have delayed it by an ordinary time. An owner that is alone is never returned.
+	 */
+	takeBusiest(delay: Milliseconds): readonly Owner[] {
+		const busiest: Owner[] = [];
+		if (delay > ordinaryDelay) {
+			const bearable = this.#pieces * ordinaryDelay / delay;
+			const sorted = [...this.#holdings].filter(([, {pieces}]) => pieces > 0).sort(([, one], [, other]) => other.pieces - one.pieces);
+			for (const [owner] of sorted.slice(0, -1)) {
+				if (this.#pieces <= bearable) {
+					break;
+				}
+
+				this.forget(owner);
+				busiest.push(owner);
+			}
+		}
+
+		for (const holding of this.#holdings.values()) {
+			holding.pieces = 0;
+		}
+
+		this.#pieces = 0;
+		return busiest;
+	}
+
+	#holdingOf(owner: Owner): Holding {
+		const known = this.#holdings.get(owner);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const holding = {bytes: 0, pieces: 0, requests: 0};
+		this.#holdings.set(owner, holding);
+		return holding;
+	}
+}
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -73,6 +73,8 @@
 	instanceLoad: 'instance-load',
 	/** An upstream announced itself without keys that were assigned to it: its hold, the key lease at an upstream, expired. */
 	holdLapsed: 'hold-lapsed',
+	/** A connection of a peer that takes too much was closed. */
+	peerClosed: 'peer-closed',
 	/** Lines were dropped to bound the volume. */
 	linesDropped: 'lines-dropped',
 } as const;
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -15,6 +15,8 @@
 	attempts: 'dogwooddeck_failed_attempts_total',
 	/** Notices in the answers of upstreams (it is leaving, it asks for a pause, or unreadable), by service and kind. */
 	notices: 'dogwooddeck_upstream_notices_total',
+	/** Connections of peers that were closed because they take too much, by reason. */
+	peersClosed: 'dogwooddeck_peers_closed_total',
 	/** The index of the newest applied log entry. */
 	applied: 'dogwooddeck_applied_index',
 	/** The index of the newest log entry known to be committed. */
--- a/packages/upstream-client/src/caller-connection.ts
+++ b/packages/upstream-client/src/caller-connection.ts
@@ -7,6 +7,9 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 
+/** Counts uses of all connections, so that they can be ordered by their last one. */
+let uses = 0;
+
 const connections = new WeakMap<Socket, CallerConnection>();
 
 /** One connection of a caller. */
@@ -25,11 +28,14 @@
 	/** The number of these whose answers were not handed to the operating system yet. */
 	#open = 0;
 	#isEnding = false;
+	#lastUse: number;
 	/** The number of bytes that were received when the last answer was handed over. */
 	#bytesWhenIdle = 0;
 
 	private constructor(socket: Socket) {
 		this.#socket = socket;
+		uses += 1;
+		this.#lastUse = uses;
 		for (const event of ['end', 'close']) {
 			socket.once(event, () => {
 				for (const watcher of this.#watchers) {
@@ -39,6 +45,16 @@
 		}
 	}
 
+	/** The number of accepted requests whose answers were not handed over yet. */
+	get openRequests(): number {
+		return this.#open;
+	}
+
+	/** Grows with each opening of a connection and each answer that is handed over, over all connections. */
+	get lastUse(): number {
+		return this.#lastUse;
+	}
+
 	/** Whether all answers were handed over and nothing was received since. */
 	get isIdle(): boolean {
 		return this.#open === 0 && this.#socket.bytesRead === this.#bytesWhenIdle;
@@ -57,6 +73,8 @@
 		this.#open += 1;
 		response.once('close', () => {
 			this.#open -= 1;
+			uses += 1;
+			this.#lastUse = uses;
 			this.#bytesWhenIdle = this.#socket.bytesRead;
 		});
 		return this.#accepted;
