--- a/packages/upstream-client/src/request-body.ts
+++ b/packages/upstream-client/src/request-body.ts
@@ -42,7 +42,7 @@
 		return;
 	}
 
-	const collected = new ByteCollector(announcedBytes);
+	const collected = new ByteCollector(announcedBytes, maximumBytes);
 	const onEnd = () => {
 		done(Result.ok(collected.take()));
 	};
