Give short bodies room beside one that takes all

Cause: a body that is announced as long as may be has its room from the start, also if it never comes; until its deadline no other body had any.

Change: short bodies have their reserve whatever a long one takes, and a single body is at most as long as its machine has memory for; a longer one is refused as too large.

--- a/packages/entry/src/caller-exchange.ts
+++ b/packages/entry/src/caller-exchange.ts
@@ -95,15 +95,17 @@
 	 * A connection whose body is not whole after `timeoutMilliseconds` closes, behind the answer if none was sent.
 	 * Calls back without a body if the request has none or on a problem.
 	 */
-	readBody({maximumBytes, timeoutMilliseconds, buffering}: BodyLimits, done: (body: Buffer | undefined, problem?: BodyProblem) => void): void {
+	readBody({maximumBytes: declaredBytes, timeoutMilliseconds, buffering}: BodyLimits, done: (body: Buffer | undefined, problem?: BodyProblem) => void): void {
 		const {headers} = this.request;
 		if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
 			done(undefined);
 			return;
 		}
 
+		const {guard} = this.#place;
+		const maximumBytes = Math.min(declaredBytes, guard.largestBodyBytes);
 		const announcedBytes = Number(headers['content-length'] ?? 0);
-		const collected = new ByteCollector(Math.min(announcedBytes, maximumBytes));
+		const collected = new ByteCollector(Math.min(announcedBytes, maximumBytes), maximumBytes);
 		let keptBytes = 0;
 		let isFinished = false;
 		const finish = (body: Buffer | undefined, problem?: BodyProblem) => {
@@ -135,7 +137,6 @@
 			fail(BodyProblem.noRoom);
 		}
 
-		const {guard} = this.#place;
 		const timer = setTimeout(() => {
 			if (isFinished) {
 				guard.close(this.request.socket, PeerClosing.bodyLate);
--- a/packages/entry/src/peer-guard.ts
+++ b/packages/entry/src/peer-guard.ts
@@ -81,6 +81,11 @@
 		this.#timer.unref();
 	}
 
+	/** The longest body that a single request may have on this machine, in bytes. */
+	get largestBodyBytes(): number {
+		return this.#limits.largestBodyBytes;
+	}
+
 	/** The open connections. */
 	get sockets(): ReadonlySet<Socket> {
 		return this.#sockets;
--- a/packages/gateway/src/body-buffering.ts
+++ b/packages/gateway/src/body-buffering.ts
@@ -3,8 +3,8 @@
  * as it may be sent again.
  *
  * Load pattern: many long bodies arrive at once, each within the declared limit, and
- * together would exhaust the instance's memory. The short bodies of other requests,
- * which are most, still have room then.
+ * together would exhaust the instance's memory; one is announced as long as may be, and
+ * never comes. The short bodies of other requests, which are most, still have room then.
  */
 
 /** A body of at most this many bytes is short. */
@@ -13,6 +13,8 @@
 /** The kept bytes of all bodies of an instance. It is on the request path, so it is updated in place. */
 export class BodyBuffering {
 	#bytes = 0;
+	/** Those of short bodies. */
+	#shortBytes = 0;
 	readonly #maxBytes: number;
 	readonly #reservedBytes: number;
 
@@ -35,17 +37,26 @@
 	 * bodies; nothing is added then. A body that is alone always has room.
 	 */
 	tryKeep(bytes: number, kept: number): boolean {
-		const reservedBytes = kept + bytes <= shortBodyBytes ? this.#reservedBytes : 0;
-		if (this.#bytes + bytes > this.#maxBytes + reservedBytes && this.#bytes > kept) {
+		const isShort = kept + bytes <= shortBodyBytes;
+		const reservedBytes = isShort ? this.#reservedBytes : 0;
+		const hasReserve = isShort && this.#shortBytes + bytes <= reservedBytes;
+		if (!hasReserve && this.#bytes + bytes > this.#maxBytes + reservedBytes && this.#bytes > kept) {
 			return false;
 		}
 
 		this.#bytes += bytes;
+		if (isShort) {
+			this.#shortBytes += bytes;
+		} else if (kept <= shortBodyBytes) {
+			this.#shortBytes -= kept;
+		}
+
 		return true;
 	}
 
-	/** Removes the bytes of a body whose request has ended. */
+	/** Removes all bytes of a body whose request has ended. */
 	release(bytes: number): void {
 		this.#bytes -= bytes;
+		this.#shortBytes -= bytes <= shortBodyBytes ? bytes : 0;
 	}
 }
--- a/packages/gateway/src/peer-memory.ts
+++ b/packages/gateway/src/peer-memory.ts
@@ -16,6 +16,8 @@
 
 /** What may be held for all peers together. */
 export type PeerLimits = {
+	/** A single body, which has room whenever it is alone. */
+	readonly largestBodyBytes: number;
 	/** Bodies of requests, and short ones besides. */
 	readonly bodiesBytes: number;
 	readonly shortBodiesBytes: number;
@@ -31,13 +33,16 @@
 
 /** The limits of a machine with memory to spare. */
 const largest: PeerLimits = {
-	bodiesBytes: 64 * megabyte, shortBodiesBytes: 16 * megabyte, bufferedAnswersBytes: 32 * megabyte, waitingBytes: 32 * megabyte, connections: Infinity,
+	largestBodyBytes: Infinity, bodiesBytes: 64 * megabyte, shortBodiesBytes: 16 * megabyte, bufferedAnswersBytes: 32 * megabyte, waitingBytes: 32 * megabyte, connections: Infinity,
 };
 const largestBytes = largest.bodiesBytes + largest.shortBodiesBytes + largest.bufferedAnswersBytes + largest.waitingBytes;
 
 /** What the process takes without peers, while its code is compiled. */
 const ownBytes = 118 * megabyte;
 
+/** What the pieces of a body take beside it before they are freed. */
+const passingBytes = 8 * megabyte;
+
 /** The smallest part of `largest` that is given to peers: less serves nobody. */
 const smallestShare = 1 / 16;
 
@@ -50,8 +55,10 @@
 		return largest;
 	}
 
-	const share = Math.min(1, Math.max(smallestShare, (machine.memoryBytes - ownBytes) / largestBytes));
+	const freeBytes = machine.memoryBytes - ownBytes;
+	const share = Math.min(1, Math.max(smallestShare, freeBytes / largestBytes));
 	return {
+		largestBodyBytes: Math.max(smallestShare * largest.bodiesBytes, freeBytes - passingBytes),
 		bodiesBytes: Math.floor(largest.bodiesBytes * share),
 		shortBodiesBytes: Math.floor(largest.shortBodiesBytes * share),
 		bufferedAnswersBytes: Math.floor(largest.bufferedAnswersBytes * share),
--- a/packages/gateway/test/test-body-buffering.ts
+++ b/packages/gateway/test/test-body-buffering.ts
@@ -15,6 +15,7 @@
 	{name: 'short bodies beside one that takes all', bodies: [[1_000_000], [shortBodyBytes], [shortBodyBytes], [1]], whole: [true, true, true, false]},
 	{name: 'a body that is no longer short', bodies: [[1_000_000], [shortBodyBytes, 1]], whole: [true, false]},
 	{name: 'a body beside one that is too long', bodies: [[2_000_000], [long]], whole: [true, false]},
+	{name: 'short bodies beside one that is too long', bodies: [[2_000_000], [shortBodyBytes], [shortBodyBytes], [1]], whole: [true, true, true, false]},
 	{name: 'bodies that grow together', bodies: [[400_000, 400_000], [400_000, 400_000]], whole: [false, true]},
 	{name: 'a thousand bodies at once', bodies: Array.from({length: 1000}, () => [100_000]), whole: Array.from({length: 1000}, (_, position) => position < 10)},
 ];
--- a/packages/gateway/test/test-peer-memory.ts
+++ b/packages/gateway/test/test-peer-memory.ts
@@ -7,15 +7,16 @@
 
 for (const machine of machines) {
 	test(`peer memory: a machine of ${machine.memoryBytes / megabyte} MB is never promised whole`, () => {
-		const {connections, ...bytes} = peerLimitsOf(machine);
+		const {connections, largestBodyBytes, ...bytes} = peerLimitsOf(machine);
 		const held = Object.values(bytes).reduce((sum, part) => sum + part, 0);
 		assert.ok(held > 0 && held + (100 * megabyte) < machine.memoryBytes, `${held / megabyte} MB`);
+		assert.ok(largestBodyBytes + (100 * megabyte) < machine.memoryBytes);
 		assert.ok(connections < machine.descriptors);
 	});
 }
 
 test('peer memory: a machine with memory to spare gives no more than one without limits', () => {
-	assert.deepEqual({...peerLimitsOf({memoryBytes: 4096 * megabyte, descriptors: 4096}), connections: Infinity}, peerLimitsOf(undefined));
+	assert.deepEqual({...peerLimitsOf({memoryBytes: 4096 * megabyte, descriptors: 4096}), connections: Infinity, largestBodyBytes: Infinity}, peerLimitsOf(undefined));
 });
 
 const maximumBytes = 1000;
