--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -2,6 +2,7 @@
  * The settings of an entry instance.
  */
 import {type SecondSendSettings} from '@dogwooddeck/gateway/second-send';
+import {type MachineLimits} from '@dogwooddeck/gateway/peer-memory';
 import {type RegionName, type ZoneName} from '@dogwooddeck/model/identifiers';
 
 /** An address to listen at. */
@@ -41,6 +42,8 @@
 	readonly retries: RetryBudgetSettings;
 	/** If omitted, no request is sent to two upstreams at a time. */
 	readonly secondSends?: SecondSendSettings;
+	/** Undefined: memory and descriptors are not limited. */
+	readonly machine?: MachineLimits;
 	/** How long an upstream that is leaving may be sent requests that no other can serve, in milliseconds. */
 	readonly leavingGraceMilliseconds: number;
 	/** How long the upstreams of an evacuated zone may be sent requests for keys that they still hold, in milliseconds. */
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -25,6 +25,8 @@
 	evacuatedZones: 'dogwooddeck_evacuated_zones',
 	/** Requests that were sent to cold upstreams, by service. */
 	coldRequests: 'dogwooddeck_cold_requests_total',
+	/** Connections of peers that were closed because they take too much, by reason. */
+	peersClosed: 'dogwooddeck_peers_closed_total',
 	/** The index of the newest applied log entry. */
 	applied: 'dogwooddeck_applied_index',
 	/** The index of the newest log entry known to be committed. */
