--- a/packages/room/src/keeper.ts
+++ b/packages/room/src/keeper.ts
@@ -23,9 +23,6 @@
 import {type UpstreamRoom} from './upstream-room.js';
 import {type WaitingAsk, WaitingOrder} from './waiting-order.js';
 
-/** The places that one instance may hold at an upstream. */
-export const placesPerEntry = 2;
-
 /** The service time that is assumed before the first answer. */
 const initialMilliseconds: Milliseconds = 100;
 
@@ -54,6 +51,8 @@
 	/** The instances that an earlier keeper may have granted to, in the own zone and in others; undefined if they aren't known. */
 	readonly own?: readonly InstanceName[];
 	readonly foreign?: readonly InstanceName[];
+	/** The places that one instance may hold at an upstream; not limited if undefined. Only with a limit can a keeper grant places before all instances have reported. */
+	readonly placesPerEntry?: number;
 };
 
 function keyOf({entry, ask}: {readonly entry: InstanceName; readonly ask: number}): string {
@@ -72,6 +71,7 @@
 	readonly #entries = new Map<InstanceName, MonotonicTime>();
 	readonly #unreportedOwn: Set<InstanceName>;
 	readonly #unreportedForeign: Set<InstanceName>;
+	readonly #placesPerEntry: number;
 	#isSettled: boolean;
 	#zones: readonly ZoneRoom[] = [];
 	/** A keeper that may have a successor grants nothing, also after its process was frozen. */
@@ -84,6 +84,7 @@
 
 	constructor(options: KeeperOptions) {
 		this.#options = options;
+		this.#placesPerEntry = options.placesPerEntry ?? Infinity;
 		this.#isSettled = options.own !== undefined;
 		this.#unreportedOwn = new Set(options.own);
 		this.#unreportedForeign = new Set(options.foreign);
@@ -182,7 +183,8 @@
 	}
 
 	#withheld(isForeign: boolean): number {
-		return placesPerEntry * (isForeign ? this.#unreportedForeign : this.#unreportedOwn).size;
+		const {size} = isForeign ? this.#unreportedForeign : this.#unreportedOwn;
+		return size === 0 ? 0 : size * this.#placesPerEntry;
 	}
 
 	#handleAsk(ask: Ask, now: MonotonicTime): readonly KeeperAnswer[] {
@@ -294,7 +296,7 @@
 		let bestMilliseconds = left;
 		for (const room of this.#upstreams) {
 			const {slots} = room.places;
-			if (!this.#hasRoom(room, ask.isForeign, now) || room.countOf(ask.entry) >= placesPerEntry) {
+			if (!this.#hasRoom(room, ask.isForeign, now) || room.countOf(ask.entry) >= this.#placesPerEntry) {
 				continue;
 			}
 
--- a/packages/room/src/room-share.ts
+++ b/packages/room/src/room-share.ts
@@ -10,7 +10,6 @@
 	type InstanceName, type Milliseconds, type MonotonicTime, type UpstreamName, type ZoneName,
 } from '@dogwooddeck/model/identifiers';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
-import {placesPerEntry} from './keeper.js';
 import {
 	type Ask, type HeldGrant, type KeeperAnswer, type RefusalCause, type Release, type Report, type ReportAnswer,
 } from './message.js';
@@ -56,13 +55,14 @@
 export class RoomShare {
 	readonly #entry: InstanceName;
 	readonly #zone: ZoneName;
+	readonly #placesPerEntry: number;
 	readonly #asked = new Map<number, Asked>();
 	readonly #held = new Map<number, Held>();
 	readonly #keepers = new Map<ZoneName, KnownKeeper>();
 	#asks = 0;
 	readonly #handlers: HandlerTable<KeeperAnswer, [asked: Asked, now: MonotonicTime], RoomDecision> = {
 		grant: ({ask, upstream}, {zone, terms}, now) => {
-			const isOver = now >= terms.deadline || this.#countAt(upstream) >= placesPerEntry;
+			const isOver = now >= terms.deadline || this.#countAt(upstream) >= this.#placesPerEntry;
 			if (isOver) {
 				return {kind: 'alone'};
 			}
@@ -80,8 +80,9 @@
 		elsewhere: ({zone}, {terms}, now) => this.#askAt(zone, terms, now),
 	};
 
-	/** `entry` names the instance and its incarnation. */
-	constructor(entry: InstanceName, zone: ZoneName) {
+	/** `entry` names the instance and its incarnation; `placesPerEntry` is that of its keepers. */
+	constructor(entry: InstanceName, zone: ZoneName, placesPerEntry = Infinity) {
+		this.#placesPerEntry = placesPerEntry;
 		this.#entry = entry;
 		this.#zone = zone;
 	}
--- a/packages/room/test/test-shared-room-invariant.ts
+++ b/packages/room/test/test-shared-room-invariant.ts
@@ -20,6 +20,7 @@
 const tenureMilliseconds = 300;
 const places = dividePlaces(2, 6);
 const zone = 'zone';
+const placesPerEntry = 2;
 const stepMilliseconds = 5;
 
 type Trouble = {
@@ -51,7 +52,7 @@
 function play(trouble: Trouble, schedule: number): {readonly own: number; readonly foreign: number; readonly sent: number} {
 	const random = generator(schedule);
 	const due: Array<{readonly at: number; readonly run: () => void}> = [];
-	const shares = new Map([...own, ...foreign].map(name => [name, new RoomShare(name, zone)]));
+	const shares = new Map([...own, ...foreign].map(name => [name, new RoomShare(name, zone, placesPerEntry)]));
 	const inFlight = new Map<string, {readonly upstream: string; readonly isForeign: boolean}>();
 	const most = {own: 0, foreign: 0, sent: 0};
 	let now = 0;
@@ -81,7 +82,7 @@
 
 	const replaceKeeper = () => {
 		const created = new RoomKeeper({
-			term: ++term, startedAt: now, longestMilliseconds: term === 1 ? 0 : longestMilliseconds, own, foreign,
+			term: ++term, startedAt: now, longestMilliseconds: term === 1 ? 0 : longestMilliseconds, own, foreign, placesPerEntry,
 		});
 		created.setUpstreams(upstreams.map(id => new UpstreamRoom(id, places)));
 		// Every older one has had its last tenure, which is over now; it may be thawed later.
