Tell each zone of all free slots

Divided by the number of other zones, the free slots of small services rounded to none, and nothing was sent to zones with room. An ask for a slot that is taken meanwhile returns to its own zone.

--- a/packages/bench/src/room-rules.ts
+++ b/packages/bench/src/room-rules.ts
@@ -286,7 +286,7 @@
 			deliver(zone, keeper.advance(replay.now));
 			const others = nearestFirst(zone).filter(other => !isLost(other) && !replay.isCut(zone, other));
 			keeper.setZones(others.map(other => ({
-				zone: String(other), free: Math.floor(keepers[other]!.lendable(replay.now) / (zoneCount - 1)), costMilliseconds: delayBetween(zone, other) * 4, toldAt: replay.now,
+				zone: String(other), free: keepers[other]!.lendable(replay.now), costMilliseconds: delayBetween(zone, other) * 4, toldAt: replay.now,
 			})));
 			replay.counts.messages += others.length;
 			replay.counts.bytes += others.length * releaseBytes;
--- a/packages/control-node/src/room-keepers.ts
+++ b/packages/control-node/src/room-keepers.ts
@@ -168,7 +168,7 @@
 		const addresses = others();
 		const active = [...services].filter(([, {activeAt}]) => now - activeAt <= activeMilliseconds);
 		if (active.length > 0 && addresses.length > 0) {
-			const free = active.map(([service, {keeper}]) => [service, Math.floor(keeper.lendable(now) / addresses.length)] as const);
+			const free = active.map(([service, {keeper}]) => [service, keeper.lendable(now)] as const);
 			for (const address of addresses) {
 				void tell(address, free);
 			}
--- a/packages/room/src/keeper.ts
+++ b/packages/room/src/keeper.ts
@@ -94,14 +94,14 @@
 		return this.#waiting.length;
 	}
 
-	/** The free slots that instances of other zones may use. */
+	/** The free slots that instances of other zones may use. Each zone is told all of them: an ask for one that is taken meanwhile returns to its own zone. */
 	lendable(now: MonotonicTime): number {
 		if (this.#waiting.length > 0 || !this.#isSettled) {
 			return 0;
 		}
 
 		const withheld = this.#withheld(true);
-		return this.#upstreams.reduce((sum, room) => sum + (room.hasPlace(true, withheld, now) ? Math.max(0, room.places.slots - room.inFlight - 1) : 0), 0);
+		return this.#upstreams.reduce((sum, room) => sum + (room.hasPlace(true, withheld, now) ? Math.max(0, room.places.slots - room.inFlight) : 0), 0);
 	}
 
 	/** Returns the answer to a report. */
