--- a/packages/entry/test/test-endless.ts
+++ b/packages/entry/test/test-endless.ts
@@ -138,24 +138,27 @@
 		const closing = setInterval(() => {
 			pool.closeEndless();
 		}, closeMilliseconds);
-		const startedAt = performance.now();
-		const result = await attempt(pool, timeoutMilliseconds);
-		const took = performance.now() - startedAt;
-		assert.ok(testCase.observations.includes(result.observation), result.observation);
-		assert.ok(took < (testCase.endsEarly ? timeoutMilliseconds : timeoutMilliseconds + slackMilliseconds), `${took} ms`);
-		const next = await attempt(pool, timeoutMilliseconds);
-		assert.equal(next.observation, AttemptObservation.wholeAnswer);
-		assert.ok(next.milliseconds < timeoutMilliseconds / 2, `the next request took ${next.milliseconds} ms`);
-		while (counts.open > 1) {
-			assert.ok(performance.now() - startedAt < timeoutMilliseconds + (2 * slackMilliseconds), 'the connection stays open');
-			await new Promise(resolve => {
-				setTimeout(resolve, 5);
-			});
-		}
+		try {
+			const startedAt = performance.now();
+			const result = await attempt(pool, timeoutMilliseconds);
+			const took = performance.now() - startedAt;
+			assert.ok(testCase.observations.includes(result.observation), result.observation);
+			assert.ok(took < (testCase.endsEarly ? timeoutMilliseconds : timeoutMilliseconds + slackMilliseconds), `${took} ms`);
+			const next = await attempt(pool, timeoutMilliseconds);
+			assert.equal(next.observation, AttemptObservation.wholeAnswer);
+			assert.ok(next.milliseconds < timeoutMilliseconds / 2, `the next request took ${next.milliseconds} ms`);
+			while (counts.open > 1) {
+				assert.ok(performance.now() - startedAt < timeoutMilliseconds + (2 * slackMilliseconds), 'the connection stays open');
+				await new Promise(resolve => {
+					setTimeout(resolve, 5);
+				});
+			}
 
-		assert.ok(process.memoryUsage().rss - memory < maximumMemoryBytes, `${process.memoryUsage().rss - memory} bytes`);
-		clearInterval(closing);
-		pool.close();
-		server.close();
+			assert.ok(process.memoryUsage().rss - memory < maximumMemoryBytes, `${process.memoryUsage().rss - memory} bytes`);
+		} finally {
+			clearInterval(closing);
+			pool.close();
+			server.close();
+		}
 	});
 }
