--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -261,7 +261,14 @@
 		this.#place = sharedRoom.request(service.name, {
 			priority: this.#route!.priority, startBy: Math.max(now, until), deadline: this.#deadline, otherZones: choice.otherZones,
 		}, placement => {
-			dispatch(handlers, placement);
+			// As before a first attempt: a caller that has left is noticed before anything is sent for it.
+			this.#dependencies.afterPendingReads(() => {
+				if (this.#exchange.hasDisconnected) {
+					this.#place?.release();
+				} else {
+					dispatch(handlers, placement);
+				}
+			});
 		});
 	}
 
