Grant no places in evacuated zones, nor at cold upstreams that bear few requests

Cause: a keeper granted places by an upstream's state alone; entries found the grant unusable and reported a failure. Change: it leaves out upstreams of evacuated zones, and cold ones of services with a cold capacity.

--- a/packages/control-node/src/room-keepers.ts
+++ b/packages/control-node/src/room-keepers.ts
@@ -4,8 +4,10 @@
  * control instances of other zones.
  */
 import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
+import {coldCapacityOf} from '@dogwooddeck/directory/cold-watch';
 import {type DirectoryState} from '@dogwooddeck/directory/state';
 import {UpstreamState, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
+import {isEvacuated} from '@dogwooddeck/directory/zone-order';
 import {type PlacesUpdate} from '@dogwooddeck/mesh/calls';
 import {type MeshClients} from '@dogwooddeck/mesh/client';
 import {type MeshHandlers} from '@dogwooddeck/mesh/server';
@@ -60,11 +62,15 @@
 
 type Waiter = {readonly askedAt: MonotonicTime; readonly settle: (answer: Result<KeeperAnswer, Failure>) => void};
 
-/** The upstreams of a service in a zone that may be granted: cold ones only if there are no others. */
+/** The upstreams of a service in a zone that may be granted: none while the zone is evacuated, and cold ones only if they bear any number of requests and there are no others. */
 export function grantableUpstreams(state: DirectoryState, service: string, zone: ZoneName): readonly UpstreamRecord[] {
+	if (isEvacuated(state, zone)) {
+		return [];
+	}
+
 	const ready = Object.values(state.upstreams).filter(upstream => upstream.service === service && upstream.zone === zone && upstream.state === UpstreamState.ready);
 	const warm = ready.filter(({cold}) => !cold);
-	return warm.length > 0 ? warm : ready;
+	return warm.length > 0 || coldCapacityOf(state, service) !== undefined ? warm : ready;
 }
 
 function longestTimeout(state: DirectoryState): Milliseconds {
