Ask for places in a module of its own

Change: PlaceRequest asks for the place of one request, checks the grant and returns it; no change of behaviour.

--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -11,22 +11,19 @@
 import {type WaitingRequest} from '@dogwooddeck/gateway/waiting';
 import {type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
-import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
-import {RefusalCause} from '@dogwooddeck/room/message';
 import {mayRetry, AttemptObservation} from '@dogwooddeck/routing/outcome';
 import {type AttemptResult} from './attempt.js';
 import {AttemptGroup, type GroupDependencies, maximumAttempts} from './attempt-group.js';
 import {BodyProblem, type CallerExchange} from './caller-exchange.js';
 import {type KeyTarget} from './key-target.js';
+import {PlaceRequest} from './place-request.js';
 import {answerRefusal, type RefusalDependencies, type RefusalDetails} from './refusal-answer.js';
 import {Refusal} from './refusals.js';
 import {firstValue, keyOf, timeoutOf} from './request-fields.js';
 import {
 	recordFirstAttempt, tryRecordRetry, type CachedService, type CachedUpstream,
 } from './service-table.js';
-import {
-	type PlaceEnd, placeEnd, type PlaceHolder, type Placement, type SharedRoom,
-} from './shared-room.js';
+import {type SharedRoom} from './shared-room.js';
 import {UpstreamChoice} from './upstream-choice.js';
 
 /** The dependencies that all requests of an instance share. */
@@ -64,11 +61,6 @@
 	[BodyProblem.late]: Refusal.bodyLate,
 };
 
-const refusalOfKeeper: Readonly<Record<RefusalCause, Refusal>> = {
-	[RefusalCause.noTimeToWait]: Refusal.noTimeToWait,
-	[RefusalCause.waitedTooLong]: Refusal.waitedTooLong,
-};
-
 /** One request, from its arrival to its answer. */
 export class RequestExecution {
 	readonly identifier: string | undefined;
@@ -85,7 +77,8 @@
 	/** Set with the first attempt. */
 	#attemptGroup: AttemptGroup | undefined;
 	#waiter: WaitingRequest | undefined;
-	#place: PlaceHolder | undefined;
+	/** Set where room is shared. */
+	#place: PlaceRequest | undefined;
 
 	constructor(dependencies: RequestDependencies, exchange: CallerExchange, path: string) {
 		this.#dependencies = dependencies;
@@ -185,9 +178,16 @@
 
 	/** Sends the request if there is room, or queues it, or refuses it. */
 	#dispatch(): void {
+		this.#whenReady(() => {
+			this.#dispatchNow();
+		});
+	}
+
+	/** Calls back once closed connections of callers have been noticed, unless the caller has left. */
+	#whenReady(callback: () => void): void {
 		this.#dependencies.afterPendingReads(() => {
 			if (!this.#exchange.hasDisconnected) {
-				this.#dispatchNow();
+				callback();
 			}
 		});
 	}
@@ -203,50 +203,30 @@
 
 	/** Asks for a place at an upstream; without a keeper, the request uses what no keeper grants. */
 	#requestPlace(sharedRoom: SharedRoom, now: MonotonicTime): void {
-		const choice = this.#choice!;
-		const service = this.#service!;
-		const {until} = choice.estimateWait(this.arrivedAt, this.#deadline, now);
+		const {until} = this.#choice!.estimateWait(this.arrivedAt, this.#deadline, now);
 		if (this.#refuseIfClosed(now, until)) {
 			return;
 		}
 
-		const dispatchAlone = () => {
-			choice.restrictTo(upstream => sharedRoom.mayUseAlone(service, upstream));
-			this.#dispatchByGuess();
-		};
-
-		const handlers: HandlerTable<Placement, [], void> = {
-			send: ({upstream}) => {
-				choice.hasPlace = true;
-				const at = monotonicNow();
-				const chosen = this.#deadline - at < minimumSendMilliseconds ? undefined : choice.findAvailable(upstream, at);
-				if (chosen === undefined) {
-					this.#releasePlace({hasFailed: true});
-					dispatchAlone();
-				} else {
-					this.#send(chosen, at);
-				}
+		this.#place ??= new PlaceRequest(sharedRoom, this.#service!, this.#choice!);
+		this.#place.ask({
+			priority: this.#route!.priority,
+			startBy: Math.max(now, until),
+			deadline: this.#deadline,
+			minimumMilliseconds: minimumSendMilliseconds,
+			random: this.#dependencies.random(),
+		}, callback => {
+			this.#whenReady(callback);
+		}, {
+			onPlace: (upstream, at) => {
+				this.#send(upstream, at);
 			},
-			refuse: ({cause, retryWithin}) => {
-				this.#refuse(refusalOfKeeper[cause], {lineWait: retryWithin, pauseMilliseconds: retryWithin});
+			onRefused: (refusal, wait) => {
+				this.#refuse(refusal, {lineWait: wait, pauseMilliseconds: wait});
+			},
+			onAlone: () => {
+				this.#dispatchByGuess();
 			},
-			alone: dispatchAlone,
-		};
-		choice.restrictTo(undefined);
-		const {nearest, others} = choice.zones;
-		const first = Math.floor(this.#dependencies.random() * nearest.length);
-		const homeZones = [...nearest.slice(first), ...nearest.slice(0, first)];
-		this.#place = sharedRoom.request(service.name, {
-			priority: this.#route!.priority, startBy: Math.max(now, until), deadline: this.#deadline, homeZones, otherZones: [...homeZones.slice(1), ...others],
-		}, placement => {
-			// As before a first attempt: a caller that has left is noticed before anything is sent for it.
-			this.#dependencies.afterPendingReads(() => {
-				if (this.#exchange.hasDisconnected) {
-					this.#place?.release();
-				} else {
-					dispatch(handlers, placement);
-				}
-			});
 		});
 	}
 
@@ -339,22 +319,13 @@
 			service: this.#service!,
 			choice: this.#choice!,
 		}, (answering, result, endedAt) => {
-			this.#releasePlace(placeEnd(result));
+			this.#place?.finish(result);
 			this.#conclude(answering, result, endedAt);
 			this.#dependencies.advance(this.#service!);
 		});
 		this.#attemptGroup.send(upstream, now);
 	}
 
-	#releasePlace(end?: PlaceEnd): void {
-		if (this.#choice !== undefined) {
-			this.#choice.hasPlace = false;
-		}
-
-		this.#place?.release(end);
-		this.#place = undefined;
-	}
-
 	#conclude(upstream: CachedUpstream, result: AttemptResult, now: MonotonicTime): void {
 		if (this.#exchange.hasDisconnected) {
 			return;
@@ -405,7 +376,7 @@
 	/** Cancels the request, as the caller has disconnected. */
 	#cancel(): void {
 		this.#attemptGroup?.cancel();
-		this.#releasePlace();
+		this.#place?.release();
 		if (this.#waiter !== undefined) {
 			this.#service?.queue.remove(this.#waiter);
 			this.#waiter = undefined;
