End an attempt whose answer has no status

Cause: an answer whose status is below 100 was passed over like an interim one; only an assertion of the library behind it kept it from being taken for whole.

Change: the exchange itself ends such an attempt as closed after its first byte: its outcome is unknown, an idempotent request is sent again, the health evidence counts it, and the connection closes. Two cases of test-exchange failed before.

--- a/packages/upstream-client/src/exchange.ts
+++ b/packages/upstream-client/src/exchange.ts
@@ -64,6 +64,7 @@
 	UND_ERR_REQ_CONTENT_LENGTH_MISMATCH: AttemptObservation.unsendable,
 };
 
+const firstStatus = 100;
 const firstFinalStatus = 200;
 const noContent = 204;
 const notModified = 304;
@@ -129,6 +130,11 @@
 	/** Called by `undici`. */
 	onHeaders(status: number, raw: readonly Uint8Array[]): boolean {
 		if (status < firstFinalStatus) {
+			if (status < firstStatus) {
+				clearTimeout(this.#timer);
+				this.#finish(AttemptObservation.closedAfterFirstByte);
+			}
+
 			return true;
 		}
 
--- a/packages/upstream-client/test/test-exchange.ts
+++ b/packages/upstream-client/test/test-exchange.ts
@@ -111,6 +111,12 @@
 	{
 		name: 'a body that ends early', steps: [connect, ok, fail('UND_ERR_SOCKET')], seen: AttemptObservation.cutAnswer, heads: [200],
 	},
+	{
+		name: 'a status that is none', steps: [connect, head(0, ...length), chunk, complete], seen: AttemptObservation.closedAfterFirstByte,
+	},
+	{
+		name: 'a status below the first', steps: [connect, head(99, ...length), chunk, complete], seen: AttemptObservation.closedAfterFirstByte,
+	},
 	{name: 'an end before the head', steps: [connect, fail('ECONNRESET')], seen: AttemptObservation.closedAfterFirstByte},
 	{name: 'no connection', steps: [fail('ECONNREFUSED')], seen: AttemptObservation.refusedConnection},
 	{name: 'no connection in time', steps: [fail('UND_ERR_CONNECT_TIMEOUT')], seen: AttemptObservation.refusedConnection},
