Look for room once for requests that wait for the same upstreams

Load: many requests wait for the same dozens of upstreams while the instance's processor is short. Change: requests of a route without a key share the name of their candidates until they have been attempted; where one finds no room, the others aren't asked in the same pass.

--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -265,6 +265,7 @@
 			turn: estimate.turn,
 			key: estimate.key,
 			upstream: estimate.holder?.id,
+			candidates: this.#choice!.candidates,
 			timesOutAt: estimate.until,
 			tryToStart: at => this.#exchange.hasDisconnected || this.#tryToSend(at) || this.#refuseIfClosed(at, estimate.until),
 			onTimeout: () => {
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -92,6 +92,11 @@
 			: this.#dependencies.table.isZoneClosed(holder, this.#service, now);
 	}
 
+	/** The name that requests with the same candidates share; undefined with a key, and after an attempt, which excludes its upstream. */
+	get candidates(): string | undefined {
+		return this.target === undefined && this.attempted.length === 0 ? this.#route.name : undefined;
+	}
+
 	/** Returns the upstream to send the request to now; undefined if none has room. */
 	choose(now: MonotonicTime): CachedUpstream | undefined {
 		return this.target === undefined ? this.#chooseAny(now) : this.#chooseHolder(this.target, now);
--- a/packages/gateway/src/waiting.ts
+++ b/packages/gateway/src/waiting.ts
@@ -7,7 +7,9 @@
  * process; requests that can't be served in time are refused at once, so that their
  * callers can retry, and the others are answered within their objective. One key
  * gets most of the requests; requests for the other keys of its holder don't wait
- * behind them.
+ * behind them. Many requests wait for the same dozens of upstreams, and looking for
+ * room for each of them whenever one is answered takes the processor time that the
+ * instance needs for its other callers.
  */
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 
@@ -21,6 +23,8 @@
 	readonly key: number | undefined;
 	/** The upstream that it waits for; undefined if any will do, or if none is known. */
 	readonly upstream: string | undefined;
+	/** Requests with the same name wait for the same upstreams, so that none of them finds room where one of them doesn't; undefined if others may find some. */
+	readonly candidates?: string | undefined;
 	/** When its wait times out. */
 	readonly timesOutAt: MonotonicTime;
 	/** Tries to send the request. Returns `true` once it no longer waits: it was sent, or its caller has disconnected. */
@@ -98,7 +102,8 @@
 	advance(now: MonotonicTime): void {
 		const requests = this.#requests;
 		this.#requests = [];
-		const kept = requests.filter(request => !request.tryToStart(now) && !this.#hasTimedOut(request, now));
+		const full = new Set<string>();
+		const kept = requests.filter(request => !this.#tryToStart(request, full, now) && !this.#hasTimedOut(request, now));
 		const added = this.#requests;
 		this.#requests = kept;
 		for (const request of added) {
@@ -106,6 +111,20 @@
 		}
 	}
 
+	/** `full` names the candidates without room. */
+	#tryToStart({candidates, tryToStart}: WaitingRequest, full: Set<string>, now: MonotonicTime): boolean {
+		if (candidates !== undefined && full.has(candidates)) {
+			return false;
+		}
+
+		const isStarted = tryToStart(now);
+		if (!isStarted && candidates !== undefined) {
+			full.add(candidates);
+		}
+
+		return isStarted;
+	}
+
 	#hasTimedOut(request: WaitingRequest, now: MonotonicTime): boolean {
 		if (now < request.timesOutAt) {
 			return false;
