Compute the load of keys once for each plan

Change: one pass for rates, dominant keys and shares, rates kept by holder for the length of a plan; the check ends at the first upstream that may be sent to. No change of behaviour.

--- a/packages/control-node/src/leader-coordinator.ts
+++ b/packages/control-node/src/leader-coordinator.ts
@@ -14,7 +14,7 @@
 import {
 	createGrantingState, type GrantingState, type GrantingOptions, lapsedRows, mayHoldUntil, recordAnswer, recordContact, grantedRows, vacatedByAnnouncement,
 } from '@dogwooddeck/key-lease/granting';
-import {dominantKeys} from '@dogwooddeck/key-lease/dominant-key';
+import {type DominantKey, dominantKeys} from '@dogwooddeck/key-lease/dominant-key';
 import {type HeldSpan, rangesOf} from '@dogwooddeck/key-lease/command';
 import {type HolderShare, holderShares, sustainableRate} from '@dogwooddeck/key-lease/holder-load';
 import {type KeyRate} from '@dogwooddeck/key-lease/planning';
@@ -278,16 +278,25 @@
 		}
 	}
 
-	/** The requests per second that an upstream of a service can process. */
+	/** The requests per second that an upstream of a service can process; computed once for each, as it is asked for each key. */
 	function sustainableRateOf(service: string, now: MonotonicTime): (upstream: UpstreamIncarnation) => number {
 		const {upstreams} = holder.state();
 		const meanLatency = loads.meanLatency(service, now);
-		return ({id}) => sustainableRate({slots: upstreams[id]?.slots ?? 0, meanLatency, relativeSpeed: loads.speed(id, service, now)});
+		const known = new Map<string, number>();
+		return ({id}) => {
+			const rate = known.get(id) ?? sustainableRate({slots: upstreams[id]?.slots ?? 0, meanLatency, relativeSpeed: loads.speed(id, service, now)});
+			known.set(id, rate);
+			return rate;
+		};
 	}
 
-	/** The overloaded upstreams and dominant keys of a service. */
-	function overloadedHolders(service: string, rates: readonly KeyRate[], now: MonotonicTime): readonly HolderShare[] {
-		return holderShares(rangesOf(holder.state().keys, service), rates, sustainableRateOf(service, now));
+	/** The request rates of a service's keys, the dominant ones among them, and the shares of what is overloaded. */
+	function keyLoadOf(service: string, now: MonotonicTime): {readonly rates: readonly KeyRate[]; readonly dominant: readonly DominantKey[]; readonly shares: readonly HolderShare[]} {
+		const rates = loads.rates(service, now);
+		const ranges = rangesOf(holder.state().keys, service);
+		const rateOf = sustainableRateOf(service, now);
+		const dominant = dominantKeys(ranges, rates, rateOf);
+		return {rates, dominant, shares: holderShares(ranges, rates, rateOf, dominant)};
 	}
 
 	function planNow(): void {
@@ -297,7 +306,7 @@
 
 		const now = monotonicNow();
 		const keyed = definedItems(holder.state().items.service).filter(([, {keyed: hasKeys}]) => hasKeys);
-		const rates = new Map(keyed.map(([service]) => [service, loads.rates(service, now)]));
+		const keyLoads = new Map(keyed.map(([service]) => [service, keyLoadOf(service, now)]));
 		const commands = planDirectory({
 			state: holder.state(),
 			granting,
@@ -307,13 +316,13 @@
 			mostRanges,
 			zoneTimes: zones.timesAt(now),
 			workOf: service => ({
-				rates: rates.get(service) ?? [],
+				rates: keyLoads.get(service)?.rates ?? [],
 				countedMilliseconds: longDecayMilliseconds,
 				relativeSpeedOf: upstream => loads.speed(upstream, service, now),
-				dominant: dominantKeys(rangesOf(holder.state().keys, service), rates.get(service) ?? [], sustainableRateOf(service, now)),
+				dominant: keyLoads.get(service)?.dominant ?? [],
 			}),
 		});
-		shares = [...rates].flatMap(([service, counted]) => overloadedHolders(service, counted, now));
+		shares = [...keyLoads.values()].flatMap(load => load.shares);
 		if (commands.length > 0) {
 			void proposePlan(commands);
 		}
--- a/packages/entry/src/shared-room.ts
+++ b/packages/entry/src/shared-room.ts
@@ -174,7 +174,7 @@
 		}
 	}
 
-	#release(room: ServiceRoom, ask: number, ended?: Pick<Release, 'took' | 'hasFailed'>): void {
+	#release(room: ServiceRoom, ask: number, ended?: PlaceEnd): void {
 		room.waiting.delete(ask);
 		const released = room.share.release(ask, ended);
 		if (released !== undefined) {
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -147,9 +147,13 @@
 			return holder === undefined ? 0 : cold.waitFor(holder.record, now);
 		}
 
-		let shortest = this.#allowed.length === 0 ? 0 : Infinity;
-		for (const {record} of this.#allowed) {
+		const allowed = this.#allowed;
+		let shortest = allowed.length === 0 ? 0 : Infinity;
+		for (const {record} of allowed) {
 			shortest = Math.min(shortest, cold.waitFor(record, now));
+			if (shortest === 0) {
+				break;
+			}
 		}
 
 		return shortest;
--- a/packages/key-lease/src/holder-load.ts
+++ b/packages/key-lease/src/holder-load.ts
@@ -81,9 +81,8 @@
 	return share < maxAnnouncedShare ? [{life: holder, share, key}] : [];
 }
 
-/** Returns the overloaded holders and dominant keys, each with the share of requests that may be sent. */
-export function holderShares(ranges: readonly KeyRange[], rates: readonly KeyRate[], sustainableRateOf: (holder: UpstreamIncarnation) => number): readonly HolderShare[] {
-	const dominant = dominantKeys(ranges, rates, sustainableRateOf);
+/** Returns the overloaded holders and dominant keys, each with the share of requests that may be sent. `dominant`: what `dominantKeys` returns for the same input. */
+export function holderShares(ranges: readonly KeyRange[], rates: readonly KeyRate[], sustainableRateOf: (holder: UpstreamIncarnation) => number, dominant = dominantKeys(ranges, rates, sustainableRateOf)): readonly HolderShare[] {
 	const dominating = new Set(dominant.map(({key}) => key));
 	const otherRates = holderRates(ranges, rates.filter(({key}) => !dominating.has(key)));
 	const holders = [...otherRates.values()].flatMap(({holder, rate}) => {
