--- a/review/7/case.js
+++ b/review/7/case.js
@@ -12,6 +12,8 @@
 const slots = 2;
 const workMilliseconds = 4000;
 const deadlineMilliseconds = 18_000;
+/** Longer than `contact_s`, so that all machines are in touch. */
+const settledMilliseconds = 5000;
 const stopsAfterMilliseconds = 500;
 const graceMilliseconds = 6000;
 const lossSlackMilliseconds = 200;
@@ -46,7 +48,7 @@
 	}
 
 	await deployment.waitUntilReady();
-	await pause(2000);
+	await pause(settledMilliseconds);
 	const [entry] = deployment.entries;
 	const requests = Array.from({length: clients}, async () => {
 		const asked = await deployment.request(entry, {
