--- a/review/10/case.js
+++ b/review/10/case.js
@@ -2,18 +2,23 @@
  * DRAIN: a heartbeat of a server's earlier life, held up by a partition, arrives after its next life under the same id
  * was acknowledged to be gone.
  */
+import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {runCase} from '../stand-ins-2/deployment.js';
 import {
 	beginService, createServer, deliverLate, lateRuns, startClients,
 } from '../stand-ins-2/drain-case.js';
 
+const recordFile = path.join(import.meta.dirname, 'record.txt');
+/** `TROUBLE=0` leaves the disruption out. */
+const isTroubled = process.env.TROUBLE !== '0';
 const restartMilliseconds = 1000;
 const secondLifeMilliseconds = 2000;
 const heldUpMilliseconds = 4000;
 const servesOnMilliseconds = 8000;
 
-await runCase({recordFolder: import.meta.dirname}, async (deployment, isTroubled) => {
+await runCase({recordFile, isTroubled}, async deployment => {
 	const {controls} = deployment;
 	await beginService(deployment);
 	const stopClients = startClients(deployment);
--- a/review/7/case.js
+++ b/review/7/case.js
@@ -2,10 +2,15 @@
  * LOST: an entry is stopped as planned while requests wait in it for room at their servers. When its time to stop is over,
  * it closes their connections without an answer.
  */
+import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {runCase} from '../stand-ins-2/deployment.js';
 import {StandInServer} from '../stand-ins-2/server.js';
 
+const recordFile = path.join(import.meta.dirname, 'record.txt');
+/** `TROUBLE=0` leaves the disruption out. */
+const isTroubled = process.env.TROUBLE !== '0';
 const service = 'reports';
 const host = 'reports.example';
 const clients = 16;
@@ -37,7 +42,7 @@
 };
 /* eslint-enable camelcase */
 
-await runCase({recordFolder: import.meta.dirname}, async (deployment, isTroubled) => {
+await runCase({recordFile, isTroubled}, async deployment => {
 	await deployment.configure(configuration);
 	const servers = ['a1', 'a2'].map((zone, position) => new StandInServer(deployment, {
 		id: `i-${zone}`, service, zone, host: `${deployment.network}.${200 + position}`, slots, workMilliseconds,
--- a/review/9/case.js
+++ b/review/9/case.js
@@ -1,40 +1,55 @@
 /**
- * DRAIN: a server that control doesn't know yet, as its first heartbeat is held up on its way, says that it leaves. That is
- * acknowledged; then the heartbeat arrives.
+ * DRAIN: a server starts behind a cut, so that control doesn't know it yet: its heartbeats, each to the next control instance
+ * after a second without an answer, are held up. When the cut is over it says that it leaves. That is acknowledged; then the
+ * heartbeats arrive.
  */
+import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {runCase} from '../stand-ins-2/deployment.js';
 import {
 	beginService, createServer, deliverLate, lateRuns, startClients,
 } from '../stand-ins-2/drain-case.js';
 
-const heldUpMilliseconds = 3000;
-const leavesAfterMilliseconds = 2000;
+const recordFile = path.join(import.meta.dirname, 'record.txt');
+/** `TROUBLE=0` leaves the disruption out. */
+const isTroubled = process.env.TROUBLE !== '0';
+const acknowledgeMilliseconds = 1000;
+const heldUpBeats = 2;
+const arriveAfterMilliseconds = 1000;
 const servesOnMilliseconds = 8000;
 
-await runCase({recordFolder: import.meta.dirname}, async (deployment, isTroubled) => {
+await runCase({recordFile, isTroubled}, async deployment => {
 	const {controls} = deployment;
 	await beginService(deployment);
 	const stopClients = startClients(deployment);
 	await pause(3000);
 	const leaving = createServer(deployment, 10, {id: 'i-leaves'});
 	await leaving.listen();
-	const beat = leaving.nextBeat();
-	const startedAt = deployment.now();
-	deployment.note(`${leaving.id} sends its first heartbeat`);
+	const heldUp = [];
 	if (!isTroubled) {
-		await deliverLate(deployment, controls[0], leaving.id, beat);
+		leaving.announce();
 	}
 
-	await pause(leavesAfterMilliseconds);
+	for (let turn = 0; turn < heldUpBeats; turn += 1) {
+		if (isTroubled) {
+			heldUp.push({plan: controls[turn], beat: leaving.nextBeat()});
+			deployment.note(`${leaving.id} sends a heartbeat to ${controls[turn].name}, which is held up by a cut`);
+		}
+
+		await pause(acknowledgeMilliseconds);
+	}
+
+	leaving.fallSilent();
+	deployment.note('the cut is over');
 	await leaving.leave();
 	const leftAt = deployment.now();
-	await pause(heldUpMilliseconds - (leftAt - startedAt));
-	if (isTroubled) {
-		await deliverLate(deployment, controls[0], leaving.id, beat);
+	await pause(arriveAfterMilliseconds);
+	for (const {plan, beat} of heldUp) {
+		await deliverLate(deployment, plan, leaving.id, beat);
 	}
 
-	await pause(servesOnMilliseconds - heldUpMilliseconds);
+	await pause(servesOnMilliseconds - arriveAfterMilliseconds);
 	leaving.end();
 	await stopClients();
 	deployment.note(`${leaving.id} began ${leaving.runs.length} requests`);
--- a/review/stand-ins-2/deployment.js
+++ b/review/stand-ins-2/deployment.js
@@ -111,7 +111,7 @@
 	#isOver = false;
 
 	constructor({
-		recordFolder, controls = 4, entries = 2, zones = {
+		recordFile, controls = 4, entries = 2, zones = {
 			a1: 'a', a2: 'a', b1: 'b', b2: 'b',
 		}, limits = {},
 	}) {
@@ -119,7 +119,7 @@
 		this.network = `127.${firstNetwork + Math.floor(Math.random() * networks)}.${1 + Math.floor(Math.random() * networks)}`;
 		this.zones = zones;
 		this.limits = limits;
-		this.record = createWriteStream(path.join(recordFolder, 'record.txt'));
+		this.record = createWriteStream(recordFile);
 		const names = Object.keys(zones);
 		this.controls = Array.from({length: controls}, (_, position) => ({
 			name: `core-${names[position % names.length]}-${1 + Math.floor(position / names.length)}`, role: 'control', zone: names[position % names.length], host: `${this.network}.${10 + position}`,
@@ -310,10 +310,10 @@
 	}
 }
 
-/** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+/** Runs a case, which writes to `recordFile`, with its disruption if `isTroubled`, and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
 export async function runCase(options, body) {
 	const deployment = new Deployment(options);
-	const isTroubled = process.env.TROUBLE !== '0';
+	const {isTroubled} = options;
 	let code = cannotRun;
 	let isLate = false;
 	const limit = setTimeout(() => {
@@ -324,7 +324,7 @@
 	try {
 		deployment.note(isTroubled ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
 		await deployment.begin();
-		const broken = await body(deployment, isTroubled);
+		const broken = await body(deployment);
 		for (const line of broken) {
 			deployment.note(`BROKEN ${line}`);
 		}
