Keep what a departed upstream replaced from becoming available again

Where another id had taken the address, half of all requests were refused as budget-spent for seconds.

Cause: the directory kept departures as single incarnations. An announcement of an earlier incarnation that was delayed on its way met neither a departure of its own nor a record of the later one, and was recorded as ready.

Fix: a departure is kept with its id, born and last address, and supersedes earlier incarnations of the id and earlier upstreams at the address. A departed incarnation proves that these have ended, so that nothing of them can return. The plan's own copy of addressOf is gone.

--- a/packages/directory/src/announcement.ts
+++ b/packages/directory/src/announcement.ts
@@ -5,8 +5,9 @@
 import {type HeldKeys} from '@dogwooddeck/key-lease/granting';
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {err, ok, type Result} from 'true-myth/result';
+import {hasDeparted} from './departure.js';
 import {definedItems} from './item.js';
-import {type DirectoryState, hasDeparted} from './state.js';
+import {type DirectoryState} from './state.js';
 import {type UpstreamCommand, type UpstreamRecord} from './upstream.js';
 
 /** What an upstream periodically reports about itself and its keys. */
@@ -50,7 +51,7 @@
 		return err(failure(FailureKind.notReady, 'no service is declared yet'));
 	}
 
-	if (hasDeparted(state, upstream)) {
+	if (hasDeparted(state.departures, upstream)) {
 		return ok([]);
 	}
 
--- a/packages/directory/src/directory-plan.ts
+++ b/packages/directory/src/directory-plan.ts
@@ -7,11 +7,11 @@
 import {type DominantKey} from '@dogwooddeck/key-lease/dominant-key';
 import {type GrantingState, type GrantingOptions, vacatedByTime} from '@dogwooddeck/key-lease/granting';
 import {type Candidate, type KeyRate, planKeys} from '@dogwooddeck/key-lease/planning';
-import {type UpstreamIncarnation, incarnationText, sameIncarnation} from '@dogwooddeck/key-lease/range';
+import {type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
 import {observationOf} from '@dogwooddeck/key-lease/observations';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {definedItems} from './item.js';
-import {type DirectoryCommand, type DirectoryState} from './state.js';
+import {addressOf, type DirectoryCommand, type DirectoryState} from './state.js';
 import {isReplaced, UpstreamState, type UpstreamRecord} from './upstream.js';
 import {planWarmZones, zoneDuties, type ZonePlanInput} from './zone-plan.js';
 import {type ZoneTimes} from './zone-times.js';
@@ -52,11 +52,6 @@
 /** An upstream without contact for this long is removed: longer than the partitions during which it may keep serving. */
 export const removalTimeoutMilliseconds: Milliseconds = 20_000;
 
-function addressOf(state: DirectoryState, holder: UpstreamIncarnation): string | undefined {
-	const recorded = state.upstreams[holder.id];
-	return recorded !== undefined && sameIncarnation(recorded, holder) ? recorded.address : state.formerAddresses[incarnationText(holder)];
-}
-
 function lastContactAt({granting}: DirectoryPlanInput, upstream: UpstreamIncarnation): MonotonicTime {
 	return observationOf(granting.observations, upstream)?.lastContactAt ?? granting.electedAt;
 }
--- a/packages/directory/src/state.ts
+++ b/packages/directory/src/state.ts
@@ -8,12 +8,13 @@
 import {
 	packRanges, packRows, type PackedRanges, type PackedRows, unpackRanges, unpackRows,
 } from '@dogwooddeck/key-lease/packing';
-import {type UpstreamIncarnation, incarnationText} from '@dogwooddeck/key-lease/range';
+import {type UpstreamIncarnation, incarnationText, sameIncarnation} from '@dogwooddeck/key-lease/range';
 import {
 	failure, FailureKind, toFailure, type Failure,
 } from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
 import {err, ok, type Result} from 'true-myth/result';
+import {addDeparture, type Departure, departureReason} from './departure.js';
 import {type ItemChange, type Items, noItems} from './item.js';
 import {changeItems} from './item-change.js';
 import {
@@ -31,8 +32,8 @@
 	readonly upstreams: Upstreams;
 	/** The last address of incarnations without a record, by incarnation: they may still hold keys. */
 	readonly formerAddresses: Readonly<Record<string, string>>;
-	/** Incarnations that announced their departure: a delayed announcement doesn't add them again. */
-	readonly departed: readonly string[];
+	/** The departed incarnations, which delayed announcements don't add again. */
+	readonly departures: readonly Departure[];
 	readonly keys: KeyTables;
 };
 
@@ -48,34 +49,35 @@
 
 /** The state before anything is declared or announced. */
 export const emptyDirectory: DirectoryState = {
-	applied: 0, items: noItems, upstreams: {}, formerAddresses: {}, departed: [], keys: {}, ...noZoneOrders,
+	applied: 0, items: noItems, upstreams: {}, formerAddresses: {}, departures: [], keys: {}, ...noZoneOrders,
 };
 
 /** The maximum number of former addresses that are kept. */
 const maxFormerAddresses = 500;
 
-/** The maximum number of departed incarnations that are kept. */
-const maxDeparted = 500;
-
 function updateFormerAddresses(state: DirectoryState, upstreams: Upstreams): DirectoryState['formerAddresses'] {
 	const removed = Object.values(state.upstreams).filter(({id, born}) => upstreams[id]?.born !== born);
 	const entries = [...Object.entries(state.formerAddresses), ...removed.map(({id, born, address}) => [incarnationText({id, born}), address] as const)];
 	return removed.length === 0 ? state.formerAddresses : Object.fromEntries(entries.slice(-maxFormerAddresses));
 }
 
-/** Whether an incarnation announced its departure. */
-export function hasDeparted(state: DirectoryState, upstream: UpstreamIncarnation): boolean {
-	return state.departed.includes(incarnationText(upstream));
+/** Returns why a command is stale: it announces an incarnation that has departed, or one that it replaced. */
+function staleReason({departures}: DirectoryState, command: UpstreamCommand): string | undefined {
+	return command.kind === 'upstreamAnnounced' ? departureReason(departures, command.upstream) : undefined;
+}
+
+/** Returns the last address of an incarnation; undefined if it is not known. */
+export function addressOf({upstreams, formerAddresses}: Pick<DirectoryState, 'upstreams' | 'formerAddresses'>, upstream: UpstreamIncarnation): string | undefined {
+	const recorded = upstreams[upstream.id];
+	return recorded !== undefined && sameIncarnation(recorded, upstream) ? recorded.address : formerAddresses[incarnationText(upstream)];
 }
 
-function isStaleAnnouncement(state: DirectoryState, command: UpstreamCommand): boolean {
-	return command.kind === 'upstreamAnnounced' && hasDeparted(state, command.upstream);
+function departureOf({id, born}: UpstreamIncarnation, address: string | undefined): Departure {
+	return {id, born, ...(address === undefined ? {} : {address})};
 }
 
-function updateDeparted(state: DirectoryState, command: UpstreamCommand): DirectoryState['departed'] {
-	return command.kind === 'upstreamDeparted' && !hasDeparted(state, command.life)
-		? [...state.departed, incarnationText(command.life)].slice(-maxDeparted)
-		: state.departed;
+function updateDepartures(state: DirectoryState, command: UpstreamCommand): DirectoryState['departures'] {
+	return command.kind === 'upstreamDeparted' ? addDeparture(state.departures, departureOf(command.life, addressOf(state, command.life))) : state.departures;
 }
 
 function isUpstreamCommand(command: DirectoryCommand): command is UpstreamCommand {
@@ -92,11 +94,12 @@
 
 function applyCommand(state: DirectoryState, command: DirectoryCommand, index: LogIndex): Result<DirectoryState, Failure> {
 	if (isUpstreamCommand(command)) {
-		return isStaleAnnouncement(state, command)
-			? err(failure(FailureKind.superseded, 'this incarnation has departed'))
-			: applyUpstreamCommand(state.upstreams, command).map(upstreams => ({
-				...state, upstreams, formerAddresses: updateFormerAddresses(state, upstreams), departed: updateDeparted(state, command),
-			}));
+		const reason = staleReason(state, command);
+		return reason === undefined
+			? applyUpstreamCommand(state.upstreams, command).map(upstreams => ({
+				...state, upstreams, formerAddresses: updateFormerAddresses(state, upstreams), departures: updateDepartures(state, command),
+			}))
+			: err(failure(FailureKind.superseded, reason));
 	}
 
 	if (isKeyCommand(command)) {
@@ -145,12 +148,27 @@
 	return JSON.stringify({...state, keys: Object.fromEntries(Object.entries(state.keys).map(([service, ranges]) => [service, packRanges(ranges)]))});
 }
 
-/** Decodes a snapshot of the state; one that was written before there were orders for zones has none. Fails with `malformed`. */
+type EncodedDirectory = Omit<DirectoryState, 'keys' | 'departures'> & {
+	readonly keys: Readonly<Record<string, PackedRanges>>;
+	readonly departures?: DirectoryState['departures'];
+	/** Incarnations as text, in snapshots of earlier versions. */
+	readonly departed?: readonly string[];
+};
+
+function decodeDeparted(text: string, formerAddresses: DirectoryState['formerAddresses']): Departure {
+	const separator = text.lastIndexOf('#');
+	return departureOf({id: text.slice(0, separator), born: Number(text.slice(separator + 1))}, formerAddresses[text]);
+}
+
+/** Decodes a snapshot of the state; one of an earlier version may lack orders for zones, and lists departed incarnations as text. Fails with `malformed`. */
 export function decodeDirectory(data: string): Result<DirectoryState, Failure> {
 	try {
-		const state = JSON.parse(data) as Omit<DirectoryState, 'keys'> & {readonly keys: Readonly<Record<string, PackedRanges>>};
+		const {departed = [], ...state} = JSON.parse(data) as EncodedDirectory;
+		const departures = state.departures ?? departed.map(text => decodeDeparted(text, state.formerAddresses));
 		return typeof state.applied === 'number' && typeof state.items === 'object' && typeof state.keys === 'object'
-			? ok({...noZoneOrders, ...state, keys: Object.fromEntries(Object.entries(state.keys).map(([service, packed]) => [service, unpackRanges(packed)]))})
+			? ok({
+				...noZoneOrders, ...state, departures, keys: Object.fromEntries(Object.entries(state.keys).map(([service, packed]) => [service, unpackRanges(packed)])),
+			})
 			: err(failure(FailureKind.malformed, 'the snapshot is not a directory'));
 	} catch (error) {
 		return err(toFailure(error, FailureKind.malformed));
