Refuse requests that still wait when an entry stops

Cause: the end of a stop was compared with a request's deadline at its arrival only. Requests that had arrived before waited by their objective and deadline, and nothing answered the queues before all connections were closed.

Fix: while an instance stops, a request is sent only where its answer is expected before the end, and a waiting one is refused as not run as soon as no upstream is expected to answer it in time. This covers first sends, repeats, the queues and places of shared room, since all pass the same check before they are sent. Connections are closed 0.2 s after the last refusals, within the margin that the grace period has. A stop logs what it cuts off (requests-cut-off).

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -16,6 +16,8 @@
 export type CallerServer = {
 	readonly setLimits: (limits: CallerLimits | undefined) => void;
 	readonly connections: () => number;
+	/** The number of requests whose answers were not handed over yet. */
+	readonly openRequests: () => number;
 	/** Accepts no new connections. */
 	readonly stopListening: () => void;
 	/** Closes connections on which no request is being received or answered. */
@@ -93,6 +95,7 @@
 			server.headersTimeout = limits?.headerTimeoutMilliseconds ?? defaultHeaderTimeoutMilliseconds;
 		},
 		connections: () => guard.sockets.size,
+		openRequests: () => [...guard.sockets].reduce((sum, socket) => sum + CallerConnection.of(socket).openRequests, 0),
 		stopListening() {
 			// The method of HTTP servers also closes the connections that Node.js counts as idle.
 			NetServer.prototype.close.call(server);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -55,6 +55,9 @@
 /** Reserved at the end of the grace period. */
 const stopMarginMilliseconds: Milliseconds = 700;
 
+/** The part of that margin in which the last refusals, of requests that still waited, are sent. */
+const lastAnswersMilliseconds: Milliseconds = 200;
+
 function startReadiness({readiness}: EntrySettings, isReady: () => boolean): Server {
 	const server = createServer((request, response) => {
 		const status = isReady() ? 200 : 503;
@@ -189,14 +192,19 @@
 		async stop() {
 			endsAt = monotonicNow() + settings.graceMilliseconds - stopMarginMilliseconds;
 			isStopping = true;
+			sharedRoom?.endWaits();
 			reportReadiness();
 			await pause(drainMilliseconds);
 			callers.stopListening();
-			while (callers.connections() > 0 && monotonicNow() < endsAt) {
+			while (callers.connections() > 0 && monotonicNow() < endsAt + lastAnswersMilliseconds) {
 				callers.closeIdle();
 				await pause(closeIdleMilliseconds);
 			}
 
+			if (callers.openRequests() > 0) {
+				log.warning(EventName.requestsCutOff, {open: callers.openRequests(), waiting: [...table.services()].reduce((sum, {queue}) => sum + queue.length, 0)});
+			}
+
 			clearInterval(advanceTimer);
 			clearInterval(closeEndlessTimer);
 			load.stop();
--- a/packages/entry/src/refusals.ts
+++ b/packages/entry/src/refusals.ts
@@ -27,7 +27,7 @@
 	noAllowedRegion: 'no-allowed-region',
 	/** All upstreams that may run the request are in evacuated zones. */
 	zoneEvacuated: 'zone-evacuated',
-	/** The instance would stop before the request's deadline. */
+	/** The instance is stopping, before the deadline of a request that arrives or the expected answer to one that waits. */
 	stopping: 'stopping',
 	timeout: 'timeout',
 	attemptsSpent: 'attempts-spent',
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -204,14 +204,14 @@
 	/** Asks for a place at an upstream; without a keeper, the request uses what no keeper grants. */
 	#requestPlace(sharedRoom: SharedRoom, now: MonotonicTime): void {
 		const {until} = this.#choice!.estimateWait(this.arrivedAt, this.#deadline, now);
-		if (this.#refuseIfClosed(now, until)) {
+		if (this.#refuseIfStopping(now) || this.#refuseIfClosed(now, until)) {
 			return;
 		}
 
 		this.#place ??= new PlaceRequest(sharedRoom, this.#service!, this.#choice!);
 		this.#place.ask({
 			priority: this.#route!.priority,
-			startBy: Math.max(now, until),
+			startBy: Math.max(now, Math.min(until, this.#dependencies.endsAt() - this.#choice!.shortestLatency)),
 			deadline: this.#deadline,
 			minimumMilliseconds: minimumSendMilliseconds,
 			random: this.#dependencies.random(),
@@ -219,7 +219,11 @@
 			this.#whenReady(callback);
 		}, {
 			onPlace: (upstream, at) => {
-				this.#send(upstream, at);
+				if (this.#refuseIfStopping(at)) {
+					this.#place?.release();
+				} else {
+					this.#send(upstream, at);
+				}
 			},
 			onRefused: (refusal, wait) => {
 				this.#refuse(refusal, {lineWait: wait, pauseMilliseconds: wait});
@@ -233,7 +237,7 @@
 	/** Sends the request if this instance expects room, or queues it, or refuses it. */
 	#dispatchByGuess(): void {
 		const now = monotonicNow();
-		if (this.#tryToSend(now) || this.#exchange.hasDisconnected) {
+		if (this.#refuseIfStopping(now) || this.#tryToSend(now) || this.#exchange.hasDisconnected) {
 			return;
 		}
 
@@ -267,7 +271,7 @@
 			upstream: estimate.holder?.id,
 			candidates: this.#choice!.candidates,
 			timesOutAt: estimate.until,
-			tryToStart: at => this.#exchange.hasDisconnected || this.#tryToSend(at) || this.#refuseIfClosed(at, estimate.until),
+			tryToStart: at => this.#exchange.hasDisconnected || this.#refuseIfStopping(at) || this.#tryToSend(at) || this.#refuseIfClosed(at, estimate.until),
 			onTimeout: () => {
 				this.#refuse(Refusal.waitedTooLong);
 			},
@@ -275,6 +279,17 @@
 		queue.add(this.#waiter);
 	}
 
+	/** Refuses the request if this instance is stopping and no upstream is expected to answer it before that. */
+	#refuseIfStopping(now: MonotonicTime): boolean {
+		const endsAt = this.#dependencies.endsAt();
+		const isLate = endsAt < Infinity && now + this.#choice!.shortestLatency >= endsAt;
+		if (isLate) {
+			this.#refuse(Refusal.stopping);
+		}
+
+		return isLate;
+	}
+
 	/** Refuses the request if its upstreams are in evacuated zones, or their being cold or their notices keep it from being sent by `until`. */
 	#refuseIfClosed(now: MonotonicTime, until: MonotonicTime): boolean {
 		if (this.#choice!.isEvacuated(now)) {
@@ -299,7 +314,7 @@
 
 	#tryToSend(now: MonotonicTime): boolean {
 		const chosen = this.#deadline - now < minimumSendMilliseconds ? undefined : this.#choice!.choose(now);
-		if (chosen === undefined) {
+		if (chosen === undefined || now + chosen.load.cautiousLatency >= this.#dependencies.endsAt()) {
 			return false;
 		}
 
--- a/packages/entry/src/shared-room.ts
+++ b/packages/entry/src/shared-room.ts
@@ -140,6 +140,15 @@
 		return this.#roomOf(service.name).share.mayUseAlone(identifiers.indexOf(upstream.id), dividePlaces(slots, slots * queuePerSlot), assumed());
 	}
 
+	/** Ends all waits for places, as this instance is stopping: the requests use what no keeper grants. */
+	endWaits(): void {
+		for (const room of this.#services.values()) {
+			for (const waiting of room.waiting.values()) {
+				this.#carryOut(room, {kind: 'alone'}, waiting);
+			}
+		}
+	}
+
 	stop(): void {
 		clearInterval(this.#timer);
 	}
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -180,6 +180,13 @@
 		return true;
 	}
 
+	/** The time that the answer takes at least, as far as is known: the cautious latency of the quickest upstream that may process the request. */
+	get shortestLatency(): Milliseconds {
+		const {target} = this;
+		const upstreams = target === undefined ? this.#allowed : [target.holder].filter(holder => holder !== undefined);
+		return upstreams.length === 0 ? 0 : Math.min(...upstreams.map(({load}) => load.cautiousLatency));
+	}
+
 	/** Returns what a request that arrived at `arrivedAt` would wait for, the expected wait and its limit. */
 	estimateWait(arrivedAt: MonotonicTime, deadline: MonotonicTime, now: MonotonicTime): WaitEstimate {
 		const {queue} = this.#service;
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -6,7 +6,7 @@
 import {
 	type AddressInfo, connect, createServer, type Server, type Socket,
 } from 'node:net';
-import {AnswerSize} from '@dogwooddeck/directory/item';
+import {AnswerSize, type Item, type Route} from '@dogwooddeck/directory/item';
 import {emptyDirectory, type DirectoryState} from '@dogwooddeck/directory/state';
 import {UpstreamState} from '@dogwooddeck/directory/upstream';
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
@@ -93,14 +93,23 @@
 	return upstream;
 }
 
-/** A directory of upstreams `u0` and so on, with routes for each kind of request. */
-export function directoryOf(upstreams: readonly Upstream[]): DirectoryState {
-	const route = (idempotent: boolean, pathPrefix: string, service = 's', answerSize: AnswerSize = AnswerSize.ordinary) => ({
+function route(idempotent: boolean, pathPrefix: string, service = 's', fields: Partial<Route> = {}): Item<Route> {
+	return {
 		version: 1,
 		value: {
-			hostname: 'a.example', pathPrefix, idempotent, answerSize, timeoutMilliseconds: 900, objectiveMilliseconds: 400, priority: 0, maxAttempts: 2, targets: [{service, weight: 1}],
+			hostname: 'a.example', pathPrefix, idempotent, answerSize: AnswerSize.ordinary, timeoutMilliseconds: 900, objectiveMilliseconds: 400, priority: 0, maxAttempts: 2, targets: [{service, weight: 1}], ...fields,
 		},
-	});
+	};
+}
+
+/** Adds a route whose requests may wait for longer than an instance takes to stop. */
+export function withPatientRoute(directory: DirectoryState): DirectoryState {
+	const patient = route(false, '/patient/', 's', {timeoutMilliseconds: 20_000, objectiveMilliseconds: 12_000});
+	return {...directory, items: {...directory.items, route: {...directory.items.route, patient}}};
+}
+
+/** A directory of upstreams `u0` and so on, with routes for each kind of request. */
+export function directoryOf(upstreams: readonly Upstream[]): DirectoryState {
 	const records = upstreams.map(({server}, position) => ({
 		id: `u${position}`, born: 1, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'z', slots: 3, state: UpstreamState.ready, cold: false,
 	}));
@@ -109,7 +118,7 @@
 		applied: 1,
 		items: {
 			route: {
-				safe: route(true, '/safe/'), large: route(true, '/large/', 's', AnswerSize.large), once: route(false, '/once/'), keyed: route(true, '/keyed/', 'k'),
+				safe: route(true, '/safe/'), large: route(true, '/large/', 's', {answerSize: AnswerSize.large}), once: route(false, '/once/'), keyed: route(true, '/keyed/', 'k'),
 			}, service: {s: {version: 1, value: {keyed: false, maxConnections: 20}}, k: {version: 1, value: {keyed: true, maxConnections: 20}}}, limits: {},
 		},
 		upstreams: Object.fromEntries(records.map(record => [record.id, record])),
@@ -158,7 +167,7 @@
 		...overrides,
 	};
 	if (hasDirectory) {
-		table.update(directoryOf(upstreams), 1);
+		table.update(withPatientRoute(directoryOf(upstreams)), 1);
 		for (const service of table.services()) {
 			service.budget = {...service.budget, balance: 10};
 		}
@@ -188,10 +197,10 @@
 	};
 }
 
-/** Returns the text of a request with a deadline of 800 ms. */
-export function requestText(path: string, identifier: string, method = 'GET', body = ''): string {
+/** Returns the text of a request; its deadline is in milliseconds. */
+export function requestText(path: string, identifier: string, method = 'GET', body = '', deadline = 800): string {
 	const length = body === '' ? '' : `Content-Length: ${body.length}\r\n`;
-	return `${method} ${path} HTTP/1.1\r\nHost: a.example\r\nRequest: ${identifier}\r\nDeadline: 800\r\n${length}\r\n${body}`;
+	return `${method} ${path} HTTP/1.1\r\nHost: a.example\r\nRequest: ${identifier}\r\nDeadline: ${deadline}\r\n${length}\r\n${body}`;
 }
 
 /** Sends a request and returns what is received until `until` is true or the connection closes. */
--- a/packages/entry/test/test-graceful-shutdown.ts
+++ b/packages/entry/test/test-graceful-shutdown.ts
@@ -1,7 +1,8 @@
 /**
  * Graceful shutdown of an entry: a request that arrives late in the grace period is
  * answered whole or refused as not run; it is never aborted (LOST). So is each of
- * several that were sent on one connection before the first was answered.
+ * several that were sent on one connection before the first was answered, and each
+ * that waits for room when the shutdown begins.
  */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
@@ -13,14 +14,14 @@
 import {directoryMachine} from '@dogwooddeck/directory/state';
 import {encodeMessage} from '@dogwooddeck/mesh/encoding';
 import {type MeshHandlers, startMeshServer} from '@dogwooddeck/mesh/server';
-import {type Log} from '@dogwooddeck/telemetry/log';
+import {EventName} from '@dogwooddeck/telemetry/event';
+import {type Fields, type Log} from '@dogwooddeck/telemetry/log';
 import {createMeasures} from '@dogwooddeck/telemetry/measure';
 import {
-	answer, type Behaviour, directoryOf, requestText, settings, startUpstream, type Upstream,
+	answer, type Behaviour, directoryOf, requestText, settings, startUpstream, type Upstream, withPatientRoute,
 } from './scenario.js';
 import {type Entry, startEntry} from '@dogwooddeck/entry/entry';
 
-const silentLog: Log = {event: () => undefined, warning: () => undefined, error: () => undefined};
 const graceMilliseconds = 6000;
 
 async function freePort(): Promise<number> {
@@ -37,12 +38,21 @@
 	setTimeout(answer, 600, socket, request, `for ${request.identifier}`);
 };
 
-type Scenario = {readonly entry: Entry; readonly port: number; readonly upstream: Upstream};
+type Warning = {readonly event: EventName; readonly fields: Fields | undefined};
+type Scenario = {readonly entry: Entry; readonly port: number; readonly upstream: Upstream; readonly warnings: readonly Warning[]};
 
 async function withScenario(use: (scene: Scenario) => Promise<void>, behaviour: Behaviour = slowly): Promise<void> {
 	const upstream = await startUpstream(behaviour);
+	const warnings: Warning[] = [];
+	const log: Log = {
+		event: () => undefined,
+		warning(event, fields) {
+			warnings.push({event, fields});
+		},
+		error: () => undefined,
+	};
 	const [control, callers, readiness] = [await freePort(), await freePort(), await freePort()];
-	const directory = directoryOf([upstream]);
+	const directory = withPatientRoute(directoryOf([upstream]));
 	const state = {index: 1, data: directoryMachine.encode(directory)};
 	const server = await startMeshServer(`127.0.0.1:${control}`, {} as MeshHandlers, ({request, send}) => {
 		send(encodeMessage({
@@ -58,25 +68,28 @@
 			readiness: {host: '127.0.0.1', port: readiness, path: '/'},
 			seeds: [`127.0.0.1:${control}`],
 		},
-		log: silentLog,
+		log,
 		measures: createMeasures(),
 		random: () => 0,
 	});
 	await pause(500);
 	try {
-		await use({entry, port: callers, upstream});
+		await use({
+			entry, port: callers, upstream, warnings,
+		});
 	} finally {
 		server.value.close();
 		upstream.server.close();
 	}
 }
 
-type Received = {text: string; isClosed: boolean};
+type Received = {text: string; isClosed: boolean; /** When the first bytes arrived. */ firstAt: number | undefined};
 
 function listen(socket: Socket): Received {
-	const received = {text: '', isClosed: false};
+	const received: Received = {text: '', isClosed: false, firstAt: undefined};
 	socket.on('data', bytes => {
 		received.text += bytes.toString();
+		received.firstAt ??= performance.now();
 	});
 	socket.on('error', () => undefined);
 	socket.on('close', () => {
@@ -166,3 +179,66 @@
 		}, behaviour);
 	});
 }
+
+type WaitCase = {
+	readonly name: string;
+	/** How long the upstream works on each request, in milliseconds. */
+	readonly work: number;
+	/** How many are answered whole; what is left in flight at the end is cut off. */
+	readonly answered: number;
+	readonly cutOff: number;
+	/** When the last of the others is refused, in milliseconds after the shutdown began. */
+	readonly refusedWithin: number;
+};
+
+const waitingCount = 8;
+const longDeadline = 18_000;
+/** Some milliseconds for timers and connections, beside other processes. */
+const slackMilliseconds = 400;
+
+// LOST: requests that waited for room when the shutdown began were closed without an answer at its end, though no upstream had read them.
+const waits: readonly WaitCase[] = [
+	{
+		name: 'for an upstream in time', work: 600, answered: 8, cutOff: 0, refusedWithin: 0,
+	},
+	{
+		name: 'for an upstream that turns out to be too slow', work: 3000, answered: 2, cutOff: 0, refusedWithin: 3000 + slackMilliseconds,
+	},
+	{
+		name: 'for an upstream that doesn\'t answer', work: 30_000, answered: 0, cutOff: 2, refusedWithin: graceMilliseconds,
+	},
+];
+
+for (const {name, work, answered, cutOff, refusedWithin} of waits) {
+	test(`graceful shutdown: requests that wait for room, ${name}, are answered or refused`, async () => {
+		const timers = new Set<NodeJS.Timeout>();
+		const behaviour: Behaviour = (socket, request) => {
+			timers.add(setTimeout(answer, work, socket, request, `for ${request.identifier}`));
+		};
+
+		await withScenario(async ({
+			entry, port, upstream, warnings,
+		}) => {
+			const callers = Array.from({length: waitingCount}, (_, position) => {
+				const socket = connect(port, '127.0.0.1');
+				socket.write(requestText('/patient/x', String(position), 'POST', 'booking', longDeadline));
+				return listen(socket);
+			});
+			await pause(100);
+			const startedAt = performance.now();
+			await entry.stop();
+			await pause(100);
+			const statuses = callers.map(({text}) => /^HTTP\/1\.1 (\d+) /v.exec(text)?.[1] ?? 'none').sort();
+			assert.deepEqual(statuses, [...Array.from({length: answered}, () => '200'), ...Array.from({length: waitingCount - answered - cutOff}, () => '503'), ...Array.from({length: cutOff}, () => 'none')]);
+			assert.equal(upstream.requests.length, answered + cutOff, 'nothing is forwarded that can\'t be answered');
+			assert.deepEqual(warnings.filter(({event}) => event === EventName.requestsCutOff).map(({fields}) => fields), cutOff === 0 ? [] : [{open: cutOff, waiting: 0}]);
+			for (const {text, firstAt} of callers.filter(caller => caller.text.startsWith('HTTP/1.1 503 '))) {
+				assert.match(text, /^Retry-After: /mv);
+				assert.ok(firstAt! - startedAt <= refusedWithin, `refused after ${firstAt! - startedAt} ms`);
+			}
+		}, behaviour);
+		for (const timer of timers) {
+			clearTimeout(timer);
+		}
+	});
+}
--- a/packages/entry/test/test-shared-room-requests.ts
+++ b/packages/entry/test/test-shared-room-requests.ts
@@ -16,6 +16,7 @@
 import {
 	answer, type Behaviour, call, directoryOf, type Entry, hasHead, requestText, type Upstream, whole, withEntry,
 } from './scenario.js';
+import {type RequestDependencies} from '@dogwooddeck/entry/request-execution';
 import {SharedRoom} from '@dogwooddeck/entry/shared-room';
 
 const silent: Log = {event: () => undefined, warning: () => undefined, error: () => undefined};
@@ -34,7 +35,7 @@
 type Shared = {readonly room: SharedRoom; readonly calls: string[]; readonly measures: ReturnType<typeof createMeasures>; control: Control};
 
 /** Runs with shared room: the keepers are called directly, and `upstreams` are those of their directory. */
-async function withSharedRoom(behaviours: readonly Behaviour[], use: (entry: Entry, shared: Shared, upstreams: readonly Upstream[]) => Promise<void>, entries = 13): Promise<void> {
+async function withSharedRoom(behaviours: readonly Behaviour[], use: (entry: Entry, shared: Shared, upstreams: readonly Upstream[]) => Promise<void>, entries = 13, overrides: Partial<RequestDependencies> = {}): Promise<void> {
 	const holder = createStateHolder(directoryMachine);
 	const calls: string[] = [];
 	const measures = createMeasures();
@@ -65,7 +66,7 @@
 		await withEntry(behaviours, true, async (entry, upstreams) => {
 			holder.restore(1, directoryMachine.encode(directoryOf(upstreams)));
 			await use(entry, shared, upstreams);
-		}, {sharedRoom: room});
+		}, {sharedRoom: room, ...overrides});
 	} finally {
 		room.stop();
 		keepers.stop();
@@ -171,3 +172,27 @@
 test('shared room, requests: without the setting, no keeper is asked', async () => withEntry([whole], true, async entry => {
 	assert.equal(await statusOf(entry.port, 'a'), 'HTTP/1.1 200 OK');
 }));
+
+// LOST: requests that waited for a place when the instance was stopped were closed without an answer at its end.
+test('shared room, requests: those that wait for a place are refused before the instance stops', async () => {
+	const end = {at: Infinity};
+	const unanswered: Behaviour = () => undefined;
+	await withSharedRoom([unanswered], async (entry, {room}, [upstream]) => {
+		await pause(settleMilliseconds);
+		const statuses: string[] = [];
+		const asking = Array.from({length: 16}, async (_, position) => {
+			const received = await call(entry.port, requestText('/patient/a', String(position), 'POST', 'booking', 18_000), hasHead);
+			statuses.push(received.split('\r\n')[0]!);
+		});
+		await pause(200);
+		const sent = upstream!.requests.length;
+		assert.ok(sent > 0 && sent < asking.length);
+		end.at = performance.now() + 500;
+		room.endWaits();
+		await pause(500);
+		assert.deepEqual(statuses, Array.from({length: asking.length - sent}, () => 'HTTP/1.1 503 Service Unavailable'));
+		assert.equal(upstream!.requests.length, sent);
+		entry.callers.closeAll();
+		await Promise.all(asking);
+	}, 13, {endsAt: () => end.at});
+});
--- a/packages/gateway/src/upstream-load.ts
+++ b/packages/gateway/src/upstream-load.ts
@@ -88,6 +88,7 @@
 	readonly told = new ToldLoad();
 	#concurrencyLimit = initialConcurrencyLimit;
 	#latency = initialLatencyMilliseconds;
+	#lastLatency: Milliseconds = 0;
 	#uncontendedLatency = Infinity;
 	#decreasedAt = -Infinity;
 	#answers = 0;
@@ -145,6 +146,11 @@
 		return this.#latency;
 	}
 
+	/** The latency to expect where a late answer does harm: the smoothed one, or that of the last answer if it took longer. */
+	get cautiousLatency(): Milliseconds {
+		return Math.max(this.#latency, this.#lastLatency);
+	}
+
 	/** Whether the latency was measured, and isn't just assumed. */
 	get isMeasured(): boolean {
 		return this.#answers > 0;
@@ -201,6 +207,7 @@
 
 	#recordLatency(latency: Milliseconds): void {
 		this.#answers += 1;
+		this.#lastLatency = latency;
 		this.#latency += (latency - this.#latency) * Math.max(sampleWeight, 1 / (this.#answers + 1));
 	}
 
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -10,6 +10,8 @@
 	instanceNotReady: 'instance-not-ready',
 	/** A graceful shutdown has begun. */
 	stopRequested: 'stop-requested',
+	/** A graceful shutdown closes the connections of requests that have no whole answer yet. */
+	requestsCutOff: 'requests-cut-off',
 	/** A graceful shutdown has completed. */
 	instanceStopped: 'instance-stopped',
 	/** The process ends because of an error. */
