Record the departure of an upstream that is not known yet

Cause: the leader looked for a record before it proposed a departure. Without one it acknowledged and recorded nothing: the announcement was late, or the leader, just elected, had not applied it.

Fix: a departure is always a log entry, and the entry decides what it concerns when it is applied, after all that comes before it in the log: the record of that incarnation or of an earlier one. It is kept in any case, so that announcements which arrive later are refused.

--- a/packages/control-node/src/leader-coordinator.ts
+++ b/packages/control-node/src/leader-coordinator.ts
@@ -331,15 +331,11 @@
 	return {
 		announce,
 		async depart({life: incarnation}) {
-			const recorded = holder.state().upstreams[incarnation.id];
-			if (recorded === undefined || (incarnation.born !== undefined && incarnation.born !== recorded.born)) {
-				const confirmed = await voter().read();
-				return confirmed.map(() => ({}));
-			}
-
-			const proposed = await propose([{kind: 'upstreamDeparted', life: {id: recorded.id, born: recorded.born}}]);
+			// What the leader has applied may be behind the log, so that the entry itself decides which record it concerns.
+			const service = holder.state().upstreams[incarnation.id]?.service;
+			const proposed = await propose([{kind: 'upstreamDeparted', life: incarnation}]);
 			log.event(EventName.upstreamLeft, {
-				upstream: recorded.id, born: recorded.born, service: recorded.service, index: proposed.unwrapOr(0),
+				upstream: incarnation.id, born: incarnation.born, service, index: proposed.unwrapOr(0),
 			});
 			return proposed.map(() => ({}));
 		},
--- a/packages/control-node/test/test-leader-coordinator.ts
+++ b/packages/control-node/test/test-leader-coordinator.ts
@@ -5,7 +5,7 @@
 import {type ItemChange} from '@dogwooddeck/directory/item';
 import {directoryMachine, type DirectoryCommand, encodeCommands} from '@dogwooddeck/directory/state';
 import {UpstreamState} from '@dogwooddeck/directory/upstream';
-import {type AnnouncementAnswer} from '@dogwooddeck/mesh/calls';
+import {type AnnouncementAnswer, type MeshCalls} from '@dogwooddeck/mesh/calls';
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
 import {createStateHolder} from '@dogwooddeck/replica/state-holder';
 import {type Log} from '@dogwooddeck/telemetry/log';
@@ -20,10 +20,13 @@
 };
 
 type Scenario = {
+	readonly depart: (life: MeshCalls['depart']['request']['life']) => Promise<Result<unknown, Failure>>;
 	readonly declare: (changes: readonly ItemChange[]) => Promise<Result<{readonly index: number}, Failure>>;
 	readonly announce: (announcement: Announcement) => Promise<Result<AnnouncementAnswer, Failure>>;
 	readonly holder: DirectoryHolder;
 	readonly commit: (commands: readonly DirectoryCommand[]) => void;
+	/** Committed commands that the leader hasn't applied: a read round or a proposal applies them first, as they come before it in the log. */
+	readonly unapplied: DirectoryCommand[];
 	readonly isLeading: {value: boolean};
 	/** Duration of a read round of the log. */
 	readonly roundMilliseconds: {value: number};
@@ -43,17 +46,26 @@
 	const commitMilliseconds = {value: 0};
 	const notLeader = failure(FailureKind.notLeader, 'another voter leads');
 	const commit = (commands: readonly DirectoryCommand[]) => holder.apply(holder.state().applied + 1, encodeCommands(commands));
+	const unapplied: DirectoryCommand[] = [];
+	const applyRest = () => {
+		for (const command of unapplied.splice(0)) {
+			commit([command]);
+		}
+	};
+
 	const voter = {
 		async propose(payload: string) {
 			if (commitMilliseconds.value > 0) {
 				await pause(commitMilliseconds.value);
 			}
 
+			applyRest();
 			const index = holder.state().applied + 1;
 			return isLeading.value ? ok({index, answers: holder.apply(index, payload) ?? []}) : err(notLeader);
 		},
 		async read() {
 			await pause(roundMilliseconds.value);
+			applyRest();
 			return isLeading.value ? ok(holder.state().applied) : err(notLeader);
 		},
 		quorumContactAt: () => isLeading.value ? now : undefined,
@@ -69,9 +81,11 @@
 	});
 	return {
 		announce,
+		depart: async life => coordinator.depart({life}),
 		declare: async changes => coordinator.declare({changes}),
 		holder,
 		commit,
+		unapplied,
 		isLeading,
 		roundMilliseconds,
 		commitMilliseconds,
@@ -222,3 +236,113 @@
 	assert.deepEqual(answers.map(({isOk}) => isOk), [true, true]);
 	assert.equal(scenario.holder.state().applied - before, 1);
 });
+
+function announcedWith(born: number): DirectoryCommand {
+	return {kind: 'upstreamAnnounced', upstream: {...announcement('1', 1).upstream, born}};
+}
+
+type DepartureCase = {
+	readonly name: string;
+	/** What the leader has applied, and what it only has in its log, when the departure arrives. */
+	readonly applied: readonly DirectoryCommand[];
+	readonly unapplied: readonly DirectoryCommand[];
+	readonly departs: MeshCalls['depart']['request']['life'];
+	/** The start of the announced incarnation that is recorded afterwards. */
+	readonly recorded: number | undefined;
+	/** The start of one that is announced after that, and what is recorded then. */
+	readonly announced: number;
+	readonly recordedThen: number | undefined;
+};
+
+// DRAIN: a departure was acknowledged and not recorded, so that the upstream got requests for as long as it served.
+const departures: readonly DepartureCase[] = [
+	{
+		name: 'of a recorded incarnation',
+		applied: [announcedWith(1)],
+		unapplied: [],
+		departs: {id: '1', born: 1},
+		recorded: undefined,
+		announced: 1,
+		recordedThen: undefined,
+	},
+	{
+		name: 'that comes before the first announcement',
+		applied: [],
+		unapplied: [],
+		departs: {id: '1', born: 1},
+		recorded: undefined,
+		announced: 1,
+		recordedThen: undefined,
+	},
+	{
+		name: 'that comes before the first announcement, of a later incarnation than the recorded one',
+		applied: [announcedWith(1)],
+		unapplied: [],
+		departs: {id: '1', born: 2},
+		recorded: undefined,
+		announced: 2,
+		recordedThen: undefined,
+	},
+	{
+		name: 'that comes before the first announcement holds for that incarnation alone',
+		applied: [],
+		unapplied: [],
+		departs: {id: '1', born: 1},
+		recorded: undefined,
+		announced: 2,
+		recordedThen: 2,
+	},
+	{
+		name: 'that a new leader receives before it has applied the announcement',
+		applied: [],
+		unapplied: [announcedWith(1)],
+		departs: {id: '1', born: 1},
+		recorded: undefined,
+		announced: 1,
+		recordedThen: undefined,
+	},
+	{
+		name: 'that a new leader receives before it has applied the announcement, without a start',
+		applied: [],
+		unapplied: [announcedWith(1)],
+		departs: {id: '1'},
+		recorded: undefined,
+		announced: 1,
+		recordedThen: undefined,
+	},
+	{
+		name: 'that a new leader receives before it has applied the announcement of the next incarnation',
+		applied: [announcedWith(1)],
+		unapplied: [announcedWith(2)],
+		departs: {id: '1', born: 1},
+		recorded: 2,
+		announced: 2,
+		recordedThen: 2,
+	},
+	{
+		name: 'without a start, of an id that is not recorded',
+		applied: [],
+		unapplied: [],
+		departs: {id: '1'},
+		recorded: undefined,
+		announced: 1,
+		recordedThen: 1,
+	},
+];
+
+for (const {name, applied, unapplied, departs, recorded, announced, recordedThen} of departures) {
+	test(`leader coordinator: a departure ${name}`, async context => {
+		const scenario = startScenario(context);
+		scenario.commit(applied);
+		scenario.unapplied.push(...unapplied);
+		const departing = scenario.depart(departs);
+		await scenario.advance(50);
+		const acknowledged = await departing;
+		assert.equal(acknowledged.isOk, true);
+		assert.equal(scenario.holder.state().upstreams['1']?.born, recorded);
+		const {upstream, keys} = announcement('1', 1);
+		startAnnouncement(scenario, {upstream: {...upstream, born: announced}, keys: {...keys, life: {id: '1', born: announced}}});
+		await scenario.advance(700);
+		assert.equal(scenario.holder.state().upstreams['1']?.born, recordedThen);
+	});
+}
--- a/packages/directory/src/state.ts
+++ b/packages/directory/src/state.ts
@@ -77,7 +77,13 @@
 }
 
 function updateDepartures(state: DirectoryState, command: UpstreamCommand): DirectoryState['departures'] {
-	return command.kind === 'upstreamDeparted' ? addDeparture(state.departures, departureOf(command.life, addressOf(state, command.life))) : state.departures;
+	if (command.kind !== 'upstreamDeparted') {
+		return state.departures;
+	}
+
+	const {id} = command.life;
+	const born = command.life.born ?? state.upstreams[id]?.born;
+	return born === undefined ? state.departures : addDeparture(state.departures, departureOf({id, born}, addressOf(state, {id, born})));
 }
 
 function isUpstreamCommand(command: DirectoryCommand): command is UpstreamCommand {
--- a/packages/directory/src/upstream.ts
+++ b/packages/directory/src/upstream.ts
@@ -34,12 +34,15 @@
 /** Upstreams by id. */
 export type Upstreams = Readonly<Record<string, UpstreamRecord>>;
 
+/** An incarnation that departs; without `born`, the recorded one. */
+export type DepartingUpstream = Pick<UpstreamIncarnation, 'id'> & Partial<UpstreamIncarnation>;
+
 /** The commands that the leader proposes about upstreams. */
 export type UpstreamCommand =
 	/** An incarnation announced itself, or its record changed. */
 	| {readonly kind: 'upstreamAnnounced'; readonly upstream: UpstreamRecord}
-	/** An incarnation announced its departure. */
-	| {readonly kind: 'upstreamDeparted'; readonly life: UpstreamIncarnation}
+	/** An incarnation announced its departure; it may never have announced itself before. */
+	| {readonly kind: 'upstreamDeparted'; readonly life: DepartingUpstream}
 	/** An incarnation is removed after the contact timeout. */
 	| {readonly kind: 'upstreamRemoved'; readonly life: UpstreamIncarnation};
 
@@ -76,9 +79,15 @@
 	return ok(sameIncarnation(recorded, upstream) ? others : upstreams);
 }
 
+/** Removes the record of a departing incarnation, or of an earlier one with its id, which has ended. */
+function depart(upstreams: Upstreams, {id, born = Infinity}: DepartingUpstream): Result<Upstreams, Failure> {
+	const {[id]: recorded, ...others} = upstreams;
+	return ok(recorded !== undefined && recorded.born <= born ? others : upstreams);
+}
+
 const handlers: HandlerTable<UpstreamCommand, [Upstreams], Result<Upstreams, Failure>> = {
 	upstreamAnnounced: ({upstream}, upstreams) => announce(upstreams, upstream),
-	upstreamDeparted: ({life}, upstreams) => remove(upstreams, life),
+	upstreamDeparted: ({life}, upstreams) => depart(upstreams, life),
 	upstreamRemoved: ({life}, upstreams) => remove(upstreams, life),
 };
 
--- a/packages/mesh/src/calls.ts
+++ b/packages/mesh/src/calls.ts
@@ -4,10 +4,10 @@
  */
 import {type ConsensusEnvelope, type VoterIdentity} from '@dogwooddeck/consensus/message';
 import {type ItemChange} from '@dogwooddeck/directory/item';
-import {type UpstreamRecord} from '@dogwooddeck/directory/upstream';
+import {type DepartingUpstream, type UpstreamRecord} from '@dogwooddeck/directory/upstream';
 import {type ZoneOrder} from '@dogwooddeck/directory/zone-order';
 import {type HolderShare} from '@dogwooddeck/key-lease/holder-load';
-import {type KeyRange, type UpstreamIncarnation} from '@dogwooddeck/key-lease/range';
+import {type KeyRange} from '@dogwooddeck/key-lease/range';
 import {type KeyReport} from '@dogwooddeck/key-lease/report';
 import {type CatchUp} from '@dogwooddeck/model/catch-up';
 import {
@@ -67,7 +67,7 @@
 		answer: {readonly leader?: string; readonly members: readonly string[]; /** The number of entries of the whole deployment that the answering instance knows of. */ readonly entryCount: number};
 	};
 	announce: {request: {readonly announcements: readonly AnnouncementReport[]}; /** One for each, in the same order. */ answer: {readonly answers: ReadonlyArray<Reply<AnnouncementOutcome>>}};
-	depart: {request: {readonly life: Partial<UpstreamIncarnation> & Pick<UpstreamIncarnation, 'id'>}; answer: Record<string, never>};
+	depart: {request: {readonly life: DepartingUpstream}; answer: Record<string, never>};
 	declare: {request: {readonly changes: readonly ItemChange[]}; answer: {readonly index: LogIndex}};
 	/** Forwards an operator's order to evacuate a zone or to restore it. */
 	orderZone: {request: {readonly order: ZoneOrder}; answer: {readonly index: LogIndex}};
