Look at orders for zones again once the log is applied

An operator whose order reached a leader that had just been elected could get its acknowledgement though the order was not in force.

Cause: the leader compared the order with what it had applied. Where that was behind its log, an order seemed to be in force that the log contradicts; the read round then applied the log, and the order was acknowledged without another look.

Evidence: two new cases of control-node/test-evacuation, whose leader has a committed order that it hasn't applied, failed before.

Fix: the order is compared again after the read round, and proposed if it isn't in force then. An order that is in force still takes no log entry.

--- a/packages/control-node/src/zone-coordinator.ts
+++ b/packages/control-node/src/zone-coordinator.ts
@@ -3,7 +3,7 @@
  * and acknowledges it when it is committed.
  */
 import {type DirectoryCommand} from '@dogwooddeck/directory/state';
-import {isInForce} from '@dogwooddeck/directory/zone-order';
+import {isInForce, type ZoneOrder} from '@dogwooddeck/directory/zone-order';
 import {ZoneTimes} from '@dogwooddeck/directory/zone-times';
 import {type MeshCalls} from '@dogwooddeck/mesh/calls';
 import {type Failure} from '@dogwooddeck/model/failure';
@@ -43,9 +43,20 @@
 	holder.listen(({evacuatedZones}) => {
 		measures.set(MeasureName.evacuatedZones, Object.keys(evacuatedZones).length);
 	});
+
+	/** An order in force needs no log entry, unless what the leader has applied was behind the log. */
+	async function orderOnce(order: ZoneOrder): Promise<Result<LogIndex, Failure>> {
+		if (!isInForce(holder.state(), order)) {
+			return propose([order]);
+		}
+
+		const confirmed = await read();
+		return confirmed.isErr || isInForce(holder.state(), order) ? confirmed : propose([order]);
+	}
+
 	return {
 		async order({order}) {
-			const ordered = isInForce(holder.state(), order) ? await read() : await propose([order]);
+			const ordered = await orderOnce(order);
 			const outcome = ordered.isOk ? 'taken' : ordered.error.kind;
 			measures.counter(MeasureName.zoneOrders, {order: order.kind, outcome}).value += 1;
 			log.event(EventName.zoneOrdered, {
--- a/packages/control-node/test/test-evacuation.ts
+++ b/packages/control-node/test/test-evacuation.ts
@@ -24,7 +24,13 @@
 
 type LogFate = (typeof LogFate)[keyof typeof LogFate];
 
-type Step = {readonly kind: ZoneOrder['kind']; readonly fate: LogFate; readonly isAcknowledged: boolean};
+type Step = {
+	readonly kind: ZoneOrder['kind'];
+	readonly fate: LogFate;
+	readonly isAcknowledged: boolean;
+	/** A committed order that the leader hasn't applied when this one arrives. */
+	readonly unapplied?: ZoneOrder['kind'];
+};
 
 const sequences: ReadonlyArray<{readonly name: string; readonly steps: readonly Step[]; readonly entries: number; readonly evacuated: readonly string[]}> = [
 	{
@@ -60,6 +66,23 @@
 	{
 		name: 'that was never given is withdrawn', steps: [{kind: 'zoneRestored', fate: 'committed', isAcknowledged: true}], entries: 0, evacuated: [],
 	},
+	// EVAC: a new leader acknowledged an order that its log, which it had not applied, contradicted.
+	{
+		name: 'that a new leader has not applied is withdrawn',
+		steps: [{
+			kind: 'zoneRestored', fate: 'committed', isAcknowledged: true, unapplied: 'zoneEvacuated',
+		}],
+		entries: 2,
+		evacuated: [],
+	},
+	{
+		name: 'is given again to a new leader that has not applied its withdrawal',
+		steps: [{kind: 'zoneEvacuated', fate: 'committed', isAcknowledged: true}, {
+			kind: 'zoneEvacuated', fate: 'committed', isAcknowledged: true, unapplied: 'zoneRestored',
+		}],
+		entries: 3,
+		evacuated: ['z'],
+	},
 ];
 
 for (const {name, steps, entries, evacuated} of sequences) {
@@ -71,12 +94,24 @@
 			[LogFate.answerLost]: () => err(failure(FailureKind.outcomeUnknown, 'the answer is lost')),
 			[LogFate.replaced]: () => err(failure(FailureKind.notLeader, 'another voter leads')),
 		};
+		const unapplied: ZoneOrder[] = [];
+		const apply = (commands: readonly ZoneOrder[]) => holder.apply(holder.state().applied + 1, encodeCommands(commands));
+		const applyRest = () => {
+			for (const earlier of unapplied.splice(0)) {
+				apply([earlier]);
+			}
+		};
+
 		const {order} = createZoneCoordinator({
 			holder,
-			read: async () => outcomes[fate.value](),
+			async read() {
+				applyRest();
+				return outcomes[fate.value]();
+			},
 			async propose(commands) {
+				applyRest();
 				if (fate.value !== LogFate.replaced) {
-					holder.apply(holder.state().applied + 1, encodeCommands(commands));
+					apply(commands as readonly ZoneOrder[]);
 				}
 
 				return outcomes[fate.value]();
@@ -87,7 +122,9 @@
 		});
 		for (const step of steps) {
 			fate.value = step.fate;
-			const answer = await order({order: {kind: step.kind, zone: 'z', seen: holder.state().applied}});
+			const seen = holder.state().applied + (step.unapplied === undefined ? 0 : 1);
+			unapplied.push(...(step.unapplied === undefined ? [] : [{kind: step.unapplied, zone: 'z', seen}]));
+			const answer = await order({order: {kind: step.kind, zone: 'z', seen}});
 			assert.equal(answer.isOk, step.isAcknowledged);
 		}
 
