Take the removal of a draining upstream for its departure

That an upstream drains is acknowledged and binds like a departure (DRAIN), but an announcement from before it drained made it ready again.

Cause: the record alone tells that an upstream drains.

Evidence: the case of directory/test-upstreams that removes a draining upstream and announces it as ready again recorded it as ready before.

Fix: a draining incarnation that is removed is kept among the departures. It takes no new work in any case; its own announcements are still answered, so that it can release keys.

--- a/packages/directory/src/state.ts
+++ b/packages/directory/src/state.ts
@@ -13,12 +13,13 @@
 	failure, FailureKind, toFailure, type Failure,
 } from '@dogwooddeck/model/failure';
 import {type LogIndex} from '@dogwooddeck/model/identifiers';
+import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {err, ok, type Result} from 'true-myth/result';
 import {addDeparture, type Departure, departureReason} from './departure.js';
 import {type ItemChange, type Items, noItems} from './item.js';
 import {changeItems} from './item-change.js';
 import {
-	applyUpstreamCommand, type UpstreamCommand, upstreamCommandKinds, type Upstreams,
+	applyUpstreamCommand, type UpstreamCommand, upstreamCommandKinds, type Upstreams, UpstreamState,
 } from './upstream.js';
 import {
 	applyZoneCommand, noZoneOrders, type ZoneCommand, zoneCommandKinds, type ZoneOrders,
@@ -76,14 +77,21 @@
 	return {id, born, ...(address === undefined ? {} : {address})};
 }
 
-function updateDepartures(state: DirectoryState, command: UpstreamCommand): DirectoryState['departures'] {
-	if (command.kind !== 'upstreamDeparted') {
-		return state.departures;
-	}
+/** The incarnation that departs with a command, by its kind. One that is removed while it drains counts as departed: it takes no new work any more. */
+const departing: HandlerTable<UpstreamCommand, [Upstreams], UpstreamIncarnation | undefined> = {
+	upstreamAnnounced: () => undefined,
+	upstreamDeparted({life: {id, born}}, upstreams) {
+		return born === undefined ? upstreams[id] : {id, born};
+	},
+	upstreamRemoved({life}, upstreams) {
+		const recorded = upstreams[life.id];
+		return recorded?.state === UpstreamState.draining && sameIncarnation(recorded, life) ? life : undefined;
+	},
+};
 
-	const {id} = command.life;
-	const born = command.life.born ?? state.upstreams[id]?.born;
-	return born === undefined ? state.departures : addDeparture(state.departures, departureOf({id, born}, addressOf(state, {id, born})));
+function updateDepartures(state: DirectoryState, command: UpstreamCommand): DirectoryState['departures'] {
+	const departed = dispatch(departing, command, state.upstreams);
+	return departed === undefined ? state.departures : addDeparture(state.departures, departureOf(departed, addressOf(state, departed)));
 }
 
 function isUpstreamCommand(command: DirectoryCommand): command is UpstreamCommand {
--- a/packages/directory/test/test-upstreams.ts
+++ b/packages/directory/test/test-upstreams.ts
@@ -83,6 +83,19 @@
 		recorded: [],
 		rejections: 1,
 	},
+	// DRAIN: a draining upstream, removed for lack of contact, became ready again by an announcement from before it drained.
+	{
+		name: 'a draining upstream that was removed for lack of contact can\'t become ready again',
+		commands: [announced(record('a', 1, {state: UpstreamState.draining})), {kind: 'upstreamRemoved', life: {id: 'a', born: 1}}, announced(record('a', 1))],
+		recorded: [],
+		rejections: 1,
+	},
+	{
+		name: 'the removal of an earlier incarnation than the draining one',
+		commands: [announced(record('a', 2, {state: UpstreamState.draining})), {kind: 'upstreamRemoved', life: {id: 'a', born: 1}}, announced(record('a', 3))],
+		recorded: [['a', 3, 'ready']],
+		rejections: 0,
+	},
 	{
 		name: 'the departure of an earlier incarnation', commands: [announced(record('a', 2)), departed('a', 1)], recorded: [['a', 2, 'ready']], rejections: 0,
 	},
