Say with the choice of upstreams until when a stopping entry may send

Read once more; behaviour is meant to be unchanged. The time until which a request may be sent stands with the choice of its upstreams, so that the queue and places of shared room ask the same. The departure of an incarnation and that of a later one are one comparison.

--- a/packages/control-node/test/test-leader-coordinator.ts
+++ b/packages/control-node/test/test-leader-coordinator.ts
@@ -241,101 +241,57 @@
 	return {kind: 'upstreamAnnounced', upstream: {...announcement('1', 1).upstream, born}};
 }
 
+/** Upstream 1 departs; its incarnations are named by their starts. */
 type DepartureCase = {
 	readonly name: string;
-	/** What the leader has applied, and what it only has in its log, when the departure arrives. */
-	readonly applied: readonly DirectoryCommand[];
-	readonly unapplied: readonly DirectoryCommand[];
-	readonly departs: MeshCalls['depart']['request']['life'];
-	/** The start of the announced incarnation that is recorded afterwards. */
+	/** The incarnations whose announcements the leader has applied, and those that it only has in its log. */
+	readonly applied: readonly number[];
+	readonly unapplied: readonly number[];
+	/** Undefined if the departure doesn't name its start. */
+	readonly departs: number | undefined;
+	/** The incarnation that is recorded then. */
 	readonly recorded: number | undefined;
-	/** The start of one that is announced after that, and what is recorded then. */
+	/** One that is announced after that, and what is recorded in the end. */
 	readonly announced: number;
-	readonly recordedThen: number | undefined;
+	readonly recordedLast: number | undefined;
 };
 
 // DRAIN: a departure was acknowledged and not recorded, so that the upstream got requests for as long as it served.
 const departures: readonly DepartureCase[] = [
 	{
-		name: 'of a recorded incarnation',
-		applied: [announcedWith(1)],
-		unapplied: [],
-		departs: {id: '1', born: 1},
-		recorded: undefined,
-		announced: 1,
-		recordedThen: undefined,
+		name: 'of a recorded incarnation', applied: [1], unapplied: [], departs: 1, recorded: undefined, announced: 1, recordedLast: undefined,
 	},
 	{
-		name: 'that comes before the first announcement',
-		applied: [],
-		unapplied: [],
-		departs: {id: '1', born: 1},
-		recorded: undefined,
-		announced: 1,
-		recordedThen: undefined,
+		name: 'before the first announcement', applied: [], unapplied: [], departs: 1, recorded: undefined, announced: 1, recordedLast: undefined,
 	},
 	{
-		name: 'that comes before the first announcement, of a later incarnation than the recorded one',
-		applied: [announcedWith(1)],
-		unapplied: [],
-		departs: {id: '1', born: 2},
-		recorded: undefined,
-		announced: 2,
-		recordedThen: undefined,
+		name: 'before the first announcement, with an earlier incarnation on record', applied: [1], unapplied: [], departs: 2, recorded: undefined, announced: 2, recordedLast: undefined,
 	},
 	{
-		name: 'that comes before the first announcement holds for that incarnation alone',
-		applied: [],
-		unapplied: [],
-		departs: {id: '1', born: 1},
-		recorded: undefined,
-		announced: 2,
-		recordedThen: 2,
+		name: 'before the first announcement, then the next incarnation', applied: [], unapplied: [], departs: 1, recorded: undefined, announced: 2, recordedLast: 2,
 	},
 	{
-		name: 'that a new leader receives before it has applied the announcement',
-		applied: [],
-		unapplied: [announcedWith(1)],
-		departs: {id: '1', born: 1},
-		recorded: undefined,
-		announced: 1,
-		recordedThen: undefined,
+		name: 'at a new leader that has not applied the announcement', applied: [], unapplied: [1], departs: 1, recorded: undefined, announced: 1, recordedLast: undefined,
 	},
 	{
-		name: 'that a new leader receives before it has applied the announcement, without a start',
-		applied: [],
-		unapplied: [announcedWith(1)],
-		departs: {id: '1'},
-		recorded: undefined,
-		announced: 1,
-		recordedThen: undefined,
+		name: 'without its start, at a new leader that has not applied the announcement', applied: [], unapplied: [1], departs: undefined, recorded: undefined, announced: 1, recordedLast: undefined,
 	},
 	{
-		name: 'that a new leader receives before it has applied the announcement of the next incarnation',
-		applied: [announcedWith(1)],
-		unapplied: [announcedWith(2)],
-		departs: {id: '1', born: 1},
-		recorded: 2,
-		announced: 2,
-		recordedThen: 2,
+		name: 'at a new leader that has not applied the announcement of the next incarnation', applied: [1], unapplied: [2], departs: 1, recorded: 2, announced: 2, recordedLast: 2,
 	},
 	{
-		name: 'without a start, of an id that is not recorded',
-		applied: [],
-		unapplied: [],
-		departs: {id: '1'},
-		recorded: undefined,
-		announced: 1,
-		recordedThen: 1,
+		name: 'without its start, of an id that is not recorded', applied: [], unapplied: [], departs: undefined, recorded: undefined, announced: 1, recordedLast: 1,
 	},
 ];
 
-for (const {name, applied, unapplied, departs, recorded, announced, recordedThen} of departures) {
+for (const {
+	name, applied, unapplied, departs, recorded, announced, recordedLast,
+} of departures) {
 	test(`leader coordinator: a departure ${name}`, async context => {
 		const scenario = startScenario(context);
-		scenario.commit(applied);
-		scenario.unapplied.push(...unapplied);
-		const departing = scenario.depart(departs);
+		scenario.commit(applied.map(born => announcedWith(born)));
+		scenario.unapplied.push(...unapplied.map(born => announcedWith(born)));
+		const departing = scenario.depart(departs === undefined ? {id: '1'} : {id: '1', born: departs});
 		await scenario.advance(50);
 		const acknowledged = await departing;
 		assert.equal(acknowledged.isOk, true);
@@ -343,6 +299,6 @@
 		const {upstream, keys} = announcement('1', 1);
 		startAnnouncement(scenario, {upstream: {...upstream, born: announced}, keys: {...keys, life: {id: '1', born: announced}}});
 		await scenario.advance(700);
-		assert.equal(scenario.holder.state().upstreams['1']?.born, recordedThen);
+		assert.equal(scenario.holder.state().upstreams['1']?.born, recordedLast);
 	});
 }
--- a/packages/directory/src/departure.ts
+++ b/packages/directory/src/departure.ts
@@ -41,12 +41,9 @@
 /** Returns why an incarnation can't be recorded: it, or a later one with its id or address, has departed; undefined if none has. */
 export function departureReason(departures: readonly Departure[], {id, born, address}: Departure): string | undefined {
 	const {byId, byAddress} = latestDepartures(departures);
-	if (hasDeparted(departures, {id, born})) {
-		return `this incarnation of ${id} has departed`;
-	}
-
-	if ((byId.get(id)?.born ?? -Infinity) > born) {
-		return `a later incarnation of ${id} has departed`;
+	const latest = byId.get(id);
+	if (latest !== undefined && latest.born >= born) {
+		return `${id} has departed, in this incarnation or a later one`;
 	}
 
 	const successor = byAddress.get(address);
--- a/packages/entry/src/request-execution.ts
+++ b/packages/entry/src/request-execution.ts
@@ -96,6 +96,11 @@
 		return this.#attemptGroup?.uncertainAttempts ?? 0;
 	}
 
+	/** Until when it may be sent to be answered before this instance stops; infinite unless that is stopping. */
+	get #latestStart(): MonotonicTime {
+		return this.#choice!.latestStart(this.#dependencies.endsAt());
+	}
+
 	/** Finds the route and reads the body. */
 	start(): void {
 		const {
@@ -211,7 +216,7 @@
 		this.#place ??= new PlaceRequest(sharedRoom, this.#service!, this.#choice!);
 		this.#place.ask({
 			priority: this.#route!.priority,
-			startBy: Math.max(now, Math.min(until, this.#dependencies.endsAt() - this.#choice!.shortestLatency)),
+			startBy: Math.max(now, Math.min(until, this.#latestStart)),
 			deadline: this.#deadline,
 			minimumMilliseconds: minimumSendMilliseconds,
 			random: this.#dependencies.random(),
@@ -279,15 +284,14 @@
 		queue.add(this.#waiter);
 	}
 
-	/** Refuses the request if this instance is stopping and no upstream is expected to answer it before that. */
+	/** Refuses the request if this instance is stopping, and no upstream is expected to answer it in time. */
 	#refuseIfStopping(now: MonotonicTime): boolean {
-		const endsAt = this.#dependencies.endsAt();
-		const isLate = endsAt < Infinity && now + this.#choice!.shortestLatency >= endsAt;
-		if (isLate) {
-			this.#refuse(Refusal.stopping);
+		if (now < this.#latestStart) {
+			return false;
 		}
 
-		return isLate;
+		this.#refuse(Refusal.stopping);
+		return true;
 	}
 
 	/** Refuses the request if its upstreams are in evacuated zones, or their being cold or their notices keep it from being sent by `until`. */
@@ -314,6 +318,7 @@
 
 	#tryToSend(now: MonotonicTime): boolean {
 		const chosen = this.#deadline - now < minimumSendMilliseconds ? undefined : this.#choice!.choose(now);
+		// The upstream with room may be slower than the one that would answer before this instance stops.
 		if (chosen === undefined || now + chosen.load.cautiousLatency >= this.#dependencies.endsAt()) {
 			return false;
 		}
--- a/packages/entry/src/upstream-choice.ts
+++ b/packages/entry/src/upstream-choice.ts
@@ -180,11 +180,15 @@
 		return true;
 	}
 
-	/** The time that the answer takes at least, as far as is known: the cautious latency of the quickest upstream that may process the request. */
-	get shortestLatency(): Milliseconds {
-		const {target} = this;
-		const upstreams = target === undefined ? this.#allowed : [target.holder].filter(holder => holder !== undefined);
-		return upstreams.length === 0 ? 0 : Math.min(...upstreams.map(({load}) => load.cautiousLatency));
+	/** Returns until when the request may be sent, for the quickest upstream that may process it to answer by `end` as far as is known. */
+	latestStart(end: MonotonicTime): MonotonicTime {
+		if (end === Infinity) {
+			return Infinity;
+		}
+
+		const holder = this.target?.holder;
+		const known = this.target === undefined ? this.#allowed : [holder].filter(upstream => upstream !== undefined);
+		return known.length === 0 ? end : end - Math.min(...known.map(({load}) => load.cautiousLatency));
 	}
 
 	/** Returns what a request that arrived at `arrivedAt` would wait for, the expected wait and its limit. */
