Let a departure without a start hold for an incarnation that isn't known

Cause: the departure named no start, as its body is optional. It concerned the recorded incarnation, and the one that left was not known yet: a later one, whose announcements were held up behind a cut.

Fix: the entry carries the wall-clock time of the departure. Without a start it concerns, beside the record, every incarnation of the id that had started by then, since the starts that upstreams state are times of that kind. The address is tied to the recorded incarnation alone, so that a clock that is ahead keeps no other upstream from it. Of departures without an address the latest one of an id is kept.

--- a/packages/clock/src/monotonic.ts
+++ b/packages/clock/src/monotonic.ts
@@ -10,7 +10,7 @@
 	return performance.now();
 }
 
-/** Reads the wall clock. It may jump, so only records for people and fixed windows use it. */
+/** Reads the wall clock. It may jump, so only records for people, fixed windows and comparisons with the starts that upstreams state use it. */
 export function wallNow(): WallTime {
 	return Date.now();
 }
--- a/packages/control-node/src/leader-coordinator.ts
+++ b/packages/control-node/src/leader-coordinator.ts
@@ -3,7 +3,7 @@
  * its sender is to hold, accepts declarations, and plans which upstream holds
  * which keys.
  */
-import {monotonicNow} from '@dogwooddeck/clock/monotonic';
+import {monotonicNow, wallNow} from '@dogwooddeck/clock/monotonic';
 import {pause} from '@dogwooddeck/clock/pause';
 import {recordAnnouncement} from '@dogwooddeck/directory/announcement';
 import {type ItemChange, definedItems} from '@dogwooddeck/directory/item';
@@ -333,7 +333,7 @@
 		async depart({life: incarnation}) {
 			// What the leader has applied may be behind the log, so that the entry itself decides which record it concerns.
 			const service = holder.state().upstreams[incarnation.id]?.service;
-			const proposed = await propose([{kind: 'upstreamDeparted', life: incarnation}]);
+			const proposed = await propose([{kind: 'upstreamDeparted', life: incarnation, at: wallNow()}]);
 			log.event(EventName.upstreamLeft, {
 				upstream: incarnation.id, born: incarnation.born, service, index: proposed.unwrapOr(0),
 			});
--- a/packages/directory/src/departure.ts
+++ b/packages/directory/src/departure.ts
@@ -50,7 +50,9 @@
 	return successor !== undefined && successor.born > born ? `${successor.id}, a later upstream at the same address, has departed` : undefined;
 }
 
-/** Adds a departure, unless it is known. The oldest one beyond the maximum is forgotten. */
+/** Adds a departure, unless it is known, in place of earlier ones of the id without an address, which tell nothing more. The oldest one beyond the maximum is forgotten. */
 export function addDeparture(departures: readonly Departure[], departure: Departure): readonly Departure[] {
-	return hasDeparted(departures, departure) ? departures : [...departures, departure].slice(-maxDepartures);
+	return hasDeparted(departures, departure)
+		? departures
+		: [...departures.filter(({id, born, address}) => id !== departure.id || address !== undefined || born > departure.born), departure].slice(-maxDepartures);
 }
--- a/packages/directory/src/state.ts
+++ b/packages/directory/src/state.ts
@@ -19,7 +19,7 @@
 import {type ItemChange, type Items, noItems} from './item.js';
 import {changeItems} from './item-change.js';
 import {
-	applyUpstreamCommand, type UpstreamCommand, upstreamCommandKinds, type Upstreams, UpstreamState,
+	applyUpstreamCommand, type UpstreamCommand, upstreamCommandKinds, type UpstreamRecord, type Upstreams, UpstreamState,
 } from './upstream.js';
 import {
 	applyZoneCommand, noZoneOrders, type ZoneCommand, zoneCommandKinds, type ZoneOrders,
@@ -77,21 +77,28 @@
 	return {id, born, ...(address === undefined ? {} : {address})};
 }
 
-/** The incarnation that departs with a command, by its kind. One that is removed while it drains counts as departed: it takes no new work any more. */
-const departing: HandlerTable<UpstreamCommand, [Upstreams], UpstreamIncarnation | undefined> = {
-	upstreamAnnounced: () => undefined,
-	upstreamDeparted({life: {id, born}}, upstreams) {
-		return born === undefined ? upstreams[id] : {id, born};
+/**
+ * The incarnations that depart with a command, by its kind. One that doesn't name its start is the recorded one or, if
+ * that is an earlier one, one that started by the time of its departure. One that is removed while it drains takes no
+ * new work any more.
+ */
+const departing: HandlerTable<UpstreamCommand, [recorded: UpstreamRecord | undefined], readonly UpstreamIncarnation[]> = {
+	upstreamAnnounced: () => [],
+	upstreamDeparted({life: {id, born}, at}, recorded) {
+		return born === undefined ? [...(recorded === undefined ? [] : [recorded]), {id, born: at}] : [{id, born}];
 	},
-	upstreamRemoved({life}, upstreams) {
-		const recorded = upstreams[life.id];
-		return recorded?.state === UpstreamState.draining && sameIncarnation(recorded, life) ? life : undefined;
+	upstreamRemoved({life}, recorded) {
+		return recorded?.state === UpstreamState.draining && sameIncarnation(recorded, life) ? [life] : [];
 	},
 };
 
+function upstreamOf(command: UpstreamCommand): string {
+	return command.kind === 'upstreamAnnounced' ? command.upstream.id : command.life.id;
+}
+
 function updateDepartures(state: DirectoryState, command: UpstreamCommand): DirectoryState['departures'] {
-	const departed = dispatch(departing, command, state.upstreams);
-	return departed === undefined ? state.departures : addDeparture(state.departures, departureOf(departed, addressOf(state, departed)));
+	const departed = dispatch(departing, command, state.upstreams[upstreamOf(command)]);
+	return departed.reduce((departures, incarnation) => addDeparture(departures, departureOf(incarnation, addressOf(state, incarnation))), state.departures);
 }
 
 function isUpstreamCommand(command: DirectoryCommand): command is UpstreamCommand {
--- a/packages/directory/src/upstream.ts
+++ b/packages/directory/src/upstream.ts
@@ -4,6 +4,7 @@
  */
 import {memoize} from '@dogwooddeck/model/memoize';
 import {failure, FailureKind, type Failure} from '@dogwooddeck/model/failure';
+import {type WallTime} from '@dogwooddeck/model/identifiers';
 import {isSocketAddress} from '@dogwooddeck/model/socket-address';
 import {dispatch, type HandlerTable} from '@dogwooddeck/model/transition';
 import {type UpstreamIncarnation, sameIncarnation} from '@dogwooddeck/key-lease/range';
@@ -34,15 +35,15 @@
 /** Upstreams by id. */
 export type Upstreams = Readonly<Record<string, UpstreamRecord>>;
 
-/** An incarnation that departs; without `born`, the recorded one. */
+/** An incarnation that departs; without `born`, the one that runs under the id. */
 export type DepartingUpstream = Pick<UpstreamIncarnation, 'id'> & Partial<UpstreamIncarnation>;
 
 /** The commands that the leader proposes about upstreams. */
 export type UpstreamCommand =
 	/** An incarnation announced itself, or its record changed. */
 	| {readonly kind: 'upstreamAnnounced'; readonly upstream: UpstreamRecord}
-	/** An incarnation announced its departure; it may never have announced itself before. */
-	| {readonly kind: 'upstreamDeparted'; readonly life: DepartingUpstream}
+	/** An incarnation announced its departure, at `at`; it may never have announced itself before. */
+	| {readonly kind: 'upstreamDeparted'; readonly life: DepartingUpstream; readonly at: WallTime}
 	/** An incarnation is removed after the contact timeout. */
 	| {readonly kind: 'upstreamRemoved'; readonly life: UpstreamIncarnation};
 
@@ -79,7 +80,7 @@
 	return ok(sameIncarnation(recorded, upstream) ? others : upstreams);
 }
 
-/** Removes the record of a departing incarnation, or of an earlier one with its id, which has ended. */
+/** Removes the record of a departing incarnation, or of an earlier one with its id, which has ended. Without `born`, the recorded one is no later. */
 function depart(upstreams: Upstreams, {id, born = Infinity}: DepartingUpstream): Result<Upstreams, Failure> {
 	const {[id]: recorded, ...others} = upstreams;
 	return ok(recorded !== undefined && recorded.born <= born ? others : upstreams);
