Let upstreams of trials announce themselves together

Nothing had been asked of the deployment yet.

Cause: a service without owners divides its keys over the upstreams that join within 1.5 s of the first one (formationMilliseconds). A later one gets none while there is no load: three upstreams with 86, 85 and 85 of 256 slots have a score of 1.33, and the balance begins at 1.4; one with all of them has 1.4. The trials wait for all four to own slots, so that they never settle if a process takes longer to start than the others.

The processes start as before, but announce themselves only once all of them listen. A failed trial now tells with its error what each instance knew, and prints the output of the upstreams too.

--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -62,6 +62,11 @@
 	/** Starts an instance again after its process ended. */
 	readonly restart: (instance: TrialInstance) => void;
 	readonly startUpstream: (plan: UpstreamPlan) => Child;
+	/**
+	 * Starts upstreams that announce themselves at the same time, once all of them listen: keys are divided over the upstreams
+	 * that join soon after the first one, and processes may start further apart than that. Throws `deadlineExceeded`.
+	 */
+	readonly startUpstreams: (plans: readonly UpstreamPlan[]) => Promise<void>;
 	/** Runs `dogwooddeckctl` with the operators' token. */
 	readonly control: (...parameters: string[]) => Promise<CommandEnded>;
 	/** Runs `dogwooddeckctl` with the token of a file. */
@@ -236,6 +241,32 @@
 		return {output: child.output(), code: await child.stop()};
 	}
 
+	function startUpstream(plan: UpstreamPlan, ...flags: readonly string[]): Child {
+		const child = startChild(plan.name, upstreamScript, [
+			'--service',
+			plan.service,
+			'--name',
+			plan.name,
+			'--region',
+			plan.region,
+			'--zone',
+			plan.zone,
+			'--announce-to',
+			nearestFirst(instances, plan.zone).join(','),
+			'--token',
+			announceKey,
+			'--slots',
+			String(plan.slots ?? 3),
+			'--work-milliseconds',
+			String(plan.workMilliseconds ?? 1),
+			...(plan.checksFence ? ['--checks-fence'] : []),
+			...(plan.rejoins === true ? ['--rejoins'] : []),
+			...flags,
+		]);
+		upstreams.set(plan.name, child);
+		return child;
+	}
+
 	const servers = () => instances.flatMap(({addresses}) => ['--server', `http://${addresses.operators}`]);
 	const controlAs: Deployment['controlAs'] = async (file, ...parameters) =>
 		command('dogwooddeckctl', controlScript, [...parameters, ...servers(), '--token-file', file]);
@@ -253,29 +284,13 @@
 		instances,
 		upstreams,
 		restart: start,
-		startUpstream(plan) {
-			const child = startChild(plan.name, upstreamScript, [
-				'--service',
-				plan.service,
-				'--name',
-				plan.name,
-				'--region',
-				plan.region,
-				'--zone',
-				plan.zone,
-				'--announce-to',
-				nearestFirst(instances, plan.zone).join(','),
-				'--token',
-				announceKey,
-				'--slots',
-				String(plan.slots ?? 3),
-				'--work-milliseconds',
-				String(plan.workMilliseconds ?? 1),
-				...(plan.checksFence ? ['--checks-fence'] : []),
-				...(plan.rejoins === true ? ['--rejoins'] : []),
-			]);
-			upstreams.set(plan.name, child);
-			return child;
+		startUpstream: plan => startUpstream(plan),
+		async startUpstreams(plans) {
+			const started = plans.map(plan => startUpstream(plan, '--announces-later'));
+			await eventually('all upstreams listen', readyMilliseconds, () => started.every(child => child.output().includes('event=listening')));
+			for (const child of started) {
+				child.signal('SIGUSR2');
+			}
 		},
 		control: async (...parameters) => controlAs(tokenFile, ...parameters),
 		controlAs,
--- a/packages/stand-in/src/upstream-command.ts
+++ b/packages/stand-in/src/upstream-command.ts
@@ -15,13 +15,16 @@
 	return {host: address.slice(0, colon), port: Number(address.slice(colon + 1))};
 }
 
-function drainOnSignal(upstream: StandInUpstream): void {
+function handleSignals(upstream: StandInUpstream): void {
 	process.once('SIGTERM', () => {
 		void upstream.drain();
 	});
 	process.once('SIGINT', () => {
 		void upstream.stop();
 	});
+	process.once('SIGUSR2', () => {
+		upstream.announce();
+	});
 }
 
 const upstreamCommand = command({
@@ -36,6 +39,7 @@
 		announceTo: option({type: string, long: 'announce-to', description: 'operator addresses with commas between them'}),
 		token: option({type: string, long: 'token', defaultValue: () => ''}),
 		checksFence: flag({long: 'checks-fence'}),
+		announcesLater: flag({long: 'announces-later', description: 'announces itself only from SIGUSR2 on'}),
 		rejoins: flag({long: 'rejoins', description: 'takes a later incarnation when it was judged to be gone'}),
 		slots: option({type: number, long: 'slots', defaultValue: () => 3}),
 		workMilliseconds: option({type: number, long: 'work-milliseconds', defaultValue: () => 1}),
@@ -47,7 +51,7 @@
 			incarnation: wallNow(),
 			announceTo: {addresses: announceTo.split(','), token, intervalMilliseconds: announceIntervalMilliseconds},
 		});
-		drainOnSignal(upstream);
+		handleSignals(upstream);
 		process.stdout.write(`event=listening address=${upstream.address}\n`);
 	},
 });
--- a/packages/stand-in/src/upstream.ts
+++ b/packages/stand-in/src/upstream.ts
@@ -43,6 +43,8 @@
 	readonly rejoins: boolean;
 	/** Absent: it announces itself to nobody. */
 	readonly announceTo?: AnnouncerOptions;
+	/** Whether it announces itself only once `announce` is called. */
+	readonly announcesLater: boolean;
 };
 
 /** A stand-in upstream that listens. */
@@ -56,6 +58,8 @@
 	/** The header fields of the newest request. */
 	readonly lastHeaders: IncomingHttpHeaders;
 	readonly announcer: Announcer | undefined;
+	/** Announces itself from now on, if it doesn't yet. */
+	announce(): void;
 	/** Shows a fault from now on. */
 	order(order: FaultOrder): Promise<void>;
 	/** Announces that it leaves, and ends once it has no grants and no requests. */
@@ -78,6 +82,7 @@
 	workMilliseconds: 0,
 	answerBytes: 1024,
 	rejoins: false,
+	announcesLater: false,
 };
 
 const misdirected = 421;
@@ -132,16 +137,25 @@
 	}
 
 	async start(): Promise<void> {
-		const {host, port, announceTo} = this.#options;
+		const {host, port, announcesLater} = this.#options;
 		await this.#listen(port);
 		this.address = `${host}:${this.#port}`;
-		this.announcer = announceTo === undefined
-			? undefined
-			: startAnnouncer({
-				...announceTo, superseded: () => {
-					this.#rejoin();
-				},
-			}, () => this.#announcement());
+		if (!announcesLater) {
+			this.announce();
+		}
+	}
+
+	announce(): void {
+		const {announceTo} = this.#options;
+		if (announceTo === undefined) {
+			return;
+		}
+
+		this.announcer ??= startAnnouncer({
+			...announceTo, superseded: () => {
+				this.#rejoin();
+			},
+		}, () => this.#announcement());
 	}
 
 	async order(order: FaultOrder): Promise<void> {
--- a/packages/stand-in/test/test-announcer.ts
+++ b/packages/stand-in/test/test-announcer.ts
@@ -88,3 +88,15 @@
 	operator.grants = [];
 	assert.deepEqual(await ended, [0, null]);
 });
+
+test('announcer: an upstream that announces itself later does so from SIGUSR2 on', async t => {
+	const operator = await startOperator(t);
+	const script = new URL('../../bin/upstream.js', import.meta.url).pathname;
+	const place = ['--service', 's', '--name', 'one', '--region', 'noord', '--zone', 'noord-1'];
+	const child = fork(script, [...place, '--announce-to', operator.address, '--announces-later'], {silent: true});
+	t.after(() => child.kill());
+	await once(child.stdout!, 'data');
+	assert.equal(operator.announcements.length, 0);
+	child.kill('SIGUSR2');
+	await until(() => operator.announcements.length > 0);
+});
--- a/packages/stand-in/test/test-session.ts
+++ b/packages/stand-in/test/test-session.ts
@@ -29,11 +29,9 @@
 		await operate('apply', 'examples/bermrand', '--operation', 'second-change', '--base', '1');
 		await operate('plan', 'examples/bermrand');
 		await operate('history', '--team', 'bermrand');
-		for (const {region, zone} of zones) {
-			deployment.startUpstream({
-				service: 'bermrand/schedule', name: `viewer-${zone}`, region, zone, checksFence: true,
-			});
-		}
+		await deployment.startUpstreams(zones.map(({region, zone}) => ({
+			service: 'bermrand/schedule', name: `viewer-${zone}`, region, zone, checksFence: true,
+		})));
 
 		for (const instance of deployment.instances) {
 			await eventually('all slots are granted', 20_000, async () => {
--- a/packages/stand-in/test/trial.ts
+++ b/packages/stand-in/test/trial.ts
@@ -5,11 +5,12 @@
 import assert from 'node:assert/strict';
 import path from 'node:path';
 import {test} from 'node:test';
+import {failure, FailureError, toFailure} from '@dogwooddeck/model/failure';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {request} from 'undici';
 import {eventually} from '@dogwooddeck/stand-in/child';
 import {
-	type Deployment, type InstancePlan, operatorToken, repository, startDeployment, type TrialInstance,
+	type Deployment, type InstancePlan, operatorToken, repository, startDeployment, type TrialInstance, type UpstreamPlan,
 } from '@dogwooddeck/stand-in/deployment';
 import {type Sighting, type Watcher} from '@dogwooddeck/stand-in/watcher';
 
@@ -87,22 +88,24 @@
 	}
 }
 
-/** Starts the upstream of a place. */
-export function startViewer(deployment: Deployment, {region, zone}: Pick<InstancePlan, 'region' | 'zone'>, rejoins = false): void {
+/** The upstream of a place. */
+export function viewerPlan({region, zone}: Pick<InstancePlan, 'region' | 'zone'>, rejoins: boolean): UpstreamPlan {
 	const position = zones.findIndex(place => place.zone === zone);
-	deployment.startUpstream({
+	return {
 		service: 'bermrand/schedule', name: `viewer-${zone}`, region, zone, checksFence: position % 2 === 0, rejoins,
-	});
+	};
+}
+
+/** Starts the upstream of a place. */
+export function startViewer(deployment: Deployment, place: Pick<InstancePlan, 'region' | 'zone'>): void {
+	deployment.startUpstream(viewerPlan(place, false));
 }
 
 async function begin(deployment: Deployment, folder: string, rejoins: boolean): Promise<void> {
 	await deployment.ready();
 	const applied = await deployment.control('apply', path.join(repository, 'packages/stand-in/trial', folder), '--wait');
 	assert.equal(applied.code, 0, applied.output);
-	for (const place of zones) {
-		startViewer(deployment, place, rejoins);
-	}
-
+	await deployment.startUpstreams(zones.map(place => viewerPlan(place, rejoins)));
 	await settled(deployment, zones.length);
 }
 
@@ -150,22 +153,22 @@
 	readonly run: (deployment: Deployment) => Promise<void>;
 };
 
-/** Prints how many slots each upstream has in each phase, as each instance that answers knows it. */
-async function showOwners(deployment: Deployment): Promise<void> {
-	for (const instance of deployment.instances.filter(({child}) => child.running())) {
+/** Describes how many slots each upstream has in each phase, and the status, as each instance that runs knows it. */
+async function describeOwners(deployment: Deployment): Promise<readonly string[]> {
+	return Promise.all(deployment.instances.filter(({child}) => child.running()).map(async instance => {
 		try {
 			const all = await owners(deployment, instance);
 			const names = all.map(({phase, upstream = 'nobody'}) => `${phase} by ${upstream}`);
 			const counts = [...new Set(names)].map(name => `${name}: ${names.filter(other => other === name).length}`);
 			const status = await deployment.read(instance, '/operator/status');
-			console.log(`${instance.name}: ${counts.join(', ')}; ${JSON.stringify(status)}`);
+			return `${instance.name}: ${counts.join(', ')}; ${JSON.stringify(status)}`;
 		} catch {
-			console.log(`${instance.name} does not answer`);
+			return `${instance.name} does not answer`;
 		}
-	}
+	}));
 }
 
-/** Makes a test of each case; a failed one prints the last lines of every instance. */
+/** Makes a test of each case; a failed one prints the last lines of every process, and what each instance knows with the error. */
 export function runTrials(title: string, cases: readonly TrialCase[]): void {
 	for (const {
 		name, run, instances = plans, folder = 'bermrand', rejoins = false,
@@ -176,12 +179,15 @@
 				await begin(deployment, folder, rejoins);
 				await run(deployment);
 			} catch (error) {
-				await showOwners(deployment);
-				for (const {child} of deployment.instances) {
+				// A report may show nothing but the error.
+				const described = await describeOwners(deployment);
+				for (const child of [...deployment.instances.map(instance => instance.child), ...deployment.upstreams.values()]) {
 					console.log(child.output().split('\n').filter(line => !line.includes('event=request-failed')).slice(-25).join('\n'));
 				}
 
-				throw error;
+				console.log(error);
+				const {kind, detail} = toFailure(error);
+				throw new FailureError(failure(kind, `${detail}\n${described.join('\n')}`));
 			} finally {
 				await deployment.close();
 			}
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -50,7 +50,7 @@
 }
 
 // Tests that start whole deployments state times, so each has the machine to itself.
-const startsDeployments = file => /platform\/dist\/test\/test-(?:largest-request|replaced-machines|soak|unruly-clients)\.js$|stand-in\/dist\/test\/test-(?:claim-trials|configuration|cuts|failures|remedies|session|session-(?:faults|leader|upstream))\.js$/v.test(file);
+const startsDeployments = file => /platform\/dist\/test\/test-(?:largest-request|replaced-machines|soak|unruly-clients)\.js$|stand-in\/dist\/test\/test-(?:claim-trials|configuration|cuts|deployment|failures|remedies|session|session-(?:faults|leader|upstream))\.js$/v.test(file);
 const statuses = [
 	run(files.filter(file => !startsDeployments(file)), concurrentFiles, 10),
 	run(files.filter(file => startsDeployments(file)), 1, 25),
