Apply the configuration of trials in one place, and plan a later announcement

Read-through; what trials do and check stays. The trials and test-deployment spelt out what applyTrial in test/record does. An upstream that announces itself later is now a property of its plan, as rejoining is, in place of flags handed on beside it.

--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -33,6 +33,8 @@
 	readonly checksFence: boolean;
 	/** Whether it takes a later incarnation when it was judged to be gone. */
 	readonly rejoins?: boolean;
+	/** Whether it announces itself only from SIGUSR2 on. Default: no. */
+	readonly announcesLater?: boolean;
 	readonly workMilliseconds?: number;
 	/** Requests that it runs at one time. */
 	readonly slots?: number;
@@ -241,7 +243,7 @@
 		return {output: child.output(), code: await child.stop()};
 	}
 
-	function startUpstream(plan: UpstreamPlan, ...flags: readonly string[]): Child {
+	function startUpstream(plan: UpstreamPlan): Child {
 		const child = startChild(plan.name, upstreamScript, [
 			'--service',
 			plan.service,
@@ -261,7 +263,7 @@
 			String(plan.workMilliseconds ?? 1),
 			...(plan.checksFence ? ['--checks-fence'] : []),
 			...(plan.rejoins === true ? ['--rejoins'] : []),
-			...flags,
+			...(plan.announcesLater === true ? ['--announces-later'] : []),
 		]);
 		upstreams.set(plan.name, child);
 		return child;
@@ -284,9 +286,9 @@
 		instances,
 		upstreams,
 		restart: start,
-		startUpstream: plan => startUpstream(plan),
+		startUpstream,
 		async startUpstreams(plans) {
-			const started = plans.map(plan => startUpstream(plan, '--announces-later'));
+			const started = plans.map(plan => startUpstream({...plan, announcesLater: true}));
 			await eventually('all upstreams listen', readyMilliseconds, () => started.every(child => child.output().includes('event=listening')));
 			for (const child of started) {
 				child.signal('SIGUSR2');
--- a/packages/stand-in/test/test-deployment.ts
+++ b/packages/stand-in/test/test-deployment.ts
@@ -1,11 +1,10 @@
-import assert from 'node:assert/strict';
-import path from 'node:path';
 import {test} from 'node:test';
 import {pause} from '@dogwooddeck/clock/pause';
+import {applyTrial} from './record.js';
 import {
 	onePerZone, settled, viewerPlan, zones,
 } from './trial.js';
-import {type Deployment, repository, startDeployment} from '@dogwooddeck/stand-in/deployment';
+import {type Deployment, startDeployment} from '@dogwooddeck/stand-in/deployment';
 
 const plans = zones.map(place => viewerPlan(place, false));
 /** Longer than a service without owners waits for further upstreams. */
@@ -24,8 +23,7 @@
 	const deployment = await startDeployment(onePerZone([0, 1, 2]));
 	try {
 		await deployment.ready();
-		const applied = await deployment.control('apply', path.join(repository, 'packages/stand-in/trial/bermrand'), '--wait');
-		assert.equal(applied.code, 0, applied.output);
+		await applyTrial(deployment, 'bermrand');
 		await Promise.all([deployment.startUpstreams(plans), delay(deployment, plans.at(-1)!.name)]);
 		await settled(deployment, plans.length);
 	} finally {
--- a/packages/stand-in/test/trial.ts
+++ b/packages/stand-in/test/trial.ts
@@ -2,15 +2,14 @@
  * Trials with real processes: a deployment in four availability zones with an
  * upstream in each, and what tests ask of it.
  */
-import assert from 'node:assert/strict';
-import path from 'node:path';
 import {test} from 'node:test';
 import {failure, FailureError, toFailure} from '@dogwooddeck/model/failure';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {request} from 'undici';
+import {applyTrial} from './record.js';
 import {eventually} from '@dogwooddeck/stand-in/child';
 import {
-	type Deployment, type InstancePlan, operatorToken, repository, startDeployment, type TrialInstance, type UpstreamPlan,
+	type Deployment, type InstancePlan, operatorToken, startDeployment, type TrialInstance, type UpstreamPlan,
 } from '@dogwooddeck/stand-in/deployment';
 import {type Sighting, type Watcher} from '@dogwooddeck/stand-in/watcher';
 
@@ -103,8 +102,7 @@
 
 async function begin(deployment: Deployment, folder: string, rejoins: boolean): Promise<void> {
 	await deployment.ready();
-	const applied = await deployment.control('apply', path.join(repository, 'packages/stand-in/trial', folder), '--wait');
-	assert.equal(applied.code, 0, applied.output);
+	await applyTrial(deployment, folder);
 	await deployment.startUpstreams(zones.map(place => viewerPlan(place, rejoins)));
 	await settled(deployment, zones.length);
 }
