Charge short pieces to their sender, and close no caller for a late loop

Cause: whenever the loop was late by more than 200 ms, the guard of callers' connections closed those with most short pieces, of whatever number, and took the delay for theirs. It didn't know what made the loop late.

Fix: loop-share charges the time from piece to piece to the connection that sends them. Connections that take more than a few pieces' time stop being read, and go on one after the other, so that all of them take a quarter of the loop while it has other work. Nothing is closed.

The cases of test-peer-memory that expected closings for a late loop were wrong: a few thousand pieces don't make a loop late by 400 ms, and one piece never does.

--- a/packages/clock/src/monotonic.ts
+++ b/packages/clock/src/monotonic.ts
@@ -3,7 +3,7 @@
  * by mocking `performance.now` and `Date`.
  */
 import {performance} from 'node:perf_hooks';
-import {type MonotonicTime, type WallTime} from '@dogwooddeck/model/identifiers';
+import {type Milliseconds, type MonotonicTime, type WallTime} from '@dogwooddeck/model/identifiers';
 
 /** Reads the monotonic clock, the only one that leases are measured by. */
 export function monotonicNow(): MonotonicTime {
@@ -14,3 +14,8 @@
 export function wallNow(): WallTime {
 	return Date.now();
 }
+
+/** Reads how long the event loop has waited for events since the start, in milliseconds. */
+export function loopIdleTime(): Milliseconds {
+	return performance.eventLoopUtilization().idle;
+}
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -6,6 +6,7 @@
 import {Server as NetServer} from 'node:net';
 import {type CallerLimits} from '@dogwooddeck/directory/item';
 import {type PeerLimits} from '@dogwooddeck/gateway/peer-memory';
+import {type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
 import {CallerConnection} from '@dogwooddeck/upstream-client/caller-connection';
 import {fastify} from 'fastify';
 import {CallerExchange} from './caller-exchange.js';
@@ -53,11 +54,12 @@
 	readonly keepsConnection: () => boolean;
 	readonly limits: PeerLimits;
 	readonly peerLog: PeerLog;
+	readonly pacing: PacedReading;
 };
 
 /** Starts the server. */
 export async function startCallerServer({host, port}: ListenAddress, {
-	onRequest, keepsConnection, limits: peerLimits, peerLog,
+	onRequest, keepsConnection, limits: peerLimits, peerLog, pacing,
 }: CallerServerOptions): Promise<CallerServer> {
 	const application = fastify({
 		logger: false,
@@ -83,7 +85,7 @@
 		}
 	});
 	const {server}: {readonly server: Server} = application;
-	const guard = new PeerGuard(server, peerLimits, peerLog);
+	const guard = new PeerGuard(server, {limits: peerLimits, record: peerLog, pacing});
 	server.headersTimeout = defaultHeaderTimeoutMilliseconds;
 	server.on('connection', socket => {
 		socket.setNoDelay(true);
@@ -94,7 +96,7 @@
 			server.keepAliveTimeout = (limits?.idleTimeoutMilliseconds ?? defaultIdleTimeoutMilliseconds) + idleMarginMilliseconds;
 			server.headersTimeout = limits?.headerTimeoutMilliseconds ?? defaultHeaderTimeoutMilliseconds;
 		},
-		connections: () => guard.sockets.size,
+		connections: () => guard.connections,
 		openRequests: () => [...guard.sockets].reduce((sum, socket) => sum + CallerConnection.of(socket).openRequests, 0),
 		stopListening() {
 			// The method of HTTP servers also closes the connections that Node.js counts as idle.
@@ -109,7 +111,6 @@
 			}
 		},
 		closeAll() {
-			guard.stop();
 			server.closeAllConnections();
 		},
 	};
--- a/packages/entry/src/peer-guard.ts
+++ b/packages/entry/src/peer-guard.ts
@@ -1,18 +1,19 @@
 /**
  * Keeps what the connections of a server take within the limits of its machine: it closes the connections for which
- * most is held, those that make the loop late, and for new ones those that have been idle for longest.
+ * most is held, and for new ones those that have been idle for longest. Those whose bodies come in short pieces are read more slowly.
  */
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {type PeerLimits, PeerMemory, waitingBytesOf} from '@dogwooddeck/gateway/peer-memory';
-import {type Milliseconds} from '@dogwooddeck/model/identifiers';
+import {type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {LineBudget} from '@dogwooddeck/telemetry/line-budget';
 import {type Log} from '@dogwooddeck/telemetry/log';
 import {MeasureName, type Measures} from '@dogwooddeck/telemetry/measure';
 import {CallerConnection} from '@dogwooddeck/upstream-client/caller-connection';
 import {BodyGarbage} from './body-garbage.js';
+import {CallerReading} from './caller-reading.js';
 
 /** Why a connection of a peer is closed. */
 export const PeerClosing = {
@@ -22,8 +23,6 @@
 	memory: 'memory',
 	/** More requests wait on it for their answers than may. */
 	requestsAhead: 'requests-ahead',
-	/** Its body comes in pieces that make the loop late. */
-	pieces: 'pieces',
 	/** Its body was not whole when its request's time was over. */
 	bodyLate: 'body-late',
 } as const;
@@ -34,7 +33,6 @@
 /** Records a connection that is closed. */
 export type PeerLog = (reason: PeerClosing, socket: Socket) => void;
 
-const turnMilliseconds: Milliseconds = 100;
 const linesPerSecond = 10;
 
 /** Records closed connections: a counter for each reason, and log lines that are limited to a number a second. */
@@ -57,28 +55,32 @@
 	return bytes;
 }
 
+/** What connections of a server are guarded by. */
+export type PeerGuardOptions = {
+	readonly limits: PeerLimits;
+	readonly record: PeerLog;
+	/** The reading from all peers of the process. */
+	readonly pacing: PacedReading;
+};
+
 /** Guards the connections of one server. */
 export class PeerGuard {
 	readonly #limits: PeerLimits;
 	readonly #record: PeerLog;
 	readonly #memory: PeerMemory<Socket>;
-	readonly #sockets = new Set<Socket>();
-	readonly #timer: NodeJS.Timeout;
+	readonly #readings = new Map<Socket, CallerReading>();
+	readonly #pacing: PacedReading;
 	readonly #garbage = new BodyGarbage();
-	#turnAt = monotonicNow();
 
-	constructor(server: Server, limits: PeerLimits, record: PeerLog) {
+	constructor(server: Server, {limits, record, pacing}: PeerGuardOptions) {
 		this.#limits = limits;
 		this.#record = record;
+		this.#pacing = pacing;
 		this.#memory = new PeerMemory(limits.waitingBytes);
 		server.on('connection', socket => {
 			this.#open(socket);
 		});
 		this.#standBefore(server);
-		this.#timer = setInterval(() => {
-			this.#endTurn();
-		}, turnMilliseconds);
-		this.#timer.unref();
 	}
 
 	/** The longest body that a single request may have on this machine, in bytes. */
@@ -87,13 +89,13 @@
 	}
 
 	/** The open connections. */
-	get sockets(): ReadonlySet<Socket> {
-		return this.#sockets;
+	get sockets(): Iterable<Socket> {
+		return this.#readings.keys();
 	}
 
-	/** Stops the timer; connections stay as they are. */
-	stop(): void {
-		clearInterval(this.#timer);
+	/** The number of open connections. */
+	get connections(): number {
+		return this.#readings.size;
 	}
 
 	/** Holds bytes of an answer until it was handed over. */
@@ -106,9 +108,13 @@
 		this.#closeGreediest();
 	}
 
-	/** Counts a piece of a request's body. */
+	/** Counts a piece of a request's body. Reading from the connection may stop for a while. */
 	countPiece({socket}: IncomingMessage, bytes: number): void {
-		this.#memory.countPiece(socket, bytes);
+		const reading = this.#readings.get(socket);
+		if (reading !== undefined) {
+			this.#pacing.countPiece(reading, bytes);
+		}
+
 		this.#garbage.add(bytes);
 	}
 
@@ -160,15 +166,17 @@
 	}
 
 	#open(socket: Socket): void {
-		this.#sockets.add(socket);
+		const reading = new CallerReading(socket);
+		this.#readings.set(socket, reading);
 		this.#memory.add(socket, 0);
 		// Known from its first moment, so that the time without a request counts.
 		CallerConnection.of(socket);
 		socket.once('close', () => {
-			this.#sockets.delete(socket);
+			this.#readings.delete(socket);
+			this.#pacing.forget(reading);
 			this.#memory.forget(socket);
 		});
-		if (this.#sockets.size > this.#limits.connections) {
+		if (this.#readings.size > this.#limits.connections) {
 			this.close(this.#longestIdle() ?? socket, PeerClosing.connections);
 		}
 	}
@@ -176,7 +184,7 @@
 	#longestIdle(): Socket | undefined {
 		let longest: Socket | undefined;
 		let since = Infinity;
-		for (const socket of this.#sockets) {
+		for (const socket of this.#readings.keys()) {
 			const connection = CallerConnection.of(socket);
 			if (connection.openRequests === 0 && !socket.destroyed && connection.lastUse < since) {
 				longest = socket;
@@ -186,13 +194,4 @@
 
 		return longest;
 	}
-
-	#endTurn(): void {
-		const now = monotonicNow();
-		const delay = now - this.#turnAt - turnMilliseconds;
-		this.#turnAt = now;
-		for (const socket of this.#memory.takeBusiest(delay)) {
-			this.close(socket, PeerClosing.pieces);
-		}
-	}
 }
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -12,6 +12,7 @@
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
 import {BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
 import {peerLimitsOf} from '@dogwooddeck/gateway/peer-memory';
+import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
 import {type RequestSpecification} from '@dogwooddeck/entry/attempt';
 import {LoopDelayGuard, turnIntervalMilliseconds} from '@dogwooddeck/entry/loop-delay-guard';
 import {RequestExecution, type RequestDependencies} from '@dogwooddeck/entry/request-execution';
@@ -135,6 +136,7 @@
 
 /** Starts an entry; `hasDirectory`: whether it has a directory. `overrides` replaces dependencies of its requests. */
 export async function startEntry(upstreams: readonly Upstream[], hasDirectory: boolean, overrides: Partial<RequestDependencies> = {}): Promise<Entry> {
+	const pacing = new PacedReading();
 	const table = new ServiceTable(settings, overrides.random ?? (() => 0));
 	const loopDelayGuard = new LoopDelayGuard();
 	const advance = ({queue: line}: CachedService) => {
@@ -185,6 +187,7 @@
 		keepsConnection: () => true,
 		limits: peerLimitsOf(undefined),
 		peerLog: () => undefined,
+		pacing,
 	});
 	const advancing = setInterval(() => {
 		loopDelayGuard.recordTurn();
--- a/packages/gateway/src/peer-memory.ts
+++ b/packages/gateway/src/peer-memory.ts
@@ -2,11 +2,9 @@
  * What a process holds for its peers, by connection, and which connections are closed when that is too much.
  *
  * Load pattern: clients that keep to no limit. Some dozens of connections carry bodies that stop just short of their
- * end, requests sent ahead whose answers are never read, or bodies in chunks of a byte. What a client holds grows with
+ * end, or requests sent ahead whose answers are never read. What a client holds grows with
  * what it sends, so the connections that hold most are closed first, and ordinary callers, which hold little, go on.
  */
-import {type Milliseconds} from '@dogwooddeck/model/identifiers';
-
 /** What the machine gives to the process. */
 export type MachineLimits = {
 	readonly memoryBytes: number;
@@ -81,21 +79,14 @@
 	return requestBytes + (copiesOfHead * headBytes);
 }
 
-/** A piece of a body that is shorter costs more processor time than its bytes are worth. */
-const shortPieceBytes = 64;
-
 /** An owner that holds so many times its even part is greedy. */
 const greedyParts = 2;
 
-/** Turns of the loop that are late by less are ordinary. */
-const ordinaryDelay: Milliseconds = 200;
-
-type Holding = {bytes: number; pieces: number; requests: number};
+type Holding = {bytes: number; requests: number};
 
 /** What is held for each owner, which is a connection. It is on the request path, so it is updated in place. */
 export class PeerMemory<Owner> {
 	#bytes = 0;
-	#pieces = 0;
 	readonly #holdings = new Map<Owner, Holding>();
 	readonly #maximumBytes: number;
 
@@ -144,21 +135,11 @@
 		}
 	}
 
-	/** Counts a piece of a body. */
-	countPiece(owner: Owner, bytes: number): void {
-		const holding = bytes < shortPieceBytes ? this.#holdings.get(owner) : undefined;
-		if (holding !== undefined) {
-			holding.pieces += 1;
-			this.#pieces += 1;
-		}
-	}
-
 	/** Removes an owner whose connection has closed. */
 	forget(owner: Owner): void {
 		const holding = this.#holdings.get(owner);
 		if (holding !== undefined) {
 			this.#bytes -= holding.bytes;
-			this.#pieces -= holding.pieces;
 			this.#holdings.delete(owner);
 		}
 	}
@@ -190,40 +171,13 @@
 		return greediest;
 	}
 
-	/**
-	 * Forgets and returns the owners whose short pieces make the loop late, those with most first, and starts a new
-	 * count. Those that are left would have delayed it by an ordinary time. An owner that is alone is never returned.
-	 */
-	takeBusiest(delay: Milliseconds): readonly Owner[] {
-		const busiest: Owner[] = [];
-		if (delay > ordinaryDelay) {
-			const bearable = this.#pieces * ordinaryDelay / delay;
-			const sorted = [...this.#holdings].filter(([, {pieces}]) => pieces > 0).sort(([, one], [, other]) => other.pieces - one.pieces);
-			for (const [owner] of sorted.slice(0, -1)) {
-				if (this.#pieces <= bearable) {
-					break;
-				}
-
-				this.forget(owner);
-				busiest.push(owner);
-			}
-		}
-
-		for (const holding of this.#holdings.values()) {
-			holding.pieces = 0;
-		}
-
-		this.#pieces = 0;
-		return busiest;
-	}
-
 	#holdingOf(owner: Owner): Holding {
 		const known = this.#holdings.get(owner);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const holding = {bytes: 0, pieces: 0, requests: 0};
+		const holding = {bytes: 0, requests: 0};
 		this.#holdings.set(owner, holding);
 		return holding;
 	}
--- a/xo.config.js
+++ b/xo.config.js
@@ -5,6 +5,7 @@
 const layers = {
 	model: [],
 	clock: ['model'],
+	'loop-share': ['model', 'clock'],
 	consensus: ['model'],
 	ownership: ['model'],
 	placement: ['model'],
@@ -18,7 +19,7 @@
 	storage: ['model', 'consensus'],
 	wire: ['model', 'consensus', 'ownership'],
 	telemetry: ['model', 'clock'],
-	'upstream-client': ['model', 'routing'],
+	'upstream-client': ['model', 'routing', 'loop-share'],
 	front: ['model', 'routing', 'configuration', 'telemetry', 'burn', 'upstream-client'],
 	// The tool checks what the server checks before a change is proposed: control's bound on the time to serve again.
 	'control-tool': ['model', 'configuration', 'burn', 'control'],
@@ -28,7 +29,7 @@
 	replica: ['model', 'clock', 'consensus', 'storage', 'telemetry'],
 	mesh: ['model', 'consensus', 'directory', 'key-lease', 'room'],
 	'control-node': ['model', 'clock', 'consensus', 'storage', 'telemetry', 'key-lease', 'directory', 'replica', 'mesh', 'room'],
-	entry: ['model', 'clock', 'telemetry', 'routing', 'directory', 'key-lease', 'gateway', 'mesh', 'replica', 'room', 'upstream-client'],
+	entry: ['model', 'clock', 'telemetry', 'routing', 'directory', 'key-lease', 'gateway', 'mesh', 'replica', 'room', 'upstream-client', 'loop-share'],
 	'stand-in': ['model', 'clock'],
 };
 
