Pace answers that come in short pieces

Cause: the parser reports each chunk, and parses all that a read brings in one turn of the loop; 64 KiB hold 10,900 chunks. Nothing bounded the loop's time that such answers take.

At most half of the time is allowed beside other work.

Fix: answers are given to the parser in slices of 16 KiB, and their short pieces and interim heads are charged as those of callers' bodies are. Reading an answer that goes over the share waits at the socket, where the answer of a slow caller waits too; the parser is never paused.

--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -2,15 +2,18 @@
  * A persistent connection to an upstream, which carries one request at a time.
  */
 import {type Socket} from 'node:net';
+import {type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
 import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {PausableClient} from '@dogwooddeck/upstream-client/pausable-client';
 
-/** The timeouts of connections. */
-export type ConnectionTimeouts = {
+/** The options of connections. */
+export type ConnectionOptions = {
 	/** The connect timeout, in milliseconds. */
 	readonly connectMilliseconds: number;
 	/** The idle timeout, in milliseconds. */
 	readonly idleMilliseconds: number;
+	/** The reading from all peers of the process. */
+	readonly pacing: PacedReading;
 };
 
 /** The maximum number of bytes received before the head of an answer is complete: `undici` limits its header fields, but neither its status line nor interim heads (1xx) before it. */
@@ -36,10 +39,11 @@
 	#endedInOrder = false;
 
 	/** Connects when the first request is sent. `onClose` is called once, when the connection closes. */
-	constructor(address: string, timeouts: ConnectionTimeouts, onClose: (connection: Connection) => void) {
+	constructor(address: string, {connectMilliseconds, idleMilliseconds, pacing}: ConnectionOptions, onClose: (connection: Connection) => void) {
 		this.client = new PausableClient(`http://${address}`, {
-			connectTimeoutMilliseconds: timeouts.connectMilliseconds,
-			idleMilliseconds: timeouts.idleMilliseconds,
+			connectTimeoutMilliseconds: connectMilliseconds,
+			idleMilliseconds,
+			pacing,
 			onSocket: socket => {
 				this.#watchSocket(socket);
 			},
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -77,7 +77,7 @@
 		name: settings.name, zone: settings.zone, regions: settings.regions, seeds: settings.seeds, clients, log,
 	});
 	const pacing = new PacedReading(createPiecesRecord(log, measures));
-	const table = new ServiceTable(settings, random);
+	const table = new ServiceTable(settings, random, pacing);
 	table.cold.connect({
 		fractionOf: follower.coldFractionOf,
 		contactAt: follower.contactAt,
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -14,12 +14,12 @@
 import {LeavingUse} from '@dogwooddeck/gateway/upstream-notice';
 import {WaitingQueue} from '@dogwooddeck/gateway/waiting';
 import {type KeyRange, rangeOfKey, sameIncarnation} from '@dogwooddeck/key-lease/range';
+import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
 import {type MonotonicTime, type RegionName} from '@dogwooddeck/model/identifiers';
 import {
 	allowsRetry, recordAttempt, withCapacity, createRetryBudget, type RetryBudget,
 } from '@dogwooddeck/routing/budget';
 import {ColdUpstreams} from './cold-upstreams.js';
-import {type ConnectionTimeouts} from './connection.js';
 import {EvacuatedZones} from './evacuated-zones.js';
 import {type EntrySettings} from './settings.js';
 import {leavingUseOf, UpstreamNotices} from './upstream-notices.js';
@@ -66,8 +66,6 @@
 /** One round trip between regions, and the same again for a lost packet. */
 const connectMilliseconds = 350;
 
-const connectionTimeouts: ConnectionTimeouts = {connectMilliseconds, idleMilliseconds};
-
 /** All instances together save up this fraction of a window's slack, as new instances start with full budgets. */
 const slackShare = 0.5;
 
@@ -97,14 +95,16 @@
 	readonly #upstreams = new Map<string, CachedUpstream>();
 	readonly #splits = new Map<string, {readonly key: string; readonly split: WeightedRoundRobin}>();
 	readonly #random: () => number;
+	readonly #pacing: PacedReading;
 	readonly #evacuatedZones: EvacuatedZones;
 	#leastUrgentPriorities: ReadonlyMap<string, number> = new Map();
 	#items: DirectoryState['items'] | undefined;
 
-	/** `random` returns numbers between 0 and 1. */
-	constructor(settings: EntrySettings, random: () => number) {
+	/** `random` returns numbers between 0 and 1; `pacing` is the reading from all peers of the process. */
+	constructor(settings: EntrySettings, random: () => number, pacing = new PacedReading()) {
 		this.#settings = settings;
 		this.#random = random;
+		this.#pacing = pacing;
 		this.#evacuatedZones = new EvacuatedZones(settings.evacuationGraceMilliseconds);
 		this.cold = new ColdUpstreams(random);
 	}
@@ -245,7 +245,7 @@
 	}
 
 	#createUpstream(record: UpstreamRecord, earlier: CachedUpstream | undefined): CachedUpstream {
-		const pool = earlier?.pool ?? new UpstreamPool(record.address, connectionTimeouts);
+		const pool = earlier?.pool ?? new UpstreamPool(record.address, {connectMilliseconds, idleMilliseconds, pacing: this.#pacing});
 		return {
 			id: record.id,
 			record,
--- a/packages/entry/src/upstream-pool.ts
+++ b/packages/entry/src/upstream-pool.ts
@@ -6,7 +6,7 @@
 import {isSocketAddress} from '@dogwooddeck/model/socket-address';
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
 import {type RequestSpecification, sendRequest, type SentAttempt} from './attempt.js';
-import {Connection, type ConnectionTimeouts} from './connection.js';
+import {Connection, type ConnectionOptions} from './connection.js';
 
 /** Ends a request to an upstream whose address is invalid. */
 function unreachable({onEnd}: RequestSpecification): SentAttempt {
@@ -19,14 +19,14 @@
 /** The connections to one upstream. */
 export class UpstreamPool {
 	readonly #address: string;
-	readonly #timeouts: ConnectionTimeouts;
+	readonly #options: ConnectionOptions;
 	#connections: Connection[] = [];
 	#isClosed = false;
 
 	/** Opens no connection until the first request. */
-	constructor(address: string, timeouts: ConnectionTimeouts) {
+	constructor(address: string, options: ConnectionOptions) {
 		this.#address = address;
-		this.#timeouts = timeouts;
+		this.#options = options;
 	}
 
 	/** Whether a request can be sent with at most `maximumConnections` connections, and on none of `refusedOn`. */
@@ -103,7 +103,7 @@
 			return undefined;
 		}
 
-		const connection = new Connection(this.#address, this.#timeouts, closed => {
+		const connection = new Connection(this.#address, this.#options, closed => {
 			this.#remove(closed);
 			if (closed.isDraining) {
 				// Otherwise `undici` reconnects for a request that has ended.
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -137,7 +137,7 @@
 /** Starts an entry; `hasDirectory`: whether it has a directory. `overrides` replaces dependencies of its requests. */
 export async function startEntry(upstreams: readonly Upstream[], hasDirectory: boolean, overrides: Partial<RequestDependencies> = {}): Promise<Entry> {
 	const pacing = new PacedReading();
-	const table = new ServiceTable(settings, overrides.random ?? (() => 0));
+	const table = new ServiceTable(settings, overrides.random ?? (() => 0), pacing);
 	const loopDelayGuard = new LoopDelayGuard();
 	const advance = ({queue: line}: CachedService) => {
 		loopDelayGuard.afterPendingReads(() => {
--- a/packages/entry/test/test-attempt.ts
+++ b/packages/entry/test/test-attempt.ts
@@ -4,6 +4,7 @@
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
+import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
 import {specificationOf} from './scenario.js';
 import {type AttemptResult} from '@dogwooddeck/entry/attempt';
 import {UpstreamPool} from '@dogwooddeck/entry/upstream-pool';
@@ -108,7 +109,7 @@
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
-		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 500});
+		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 500, pacing: new PacedReading()});
 		const result = await new Promise<AttemptResult>(resolve => {
 			const attempt = pool.send(specificationOf({
 				timeoutMilliseconds: 2000,
--- a/packages/entry/test/test-paced-bodies.ts
+++ b/packages/entry/test/test-paced-bodies.ts
@@ -24,11 +24,10 @@
 } as const satisfies Record<string, Sender>;
 
 async function startCountingUpstream(): Promise<Upstream> {
-	const server = createServer((received, response) => {
-		void text(received).then(body => {
-			response.writeHead(200, {request: received.headers.request, stamp: 's'});
-			response.end(String(body.length));
-		});
+	const server = createServer(async (received, response) => {
+		const body = await text(received);
+		response.writeHead(200, {request: received.headers.request, stamp: 's'});
+		response.end(String(body.length));
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -38,7 +37,9 @@
 /** Sends a body in chunks of a byte, and returns what the upstream says of its length. */
 async function send(port: number, agent: Agent, identifier: string, {pieces, pauseMilliseconds}: Sender): Promise<string> {
 	const call = request({
-		host: '127.0.0.1', port, agent, method: 'POST', path: '/patient/x', headers: {host: 'a.example', request: identifier, deadline: String(deadlineMilliseconds), 'transfer-encoding': 'chunked'},
+		host: '127.0.0.1', port, agent, method: 'POST', path: '/patient/x', headers: {
+			host: 'a.example', request: identifier, deadline: String(deadlineMilliseconds), 'transfer-encoding': 'chunked',
+		},
 	});
 	const answered = Promise.race([once(call, 'response'), once(call, 'error')]) as Promise<[NodeJS.ReadableStream]>;
 	for (let sent = 0; sent < pieces; sent += 1) {
--- a/packages/loop-share/test/test-loop-share.ts
+++ b/packages/loop-share/test/test-loop-share.ts
@@ -103,8 +103,12 @@
 
 const longWait = 1000;
 const endCases: ReadonlyArray<{readonly name: string; readonly act: (loop: LoopShare<string>) => void; readonly wait: number; readonly next: string | undefined}> = [
-	{name: 'a held peer waits', act: () => undefined, wait: 1, next: undefined},
-	{name: 'the peer that was held first is continued first', act: () => undefined, wait: longWait, next: 'a'},
+	{
+		name: 'a held peer waits', act: () => undefined, wait: 1, next: undefined,
+	},
+	{
+		name: 'the peer that was held first is continued first', act: () => undefined, wait: longWait, next: 'a',
+	},
 	{
 		name: 'a peer whose connection has closed is not continued', act(loop) {
 			loop.forget('a');
--- a/packages/upstream-client/src/exchange.ts
+++ b/packages/upstream-client/src/exchange.ts
@@ -130,6 +130,7 @@
 	/** Called by `undici`. */
 	onHeaders(status: number, raw: readonly Uint8Array[]): boolean {
 		if (status < firstFinalStatus) {
+			this.#source?.countPiece(0);
 			if (status < firstStatus) {
 				clearTimeout(this.#timer);
 				this.#finish(AttemptObservation.closedAfterFirstByte);
@@ -163,6 +164,7 @@
 
 	/** Called by `undici`. */
 	onData(chunk: Uint8Array): boolean {
+		this.#source?.countPiece(chunk.length);
 		if (!this.#ended) {
 			if (!this.#sink.onChunk(chunk)) {
 				this.#source?.pause();
--- a/packages/upstream-client/src/pausable-client.ts
+++ b/packages/upstream-client/src/pausable-client.ts
@@ -4,23 +4,67 @@
  * The parser of `undici` must not be paused: if its connection ends or fails
  * meanwhile, it asserts in a handler of the socket, where nothing catches the error,
  * and it reports an answer that was received whole as truncated.
+ *
+ * Answers are given to the parser in slices, as it parses all that it is given in one turn of the loop.
  */
 import {type Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import {type PacedPeer, type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 
+/** What is parsed at once, in bytes: reading stops behind it. */
+const sliceBytes = 16_384;
+
 /** Pauses and resumes the reading of answers from one connection. */
-export class AnswerSource {
+export class AnswerSource implements PacedPeer {
+	readonly #pacing: PacedReading;
 	#socket: Socket | undefined;
+	/** Whether the receiver of the answer takes no more. */
 	#isPaused = false;
+	/** Whether the answer's pieces took too much of the loop. */
+	#isHeld = false;
+
+	constructor(pacing: PacedReading) {
+		this.#pacing = pacing;
+	}
+
+	/** The address of the upstream. */
+	get address(): string | undefined {
+		return this.#socket?.remoteAddress;
+	}
 
 	/** Reads from a newly opened connection. */
 	open(socket: Socket): void {
 		const read = socket.read.bind(socket);
 		this.#socket = socket;
 		this.#isPaused = false;
+		this.#isHeld = false;
 		// Node.js itself reads zero bytes to start receiving and to notice the end.
-		socket.read = (size?: number) => this.#isPaused && size !== 0 ? null : read(size) as unknown;
+		socket.read = (size?: number) => {
+			if (size === 0) {
+				return read(size) as unknown;
+			}
+
+			return this.#isPaused || this.#isHeld ? null : read(size ?? Math.min(sliceBytes, socket.readableLength)) as unknown;
+		};
+
+		socket.once('close', () => {
+			this.#pacing.forget(this);
+		});
+	}
+
+	/** Counts a part of an answer that was parsed by itself, however short. */
+	countPiece(bytes: number): void {
+		this.#pacing.countPiece(this, bytes);
+	}
+
+	holdReading(): void {
+		this.#isHeld = true;
+	}
+
+	continueReading(): void {
+		this.#isHeld = false;
+		this.#read();
 	}
 
 	/** Stops reading. Data that was read already is still parsed. */
@@ -37,7 +81,13 @@
 	resume(): void {
 		if (this.#isPaused) {
 			this.#isPaused = false;
-			this.#socket?.emit('readable');
+			this.#read();
+		}
+	}
+
+	#read(): void {
+		if (!this.#isPaused && !this.#isHeld && this.#socket?.destroyed === false) {
+			this.#socket.emit('readable');
 		}
 	}
 }
@@ -50,6 +100,8 @@
 	readonly connectTimeoutMilliseconds: Milliseconds;
 	/** How long an unused connection is kept. */
 	readonly idleMilliseconds: Milliseconds;
+	/** The reading from all peers of the process. */
+	readonly pacing: PacedReading;
 	/** Called with the socket of each connection before it is used. */
 	readonly onSocket?: (socket: Socket) => void;
 };
@@ -60,8 +112,8 @@
 export class PausableClient extends Client {
 	readonly #source: AnswerSource;
 
-	constructor(origin: string | URL, {connectTimeoutMilliseconds, idleMilliseconds, onSocket}: PausableClientOptions) {
-		const source = new AnswerSource();
+	constructor(origin: string | URL, {connectTimeoutMilliseconds, idleMilliseconds, pacing, onSocket}: PausableClientOptions) {
+		const source = new AnswerSource(pacing);
 		const connect = buildConnector({timeout: connectTimeoutMilliseconds});
 		super(origin, {
 			pipelining: 1,
