Call reading that is stopped for a while throttled

Read-through: a hold is the key lease of an upstream in this code base, so that peers whose reading waits are throttled now, in code, log lines and metrics. Behaviour stays; the tests of loop-share, test-throttled-answers and test-throttled-bodies passed after it.

--- a/packages/entry/src/caller-reading.ts
+++ b/packages/entry/src/caller-reading.ts
@@ -2,18 +2,18 @@
  * Stops and continues reading from a caller's connection.
  */
 import {type Socket} from 'node:net';
-import {type PacedPeer} from '@dogwooddeck/loop-share/paced-reading';
+import {type ThrottledPeer} from '@dogwooddeck/loop-share/read-throttle';
 
 /** A connection that is read by the HTTP server. */
-export class CallerReading implements PacedPeer {
+export class CallerReading implements ThrottledPeer {
 	readonly #socket: Socket;
-	#isHeld = false;
+	#isThrottled = false;
 
 	constructor(socket: Socket) {
 		this.#socket = socket;
 		// The server resumes the socket whenever its request is read.
 		socket.on('resume', () => {
-			if (this.#isHeld) {
+			if (this.#isThrottled) {
 				socket.pause();
 			}
 		});
@@ -24,13 +24,13 @@
 		return this.#socket.remoteAddress;
 	}
 
-	holdReading(): void {
-		this.#isHeld = true;
+	stopReading(): void {
+		this.#isThrottled = true;
 		this.#socket.pause();
 	}
 
 	continueReading(): void {
-		this.#isHeld = false;
+		this.#isThrottled = false;
 		this.#socket.resume();
 	}
 }
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -6,7 +6,7 @@
 import {Server as NetServer} from 'node:net';
 import {type CallerLimits} from '@dogwooddeck/directory/item';
 import {type PeerLimits} from '@dogwooddeck/gateway/peer-memory';
-import {type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {type ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {CallerConnection} from '@dogwooddeck/upstream-client/caller-connection';
 import {fastify} from 'fastify';
 import {CallerExchange} from './caller-exchange.js';
@@ -54,12 +54,12 @@
 	readonly keepsConnection: () => boolean;
 	readonly limits: PeerLimits;
 	readonly peerLog: PeerLog;
-	readonly pacing: PacedReading;
+	readonly throttle: ReadThrottle;
 };
 
 /** Starts the server. */
 export async function startCallerServer({host, port}: ListenAddress, {
-	onRequest, keepsConnection, limits: peerLimits, peerLog, pacing,
+	onRequest, keepsConnection, limits: peerLimits, peerLog, throttle,
 }: CallerServerOptions): Promise<CallerServer> {
 	const application = fastify({
 		logger: false,
@@ -85,7 +85,7 @@
 		}
 	});
 	const {server}: {readonly server: Server} = application;
-	const guard = new PeerGuard(server, {limits: peerLimits, record: peerLog, pacing});
+	const guard = new PeerGuard(server, {limits: peerLimits, record: peerLog, throttle});
 	server.headersTimeout = defaultHeaderTimeoutMilliseconds;
 	server.on('connection', socket => {
 		socket.setNoDelay(true);
--- a/packages/entry/src/connection.ts
+++ b/packages/entry/src/connection.ts
@@ -2,7 +2,7 @@
  * A persistent connection to an upstream, which carries one request at a time.
  */
 import {type Socket} from 'node:net';
-import {type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {type ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {PausableClient} from '@dogwooddeck/upstream-client/pausable-client';
 
@@ -13,7 +13,7 @@
 	/** The idle timeout, in milliseconds. */
 	readonly idleMilliseconds: number;
 	/** The reading from all peers of the process. */
-	readonly pacing: PacedReading;
+	readonly throttle: ReadThrottle;
 };
 
 /** The maximum number of bytes received before the head of an answer is complete: `undici` limits its header fields, but neither its status line nor interim heads (1xx) before it. */
@@ -39,11 +39,11 @@
 	#endedInOrder = false;
 
 	/** Connects when the first request is sent. `onClose` is called once, when the connection closes. */
-	constructor(address: string, {connectMilliseconds, idleMilliseconds, pacing}: ConnectionOptions, onClose: (connection: Connection) => void) {
+	constructor(address: string, {connectMilliseconds, idleMilliseconds, throttle}: ConnectionOptions, onClose: (connection: Connection) => void) {
 		this.client = new PausableClient(`http://${address}`, {
 			connectTimeoutMilliseconds: connectMilliseconds,
 			idleMilliseconds,
-			pacing,
+			throttle,
 			onSocket: socket => {
 				this.#watchSocket(socket);
 			},
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,7 +9,7 @@
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
 import {BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
 import {peerLimitsOf} from '@dogwooddeck/gateway/peer-memory';
-import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {createMeshClients} from '@dogwooddeck/mesh/client';
 import {type Milliseconds, type MonotonicTime} from '@dogwooddeck/model/identifiers';
 import {EventName} from '@dogwooddeck/telemetry/event';
@@ -22,7 +22,7 @@
 import {startLoadReporter} from './load-reporter.js';
 import {LoopDelayGuard, turnIntervalMilliseconds} from './loop-delay-guard.js';
 import {createPeerLog} from './peer-guard.js';
-import {createPiecesRecord} from './pieces-record.js';
+import {createThrottleLog} from './throttle-log.js';
 import {createRequestLog} from './request-log.js';
 import {RequestExecution, type RequestDependencies} from './request-execution.js';
 import {createSecondSendLog} from './second-send-log.js';
@@ -76,8 +76,8 @@
 	const follower = followDirectory({
 		name: settings.name, zone: settings.zone, regions: settings.regions, seeds: settings.seeds, clients, log,
 	});
-	const pacing = new PacedReading(createPiecesRecord(log, measures));
-	const table = new ServiceTable(settings, random, pacing);
+	const throttle = new ReadThrottle(createThrottleLog(log, measures));
+	const table = new ServiceTable(settings, random, throttle);
 	table.cold.connect({
 		fractionOf: follower.coldFractionOf,
 		contactAt: follower.contactAt,
@@ -155,7 +155,7 @@
 		keepsConnection: () => !isStopping,
 		limits: peerLimits,
 		peerLog: createPeerLog(log, measures),
-		pacing,
+		throttle,
 	});
 
 	function isReady(): boolean {
--- a/packages/entry/src/peer-guard.ts
+++ b/packages/entry/src/peer-guard.ts
@@ -6,7 +6,7 @@
 import {type Socket} from 'node:net';
 import {monotonicNow} from '@dogwooddeck/clock/monotonic';
 import {type PeerLimits, PeerMemory, waitingBytesOf} from '@dogwooddeck/gateway/peer-memory';
-import {type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {type ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {EventName} from '@dogwooddeck/telemetry/event';
 import {LineBudget} from '@dogwooddeck/telemetry/line-budget';
 import {type Log} from '@dogwooddeck/telemetry/log';
@@ -60,7 +60,7 @@
 	readonly limits: PeerLimits;
 	readonly record: PeerLog;
 	/** The reading from all peers of the process. */
-	readonly pacing: PacedReading;
+	readonly throttle: ReadThrottle;
 };
 
 /** Guards the connections of one server. */
@@ -69,13 +69,13 @@
 	readonly #record: PeerLog;
 	readonly #memory: PeerMemory<Socket>;
 	readonly #readings = new Map<Socket, CallerReading>();
-	readonly #pacing: PacedReading;
+	readonly #throttle: ReadThrottle;
 	readonly #garbage = new BodyGarbage();
 
-	constructor(server: Server, {limits, record, pacing}: PeerGuardOptions) {
+	constructor(server: Server, {limits, record, throttle}: PeerGuardOptions) {
 		this.#limits = limits;
 		this.#record = record;
-		this.#pacing = pacing;
+		this.#throttle = throttle;
 		this.#memory = new PeerMemory(limits.waitingBytes);
 		server.on('connection', socket => {
 			this.#open(socket);
@@ -112,7 +112,7 @@
 	countPiece({socket}: IncomingMessage, bytes: number): void {
 		const reading = this.#readings.get(socket);
 		if (reading !== undefined) {
-			this.#pacing.countPiece(reading, bytes);
+			this.#throttle.countPiece(reading, bytes);
 		}
 
 		this.#garbage.add(bytes);
@@ -173,7 +173,7 @@
 		CallerConnection.of(socket);
 		socket.once('close', () => {
 			this.#readings.delete(socket);
-			this.#pacing.forget(reading);
+			this.#throttle.forget(reading);
 			this.#memory.forget(socket);
 		});
 		if (this.#readings.size > this.#limits.connections) {
--- a/packages/entry/src/service-table.ts
+++ b/packages/entry/src/service-table.ts
@@ -14,7 +14,7 @@
 import {LeavingUse} from '@dogwooddeck/gateway/upstream-notice';
 import {WaitingQueue} from '@dogwooddeck/gateway/waiting';
 import {type KeyRange, rangeOfKey, sameIncarnation} from '@dogwooddeck/key-lease/range';
-import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {type MonotonicTime, type RegionName} from '@dogwooddeck/model/identifiers';
 import {
 	allowsRetry, recordAttempt, withCapacity, createRetryBudget, type RetryBudget,
@@ -95,16 +95,16 @@
 	readonly #upstreams = new Map<string, CachedUpstream>();
 	readonly #splits = new Map<string, {readonly key: string; readonly split: WeightedRoundRobin}>();
 	readonly #random: () => number;
-	readonly #pacing: PacedReading;
+	readonly #throttle: ReadThrottle;
 	readonly #evacuatedZones: EvacuatedZones;
 	#leastUrgentPriorities: ReadonlyMap<string, number> = new Map();
 	#items: DirectoryState['items'] | undefined;
 
-	/** `random` returns numbers between 0 and 1; `pacing` is the reading from all peers of the process. */
-	constructor(settings: EntrySettings, random: () => number, pacing = new PacedReading()) {
+	/** `random` returns numbers between 0 and 1; `throttle` is the reading from all peers of the process. */
+	constructor(settings: EntrySettings, random: () => number, throttle = new ReadThrottle()) {
 		this.#settings = settings;
 		this.#random = random;
-		this.#pacing = pacing;
+		this.#throttle = throttle;
 		this.#evacuatedZones = new EvacuatedZones(settings.evacuationGraceMilliseconds);
 		this.cold = new ColdUpstreams(random);
 	}
@@ -245,7 +245,7 @@
 	}
 
 	#createUpstream(record: UpstreamRecord, earlier: CachedUpstream | undefined): CachedUpstream {
-		const pool = earlier?.pool ?? new UpstreamPool(record.address, {connectMilliseconds, idleMilliseconds, pacing: this.#pacing});
+		const pool = earlier?.pool ?? new UpstreamPool(record.address, {connectMilliseconds, idleMilliseconds, throttle: this.#throttle});
 		return {
 			id: record.id,
 			record,
--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -12,7 +12,7 @@
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
 import {BodyBuffering} from '@dogwooddeck/gateway/body-buffering';
 import {peerLimitsOf} from '@dogwooddeck/gateway/peer-memory';
-import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {type RequestSpecification} from '@dogwooddeck/entry/attempt';
 import {LoopDelayGuard, turnIntervalMilliseconds} from '@dogwooddeck/entry/loop-delay-guard';
 import {RequestExecution, type RequestDependencies} from '@dogwooddeck/entry/request-execution';
@@ -136,8 +136,8 @@
 
 /** Starts an entry; `hasDirectory`: whether it has a directory. `overrides` replaces dependencies of its requests. */
 export async function startEntry(upstreams: readonly Upstream[], hasDirectory: boolean, overrides: Partial<RequestDependencies> = {}): Promise<Entry> {
-	const pacing = new PacedReading();
-	const table = new ServiceTable(settings, overrides.random ?? (() => 0), pacing);
+	const throttle = new ReadThrottle();
+	const table = new ServiceTable(settings, overrides.random ?? (() => 0), throttle);
 	const loopDelayGuard = new LoopDelayGuard();
 	const advance = ({queue: line}: CachedService) => {
 		loopDelayGuard.afterPendingReads(() => {
@@ -187,7 +187,7 @@
 		keepsConnection: () => true,
 		limits: peerLimitsOf(undefined),
 		peerLog: () => undefined,
-		pacing,
+		throttle,
 	});
 	const advancing = setInterval(() => {
 		loopDelayGuard.recordTurn();
--- a/packages/entry/test/test-attempt.ts
+++ b/packages/entry/test/test-attempt.ts
@@ -4,7 +4,7 @@
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
-import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {specificationOf} from './scenario.js';
 import {type AttemptResult} from '@dogwooddeck/entry/attempt';
 import {UpstreamPool} from '@dogwooddeck/entry/upstream-pool';
@@ -109,7 +109,7 @@
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
-		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 500, pacing: new PacedReading()});
+		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 500, throttle: new ReadThrottle()});
 		const result = await new Promise<AttemptResult>(resolve => {
 			const attempt = pool.send(specificationOf({
 				timeoutMilliseconds: 2000,
--- a/packages/entry/test/test-cold-admission.ts
+++ b/packages/entry/test/test-cold-admission.ts
@@ -165,9 +165,9 @@
 
 for (const {name, before, after, holdsLease, mayStart} of firstByteCases) {
 	test(`cold admission before the first byte: ${name}`, async () => withEntry([whole], true, async ({table}, upstreams) => {
-		let [isHeld] = holdsLease;
+		let [isThrottled] = holdsLease;
 		table.cold.connect({
-			fractionOf: () => isHeld ? 1 : 0, contactAt: () => performance.now() + 60_000, entryCount: () => 1, onSend: () => undefined,
+			fractionOf: () => isThrottled ? 1 : 0, contactAt: () => performance.now() + 60_000, entryCount: () => 1, onSend: () => undefined,
 		});
 		table.update(changed(upstreams, before), 1);
 		const choice = new UpstreamChoice({table, entryCount: () => 1}, table.service('s'), findRoute(table.routes, 'a.example', '/safe/')!, undefined);
@@ -176,7 +176,7 @@
 		const chosen = choice.choose(performance.now())!;
 		choice.recordSend(chosen, performance.now());
 		table.update(changed(upstreams, after), 1);
-		isHeld = holdsLease[1];
+		isThrottled = holdsLease[1];
 		await pause(2);
 		assert.equal(choice.mayStart(chosen, performance.now()), mayStart);
 	}, {random: () => 1}));
--- a/packages/entry/test/test-endless.ts
+++ b/packages/entry/test/test-endless.ts
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {test} from 'node:test';
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
-import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {specificationOf} from './scenario.js';
 import {type AttemptResult} from '@dogwooddeck/entry/attempt';
 import {UpstreamPool} from '@dogwooddeck/entry/upstream-pool';
@@ -134,7 +134,7 @@
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
-		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 5000, pacing: new PacedReading()});
+		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: 500, idleMilliseconds: 5000, throttle: new ReadThrottle()});
 		const memory = process.memoryUsage().rss;
 		const closing = setInterval(() => {
 			pool.closeEndless();
--- a/packages/entry/test/test-odd-answers.ts
+++ b/packages/entry/test/test-odd-answers.ts
@@ -13,7 +13,7 @@
 import {AnswerSize} from '@dogwooddeck/directory/item';
 import {AnswerBuffering} from '@dogwooddeck/gateway/answer-buffering';
 import {AttemptObservation} from '@dogwooddeck/routing/outcome';
-import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {specificationOf} from './scenario.js';
 import {type SentAttempt} from '@dogwooddeck/entry/attempt';
 import {UpstreamPool} from '@dogwooddeck/entry/upstream-pool';
@@ -101,7 +101,7 @@
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
-		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: timeoutMilliseconds, idleMilliseconds: 200, pacing: new PacedReading()});
+		const pool = new UpstreamPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, {connectMilliseconds: timeoutMilliseconds, idleMilliseconds: 200, throttle: new ReadThrottle()});
 		const buffering = new AnswerBuffering(1_048_576);
 		const ends: AttemptObservation[][] = [];
 		const sendOne = async (): Promise<void> => new Promise(resolve => {
--- a/packages/entry/test/test-paced-bodies.ts
+++ b/packages/entry/test/test-throttled-bodies.ts
@@ -62,7 +62,7 @@
 ];
 
 for (const {name, senders} of cases) {
-	test(`paced bodies: ${name}`, async () => {
+	test(`throttled bodies: ${name}`, async () => {
 		const upstreams = await Promise.all(senders.map(async () => startCountingUpstream()));
 		const entry = await startEntry(upstreams, true);
 		const agents = senders.map(() => new Agent({keepAlive: true, maxSockets: 1}));
--- a/packages/loop-share/src/loop-share.ts
+++ b/packages/loop-share/src/loop-share.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: a few peers send bodies in chunks of a byte. A chunk costs microseconds, however short it is, so that
  * some megabytes of them take the loop for seconds, and the requests of all other peers wait meanwhile. Peers that
- * send more than a few are held and continued in turn, so that all of them together take `share` of the loop while others
+ * send more than a few are throttled: they are read in turn, so that all of them together take `share` of the loop while others
  * need it. No peer is closed: a slow turn of the loop doesn't tell which peer caused it, and a body in short pieces may be
  * in order.
  */
@@ -49,8 +49,8 @@
 /** What the short pieces of each peer take of the loop. It is updated in place, as it is on the request path. */
 export class LoopShare<Peer> {
 	readonly #accounts = new Map<Peer, Account>();
-	/** In the order in which they were held. */
-	readonly #held = new Set<Peer>();
+	/** In the order in which they were throttled. */
+	readonly #throttled = new Set<Peer>();
 	readonly #total = new Account(0);
 	#taken: Milliseconds = 0;
 	#lastPeer: Peer | undefined;
@@ -61,12 +61,12 @@
 		return this.#taken;
 	}
 
-	/** Whether peers are held. */
-	get hasHeld(): boolean {
-		return this.#held.size > 0;
+	/** Whether peers are throttled. */
+	get hasThrottled(): boolean {
+		return this.#throttled.size > 0;
 	}
 
-	/** Charges a peer for the time since its previous piece. Returns true if reading from it must stop; it is held then. */
+	/** Charges a peer for the time since its previous piece. Returns true if reading from it must stop; it is throttled from then on. */
 	charge(peer: Peer, now: MonotonicTime): boolean {
 		// The time before the first of several pieces was spent on something else.
 		const cost = peer === this.#lastPeer ? Math.min(now - this.#lastAt, longestPiece) : 0;
@@ -76,17 +76,17 @@
 		const account = this.#accountOf(peer, now);
 		const wasCostly = account.debtAt(now) > ownBurst;
 		const own = account.charge(cost, now);
-		// Peers that send a few pieces don't count, so that they can't keep those that are held waiting.
+		// Peers that send a few pieces don't count, so that they can't keep those that are throttled waiting.
 		if (own <= ownBurst) {
 			return false;
 		}
 
 		const total = this.#total.charge(wasCostly ? cost : own, now);
-		if (total <= burst || this.#held.has(peer)) {
+		if (total <= burst || this.#throttled.has(peer)) {
 			return false;
 		}
 
-		this.#held.add(peer);
+		this.#throttled.add(peer);
 		return true;
 	}
 
@@ -95,11 +95,11 @@
 		this.#total.clear();
 	}
 
-	/** Returns the peer that has been held for longest, which is held no longer, unless the time that costly peers took is not made up for yet. */
+	/** Returns the peer that has been throttled for longest, which no longer is, unless the time that costly peers took is not made up for yet. */
 	takeNext(now: MonotonicTime): Peer | undefined {
-		const [next] = this.#total.debtAt(now) > 0 ? [] : this.#held;
+		const [next] = this.#total.debtAt(now) > 0 ? [] : this.#throttled;
 		if (next !== undefined) {
-			this.#held.delete(next);
+			this.#throttled.delete(next);
 		}
 
 		return next;
@@ -108,7 +108,7 @@
 	/** Removes a peer whose connection has closed. */
 	forget(peer: Peer): void {
 		this.#accounts.delete(peer);
-		this.#held.delete(peer);
+		this.#throttled.delete(peer);
 		if (this.#lastPeer === peer) {
 			this.#lastPeer = undefined;
 		}
--- a/packages/loop-share/test/test-loop-share.ts
+++ b/packages/loop-share/test/test-loop-share.ts
@@ -11,18 +11,18 @@
 	return Array.from({length: count}, () => pieces).flat();
 }
 
-const cases: ReadonlyArray<{readonly name: string; readonly pieces: readonly Piece[]; readonly held: readonly string[]}> = [
-	{name: 'a peer that sends a few pieces', pieces: repeat(15, ['a', longestPiece]), held: []},
-	{name: 'many peers that send a piece each', pieces: Array.from({length: 10_000}, (_, position): Piece => [`${position}`, 0.002]), held: []},
-	{name: 'many peers that send a few pieces each', pieces: Array.from({length: 1000}, (_, position): Piece[] => repeat(10, [`${position}`, 0.02])).flat(), held: []},
-	{name: 'a peer on a slow line', pieces: repeat(10_000, ['a', 1]), held: []},
-	{name: 'one that sends pieces without end', pieces: repeat(10_000, ['a', 0.002]), held: ['a']},
-	{name: 'a few pieces beside pieces without end', pieces: [...repeat(10_000, ['a', 0.002]), ...repeat(10, ['b', 0.002])], held: ['a']},
-	{name: 'two that send pieces without end by turns', pieces: [...repeat(2000, ['a', 0.002]), ...repeat(4000, ['b', 0.002]), ...repeat(1000, ['a', 0.002])], held: ['b', 'a']},
-	{name: 'a process that does not run for a second', pieces: [...repeat(10, ['a', 0.002]), ['a', 1000], ...repeat(10, ['b', 0.002]), ['b', 1000]], held: []},
+const cases: ReadonlyArray<{readonly name: string; readonly pieces: readonly Piece[]; readonly throttled: readonly string[]}> = [
+	{name: 'a peer that sends a few pieces', pieces: repeat(15, ['a', longestPiece]), throttled: []},
+	{name: 'many peers that send a piece each', pieces: Array.from({length: 10_000}, (_, position): Piece => [`${position}`, 0.002]), throttled: []},
+	{name: 'many peers that send a few pieces each', pieces: Array.from({length: 1000}, (_, position): Piece[] => repeat(10, [`${position}`, 0.02])).flat(), throttled: []},
+	{name: 'a peer on a slow line', pieces: repeat(10_000, ['a', 1]), throttled: []},
+	{name: 'one that sends pieces without end', pieces: repeat(10_000, ['a', 0.002]), throttled: ['a']},
+	{name: 'a few pieces beside pieces without end', pieces: [...repeat(10_000, ['a', 0.002]), ...repeat(10, ['b', 0.002])], throttled: ['a']},
+	{name: 'two that send pieces without end by turns', pieces: [...repeat(2000, ['a', 0.002]), ...repeat(4000, ['b', 0.002]), ...repeat(1000, ['a', 0.002])], throttled: ['b', 'a']},
+	{name: 'a process that does not run for a second', pieces: [...repeat(10, ['a', 0.002]), ['a', 1000], ...repeat(10, ['b', 0.002]), ['b', 1000]], throttled: []},
 ];
 
-for (const {name, pieces, held} of cases) {
+for (const {name, pieces, throttled} of cases) {
 	test(`loop share: ${name}`, () => {
 		const loop = new LoopShare<string>();
 		let now = 0;
@@ -34,7 +34,7 @@
 			}
 		}
 
-		assert.deepEqual(seen, held);
+		assert.deepEqual(seen, throttled);
 	});
 }
 
@@ -60,14 +60,14 @@
 			ready = [];
 			for (const peer of turn) {
 				reads.set(peer, (reads.get(peer) ?? 0) + 1);
-				let isHeld = false;
+				let isThrottled = false;
 				for (let piece = 0; piece < piecesOfRead; piece += 1) {
 					now += pieceMilliseconds;
-					isHeld = loop.charge(peer, now) || isHeld;
+					isThrottled = loop.charge(peer, now) || isThrottled;
 				}
 
 				taken += readMilliseconds;
-				if (!isHeld) {
+				if (!isThrottled) {
 					ready.push(peer);
 				}
 			}
@@ -88,8 +88,8 @@
 	});
 }
 
-/** Sends pieces of several peers until each is held. */
-function holdAll(loop: LoopShare<string>, peers: readonly string[]): number {
+/** Sends pieces of several peers until each is throttled. */
+function throttleAll(loop: LoopShare<string>, peers: readonly string[]): number {
 	let now = 0;
 	for (const peer of peers) {
 		for (let piece = 0; piece < 5000; piece += 1) {
@@ -104,10 +104,10 @@
 const longWait = 1000;
 const endCases: ReadonlyArray<{readonly name: string; readonly act: (loop: LoopShare<string>) => void; readonly wait: number; readonly next: string | undefined}> = [
 	{
-		name: 'a held peer waits', act: () => undefined, wait: 1, next: undefined,
+		name: 'a throttled peer waits', act: () => undefined, wait: 1, next: undefined,
 	},
 	{
-		name: 'the peer that was held first is continued first', act: () => undefined, wait: longWait, next: 'a',
+		name: 'the peer that was throttled first is continued first', act: () => undefined, wait: longWait, next: 'a',
 	},
 	{
 		name: 'a peer whose connection has closed is not continued', act(loop) {
@@ -129,7 +129,7 @@
 for (const {name, act, wait, next} of endCases) {
 	test(`loop share: ${name}`, () => {
 		const loop = new LoopShare<string>();
-		const now = holdAll(loop, ['a', 'b']);
+		const now = throttleAll(loop, ['a', 'b']);
 		act(loop);
 		assert.equal(loop.takeNext(now + wait), next);
 	});
--- a/packages/telemetry/src/event.ts
+++ b/packages/telemetry/src/event.ts
@@ -94,7 +94,7 @@
 	/** A connection of a peer that takes too much was closed. */
 	peerClosed: 'peer-closed',
 	/** Reading from a peer stopped for a while, as its short pieces take too much of the loop. */
-	peerHeld: 'peer-held',
+	peerThrottled: 'peer-throttled',
 	/** Lines were dropped to bound the volume. */
 	linesDropped: 'lines-dropped',
 } as const;
--- a/packages/telemetry/src/measure.ts
+++ b/packages/telemetry/src/measure.ts
@@ -28,7 +28,7 @@
 	/** Connections of peers that were closed because they take too much, by reason. */
 	peersClosed: 'dogwooddeck_peers_closed_total',
 	/** How often reading from a peer stopped for a while, as its short pieces take too much of the loop. */
-	peersHeld: 'dogwooddeck_peers_held_total',
+	peersThrottled: 'dogwooddeck_peers_throttled_total',
 	/** The time that short pieces of bodies and answers took, in milliseconds. */
 	piecesTime: 'dogwooddeck_pieces_milliseconds_total',
 	/** The index of the newest applied log entry. */
--- a/packages/upstream-client/src/client.ts
+++ b/packages/upstream-client/src/client.ts
@@ -3,7 +3,7 @@
  * address, with one request at a time on a connection and no automatic retries.
  */
 import {Pool} from 'undici';
-import {PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {HeaderName} from '@dogwooddeck/model/headers';
 import {type FenceNumber, type Milliseconds, type Slot} from '@dogwooddeck/model/identifiers';
 import {type Abandoned, type AnswerSink, Exchange} from './exchange.js';
@@ -75,7 +75,7 @@
 class PooledClient implements UpstreamClient {
 	readonly #options: UpstreamClientOptions;
 	readonly #pools = new Map<string, OpenPool>();
-	readonly #pacing = new PacedReading();
+	readonly #throttle = new ReadThrottle();
 
 	constructor(options: UpstreamClientOptions) {
 		this.#options = options;
@@ -121,7 +121,7 @@
 		void open?.pool.close();
 		const pool = new Pool(`http://${request.address}`, {
 			connections: request.connections,
-			factory: origin => new PausableClient(origin, {...this.#options, pacing: this.#pacing}),
+			factory: origin => new PausableClient(origin, {...this.#options, throttle: this.#throttle}),
 		});
 		this.#pools.set(request.address, {pool, connections: request.connections});
 		return pool;
--- a/packages/upstream-client/src/pausable-client.ts
+++ b/packages/upstream-client/src/pausable-client.ts
@@ -9,23 +9,23 @@
  */
 import {type Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
-import {type PacedPeer, type PacedReading} from '@dogwooddeck/loop-share/paced-reading';
+import {type ThrottledPeer, type ReadThrottle} from '@dogwooddeck/loop-share/read-throttle';
 import {type Milliseconds} from '@dogwooddeck/model/identifiers';
 
 /** What is parsed at once, in bytes: reading stops behind it. */
 const sliceBytes = 16_384;
 
 /** Pauses and resumes the reading of answers from one connection. */
-export class AnswerSource implements PacedPeer {
-	readonly #pacing: PacedReading;
+export class AnswerSource implements ThrottledPeer {
+	readonly #throttle: ReadThrottle;
 	#socket: Socket | undefined;
 	/** Whether the receiver of the answer takes no more. */
 	#isPaused = false;
 	/** Whether the answer's pieces took too much of the loop. */
-	#isHeld = false;
+	#isThrottled = false;
 
-	constructor(pacing: PacedReading) {
-		this.#pacing = pacing;
+	constructor(throttle: ReadThrottle) {
+		this.#throttle = throttle;
 	}
 
 	/** The address of the upstream. */
@@ -38,32 +38,32 @@
 		const read = socket.read.bind(socket);
 		this.#socket = socket;
 		this.#isPaused = false;
-		this.#isHeld = false;
+		this.#isThrottled = false;
 		// Node.js itself reads zero bytes to start receiving and to notice the end.
 		socket.read = (size?: number) => {
 			if (size === 0) {
 				return read(size) as unknown;
 			}
 
-			return this.#isPaused || this.#isHeld ? null : read(size ?? Math.min(sliceBytes, socket.readableLength)) as unknown;
+			return this.#isPaused || this.#isThrottled ? null : read(size ?? Math.min(sliceBytes, socket.readableLength)) as unknown;
 		};
 
 		socket.once('close', () => {
-			this.#pacing.forget(this);
+			this.#throttle.forget(this);
 		});
 	}
 
 	/** Counts a part of an answer that was parsed by itself, however short. */
 	countPiece(bytes: number): void {
-		this.#pacing.countPiece(this, bytes);
+		this.#throttle.countPiece(this, bytes);
 	}
 
-	holdReading(): void {
-		this.#isHeld = true;
+	stopReading(): void {
+		this.#isThrottled = true;
 	}
 
 	continueReading(): void {
-		this.#isHeld = false;
+		this.#isThrottled = false;
 		this.#read();
 	}
 
@@ -86,7 +86,7 @@
 	}
 
 	#read(): void {
-		if (!this.#isPaused && !this.#isHeld && this.#socket?.destroyed === false) {
+		if (!this.#isPaused && !this.#isThrottled && this.#socket?.destroyed === false) {
 			this.#socket.emit('readable');
 		}
 	}
@@ -101,7 +101,7 @@
 	/** How long an unused connection is kept. */
 	readonly idleMilliseconds: Milliseconds;
 	/** The reading from all peers of the process. */
-	readonly pacing: PacedReading;
+	readonly throttle: ReadThrottle;
 	/** Called with the socket of each connection before it is used. */
 	readonly onSocket?: (socket: Socket) => void;
 };
@@ -112,8 +112,8 @@
 export class PausableClient extends Client {
 	readonly #source: AnswerSource;
 
-	constructor(origin: string | URL, {connectTimeoutMilliseconds, idleMilliseconds, pacing, onSocket}: PausableClientOptions) {
-		const source = new AnswerSource(pacing);
+	constructor(origin: string | URL, {connectTimeoutMilliseconds, idleMilliseconds, throttle, onSocket}: PausableClientOptions) {
+		const source = new AnswerSource(throttle);
 		const connect = buildConnector({timeout: connectTimeoutMilliseconds});
 		super(origin, {
 			pipelining: 1,
--- a/packages/upstream-client/test/test-paced-answers.ts
+++ b/packages/upstream-client/test/test-throttled-answers.ts
@@ -108,7 +108,7 @@
 for (const {
 	name, answers, ending, hasOtherWork,
 } of cases) {
-	test(`paced answers: ${name}`, async context => {
+	test(`throttled answers: ${name}`, async context => {
 		const server = createServer(socket => {
 			socket.on('error', () => {
 				socket.destroy();
