--- a/packages/entry/src/peer-guard.ts
+++ b/packages/entry/src/peer-guard.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps what the connections of a server take within the limits of its machine: it closes the connections for which
- * most is held, and for new ones those that have been idle for longest. Those whose bodies come in short pieces are read more slowly.
+ * most is held, and for new ones those that have been idle for longest. Those whose bodies come in short pieces are read
+ * more slowly.
  */
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
--- a/packages/gateway/src/peer-memory.ts
+++ b/packages/gateway/src/peer-memory.ts
@@ -2,9 +2,10 @@
  * What a process holds for its peers, by connection, and which connections are closed when that is too much.
  *
  * Load pattern: clients that keep to no limit. Some dozens of connections carry bodies that stop just short of their
- * end, or requests sent ahead whose answers are never read. What a client holds grows with
- * what it sends, so the connections that hold most are closed first, and ordinary callers, which hold little, go on.
+ * end, or requests sent ahead whose answers are never read. What a client holds grows with what it sends, so the
+ * connections that hold most are closed first, and ordinary callers, which hold little, go on.
  */
+
 /** What the machine gives to the process. */
 export type MachineLimits = {
 	readonly memoryBytes: number;
