Find another port where a test's port was taken

Cause: startEntry of the tests finds a free port, closes it and listens on it again. Another process took it in between: 'listen EADDRINUSE: address already in use 127.0.0.1:37033'. The upstreams were started before and were not closed then, so the process didn't end; it had one listening socket left.

startEntry tries another port, five in all, and only for this error; upstreams are closed when an entry can't start. What the tests check has not changed, nor has anything that they test. test-control-api and test-evacuation of platform/ find their ports in the same way and could meet the same; they were not seen to.

--- a/packages/entry/test/scenario.ts
+++ b/packages/entry/test/scenario.ts
@@ -134,6 +134,31 @@
 /** A running entry. */
 export type Entry = {readonly port: number; readonly callers: CallerServer; readonly table: ServiceTable; readonly advancing: NodeJS.Timeout};
 
+async function findPort(): Promise<number> {
+	const probe = createServer().listen(0, '127.0.0.1');
+	await once(probe, 'listening');
+	const {port} = probe.address() as AddressInfo;
+	probe.close();
+	await once(probe, 'close');
+	return port;
+}
+
+/** Another process may take the port between its being found and being used. */
+const portTries = 5;
+
+async function onFreePort(listen: (port: number) => Promise<CallerServer>): Promise<{readonly port: number; readonly callers: CallerServer}> {
+	for (let tries = 1; ; tries += 1) {
+		const port = await findPort();
+		try {
+			return {port, callers: await listen(port)};
+		} catch (error) {
+			if (tries === portTries || (error as NodeJS.ErrnoException).code !== 'EADDRINUSE') {
+				throw error; // eslint-disable-line no-restricted-syntax -- passed on as it came
+			}
+		}
+	}
+}
+
 /** Starts an entry; `hasDirectory`: whether it has a directory. `overrides` replaces dependencies of its requests. */
 export async function startEntry(upstreams: readonly Upstream[], hasDirectory: boolean, overrides: Partial<RequestDependencies> = {}): Promise<Entry> {
 	const throttle = new ReadThrottle();
@@ -175,12 +200,7 @@
 		}
 	}
 
-	const probe = createServer().listen(0, '127.0.0.1');
-	await once(probe, 'listening');
-	const {port} = probe.address() as AddressInfo;
-	probe.close();
-	await once(probe, 'close');
-	const callers = await startCallerServer({host: '127.0.0.1', port}, {
+	const listen = async (port: number): Promise<CallerServer> => startCallerServer({host: '127.0.0.1', port}, {
 		onRequest(exchange, path) {
 			new RequestExecution(dependencies, exchange, path).start();
 		},
@@ -189,6 +209,7 @@
 		peerLog: () => undefined,
 		throttle,
 	});
+	const {port, callers} = await onFreePort(listen);
 	const advancing = setInterval(() => {
 		loopDelayGuard.recordTurn();
 		for (const service of table.services()) {
@@ -238,14 +259,15 @@
 /** Runs a test with an entry and one upstream for each behaviour. */
 export async function withEntry(behaviours: readonly Behaviour[], hasDirectory: boolean, use: (entry: Entry, upstreams: readonly Upstream[]) => Promise<void>, overrides: Partial<RequestDependencies> = {}): Promise<void> {
 	const upstreams = await Promise.all(behaviours.map(async behaviour => startUpstream(behaviour)));
-	const entry = await startEntry(upstreams, hasDirectory, overrides);
+	let entry: Entry | undefined;
 	try {
+		entry = await startEntry(upstreams, hasDirectory, overrides);
 		await use(entry, upstreams);
 	} finally {
-		clearInterval(entry.advancing);
-		entry.callers.stopListening();
-		entry.callers.closeAll();
-		entry.table.close();
+		clearInterval(entry?.advancing);
+		entry?.callers.stopListening();
+		entry?.callers.closeAll();
+		entry?.table.close();
 		for (const {server} of upstreams) {
 			server.close();
 		}
