Halve the answers of the tests of throttled reading

Three whole answers of 10,000 chunks took 2.7 s of the 3 s that they have, with nothing else on the machine, so that a busy one could end them early: by the test's clock their pieces take 0.6 s, of which a quarter of the loop is given. With 5,000 chunks they take 1.2 s. The bound on their share is as it was; the three cases beside other work still fail on the code before (pieces took 201 of 204 s, 169 of 172 s and 300 of 335 ms), and pass in three runs of three here.

--- a/packages/upstream-client/test/test-throttled-answers.ts
+++ b/packages/upstream-client/test/test-throttled-answers.ts
@@ -12,7 +12,7 @@
 
 const pieceMilliseconds = 0.02;
 const oneByteChunk = '1\r\na\r\n';
-const chunksPerWrite = 10_000;
+const chunksPerWrite = 5000;
 const timeoutMilliseconds = 3000;
 /** Reading answers may take at most this part of the time while other work is waiting. */
 const largestShare = 0.5;
@@ -22,7 +22,7 @@
 const Endings = {
 	none: {chunks: Infinity, end: () => undefined, seen: AttemptObservation.deadlinePassedAfterFirstByte},
 	closed: {
-		chunks: 10_000,
+		chunks: 5000,
 		end(socket) {
 			socket.end();
 		},
